Add the start ledger and number the attempts of a task

Cause: an agent must start each task at most once, although starts, revokes, fences and reconnects cross. A revoke that only names the task cannot be told from a later placement of the same task on the same agent. Ruled out: a tombstone for the whole retention without an attempt (the owner could never place the task there again); no tombstone for a refusal (an earlier copy of the start could still arrive and run after the owner moved the task); evicting tombstones at the size bound (replaced by refusing all permits issued up to that time). Result: package agent/ledger, pure, clock passed in.

--- /dev/null
+++ b/agent/ledger/types.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+)
+
+// State is the state of a task in the ledger.
+type State uint8
+
+// The states of a task. Queued leads to Running or NotStarted. Running leads to
+// Succeeded, Failed or, with proof that no byte reached the target, NotStarted.
+// Succeeded and Failed are final. The values equal those of TaskState in the
+// wire protocol.
+const (
+	Queued State = iota + 1
+	Running
+	Succeeded
+	Failed
+	// NotStarted is a tombstone: it refuses every attempt up to its own.
+	NotStarted
+)
+
+// Started reports whether the task was given to the target.
+func (s State) Started() bool { return s == Running || s == Succeeded || s == Failed }
+
+// String returns the name of the state for logs.
+func (s State) String() string {
+	switch s {
+	case Queued:
+		return "queued"
+	case Running:
+		return "running"
+	case Succeeded:
+		return "succeeded"
+	case Failed:
+		return "failed"
+	case NotStarted:
+		return "not_started"
+	}
+	return "unknown"
+}
+
+// Reason says why a task was not started.
+type Reason uint8
+
+// The reasons. The values equal those of RefusalReason in the wire protocol.
+const (
+	StaleEpoch Reason = iota + 1
+	PermitExpired
+	Duplicate
+	Revoked
+	Leaving
+	LeaseLapsed
+	QueueFull
+	LedgerFull
+	Deadline
+	NoTarget
+	Cancelled
+)
+
+// Permit allows starts for a limited time. A gateway returns it unchanged.
+type Permit struct {
+	Incarnation model.Incarnation
+	// Issued is the agent's monotonic time of issue.
+	Issued time.Duration
+}
+
+// Attempt is one placement of a task. Epoch and Number order the attempts of a
+// task: the owner raises Number with each placement within its epoch.
+type Attempt struct {
+	Task      model.TaskID
+	Partition model.Partition
+	Epoch     model.Epoch
+	Number    uint32
+}
+
+// After reports whether a was placed later than b. Both must be of one task.
+func (a Attempt) After(b Attempt) bool {
+	if a.Epoch != b.Epoch {
+		return a.Epoch > b.Epoch
+	}
+	return a.Number > b.Number
+}
+
+// Start is a request to start an attempt.
+type Start struct {
+	Attempt
+	// Digest is the digest of the whole job.
+	Digest model.Digest
+	Permit Permit
+	// Deadline is the monotonic time from which on the task must not begin; 0 is
+	// no deadline.
+	Deadline time.Duration
+}
+
+// Record is a copy of a ledger entry, or the refusal of a start. The caller
+// must not change Result.
+type Record struct {
+	Attempt
+	State State
+	// Refusal is 0 unless the record refuses a start or is a tombstone.
+	Refusal Reason
+	Digest  model.Digest
+	Result  []byte
+	Error   string
+	// Wait is the time in the queue, Run the time at the target.
+	Wait, Run time.Duration
+}
+
+// Outcome is the end of a running attempt.
+type Outcome struct {
+	// State is Succeeded, Failed or NotStarted. NotStarted is allowed only if no
+	// byte of the request can have reached the target.
+	State State
+	// Reason is set with NotStarted.
+	Reason Reason
+	// Result is cut to nothing and the task counts as Failed if it is larger than
+	// Options.ResultLimit.
+	Result []byte
+	Error  string
+}
+
+// PartitionEpoch is a partition with an epoch.
+type PartitionEpoch struct {
+	Partition model.Partition
+	Epoch     model.Epoch
+}
+
+// Cancellation cancels a job. It is ignored if its epoch is older than the
+// newest epoch of the partition; Epoch 0 cancels under every epoch.
+type Cancellation struct {
+	Job       model.JobKey
+	Partition model.Partition
+	Epoch     model.Epoch
+}
+
+// Counts describes the size of the ledger.
+type Counts struct {
+	Queued, Running int
+	// Entries counts tasks, tombstones and cancelled jobs.
+	Entries int
+	// Bytes includes the reservations for results of unfinished tasks.
+	Bytes int64
+}
