Add the agent: links, executor, lease, announcements and leaving

Cause: each target needs a process beside it that starts tasks at most once, reports outcomes and lets the target leave without interrupting requests. Ruled out: following redirects and idempotency headers on requests to the target (both make net/http send a request again); announcing the leaving to gateways before the outcomes are delivered (owners give up on an agent that the log shows as gone); ending a link by returning from the handler while its sender runs (response deadlines end it instead); reporting each outcome of a batch when slots are free (a batch that fits the slots would cost a message a task), so StartBatch says whether the gateway has more work. Result: package agent.

--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,118 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
+)
+
+const (
+	// announceTimeout bounds one announcement, which waits for the log's read-back
+	// at the gateway.
+	announceTimeout = 2 * time.Second
+	// announceFirstRetry is the first wait after a failed announcement; it doubles
+	// up to Options.AnnounceRetry.
+	announceFirstRetry = 100 * time.Millisecond
+	gatewayDialTimeout = time.Second
+)
+
+func newGatewayClient() connect.HTTPClient {
+	t := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: gatewayDialTimeout}).DialContext,
+		Protocols:   new(http.Protocols),
+	}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: t}
+}
+
+// announceLoop announces the agent until ctx ends: at each change of the target,
+// often until the log shows the agent, then rarely.
+func (a *Agent) announceLoop(ctx context.Context) {
+	retry := announceFirstRetry
+	next := 0
+	for ctx.Err() == nil {
+		req := a.announcement()
+		wait := a.opts.AnnounceInterval
+		if req != nil && len(a.opts.Gateways) > 0 {
+			recorded, err := a.announceTo(ctx, a.opts.Gateways[next], req)
+			switch {
+			case err != nil:
+				a.log.Warn().Str("event", "agent.announce_failed").Str("gateway", a.opts.Gateways[next]).Err(err).Msg("announcement failed")
+				next = (next + 1) % len(a.opts.Gateways)
+				wait = retry
+				retry = min(2*retry, a.opts.AnnounceRetry)
+			case !recorded:
+				wait, retry = a.opts.AnnouncePending, announceFirstRetry
+			default:
+				retry = announceFirstRetry
+			}
+		}
+		timer := time.NewTimer(jitter(wait))
+		select {
+		case <-timer.C:
+		case <-a.announceNow:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// announcement returns the announcement of the agent with its target, or nil
+// until a target was announced.
+func (a *Agent) announcement() *pb.AnnounceRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.target.name == "" {
+		return nil
+	}
+	return &pb.AnnounceRequest{
+		Agent:            a.opts.Agent,
+		Incarnation:      uint64(a.opts.Incarnation),
+		Address:          a.opts.Advertise,
+		Worker:           a.opts.Worker,
+		Rack:             a.opts.Rack,
+		AvailabilityZone: a.opts.AvailabilityZone,
+		Target:           a.target.name,
+		Service:          a.target.service,
+		Slots:            uint32(a.target.slots),
+		Connections:      uint32(a.target.connections),
+	}
+}
+
+func (a *Agent) announceTo(ctx context.Context, address string, req *pb.AnnounceRequest) (recorded bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	c := rhubarbsailv1connect.NewGatewayServiceClient(a.deps.GatewayClient, "http://"+address)
+	resp, err := c.Announce(ctx, connect.NewRequest(req))
+	if err != nil {
+		return false, errors.Wrapf(err, "announce to %s", address)
+	}
+	return resp.Msg.GetRecorded(), nil
+}
+
+// announceLeaving tells the first gateway that answers that the agent has left.
+// It is called when the outcomes are delivered: once the log shows the removal,
+// owners no longer wait for outcomes of this agent.
+func (a *Agent) announceLeaving() {
+	req := a.announcement()
+	if req == nil {
+		return
+	}
+	req.Leaving = true
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, address := range a.opts.Gateways {
+		_, err := a.announceTo(ctx, address, req)
+		if err == nil {
+			return
+		}
+		a.log.Warn().Str("event", "agent.announce_failed").Str("gateway", address).Err(err).Msg("announcement of leaving failed")
+	}
+}
--- /dev/null
+++ b/agent/executor.go
@@ -0,0 +1,200 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+)
+
+var (
+	errCancelled = errors.New("job cancelled")
+	errStopped   = errors.New("agent stopped before the target answered")
+)
+
+// batch is one StartBatch of a gateway. Agent.mu guards it.
+type batch struct {
+	gateway string
+	// each asks for a report of each outcome; more says that the gateway wants to
+	// know when the agent runs out of its tasks.
+	each, more bool
+	// open counts the tasks of the batch without an outcome.
+	open int
+}
+
+// work is a queued task.
+type work struct {
+	attempt ledger.Attempt
+	batch   *batch
+	start   *pb.Start
+}
+
+// veto returns the agent's own reason against new starts, or 0. The caller holds
+// a.mu.
+func (a *Agent) veto(now time.Duration, service string) ledger.Reason {
+	switch {
+	case a.stopping || a.target.left:
+		return ledger.Leaving
+	case !a.target.present || service != a.target.service:
+		return ledger.NoTarget
+	case !a.lease.valid(now):
+		return ledger.LeaseLapsed
+	}
+	return 0
+}
+
+// slots returns the number of requests that the target takes at a time. The
+// caller holds a.mu.
+func (a *Agent) slots() int { return min(a.target.slots, a.target.connections) }
+
+// admit asks the ledger for a start and queues the task. The caller holds a.mu
+// and calls dispatch.
+func (a *Agent) admit(now time.Duration, s ledger.Start, b *batch, w *pb.Start) (ledger.Record, bool) {
+	reason := a.veto(now, w.GetService())
+	if reason == 0 && len(a.queue)+len(a.running) >= a.slots()+a.opts.QueueLimit {
+		reason = ledger.QueueFull
+	}
+	var rec ledger.Record
+	ok := false
+	if reason != 0 {
+		rec = a.ledger.Refuse(now, s, reason)
+	} else {
+		rec, ok = a.ledger.Admit(now, s)
+	}
+	a.own(s.Partition, s.Epoch, b.gateway)
+	if !ok {
+		b.open--
+		a.deps.Metrics.TaskRefused(rec.Refusal)
+		return rec, false
+	}
+	a.queue = append(a.queue, &work{attempt: s.Attempt, batch: b, start: w})
+	a.queued[b.gateway]++
+	return rec, true
+}
+
+// own makes the gateway the receiver of the partition's outcomes unless a newer
+// epoch is known. The caller holds a.mu.
+func (a *Agent) own(p model.Partition, e model.Epoch, gateway string) bool {
+	if e < a.ledger.Epoch(p) {
+		return false
+	}
+	a.owners[p] = gateway
+	return true
+}
+
+// dispatch begins queued tasks while there are free slots. The caller holds a.mu.
+func (a *Agent) dispatch(now time.Duration) {
+	for len(a.queue) > 0 && len(a.running) < a.slots() && a.veto(now, a.target.service) == 0 {
+		w := a.queue[0]
+		a.queue[0] = nil
+		a.queue = a.queue[1:]
+		a.unqueue(w)
+		rec, ok := a.ledger.Begin(now, w.attempt)
+		if !ok {
+			a.deps.Metrics.TaskRefused(rec.Refusal)
+			a.settle(w.batch, rec)
+			continue
+		}
+		a.deps.Metrics.TaskBegan(rec.Wait)
+		ctx, cancel := context.WithCancelCause(a.runCtx)
+		a.running[w.attempt] = cancel
+		a.tasks.Add(1)
+		go a.run(ctx, cancel, w, a.target.client)
+	}
+}
+
+func (a *Agent) unqueue(w *work) {
+	if a.queued[w.batch.gateway]--; a.queued[w.batch.gateway] == 0 {
+		delete(a.queued, w.batch.gateway)
+	}
+}
+
+// run gives one task to the target and records its outcome.
+func (a *Agent) run(ctx context.Context, cancel context.CancelCauseFunc, w *work, c *targetClient) {
+	defer a.tasks.Done()
+	defer cancel(nil)
+	out := c.run(ctx, w)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	delete(a.running, w.attempt)
+	rec, ok := a.ledger.Finish(now, w.attempt, out)
+	a.dispatch(now)
+	if ok {
+		a.deps.Metrics.TaskEnded(rec.State, rec.Run)
+		a.settle(w.batch, rec)
+	}
+	a.changed()
+}
+
+// settle counts an outcome for its batch and reports it, or holds it until the
+// batch is complete. The caller holds a.mu.
+func (a *Agent) settle(b *batch, rec ledger.Record) {
+	b.open--
+	ranOut := b.more && a.queued[b.gateway] == 0 && len(a.running) < a.slots()
+	if !b.each && rec.State == ledger.Succeeded && b.open > 0 && !ranOut {
+		a.held[b.gateway] = append(a.held[b.gateway], rec)
+		return
+	}
+	a.deliver(append(a.held[b.gateway], rec))
+	delete(a.held, b.gateway)
+}
+
+// deliver sends records to the gateways that own their partitions. The caller
+// holds a.mu and gives up the slice.
+func (a *Agent) deliver(recs []ledger.Record) {
+	byGateway := make(map[string][]ledger.Record, 1)
+	for _, r := range recs {
+		g := a.owners[r.Partition]
+		byGateway[g] = append(byGateway[g], r)
+	}
+	for g, rs := range byGateway {
+		if s := a.sessions[g]; s != nil {
+			a.push(s, message{kind: messageReport, records: rs})
+		} else {
+			a.markUndelivered(rs)
+		}
+	}
+}
+
+// abandonStale removes the queued tasks that the ledger has dropped, whose
+// records the caller reports. The caller holds a.mu.
+func (a *Agent) abandonStale() {
+	kept := a.queue[:0]
+	for _, w := range a.queue {
+		if a.ledger.IsQueued(w.attempt) {
+			kept = append(kept, w)
+			continue
+		}
+		a.unqueue(w)
+		w.batch.open--
+		if held := a.held[w.batch.gateway]; w.batch.open == 0 && len(held) > 0 {
+			delete(a.held, w.batch.gateway)
+			a.deliver(held)
+		}
+	}
+	clear(a.queue[len(kept):])
+	a.queue = kept
+}
+
+// giveBack drops the whole queue and reports the tasks as not started. The caller
+// holds a.mu.
+func (a *Agent) giveBack(now time.Duration, r ledger.Reason) {
+	recs := a.ledger.DropQueued(now, r)
+	a.abandonStale()
+	if len(recs) > 0 {
+		a.deliver(recs)
+	}
+}
+
+// notifyLoad sends the load to all gateways. The caller holds a.mu.
+func (a *Agent) notifyLoad() {
+	for _, s := range a.sessions {
+		a.push(s, message{kind: messageReport})
+	}
+	a.changed()
+}
--- a/agent/ledger/fence.go
+++ b/agent/ledger/fence.go
@@ -62,6 +62,14 @@
 	return 0
 }
 
+// IsQueued reports whether the attempt is the queued one of its task.
+func (l *Ledger) IsQueued(a Attempt) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[a.Task]
+	return e != nil && e.Attempt == a && e.State == Queued
+}
+
 // Newer returns the partitions whose newest epoch is above a log offset.
 func (l *Ledger) Newer(offset uint64) []PartitionEpoch {
 	l.mu.Lock()
--- /dev/null
+++ b/agent/link_test.go
@@ -0,0 +1,349 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+)
+
+// The target needs the identity of the task and the trace; the owner needs the
+// result and the placement that it is about.
+func TestTaskRunsAndItsOutcomeIsReported(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	h := startAgent(t, Options{}, Dependencies{}, func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(append([]byte("done "), body...))
+	})
+	h.announce()
+	l := h.dial("g1")
+	l.start(each, false, start(4, 7))
+	rec := l.records(1)[0]
+	if rec.GetState() != pb.TaskState_TASK_STATE_SUCCEEDED || string(rec.GetResult()) != "done payload" ||
+		rec.GetEpoch() != 5 || rec.GetAttempt() != 7 || rec.GetTask().GetIndex() != 4 {
+		t.Fatalf("record %v", rec)
+	}
+	got := <-seen
+	for name, want := range map[string]string{
+		HeaderClient: "c", HeaderKey: "k%20%C3%A9%0A", HeaderIndex: "4", HeaderAttempt: "7",
+	} {
+		if got.Get(name) != want {
+			t.Errorf("header %s is %q, want %q", name, got.Get(name), want)
+		}
+	}
+	if !strings.HasPrefix(got.Get("Traceparent"), "00-0af7651916cd43dd8448eb211c80319c-") {
+		t.Errorf("traceparent %q", got.Get("Traceparent"))
+	}
+	// A second start of the same task must return what is known.
+	l.start(each, false, start(4, 8))
+	again := l.records(1)[0]
+	if again.GetRefusal() != pb.RefusalReason_REFUSAL_REASON_DUPLICATE || string(again.GetResult()) != "done payload" || again.GetAttempt() != 7 {
+		t.Fatalf("second start: %v", again)
+	}
+}
+
+// A task may move to another agent only if its request cannot have reached the
+// target; everything else counts as started, once.
+func TestTargetFaults(t *testing.T) {
+	const notStarted, failed = pb.TaskState_TASK_STATE_NOT_STARTED, pb.TaskState_TASK_STATE_FAILED
+	hijack := func(answer string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_, _ = io.WriteString(conn, answer)
+			_ = conn.Close()
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		down    bool
+		want    pb.TaskState
+	}{
+		{"connection refused", nil, true, notStarted},
+		{"error status", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, false, failed},
+		{"closed without an answer", hijack(""), false, failed},
+		{"closed within the answer", hijack("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"), false, failed},
+		{"no HTTP", hijack("hello\r\n\r\n"), false, failed},
+		{"result over the limit", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1025)) }, false, failed},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+		}, false, failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			calls := make(chan struct{}, 10)
+			opts := Options{}
+			opts.Ledger.ResultLimit = 1024
+			h := startAgent(t, opts, Dependencies{}, func(w http.ResponseWriter, r *http.Request) {
+				calls <- struct{}{}
+				c.handler(w, r)
+			})
+			h.announce()
+			if c.down {
+				h.target.Close()
+			}
+			l := h.dial("g1")
+			l.start(each, false, start(0, 1))
+			if rec := l.records(1)[0]; rec.GetState() != c.want {
+				t.Fatalf("record %v, want state %v", rec, c.want)
+			}
+			want := 1
+			if c.down {
+				want = 0
+			}
+			if len(calls) != want {
+				t.Fatalf("the target got %d requests, want %d", len(calls), want)
+			}
+		})
+	}
+}
+
+// Each condition under which the agent must not take a start has its reason, from
+// which the owner decides where to place the task.
+func TestRefusals(t *testing.T) {
+	long := time.Now().Add(-time.Hour).UnixNano()
+	for _, c := range []struct {
+		name    string
+		prepare func(h *harness, l *link, s *pb.Start)
+		want    pb.RefusalReason
+	}{
+		{"no target", func(*harness, *link, *pb.Start) {}, pb.RefusalReason_REFUSAL_REASON_NO_TARGET},
+		{"other service", func(h *harness, _ *link, s *pb.Start) { h.announce(); s.Service = "other" }, pb.RefusalReason_REFUSAL_REASON_NO_TARGET},
+		{"target left", func(h *harness, _ *link, _ *pb.Start) { h.announce(); h.post("/v1/leave", nil) }, pb.RefusalReason_REFUSAL_REASON_LEAVING},
+		{"permit of another incarnation", func(h *harness, l *link, _ *pb.Start) { h.announce(); l.permit.AgentIncarnation++ }, pb.RefusalReason_REFUSAL_REASON_PERMIT_EXPIRED},
+		{"no permit", func(h *harness, l *link, _ *pb.Start) { h.announce(); l.permit = nil }, pb.RefusalReason_REFUSAL_REASON_PERMIT_EXPIRED},
+		{"deadline passed", func(h *harness, _ *link, s *pb.Start) { h.announce(); s.DeadlineUnixNanos = long }, pb.RefusalReason_REFUSAL_REASON_DEADLINE},
+		{"older epoch", func(h *harness, l *link, _ *pb.Start) { h.announce(); l.fence(6) }, pb.RefusalReason_REFUSAL_REASON_STALE_EPOCH},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := startAgent(t, Options{}, Dependencies{}, func(http.ResponseWriter, *http.Request) {
+				t.Error("the target got a request")
+			})
+			l, s := h.dial("g1"), start(0, 1)
+			c.prepare(h, l, s)
+			l.start(each, false, s)
+			if rec := l.records(1)[0]; rec.GetRefusal() != c.want || rec.GetState() != pb.TaskState_TASK_STATE_NOT_STARTED {
+				t.Fatalf("record %v, want %v", rec, c.want)
+			}
+		})
+	}
+}
+
+// The queue is bounded, and a job that fills it must not block the link.
+func TestQueueIsBounded(t *testing.T) {
+	g := newGate()
+	h := startAgent(t, Options{QueueLimit: 1}, Dependencies{}, g.ServeHTTP)
+	h.announce()
+	l := h.dial("g1")
+	l.start(each, false, start(0, 1), start(1, 1), start(2, 1), start(3, 1))
+	if rec := l.records(1)[0]; rec.GetTask().GetIndex() != 3 || rec.GetRefusal() != pb.RefusalReason_REFUSAL_REASON_QUEUE_FULL {
+		t.Fatalf("record %v", rec)
+	}
+	for range 3 {
+		g.release <- struct{}{}
+	}
+	if recs := l.records(3); len(recs) != 3 {
+		t.Fatalf("records %v", recs)
+	}
+}
+
+// A job of many tasks must not cost a message a task (wasted messages).
+func TestBatchTakesOneReport(t *testing.T) {
+	g := newGate()
+	h := startAgent(t, Options{}, Dependencies{}, g.ServeHTTP)
+	h.announce()
+	l := h.dial("g1")
+	var starts []*pb.Start
+	for i := range uint32(9) {
+		starts = append(starts, start(i, 1))
+		g.release <- struct{}{}
+	}
+	l.start(whole, false, starts...)
+	if f := l.receive(); len(f.GetReport().GetRecords()) != 9 {
+		t.Fatalf("first report has %d records, want 9", len(f.GetReport().GetRecords()))
+	}
+}
+
+// A gateway with more work must learn of a free slot before the batch ends.
+func TestBatchReportsWhenItRunsOut(t *testing.T) {
+	g := newGate()
+	h := startAgent(t, Options{}, Dependencies{}, g.ServeHTTP)
+	h.announce()
+	l := h.dial("g1")
+	l.start(whole, true, start(0, 1), start(1, 1), start(2, 1))
+	g.release <- struct{}{}
+	g.release <- struct{}{}
+	// The first outcome is held, since the third task takes its slot.
+	if f := l.receive(); len(f.GetReport().GetRecords()) != 2 {
+		t.Fatalf("first report has %d records, want 2", len(f.GetReport().GetRecords()))
+	}
+	g.release <- struct{}{}
+	l.records(1)
+}
+
+// An outcome that found no link must reach the gateway that fences, whether the
+// same one reconnects or another one takes over.
+func TestOutcomeOfALostLinkIsDelivered(t *testing.T) {
+	for _, c := range []struct {
+		gateway string
+		epoch   uint64
+	}{{"g1", 5}, {"g2", 6}} {
+		t.Run(c.gateway, func(t *testing.T) {
+			g := newGate()
+			h := startAgent(t, Options{}, Dependencies{}, g.ServeHTTP)
+			h.announce()
+			l := h.dial("g1")
+			l.start(each, false, start(0, 1), start(1, 1))
+			<-g.arrived
+			<-g.arrived
+			l.close()
+			g.release <- struct{}{}
+			if err := h.agent.await(context.Background(), func() bool { return len(h.agent.running) == 1 }); err != nil {
+				t.Fatal(err)
+			}
+			l2 := h.dial(c.gateway)
+			reply := l2.fence(c.epoch)
+			states := map[pb.TaskState]int{}
+			for _, r := range reply.GetRecords() {
+				states[r.GetState()]++
+			}
+			if fmt.Sprint(states) != fmt.Sprint(map[pb.TaskState]int{pb.TaskState_TASK_STATE_RUNNING: 1, pb.TaskState_TASK_STATE_SUCCEEDED: 1}) || !reply.GetLast() {
+				t.Fatalf("fence reply %v", reply)
+			}
+			g.release <- struct{}{}
+			if rec := l2.records(1)[0]; rec.GetState() != pb.TaskState_TASK_STATE_SUCCEEDED {
+				t.Fatalf("record %v", rec)
+			}
+		})
+	}
+}
+
+// A frame of a link that its gateway has replaced must have no effect: the
+// gateway has placed the task elsewhere after a reply on the newer link.
+func TestFramesOfAReplacedLinkAreDiscarded(t *testing.T) {
+	h := startAgent(t, Options{}, Dependencies{}, func(http.ResponseWriter, *http.Request) {
+		t.Error("the target got a request")
+	})
+	h.announce()
+	old := h.dial("g1")
+	h.agent.mu.Lock()
+	s := h.agent.sessions["g1"]
+	h.agent.mu.Unlock()
+	l := h.dial("g1")
+	if err := h.agent.handleStart(s, &pb.StartBatch{Permit: old.permit, Starts: []*pb.Start{start(0, 1)}}); err == nil {
+		t.Fatal("the start was taken")
+	}
+	if _, err := old.stream.Receive(); err == nil {
+		t.Fatal("the replaced link stays open")
+	}
+	if recs := l.fence(5).GetRecords(); len(recs) != 0 {
+		t.Fatalf("records %v", recs)
+	}
+}
+
+// A revoke and a start cross on their way. The owner moves the task after the
+// reply, and may place it here again as a later attempt.
+func TestRevokeBeforeItsStart(t *testing.T) {
+	h := startAgent(t, Options{}, Dependencies{}, func(http.ResponseWriter, *http.Request) {})
+	h.announce()
+	l := h.dial("g1")
+	s := start(0, 1)
+	reply := l.revoke(1, &pb.TaskAttempt{Task: s.GetTask(), Partition: 3, Epoch: 5, Attempt: 1})
+	if r := reply.GetRecords(); reply.GetRequest() != 1 || len(r) != 1 || r[0].GetState() != pb.TaskState_TASK_STATE_NOT_STARTED {
+		t.Fatalf("reply %v", reply)
+	}
+	l.start(each, false, s)
+	if rec := l.records(1)[0]; rec.GetRefusal() != pb.RefusalReason_REFUSAL_REASON_REVOKED {
+		t.Fatalf("late start: %v", rec)
+	}
+	l.start(each, false, start(0, 2))
+	if rec := l.records(1)[0]; rec.GetState() != pb.TaskState_TASK_STATE_SUCCEEDED {
+		t.Fatalf("later attempt: %v", rec)
+	}
+}
+
+// A wave of cancellations must free the slots and the queue at once.
+func TestCancelAbortsRunningAndDropsQueued(t *testing.T) {
+	g := newGate()
+	h := startAgent(t, Options{}, Dependencies{}, g.ServeHTTP)
+	h.announce()
+	l := h.dial("g1")
+	l.start(whole, false, start(0, 1), start(1, 1), start(2, 1))
+	<-g.arrived
+	<-g.arrived
+	id := start(0, 1).GetTask()
+	l.send(&pb.GatewayFrame{Frame: &pb.GatewayFrame_Cancel{Cancel: &pb.CancelJobs{
+		Jobs: []*pb.JobKey{{Client: id.GetClient(), Key: id.GetKey(), Partition: 3, Epoch: 5}},
+	}}})
+	states := map[uint32]pb.TaskState{}
+	for _, r := range l.records(3) {
+		states[r.GetTask().GetIndex()] = r.GetState()
+	}
+	for i, want := range []pb.TaskState{pb.TaskState_TASK_STATE_FAILED, pb.TaskState_TASK_STATE_FAILED, pb.TaskState_TASK_STATE_NOT_STARTED} {
+		if states[uint32(i)] != want {
+			t.Errorf("task %d is %v, want %v", i, states[uint32(i)], want)
+		}
+	}
+}
+
+// An owner renews its validity from probe replies, which must name each newer
+// epoch that this agent knows.
+func TestProbeNamesNewerEpochs(t *testing.T) {
+	h := startAgent(t, Options{}, Dependencies{}, func(http.ResponseWriter, *http.Request) {})
+	l := h.dial("g1")
+	h.dial("g2").fence(8)
+	for offset, want := range map[uint64]int{7: 1, 8: 0} {
+		l.send(&pb.GatewayFrame{Frame: &pb.GatewayFrame_Probe{Probe: &pb.Probe{Sequence: offset, AppliedOffset: offset}}})
+		r := l.receive().GetProbed()
+		if r.GetSequence() != offset || len(r.GetNewer()) != want {
+			t.Fatalf("offset %d: reply %v", offset, r)
+		}
+	}
+	if n := l.fence(7).GetNewer(); len(n) != 1 || n[0].GetEpoch() != 8 {
+		t.Fatalf("fence with an older epoch: newer %v", n)
+	}
+}
+
+// A malformed frame must end its link and must not reach the ledger.
+func TestMalformedFramesEndTheLink(t *testing.T) {
+	with := func(f func(s *pb.Start)) *pb.GatewayFrame {
+		s := start(0, 1)
+		f(s)
+		return &pb.GatewayFrame{Frame: &pb.GatewayFrame_Start{Start: &pb.StartBatch{Starts: []*pb.Start{s}}}}
+	}
+	h := startAgent(t, Options{}, Dependencies{}, func(http.ResponseWriter, *http.Request) {})
+	h.announce()
+	for name, f := range map[string]*pb.GatewayFrame{
+		"empty frame":       {},
+		"second hello":      {Frame: &pb.GatewayFrame_Hello{Hello: &pb.Hello{Gateway: "g1"}}},
+		"no client":         with(func(s *pb.Start) { s.Task.Client = "" }),
+		"no task":           with(func(s *pb.Start) { s.Task = nil }),
+		"short digest":      with(func(s *pb.Start) { s.JobDigest = s.JobDigest[:3] }),
+		"partition too big": with(func(s *pb.Start) { s.Partition = 1 << 20 }),
+		"index too big":     with(func(s *pb.Start) { s.Task.Index = 1 << 20 }),
+		"payload too big":   with(func(s *pb.Start) { s.Payload = make([]byte, 256<<10+1) }),
+		"frame too big":     with(func(s *pb.Start) { s.Payload = make([]byte, 5<<20) }),
+		"fence partition":   {Frame: &pb.GatewayFrame_Fence{Fence: &pb.Fence{Partitions: []*pb.PartitionEpoch{{Partition: 1 << 20}}}}},
+		"revoke without id": {Frame: &pb.GatewayFrame_Revoke{Revoke: &pb.Revoke{Attempts: []*pb.TaskAttempt{{}}}}},
+		"cancel without id": {Frame: &pb.GatewayFrame_Cancel{Cancel: &pb.CancelJobs{Jobs: []*pb.JobKey{{}}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := h.dial("g1")
+			_ = l.stream.Send(f)
+			_, err := l.stream.Receive()
+			if code := connect.CodeOf(err); err == nil || code != connect.CodeInvalidArgument && code != connect.CodeResourceExhausted {
+				t.Fatalf("link ended with %v", err)
+			}
+			if n := h.agent.ledger.Counts(0); n.Entries != 0 {
+				t.Fatalf("ledger %+v", n)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/agent/target.go
@@ -0,0 +1,144 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+)
+
+// Headers of a request to the target. Client and key are escaped like a segment
+// of a URL path, since a key may hold characters that a header cannot.
+const (
+	HeaderClient  = "Rhubarbsail-Client"
+	HeaderKey     = "Rhubarbsail-Key"
+	HeaderIndex   = "Rhubarbsail-Index"
+	HeaderAttempt = "Rhubarbsail-Attempt"
+)
+
+// targetDialTimeout bounds the connecting to a target, which is one network hop
+// away at most.
+const targetDialTimeout = time.Second
+
+// targetIdleTimeout closes unused connections. Common servers close them after 2
+// to 5 s, and a request sent at that moment fails without a proof that the target
+// did not run it.
+const targetIdleTimeout = time.Second
+
+// errorBodyBytes is the part of an error answer that is passed to the caller.
+const errorBodyBytes = 200
+
+// newTargetTransport returns an HTTP/1.1 transport without a proxy.
+func newTargetTransport(connections int) http.RoundTripper {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: targetDialTimeout}).DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     targetIdleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// targetClient sends tasks to one announced target.
+type targetClient struct {
+	url    string
+	http   *http.Client
+	limit  int
+	tracer trace.Tracer
+}
+
+func (a *Agent) newTargetClient(address string, connections int) *targetClient {
+	return &targetClient{
+		url: (&url.URL{Scheme: "http", Host: address, Path: "/v1/run"}).String(),
+		http: &http.Client{
+			Transport: a.deps.Transport(connections),
+			Timeout:   a.opts.RunTimeout,
+			// A followed redirect would send the task a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		limit:  a.opts.Ledger.ResultLimit,
+		tracer: a.deps.Tracer,
+	}
+}
+
+// run sends one task to the target. The outcome is NotStarted only if the headers
+// of the request were never handed to a connection.
+func (c *targetClient) run(ctx context.Context, w *work) ledger.Outcome {
+	ctx, span := c.startSpan(ctx, w.start)
+	defer span.End()
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { written.Store(true) },
+	})
+	out := c.exchange(ctx, w, &written)
+	if out.State != ledger.Succeeded {
+		span.SetStatus(codes.Error, out.Error)
+	}
+	return out
+}
+
+// startSpan continues the trace of the dispatch span.
+func (c *targetClient) startSpan(ctx context.Context, s *pb.Start) (context.Context, trace.Span) {
+	if s.GetTraceparent() == "" {
+		return ctx, trace.SpanFromContext(ctx)
+	}
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{"traceparent": s.GetTraceparent()})
+	return c.tracer.Start(ctx, "agent.run", trace.WithSpanKind(trace.SpanKindClient))
+}
+
+func (c *targetClient) exchange(ctx context.Context, w *work, written *atomic.Bool) ledger.Outcome {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, bytes.NewReader(w.start.GetPayload()))
+	if err != nil {
+		return ledger.Outcome{State: ledger.NotStarted, Reason: ledger.NoTarget, Error: err.Error()}
+	}
+	id := w.attempt.Task
+	// The transport repeats a request with an idempotency header, so none of
+	// these headers may have such a name.
+	req.Header.Set(HeaderClient, url.PathEscape(id.Job.Client))
+	req.Header.Set(HeaderKey, url.PathEscape(id.Job.Key))
+	req.Header.Set(HeaderIndex, strconv.Itoa(id.Index))
+	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(w.attempt.Number), 10))
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return failure(ctx, err, written.Load())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.limit)+1))
+	switch {
+	case err != nil:
+		return failure(ctx, err, true)
+	case resp.StatusCode != http.StatusOK:
+		text := body[:min(len(body), errorBodyBytes)]
+		return ledger.Outcome{State: ledger.Failed, Error: fmt.Sprintf("target answered %d: %q", resp.StatusCode, text)}
+	case len(body) > c.limit:
+		return ledger.Outcome{State: ledger.Failed, Error: fmt.Sprintf("result of the target is larger than %d bytes", c.limit)}
+	}
+	return ledger.Outcome{State: ledger.Succeeded, Result: body}
+}
+
+// failure returns the outcome of a request that got no complete answer.
+func failure(ctx context.Context, err error, written bool) ledger.Outcome {
+	reason := ledger.NoTarget
+	if cause := context.Cause(ctx); cause != nil {
+		err, reason = cause, ledger.Cancelled
+	}
+	if !written {
+		return ledger.Outcome{State: ledger.NotStarted, Reason: reason, Error: err.Error()}
+	}
+	return ledger.Outcome{State: ledger.Failed, Error: "target gave no answer: " + err.Error()}
+}
--- /dev/null
+++ b/agent/targetapi.go
@@ -0,0 +1,193 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+)
+
+// Limits of an announcement.
+const (
+	announceBytes  = 16 << 10
+	maxSlots       = 1 << 12
+	maxConnections = 1 << 16
+)
+
+// heartbeatsPerExpiry is the number of announcements that a target sends within
+// Options.HeartbeatExpiry.
+const heartbeatsPerExpiry = 3
+
+// Announcement is the body of POST /v1/announce, which a target repeats as its
+// heartbeat.
+type Announcement struct {
+	Target      string `json:"target"`
+	Service     string `json:"service"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// Address is the host:port on which the target takes requests.
+	Address string `json:"address"`
+}
+
+func (n Announcement) check() error {
+	if n.Target == "" || n.Service == "" {
+		return errors.New("target or service is empty")
+	}
+	if n.Slots < 1 || n.Slots > maxSlots {
+		return errors.Errorf("slots is %d, allowed 1 to %d", n.Slots, maxSlots)
+	}
+	if n.Connections < 1 || n.Connections > maxConnections {
+		return errors.Errorf("connections is %d, allowed 1 to %d", n.Connections, maxConnections)
+	}
+	if _, _, err := net.SplitHostPort(n.Address); err != nil {
+		return errors.Wrap(err, "address")
+	}
+	return nil
+}
+
+// AnnounceReply is the answer to an announcement.
+type AnnounceReply struct {
+	// HeartbeatMS is the interval in milliseconds in which the target repeats its
+	// announcement.
+	HeartbeatMS int64 `json:"heartbeat_ms"`
+}
+
+// LeaveReply is the answer to POST /v1/leave.
+type LeaveReply struct {
+	// Running is the number of requests that the target still has to finish.
+	Running int `json:"running"`
+}
+
+// targetState is what the agent knows of its target. Agent.mu guards it.
+type targetState struct {
+	name, service      string
+	address            string
+	slots, connections int
+	client             *targetClient
+	// present is false before the first announcement, after the heartbeat expired
+	// and after leaving.
+	present bool
+	// left is set by POST /v1/leave until the next announcement.
+	left bool
+	// expires is the time at which a present target counts as gone.
+	expires time.Duration
+	// rejoin is the time before which a target that left cannot announce itself,
+	// since a heartbeat may overtake its leaving.
+	rejoin time.Duration
+}
+
+var errLeft = errors.New("the target has left; announce again later")
+
+// announceTarget records an announcement of the target.
+func (a *Agent) announceTarget(n Announcement) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now, t := a.now(), &a.target
+	if a.stopping || t.left && now < t.rejoin {
+		return errLeft
+	}
+	known := t.present && t.name == n.Target && t.service == n.Service &&
+		t.address == n.Address && t.slots == n.Slots && t.connections == n.Connections
+	t.expires = now + a.opts.HeartbeatExpiry
+	if known {
+		return nil
+	}
+	if t.client == nil || t.address != n.Address || t.connections != n.Connections {
+		if t.client != nil {
+			t.client.http.CloseIdleConnections()
+		}
+		t.client = a.newTargetClient(n.Address, n.Connections)
+	}
+	if t.service != n.Service && t.service != "" {
+		a.giveBack(now, ledger.NoTarget)
+	}
+	t.name, t.service, t.address = n.Target, n.Service, n.Address
+	t.slots, t.connections = n.Slots, n.Connections
+	t.present, t.left = true, false
+	a.log.Info().Str("event", "agent.target_announced").Str("target", n.Target).Str("service", n.Service).
+		Int("slots", n.Slots).Int("connections", n.Connections).Str("address", n.Address).Msg("target announced")
+	a.dispatch(now)
+	a.notifyLoad()
+	select {
+	case a.announceNow <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// leaveTarget refuses new starts, gives the queue back and reports it on all
+// links. It returns the number of running tasks.
+func (a *Agent) leaveTarget() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	a.target.left, a.target.present = true, false
+	a.target.rejoin = now + a.opts.HeartbeatExpiry
+	a.giveBack(now, ledger.Leaving)
+	a.notifyLoad()
+	a.log.Info().Str("event", "agent.target_left").Str("target", a.target.name).Int("running", len(a.running)).Msg("target is leaving")
+	return len(a.running)
+}
+
+// expireTarget gives the queue back if the target stopped announcing itself.
+func (a *Agent) expireTarget() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	if !a.target.present || now < a.target.expires {
+		return
+	}
+	a.target.present = false
+	a.giveBack(now, ledger.NoTarget)
+	a.notifyLoad()
+	a.log.Warn().Str("event", "agent.target_expired").Str("target", a.target.name).
+		Dur("expiry", a.opts.HeartbeatExpiry).Msg("target stopped announcing itself")
+}
+
+// watchTarget checks the heartbeat until ctx ends.
+func (a *Agent) watchTarget(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, a.opts.HeartbeatExpiry/heartbeatsPerExpiry)
+		a.expireTarget()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.target.client != nil {
+		a.target.client.http.CloseIdleConnections()
+	}
+}
+
+// targetServer serves the target's announcements.
+func (a *Agent) targetServer() *http.Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.POST("/v1/announce", a.postAnnounce)
+	e.POST("/v1/leave", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, LeaveReply{Running: a.leaveTarget()})
+	})
+	e.GET("/live", func(c echo.Context) error { return c.NoContent(http.StatusNoContent) })
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout}
+}
+
+func (a *Agent) postAnnounce(c echo.Context) error {
+	var n Announcement
+	d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, announceBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&n); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "announcement: "+err.Error())
+	}
+	if err := n.check(); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "announcement: "+err.Error())
+	}
+	if err := a.announceTarget(n); err != nil {
+		return echo.NewHTTPError(http.StatusConflict, err.Error())
+	}
+	interval := a.opts.HeartbeatExpiry / heartbeatsPerExpiry
+	return c.JSON(http.StatusOK, AnnounceReply{HeartbeatMS: interval.Milliseconds()})
+}
