Add the stand-in target

Cause: process tests need a target that can be slow, fail, hang or leave, and that keeps a record of each start which does not depend on the agent's ledger. Ruled out: sharing the agent's types for announcements and headers (the tests would not notice if both sides changed).

--- /dev/null
+++ b/standin/target/announce.go
@@ -0,0 +1,111 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// announceRetry is the wait after an announcement that failed.
+	announceRetry = 200 * time.Millisecond
+	// announceTimeout bounds one request to the agent.
+	announceTimeout = time.Second
+)
+
+type announcement struct {
+	Target      string `json:"target"`
+	Service     string `json:"service"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Address     string `json:"address"`
+}
+
+// announceLoop announces the target as its heartbeat until ctx ends. In
+// ModeLeave it tells the agent once that the target leaves.
+func (t *Target) announceLoop(ctx context.Context) {
+	if t.opts.Agent == "" {
+		return
+	}
+	left := false
+	for ctx.Err() == nil {
+		wait := announceRetry
+		if t.currentMode().Mode == ModeLeave {
+			if !left {
+				left = t.sendLeave()
+			}
+		} else {
+			left = false
+			if interval, err := t.sendAnnounce(ctx); err == nil {
+				wait = interval
+			} else if ctx.Err() == nil {
+				t.opts.Log.Warn().Str("event", "target.announce_failed").Err(err).Msg("announcement failed")
+			}
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-t.modeChanged:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (t *Target) sendAnnounce(ctx context.Context) (time.Duration, error) {
+	var reply struct {
+		HeartbeatMS int64 `json:"heartbeat_ms"`
+	}
+	err := t.post(ctx, "/v1/announce", announcement{
+		Target: t.opts.Target, Service: t.opts.Service, Slots: t.opts.Slots,
+		Connections: t.opts.Connections, Address: t.opts.Advertise,
+	}, &reply)
+	if err != nil {
+		return 0, err
+	}
+	return max(time.Duration(reply.HeartbeatMS)*time.Millisecond, announceRetry), nil
+}
+
+// sendLeave tells the agent that the target leaves and reports whether the agent
+// knows.
+func (t *Target) sendLeave() bool {
+	if t.opts.Agent == "" {
+		return true
+	}
+	if err := t.post(context.Background(), "/v1/leave", struct{}{}, nil); err != nil {
+		t.opts.Log.Warn().Str("event", "target.leave_failed").Err(err).Msg("leaving was not announced")
+		return false
+	}
+	return true
+}
+
+func (t *Target) post(ctx context.Context, path string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	b, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.opts.Agent+path, bytes.NewReader(b))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: agent answered %s", path, resp.Status)
+	}
+	if reply == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(reply), "decode reply")
+}
--- /dev/null
+++ b/standin/target/record.go
@@ -0,0 +1,125 @@
+package target
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Outcome is the end of a start as the target saw it.
+type Outcome string
+
+// The outcomes. A start without an outcome is running.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeFailed  Outcome = "failed"
+	OutcomeAborted Outcome = "aborted"
+)
+
+// Run is one start of a task.
+type Run struct {
+	Attempt string `json:"attempt"`
+	// StartedUnixNanos and EndedUnixNanos are wall-clock times.
+	StartedUnixNanos int64   `json:"started_unix_nanos"`
+	EndedUnixNanos   int64   `json:"ended_unix_nanos,omitempty"`
+	Outcome          Outcome `json:"outcome,omitempty"`
+}
+
+// Entry is what the target knows of one task.
+type Entry struct {
+	Client string `json:"client"`
+	Key    string `json:"key"`
+	Index  int    `json:"index"`
+	// Count is the number of starts; more than 1 breaks at-most-once.
+	Count int   `json:"count"`
+	Runs  []Run `json:"runs"`
+}
+
+// Record is the answer to GET /v1/record.
+type Record struct {
+	Target string `json:"target"`
+	// Truncated is true when tasks were not recorded for lack of room; the record
+	// then proves nothing.
+	Truncated bool `json:"truncated"`
+	Tasks     int  `json:"tasks"`
+	Starts    int  `json:"starts"`
+	// MaxRunning is the highest number of requests at a time, MaxConnections that
+	// of open connections.
+	MaxRunning     int `json:"max_running"`
+	MaxConnections int `json:"max_connections"`
+	// Entries are sorted by client, key and index.
+	Entries []Entry `json:"entries"`
+}
+
+type taskID struct {
+	client, key string
+	index       int
+}
+
+// recorder keeps the record.
+type recorder struct {
+	limit int
+
+	mu        sync.Mutex // guards the fields below
+	entries   map[taskID]*Entry
+	starts    int
+	truncated bool
+	running   int
+	maxRun    int
+}
+
+func newRecorder(limit int) *recorder {
+	return &recorder{limit: limit, entries: make(map[taskID]*Entry)}
+}
+
+// begin records a start and returns the function that records its end.
+func (r *recorder) begin(id taskID, attempt string, now time.Time) func(Outcome, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts++
+	r.running++
+	r.maxRun = max(r.maxRun, r.running)
+	e, ok := r.entries[id]
+	switch {
+	case !ok && len(r.entries) >= r.limit:
+		r.truncated = true
+		e = &Entry{}
+	case !ok:
+		e = &Entry{Client: id.client, Key: id.key, Index: id.index}
+		r.entries[id] = e
+	}
+	e.Count++
+	i := len(e.Runs)
+	e.Runs = append(e.Runs, Run{Attempt: attempt, StartedUnixNanos: now.UnixNano()})
+	return func(o Outcome, end time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.running--
+		e.Runs[i].Outcome = o
+		e.Runs[i].EndedUnixNanos = end.UnixNano()
+	}
+}
+
+// record returns a copy of the record, with all tasks or only those that were
+// started more than once.
+func (r *recorder) record(onlyDuplicates bool) Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := Record{
+		Truncated: r.truncated, Tasks: len(r.entries), Starts: r.starts,
+		MaxRunning: r.maxRun, Entries: []Entry{},
+	}
+	for _, e := range r.entries {
+		if onlyDuplicates && e.Count == 1 {
+			continue
+		}
+		c := *e
+		c.Runs = slices.Clone(e.Runs)
+		out.Entries = append(out.Entries, c)
+	}
+	slices.SortFunc(out.Entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Client, b.Client), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Index, b.Index))
+	})
+	return out
+}
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,257 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+)
+
+// Payload is what the stand-in reads from a task's payload.
+type Payload struct {
+	// RunMS is the run time in milliseconds at speed 1.
+	RunMS float64 `json:"run_ms"`
+	// Fail makes the task fail after its run time.
+	Fail bool `json:"fail"`
+}
+
+// Result is the result of a task. It names the task, so that a test can tell
+// whose answer it got.
+type Result struct {
+	Client string `json:"client"`
+	Key    string `json:"key"`
+	Index  int    `json:"index"`
+	Target string `json:"target"`
+}
+
+// Headers of a request, as the agent documents them. Client and key are escaped
+// like a segment of a URL path.
+const (
+	headerClient  = "Rhubarbsail-Client"
+	headerKey     = "Rhubarbsail-Key"
+	headerIndex   = "Rhubarbsail-Index"
+	headerAttempt = "Rhubarbsail-Attempt"
+)
+
+// Target is a stand-in target.
+type Target struct {
+	opts   Options
+	record *recorder
+	slots  chan struct{}
+	// modeChanged has room for one signal to the announcing goroutine.
+	modeChanged chan struct{}
+
+	mu             sync.Mutex // guards the fields below
+	mode           ModeChange
+	conns          map[net.Conn]struct{}
+	maxConnections int
+}
+
+// New returns a target that is not running yet.
+func New(opts Options) (*Target, error) {
+	opts, err := opts.withDefaults()
+	if err != nil {
+		return nil, errors.Wrap(err, "target options")
+	}
+	return &Target{
+		opts:        opts,
+		record:      newRecorder(opts.RecordLimit),
+		slots:       make(chan struct{}, opts.Slots),
+		modeChanged: make(chan struct{}, 1),
+		mode:        ModeChange{Mode: ModeNormal},
+		conns:       make(map[net.Conn]struct{}),
+	}, nil
+}
+
+// stopTimeout bounds the wait for requests in progress when the target stops.
+const stopTimeout = 30 * time.Second
+
+// Run serves until ctx ends. Then it announces that it leaves, finishes the
+// requests in progress and returns nil.
+func (t *Target) Run(ctx context.Context) error {
+	l := t.opts.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", t.opts.Listen); err != nil {
+			return errors.Wrap(err, "listen")
+		}
+	}
+	if t.opts.Advertise == "" {
+		t.opts.Advertise = l.Addr().String()
+	}
+	s := &http.Server{Handler: t.Handler(), ConnState: t.connState, ReadHeaderTimeout: 5 * time.Second}
+	failed := make(chan error, 1)
+	go func() { failed <- s.Serve(l) }()
+	var wg sync.WaitGroup
+	announcing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	wg.Go(func() { t.announceLoop(announcing) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	stop()
+	wg.Wait()
+	t.sendLeave()
+	shutdown, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if serr := s.Shutdown(shutdown); serr != nil {
+		_ = s.Close()
+	}
+	return err
+}
+
+// connState counts connections and closes those above the limit.
+func (t *Target) connState(c net.Conn, s http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		t.conns[c] = struct{}{}
+		t.maxConnections = max(t.maxConnections, len(t.conns))
+		if len(t.conns) > t.opts.Connections+1 {
+			_ = c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(t.conns, c)
+	}
+}
+
+// Handler returns the HTTP API: POST /v1/run, GET /v1/record, PUT /v1/mode.
+func (t *Target) Handler() http.Handler {
+	e := echo.New()
+	e.POST("/v1/run", t.postRun)
+	e.GET("/v1/record", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, t.Record(c.QueryParam("duplicates") == "true"))
+	})
+	e.PUT("/v1/mode", func(c echo.Context) error {
+		var m ModeChange
+		d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, bodyLimit))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&m); err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "mode: "+err.Error())
+		}
+		if err := t.SetMode(m); err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "mode: "+err.Error())
+		}
+		return c.NoContent(http.StatusNoContent)
+	})
+	return e
+}
+
+// Record returns a copy of the record.
+func (t *Target) Record(onlyDuplicates bool) Record {
+	r := t.record.record(onlyDuplicates)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.Target, r.MaxConnections = t.opts.Target, t.maxConnections
+	return r
+}
+
+// SetMode changes the mode for tasks that start from now on.
+func (t *Target) SetMode(m ModeChange) error {
+	if err := m.check(); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.mode = m
+	t.mu.Unlock()
+	t.opts.Log.Info().Str("event", "target.mode").Str("mode", string(m.Mode)).Float64("factor", m.Factor).Msg("mode changed")
+	select {
+	case t.modeChanged <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (t *Target) currentMode() ModeChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.mode
+}
+
+func taskOf(h http.Header) (taskID, error) {
+	client, err := url.PathUnescape(h.Get(headerClient))
+	if err != nil {
+		return taskID{}, errors.Wrap(err, headerClient)
+	}
+	key, err := url.PathUnescape(h.Get(headerKey))
+	if err != nil {
+		return taskID{}, errors.Wrap(err, headerKey)
+	}
+	index, err := strconv.Atoi(h.Get(headerIndex))
+	if err != nil {
+		return taskID{}, errors.Wrap(err, headerIndex)
+	}
+	return taskID{client: client, key: key, index: index}, nil
+}
+
+// postRun runs one task. The start is recorded before anything can fail, since
+// the caller cannot take it back from here on.
+func (t *Target) postRun(c echo.Context) error {
+	id, err := taskOf(c.Request().Header)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "headers: "+err.Error())
+	}
+	end := t.record.begin(id, c.Request().Header.Get(headerAttempt), time.Now())
+	outcome := OutcomeFailed
+	defer func() { end(outcome, time.Now()) }()
+	var p Payload
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, bodyLimit)
+	if err := json.NewDecoder(body).Decode(&p); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "payload: "+err.Error())
+	}
+	ctx := c.Request().Context()
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	case <-ctx.Done():
+		outcome = OutcomeAborted
+		return ctx.Err()
+	}
+	mode := t.currentMode()
+	if mode.Mode == ModeFail {
+		return echo.NewHTTPError(http.StatusInternalServerError, "target is in mode fail")
+	}
+	if err := work(ctx, t.runTime(p, mode), mode.Mode == ModeHang); err != nil {
+		outcome = OutcomeAborted
+		return err
+	}
+	if p.Fail {
+		return echo.NewHTTPError(http.StatusInternalServerError, "the payload asks for a failure")
+	}
+	outcome = OutcomeDone
+	return c.JSON(http.StatusOK, Result{Client: id.client, Key: id.key, Index: id.index, Target: t.opts.Target})
+}
+
+func (t *Target) runTime(p Payload, m ModeChange) time.Duration {
+	ms := p.RunMS / t.opts.Speed
+	if m.Mode == ModeStraggle {
+		ms *= m.Factor
+	}
+	return time.Duration(min(max(ms, 0)*float64(time.Millisecond), float64(maxRun)))
+}
+
+// work waits for d, or for ever, or until the caller gives up.
+func work(ctx context.Context, d time.Duration, forever bool) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	done := timer.C
+	if forever {
+		done = nil
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
