--- a/state/record.go
+++ b/state/record.go
@@ -53,8 +53,9 @@
 	// Address is the host:port on which the gateway serves gateways and agents.
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"availability_zone"`
-	// Left is set by a gateway_left record.
-	Left bool `json:"left,omitempty"`
+	// Left is set by a gateway_left record, LeftAt by its log time.
+	Left   bool      `json:"left,omitempty"`
+	LeftAt time.Time `json:"left_at,omitzero"`
 }
 
 // GatewayLeft marks an incarnation as gone.
@@ -77,6 +78,17 @@
 	Connections      int               `json:"connections"`
 }
 
+// AgentsJoined is the body of agent_joined. It lists several agents so that a
+// restart of a whole cell costs few appends.
+type AgentsJoined struct {
+	Agents []Agent `json:"agents"`
+}
+
+// AgentsLeft is the body of agent_left.
+type AgentsLeft struct {
+	Agents []AgentLeft `json:"agents"`
+}
+
 // AgentLeft removes an incarnation of an agent.
 type AgentLeft struct {
 	ID          string            `json:"id"`
