Add collected findings with places in JSON files

Cause: encoding/json stops at the first wrong value and gives no line, so that an operator would fix a file one fault a run.

--- /dev/null
+++ b/common/findings/findings.go
@@ -0,0 +1,96 @@
+// Package findings collects faults of settings and input files with their
+// location, so that they are reported together.
+package findings
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Place is a location in a file. Line and Column start at 1 and count bytes;
+// zero means unknown.
+type Place struct {
+	File   string
+	Line   int
+	Column int
+	// Key is the path of the JSON value, such as targets[3].slots.
+	Key string
+}
+
+// String returns file:line:column: key, without the unknown parts.
+func (p Place) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d:%d", p.Line, p.Column)
+	}
+	if p.Key != "" {
+		if b.Len() > 0 {
+			b.WriteString(": ")
+		}
+		b.WriteString(p.Key)
+	}
+	return b.String()
+}
+
+// Finding is one fault.
+type Finding struct {
+	Place   Place
+	Message string
+}
+
+// String returns place and message in one line.
+func (f Finding) String() string {
+	p := f.Place.String()
+	if p == "" {
+		return f.Message
+	}
+	return p + ": " + f.Message
+}
+
+// List collects findings. It is an error with one line a finding.
+type List []Finding
+
+// Addf adds a finding.
+func (l *List) Addf(p Place, format string, args ...any) {
+	*l = append(*l, Finding{Place: p, Message: fmt.Sprintf(format, args...)})
+}
+
+// Error returns one line a finding.
+func (l List) Error() string {
+	lines := make([]string, len(l))
+	for i, f := range l {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Sort orders the findings by file and location; those of equal place keep
+// their order.
+func (l List) Sort() {
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(
+			strings.Compare(a.Place.File, b.Place.File),
+			cmp.Compare(a.Place.Line, b.Place.Line),
+			cmp.Compare(a.Place.Column, b.Place.Column),
+		)
+	})
+}
+
+// Err returns the list in order as an error, or nil if it is empty.
+func (l List) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	l.Sort()
+	return l
+}
+
+// LineColumn turns a byte offset into line and column, both from 1.
+func LineColumn(data []byte, offset int64) (line, column int) {
+	offset = min(max(offset, 0), int64(len(data)))
+	before := string(data[:offset])
+	return strings.Count(before, "\n") + 1, int(offset) - strings.LastIndexByte(before, '\n')
+}
