Add the interfaces between the HTTP APIs and the request path

Cause: the gateway needs a fixed interface to build on before the handlers exist. Ruled out: passing echo or protobuf types through the interface, which would tie the request path to the HTTP library.

--- /dev/null
+++ b/httpapi/api.go
@@ -0,0 +1,231 @@
+// Package httpapi serves the callers' and the operators' HTTP interfaces. It
+// decodes and validates requests and maps answers to status codes; the request
+// path and the control state are behind the interfaces Jobs and Operations.
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+)
+
+// Jobs is the request path behind the callers' API.
+type Jobs interface {
+	// Submit runs the job and returns its answer. It returns once the answer is
+	// known, the job's deadline has passed or ctx ends (the caller went away).
+	Submit(ctx context.Context, job model.Job) model.Answer
+	// Lookup returns what is known of a job; false if the key is unknown.
+	Lookup(ctx context.Context, key model.JobKey) (JobView, bool, error)
+	// Cancel stops a job; false if the key is unknown.
+	Cancel(ctx context.Context, key model.JobKey) (bool, error)
+	// Explain returns the decisions taken for a job; false if the key is unknown.
+	Explain(ctx context.Context, key model.JobKey) (Explanation, bool, error)
+}
+
+// Directory answers whether names in a request are configured. It must not
+// block; it is called on each submission.
+type Directory interface {
+	KnowsClient(client string) bool
+	KnowsService(service string) bool
+}
+
+// JobState is the progress of a job in a JobView.
+type JobState string
+
+// The states of a job.
+const (
+	JobQueued   JobState = "queued"
+	JobRunning  JobState = "running"
+	JobFinished JobState = "finished"
+)
+
+// JobView is what the owner of a job knows of it.
+type JobView struct {
+	State       JobState
+	Service     string
+	SubmittedAt time.Time
+	Deadline    time.Time
+	// Tasks is the number of tasks, Started and Finished how many of them have
+	// been started and have ended.
+	Tasks, Started, Finished int
+	// Answer is set once State is JobFinished.
+	Answer *model.Answer
+}
+
+// Explanation is the history of a job.
+type Explanation struct {
+	Owner     string          `json:"owner"`
+	Partition model.Partition `json:"partition"`
+	Epoch     model.Epoch     `json:"epoch"`
+	// TraceID is the hexadecimal id of the job's trace; empty if not sampled.
+	TraceID string `json:"trace_id,omitempty"`
+	Steps   []Step `json:"steps"`
+}
+
+// Step is one decision or event in the history of a job.
+type Step struct {
+	At   time.Time `json:"at"`
+	Kind string    `json:"kind"`
+	// Task is the index of the task, or -1 for the whole job.
+	Task   int    `json:"task"`
+	Target string `json:"target,omitempty"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Operations is the control state behind the operators' API.
+type Operations interface {
+	// Config returns the configuration in force at this gateway.
+	Config(ctx context.Context) ConfigView
+	// ChangeConfig replaces the configuration and returns the new version once
+	// it has been read back from the log. It fails with *FindingsError,
+	// *VersionConflictError, *UnknownOutcomeError or ErrUnavailable.
+	ChangeConfig(ctx context.Context, change ConfigChange) (version uint64, err error)
+	// Status returns this gateway's view of the deployment.
+	Status(ctx context.Context) Status
+	// SetDrain sets or clears an operator's drain of a target. It fails with
+	// ErrUnknownTarget, *UnknownOutcomeError or ErrUnavailable.
+	SetDrain(ctx context.Context, target string, drain bool) error
+	// Ready reports whether the gateway takes requests, and if not, why.
+	Ready() (bool, string)
+}
+
+// ConfigView is the configuration in force.
+type ConfigView struct {
+	// Version is the log offset of the change; 0 before the first.
+	Version   uint64          `json:"version"`
+	Operator  string          `json:"operator,omitempty"`
+	ChangedAt time.Time       `json:"changed_at,omitzero"`
+	Inventory json.RawMessage `json:"inventory,omitempty"`
+	Rules     json.RawMessage `json:"rules,omitempty"`
+}
+
+// ConfigChange asks to replace the configuration. A part that is absent keeps
+// its present value.
+type ConfigChange struct {
+	// Base is the version that the operator started from; 0 for the first.
+	Base      uint64          `json:"base"`
+	Operator  string          `json:"operator"`
+	Inventory json.RawMessage `json:"inventory,omitempty"`
+	Rules     json.RawMessage `json:"rules,omitempty"`
+}
+
+// Status is a gateway's view of the deployment.
+type Status struct {
+	Gateway          string            `json:"gateway"`
+	Incarnation      model.Incarnation `json:"incarnation"`
+	AvailabilityZone string            `json:"availability_zone"`
+	Ready            bool              `json:"ready"`
+	// NotReady is the reason why Ready is false.
+	NotReady      string `json:"not_ready,omitempty"`
+	ConfigVersion uint64 `json:"config_version"`
+	AppliedOffset uint64 `json:"applied_offset"`
+	// LogReachable is false while the platform's log does not answer.
+	LogReachable bool `json:"log_reachable"`
+	// Partitions is the number of partitions that this gateway owns, Serving how
+	// many of them have completed takeover.
+	Partitions int             `json:"partitions"`
+	Serving    int             `json:"serving"`
+	Jobs       int             `json:"jobs"`
+	Queued     int             `json:"queued_tasks"`
+	Gateways   []GatewayStatus `json:"gateways"`
+	Targets    []TargetStatus  `json:"targets"`
+	Clients    []ClientStatus  `json:"clients,omitempty"`
+}
+
+// GatewayStatus is a gateway as seen by the one that answers.
+type GatewayStatus struct {
+	ID               string `json:"id"`
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability_zone"`
+	Alive            bool   `json:"alive"`
+	Partitions       int    `json:"partitions"`
+}
+
+// TargetStatus is a target and its agent as seen by the gateway that answers.
+type TargetStatus struct {
+	ID               string `json:"id"`
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availability_zone"`
+	Worker           string `json:"worker,omitempty"`
+	Connected        bool   `json:"connected"`
+	Accepting        bool   `json:"accepting"`
+	Leaving          bool   `json:"leaving"`
+	Draining         bool   `json:"draining"`
+	Ejected          bool   `json:"ejected"`
+	// Why is the cause of an ejection or of not accepting work.
+	Why         string `json:"why,omitempty"`
+	Slots       int    `json:"slots"`
+	Outstanding int    `json:"outstanding"`
+	// Speed is the learned speed relative to the mean of the targets.
+	Speed float64 `json:"speed"`
+}
+
+// ClientStatus is the load of a client at the gateway that answers.
+type ClientStatus struct {
+	Client  string `json:"client"`
+	Queued  int    `json:"queued_tasks"`
+	Running int    `json:"running_tasks"`
+}
+
+// Finding is a fault in a request body or in a file, with its place. Line and
+// Column start at 1 and are 0 when unknown.
+type Finding struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`
+	Column  int    `json:"column,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Message string `json:"message"`
+}
+
+// FindingsError reports that a configuration is invalid. Nothing was changed.
+type FindingsError struct{ Findings []Finding }
+
+// Error returns the number of findings and the first one.
+func (e *FindingsError) Error() string {
+	if len(e.Findings) == 0 {
+		return "configuration is invalid"
+	}
+	return fmt.Sprintf("configuration has %d findings; first: %s: %s",
+		len(e.Findings), e.Findings[0].Key, e.Findings[0].Message)
+}
+
+// VersionConflictError reports that another change took effect first. Nothing
+// was changed.
+type VersionConflictError struct {
+	// Base is the version that the refused change started from.
+	Base uint64
+	// Won is the version in force, Operator who made it.
+	Won      uint64
+	Operator string
+}
+
+// Error names both versions.
+func (e *VersionConflictError) Error() string {
+	return fmt.Sprintf("the change is based on version %d, but version %d by %q is in force",
+		e.Base, e.Won, e.Operator)
+}
+
+// UnknownOutcomeError reports that a change may or may not take effect, since
+// the log's reply was lost and the record could not be read back in time.
+type UnknownOutcomeError struct{ Cause error }
+
+// Error returns the cause.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("the outcome of the change is unknown: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+var (
+	// ErrUnavailable means that the change was certainly not made, since the
+	// platform's log does not take it now.
+	ErrUnavailable = errors.New("the platform's log is unavailable; nothing was changed")
+	// ErrUnknownTarget means that no target has this name.
+	ErrUnknownTarget = errors.New("unknown target")
+)
--- /dev/null
+++ b/httpapi/options.go
@@ -0,0 +1,29 @@
+package httpapi
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Options holds the optional dependencies of the handlers. The zero value uses
+// the system clock, no directory, no metrics, no traces and no log.
+type Options struct {
+	// Now is the wall clock.
+	Now func() time.Time
+	// Directory, when set, refuses unknown clients and services with their
+	// place in the body before the job reaches Jobs.
+	Directory Directory
+	// Scope receives the metrics of the handlers.
+	Scope tally.Scope
+	// Tracer starts one span a request, which continues the caller's
+	// traceparent header.
+	Tracer trace.TracerProvider
+	// Log receives one event for each refused operators' change.
+	Log zerolog.Logger
+	// Metrics serves /metrics on the operators' API; nil leaves it out.
+	Metrics http.Handler
+}
