Add a strict JSON decoder that reports all faults with their place

Cause: request bodies and settings files must be refused with line, column and key of every fault; encoding/json stops at the first fault, gives no line, and accepts duplicated keys, other letter case and null. Ruled out: encoding/json/v2 (an experiment in this Go version) and a parser of our own (the standard library's token decoder gives the offsets).

--- /dev/null
+++ b/common/strictjson/strictjson.go
@@ -0,0 +1,259 @@
+// Package strictjson decodes JSON into structs and reports every fault of a
+// document together, each with line, column and key. Unknown and duplicated
+// keys, values of another type, values out of bounds, null and trailing data
+// are faults. Time and memory are bounded by the size of the document.
+//
+// Struct fields use the json tag for their name and the strict tag for rules:
+//
+//	TimeoutMS int64 `json:"timeout_ms" strict:"required,min=10,max=120000"`
+//
+// The rules are required (the key must be present), min and max (bounds of a
+// number, of the length of a string or of the number of elements).
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// maxDepth bounds nesting, since the decoder keeps a stack entry a level.
+	maxDepth = 64
+	// defaultMaxFaults bounds the report on a document that is wrong throughout.
+	defaultMaxFaults = 100
+	// defaultMaxItems bounds arrays and maps.
+	defaultMaxItems = 100_000
+)
+
+// Fault is one fault of a document. Line and Column start at 1; Column counts
+// bytes.
+type Fault struct {
+	Line, Column int
+	// Key is the path of the value, such as tasks[3].payload; empty for the
+	// whole document.
+	Key     string
+	Message string
+}
+
+// String returns the place and the message.
+func (f Fault) String() string {
+	if f.Key == "" {
+		return fmt.Sprintf("line %d, column %d: %s", f.Line, f.Column, f.Message)
+	}
+	return fmt.Sprintf("line %d, column %d: %s: %s", f.Line, f.Column, f.Key, f.Message)
+}
+
+// Options bounds the decoding. The zero value uses defaults.
+type Options struct {
+	// MaxItems bounds the elements of each array and map; further ones are
+	// skipped.
+	MaxItems int
+	// MaxBytes bounds the decoded size of each base64 value; 0 is no bound.
+	MaxBytes int
+	// MaxFaults ends the decoding when it is reached.
+	MaxFaults int
+	// Check is called with a pointer to each struct after its members have been
+	// decoded; report adds a fault at the place of a member.
+	Check func(value any, report func(member, message string))
+	// Places keeps the place of each key for Document.Add.
+	Places bool
+}
+
+// Document is the result of a decoding.
+type Document struct {
+	// Faults are in the order of the document, then those added.
+	Faults []Fault
+	data   []byte
+	places map[string]int
+}
+
+// Add appends a fault at the place of key, or of its nearest parent that the
+// document contains.
+func (d *Document) Add(key, message string) {
+	at := 0
+	for k := key; k != ""; k = parent(k) {
+		if offset, ok := d.places[k]; ok {
+			at = offset
+			break
+		}
+	}
+	d.Faults = append(d.Faults, faultAt(d.data, at, key, message))
+}
+
+// Has reports whether the document contains key. It needs Options.Places.
+func (d *Document) Has(key string) bool {
+	_, ok := d.places[key]
+	return ok
+}
+
+func parent(key string) string {
+	return key[:max(0, strings.LastIndexAny(key, ".["))]
+}
+
+func faultAt(data []byte, offset int, key, message string) Fault {
+	offset = min(max(offset, 0), len(data))
+	line := bytes.Count(data[:offset], []byte{'\n'}) + 1
+	column := offset - bytes.LastIndexByte(data[:offset], '\n')
+	return Fault{Line: line, Column: column, Key: key, Message: message}
+}
+
+// Decode decodes data into the struct that into points to. Values without a
+// fault are set even if others have one.
+func Decode(data []byte, into any, o Options) *Document {
+	if o.MaxItems == 0 {
+		o.MaxItems = defaultMaxItems
+	}
+	if o.MaxFaults == 0 {
+		o.MaxFaults = defaultMaxFaults
+	}
+	d := &decoder{doc: &Document{data: data}, o: o, dec: json.NewDecoder(bytes.NewReader(data))}
+	if o.Places {
+		d.doc.places = map[string]int{}
+	}
+	d.dec.UseNumber()
+	if i := invalidUTF8(data); i >= 0 {
+		// encoding/json replaces such bytes, which could make two keys equal.
+		d.faultAt(i, "invalid UTF-8")
+		return d.doc
+	}
+	err := d.value(reflect.ValueOf(into).Elem(), rules{})
+	if err == nil {
+		err = d.end()
+	}
+	if err != nil && !errors.Is(err, errTooManyFaults) {
+		d.syntax(err)
+	}
+	return d.doc
+}
+
+func invalidUTF8(data []byte) int {
+	if utf8.Valid(data) {
+		return -1
+	}
+	for i := 0; i < len(data); {
+		r, n := utf8.DecodeRune(data[i:])
+		if r == utf8.RuneError && n == 1 {
+			return i
+		}
+		i += n
+	}
+	return -1
+}
+
+var (
+	errTooManyFaults = errors.New("too many faults")
+	errTooDeep       = errors.New("nesting is too deep")
+)
+
+// decoder walks the tokens of a document. One goroutine uses it.
+type decoder struct {
+	doc   *Document
+	o     Options
+	dec   *json.Decoder
+	path  []element
+	depth int
+}
+
+// element is one step of a path: a member name, or an index if name is empty.
+type element struct {
+	name  string
+	index int
+}
+
+func (d *decoder) key() string {
+	var b strings.Builder
+	for _, e := range d.path {
+		if e.name == "" {
+			b.WriteString("[" + strconv.Itoa(e.index) + "]")
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(e.name)
+	}
+	return b.String()
+}
+
+// next returns the offset at which the next token starts.
+func (d *decoder) next() int {
+	i := int(d.dec.InputOffset())
+	for i < len(d.doc.data) && strings.IndexByte(" \t\r\n,:", d.doc.data[i]) >= 0 {
+		i++
+	}
+	return i
+}
+
+func (d *decoder) faultAt(offset int, format string, args ...any) error {
+	d.doc.Faults = append(d.doc.Faults, faultAt(d.doc.data, offset, d.key(), fmt.Sprintf(format, args...)))
+	if len(d.doc.Faults) < d.o.MaxFaults {
+		return nil
+	}
+	d.path = nil
+	d.doc.Faults = append(d.doc.Faults, faultAt(d.doc.data, offset, "", "too many faults; the rest is not listed"))
+	return errTooManyFaults
+}
+
+func (d *decoder) syntax(err error) {
+	offset := int(d.dec.InputOffset())
+	message := "malformed JSON: " + err.Error()
+	var s *json.SyntaxError
+	switch {
+	case errors.Is(err, errTooDeep):
+		message = fmt.Sprintf("more than %d levels of nesting", maxDepth)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		offset, message = len(d.doc.data), "malformed JSON: unexpected end of the document"
+	case errors.As(err, &s):
+		offset = max(int(s.Offset)-1, offset)
+	}
+	_ = d.faultAt(offset, "%s", message)
+}
+
+// end requires that nothing but white space follows the document.
+func (d *decoder) end() error {
+	at := d.next()
+	if _, err := d.dec.Token(); errors.Is(err, io.EOF) {
+		return nil
+	}
+	return d.faultAt(at, "trailing data after the document")
+}
+
+// skip passes over one value whose first token has been read.
+func (d *decoder) skip(first json.Token) error {
+	open := 0
+	for t := first; ; {
+		if delim, ok := t.(json.Delim); ok {
+			if delim == '{' || delim == '[' {
+				open++
+			} else {
+				open--
+			}
+		}
+		if d.depth+open > maxDepth {
+			return errTooDeep
+		}
+		if open == 0 {
+			return nil
+		}
+		var err error
+		if t, err = d.dec.Token(); err != nil {
+			return err
+		}
+	}
+}
+
+func (d *decoder) skipNext() error {
+	t, err := d.dec.Token()
+	if err != nil {
+		return err
+	}
+	return d.skip(t)
+}
--- /dev/null
+++ b/common/strictjson/value.go
@@ -0,0 +1,279 @@
+package strictjson
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"math"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+var (
+	timeType  = reflect.TypeFor[time.Time]()
+	rawType   = reflect.TypeFor[json.RawMessage]()
+	bytesType = reflect.TypeFor[[]byte]()
+)
+
+// The range of times whose Unix nanoseconds fit a signed 64-bit number, with
+// room for adding durations.
+const (
+	firstYear = 1970
+	lastYear  = 2200
+)
+
+func (d *decoder) value(v reflect.Value, r rules) error {
+	at := d.next()
+	if d.doc.places != nil && len(d.path) > 0 {
+		d.doc.places[d.key()] = at
+	}
+	if v.Type() == rawType {
+		if err := d.skipNext(); err != nil {
+			return err
+		}
+		v.SetBytes(slices.Clone(d.doc.data[at:d.dec.InputOffset()]))
+		return nil
+	}
+	t, err := d.dec.Token()
+	if err != nil {
+		return err
+	}
+	if v.Kind() == reflect.Pointer {
+		if t == nil {
+			return nil
+		}
+		v.Set(reflect.New(v.Type().Elem()))
+		v = v.Elem()
+	}
+	switch x := t.(type) {
+	case json.Delim:
+		if x == '{' && v.Kind() == reflect.Struct && v.Type() != timeType {
+			return d.nested(func() error { return d.object(v, at) })
+		}
+		if x == '{' && v.Kind() == reflect.Map {
+			return d.nested(func() error { return d.mapping(v) })
+		}
+		if x == '[' && v.Kind() == reflect.Slice && v.Type() != bytesType {
+			return d.nested(func() error { return d.array(v, r, at) })
+		}
+	case string:
+		if v.Kind() == reflect.String || v.Type() == timeType || v.Type() == bytesType {
+			return d.text(v, r, x, at)
+		}
+	case json.Number:
+		if v.CanInt() || v.CanUint() || v.CanFloat() {
+			return d.number(v, r, x.String(), at)
+		}
+	case bool:
+		if v.Kind() == reflect.Bool {
+			v.SetBool(x)
+			return nil
+		}
+	}
+	if err := d.faultAt(at, "want %s, found %s", wanted(v.Type()), found(t)); err != nil {
+		return err
+	}
+	return d.skip(t)
+}
+
+func (d *decoder) nested(decode func() error) error {
+	if d.depth++; d.depth > maxDepth {
+		return errTooDeep
+	}
+	err := decode()
+	d.depth--
+	return err
+}
+
+func wanted(t reflect.Type) string {
+	switch {
+	case t == timeType:
+		return "a string with a time in RFC 3339"
+	case t == bytesType:
+		return "a string in base64"
+	}
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice:
+		return "an array"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	}
+	return "an integer"
+}
+
+func found(t json.Token) string {
+	switch x := t.(type) {
+	case json.Delim:
+		if x == '{' {
+			return "an object"
+		}
+		return "an array"
+	case string:
+		return "a string"
+	case json.Number:
+		return "a number"
+	case bool:
+		return "true or false"
+	}
+	return "null"
+}
+
+func (d *decoder) text(v reflect.Value, r rules, s string, at int) error {
+	switch v.Type() {
+	case timeType:
+		t, err := time.Parse(time.RFC3339Nano, s)
+		if err != nil || t.Year() < firstYear || t.Year() > lastYear {
+			return d.faultAt(at, "want a time in RFC 3339 between the years %d and %d", firstYear, lastYear)
+		}
+		v.Set(reflect.ValueOf(t))
+		return nil
+	case bytesType:
+		return d.base64(v, s, at)
+	}
+	if len(r.one) > 0 && !slices.Contains(r.one, s) {
+		return d.faultAt(at, "want one of %s", strings.Join(r.one, ", "))
+	}
+	if n := float64(len(s)); n < r.min || n > r.max {
+		return d.faultAt(at, "length is %d bytes; want %s", len(s), r.bounds())
+	}
+	v.SetString(s)
+	return nil
+}
+
+func (d *decoder) base64(v reflect.Value, s string, at int) error {
+	if limit := d.o.MaxBytes; limit > 0 && base64.StdEncoding.DecodedLen(len(s))-2 > limit {
+		return d.faultAt(at, "decoded size is over %d bytes", limit)
+	}
+	b, err := base64.StdEncoding.Strict().DecodeString(s)
+	if err != nil {
+		return d.faultAt(at, "want standard base64 with padding: %v", err)
+	}
+	if limit := d.o.MaxBytes; limit > 0 && len(b) > limit {
+		return d.faultAt(at, "decoded size is over %d bytes", limit)
+	}
+	v.SetBytes(b)
+	return nil
+}
+
+func (d *decoder) number(v reflect.Value, r rules, s string, at int) error {
+	var n float64
+	var err error
+	switch {
+	case v.CanInt():
+		var i int64
+		i, err = strconv.ParseInt(s, 10, v.Type().Bits())
+		n = float64(i)
+		defer func() {
+			if err == nil {
+				v.SetInt(i)
+			}
+		}()
+	case v.CanUint():
+		var u uint64
+		u, err = strconv.ParseUint(s, 10, v.Type().Bits())
+		n = float64(u)
+		defer func() {
+			if err == nil {
+				v.SetUint(u)
+			}
+		}()
+	default:
+		n, err = strconv.ParseFloat(s, v.Type().Bits())
+		v.SetFloat(n)
+	}
+	if err != nil {
+		return d.faultAt(at, "want %s, found %.40s", wanted(v.Type()), s)
+	}
+	if n < r.min || n > r.max {
+		return d.faultAt(at, "%.40s is out of bounds; want %s", s, r.bounds())
+	}
+	return nil
+}
+
+func (d *decoder) array(v reflect.Value, r rules, at int) error {
+	n := 0
+	for ; d.dec.More(); n++ {
+		if n >= d.o.MaxItems {
+			if n == d.o.MaxItems {
+				if err := d.faultAt(d.next(), "more than %d elements", d.o.MaxItems); err != nil {
+					return err
+				}
+			}
+			if err := d.skipNext(); err != nil {
+				return err
+			}
+			continue
+		}
+		v.Grow(1)
+		v.SetLen(n + 1)
+		v.Index(n).SetZero()
+		d.path = append(d.path, element{index: n})
+		if err := d.value(v.Index(n), rules{min: math.Inf(-1), max: math.Inf(1)}); err != nil {
+			return err
+		}
+		d.path = d.path[:len(d.path)-1]
+	}
+	if c := float64(n); c < r.min || c > r.max {
+		if err := d.faultAt(at, "%d elements; want %s", n, r.bounds()); err != nil {
+			return err
+		}
+	}
+	_, err := d.dec.Token()
+	return err
+}
+
+func (d *decoder) mapping(v reflect.Value) error {
+	v.Set(reflect.MakeMap(v.Type()))
+	for d.dec.More() {
+		at := d.next()
+		name, err := d.name()
+		if err != nil {
+			return err
+		}
+		d.path = append(d.path, element{name: name})
+		k := reflect.ValueOf(name).Convert(v.Type().Key())
+		item := reflect.New(v.Type().Elem()).Elem()
+		switch {
+		case v.MapIndex(k).IsValid():
+			if err := d.faultAt(at, "duplicated key"); err != nil {
+				return err
+			}
+			err = d.skipNext()
+		case v.Len() >= d.o.MaxItems:
+			if err := d.faultAt(at, "more than %d members", d.o.MaxItems); err != nil {
+				return err
+			}
+			return errTooManyFaults
+		default:
+			err = d.value(item, rules{min: math.Inf(-1), max: math.Inf(1)})
+			v.SetMapIndex(k, item)
+		}
+		if err != nil {
+			return err
+		}
+		d.path = d.path[:len(d.path)-1]
+	}
+	_, err := d.dec.Token()
+	return err
+}
+
+func (d *decoder) name() (string, error) {
+	t, err := d.dec.Token()
+	if err != nil {
+		return "", err
+	}
+	// The decoder accepts only strings as member names.
+	name, _ := t.(string)
+	if name == "" {
+		name = `""`
+	}
+	return name, nil
+}
