--- /dev/null
+++ b/ownership/rendezvous.go
@@ -0,0 +1,58 @@
+package ownership
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+)
+
+// Order returns the gateways in the order in which they should own the
+// partition (highest random weight; Thaler and Ravishankar 1998). The weight
+// depends on the id only, so a restarted gateway gets its partitions back.
+func Order(p model.Partition, gateways []GatewayRef) []GatewayRef {
+	type weighted struct {
+		g GatewayRef
+		w uint64
+	}
+	ws := make([]weighted, len(gateways))
+	for i, g := range gateways {
+		ws[i] = weighted{g, weight(p, g.ID)}
+	}
+	sort.Slice(ws, func(i, j int) bool {
+		if ws[i].w != ws[j].w {
+			return ws[i].w > ws[j].w
+		}
+		return ws[i].g.ID < ws[j].g.ID
+	})
+	out := make([]GatewayRef, len(ws))
+	for i := range ws {
+		out[i] = ws[i].g
+	}
+	return out
+}
+
+// Preferred returns the gateway that should own the partition, and false
+// without a live gateway.
+func Preferred(p model.Partition, live []GatewayRef) (GatewayRef, bool) {
+	var best GatewayRef
+	var top uint64
+	for i, g := range live {
+		if w := weight(p, g.ID); i == 0 || w > top || w == top && g.ID < best.ID {
+			best, top = g, w
+		}
+	}
+	return best, len(live) > 0
+}
+
+func weight(p model.Partition, id string) uint64 {
+	var b [4]byte
+	binary.LittleEndian.PutUint32(b[:], uint32(p))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
