Add the first working scheduling policy

Cause: the gateway needs a policy to build on. Interface changes in scheduler/policy.go: Assignment.Report selects one report per outcome or per batch; Decisions.Dropped replaces Expired and gives a reason (the gateway fails the job and calls Remove); OutcomeStarted tells that a revoke came too late; call Report after Finish for the same frame. What it decides: placement by least expected finish with learned speeds, late binding, prefetch within a round trip, batches for large jobs, revocation, ejection with probes, weighted fair queueing, admission by deadline with jittered retry times.

--- /dev/null
+++ b/scheduler/options.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import "time"
+
+// Options tune the policy. A zero field takes its default.
+type Options struct {
+	// Seed makes the jitter and the order of equal targets reproducible. Each
+	// gateway should use another seed, so that gateways prefer different ones
+	// among equal targets.
+	Seed uint64
+	// Prefetch bounds the tasks of small jobs that wait at one agent. Default 1.
+	Prefetch int
+	// BatchTasks is the number of tasks from which a job is sent in batches with
+	// one report each. Default 32.
+	BatchTasks int
+	// BatchDepth bounds the tasks of such jobs sent ahead to one target, in
+	// multiples of its slots. Default 3.
+	BatchDepth int
+	// Lookahead bounds the waiting tasks that one Decide considers for a
+	// service. Default 1024.
+	Lookahead int
+	// DefaultRun is the run time assumed before anything was seen. Default 200 ms.
+	DefaultRun time.Duration
+	// DefaultMaxQueued bounds the waiting tasks of a client without a limit.
+	// Default 20,000.
+	DefaultMaxQueued int
+	// EjectAfter is the number of failures in a row that ejects a target.
+	// Default 3.
+	EjectAfter int
+	// EjectRate is the failure rate above that of the fleet that ejects a
+	// target. Default 0.2.
+	EjectRate float64
+	// EjectBackoff is the first time out of rotation; it doubles with each
+	// failed probe up to EjectBackoffMax. Defaults 2 s and 2 min.
+	EjectBackoff, EjectBackoffMax time.Duration
+	// EjectShare bounds the share of a service's targets that are ejected at
+	// the same time. Default 0.4.
+	EjectShare float64
+	// ProbeSuccesses is the number of successes that readmits a target.
+	// Default 3.
+	ProbeSuccesses int
+	// RevokeGain is the factor by which another target has to finish a queued
+	// task sooner before it is revoked. Default 1.5.
+	RevokeGain float64
+	// RevokeMin is the least time saved that is worth a revoke. Default 30 ms.
+	RevokeMin time.Duration
+	// AdmitMargin multiplies the estimated completion before it is compared
+	// with the deadline. Default 1.2.
+	AdmitMargin float64
+	// RetryMin and RetryMax bound the time after which a refused caller may
+	// retry. Defaults 100 ms and 10 s.
+	RetryMin, RetryMax time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Prefetch, 1)
+	setDefault(&o.BatchTasks, 32)
+	setDefault(&o.BatchDepth, 3)
+	setDefault(&o.Lookahead, 1024)
+	setDefault(&o.DefaultRun, 200*time.Millisecond)
+	setDefault(&o.DefaultMaxQueued, 20000)
+	setDefault(&o.EjectAfter, 3)
+	setDefault(&o.EjectRate, 0.2)
+	setDefault(&o.EjectBackoff, 2*time.Second)
+	setDefault(&o.EjectBackoffMax, 2*time.Minute)
+	setDefault(&o.EjectShare, 0.4)
+	setDefault(&o.ProbeSuccesses, 3)
+	setDefault(&o.RevokeGain, 1.5)
+	setDefault(&o.RevokeMin, 30*time.Millisecond)
+	setDefault(&o.AdmitMargin, 1.2)
+	setDefault(&o.RetryMin, 100*time.Millisecond)
+	setDefault(&o.RetryMax, 10*time.Second)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -100,6 +100,9 @@
 	OutcomeNotStarted
 	// OutcomeLost: the task may have started and its outcome cannot be known.
 	OutcomeLost
+	// OutcomeStarted: a revoke came too late; the task runs and its end
+	// follows as another outcome.
+	OutcomeStarted
 )
 
 // Outcome is the end of one attempt of a task.
@@ -113,10 +116,25 @@
 	TargetFull bool
 }
 
-// Assignment sends one task to one target.
+// ReportMode says when the policy needs the outcome of a task.
+type ReportMode uint8
+
+// The report modes of an assignment, named as in the link protocol.
+const (
+	// ReportEach: one report as soon as the task ends.
+	ReportEach ReportMode = iota + 1
+	// ReportBatch: one report for the tasks that one Decide sends to the target,
+	// or when the agent has free slots and no queued task of this gateway.
+	ReportBatch
+)
+
+// Assignment sends one task to one target. All assignments of one Decide with
+// the same target and report mode are adjacent, so that one message carries
+// them.
 type Assignment struct {
 	Task   TaskRef
 	Target TargetID
+	Report ReportMode
 	// Why explains the choice for the operator, in a few words.
 	Why string
 }
@@ -128,13 +146,19 @@
 	Target TargetID
 }
 
+// Drop names an admitted job that the policy gives up, and why.
+type Drop struct {
+	Job    JobHandle
+	Reason model.Reason
+}
+
 // Decisions are the actions that the gateway has to carry out.
 type Decisions struct {
 	Assign []Assignment
 	Revoke []Revocation
-	// Expired are tasks still waiting that can no longer be answered in time;
-	// the gateway fails their jobs.
-	Expired []JobHandle
+	// Dropped are jobs that can no longer be answered. The gateway fails them
+	// and calls Remove for each.
+	Dropped []Drop
 	// Wake is the next time at which Decide should be called without an event,
 	// or zero.
 	Wake time.Time
@@ -165,9 +189,11 @@
 	// Remove drops a job: its waiting tasks are forgotten, and the slots of
 	// tasks that were sent stay counted until their outcome.
 	Remove(now time.Time, job JobHandle)
-	// Report records the load that an agent reported.
+	// Report records the load that an agent reported. Call it after Finish for
+	// the outcomes of the same frame.
 	Report(now time.Time, load Load)
-	// Finish records the end of an attempt.
+	// Finish records the end of an attempt. Outcomes of removed jobs are
+	// reported too, since they free the slot.
 	Finish(now time.Time, outcome Outcome)
 	// Decide returns what has to be done now.
 	Decide(now time.Time) Decisions
