Add the catalogue of log events

Cause: operators need stable numbers to search and alert on, and all daemons need the same form of a log line. Ruled out: zerolog's global time settings, which every importer would share.

--- /dev/null
+++ b/common/events/catalogue.go
@@ -0,0 +1,109 @@
+package events
+
+import "github.com/rs/zerolog"
+
+const (
+	debugLevel = zerolog.DebugLevel
+	infoLevel  = zerolog.InfoLevel
+	warnLevel  = zerolog.WarnLevel
+	errorLevel = zerolog.ErrorLevel
+
+	nothing = "Nothing."
+)
+
+// Events of every process (1000 to 1099).
+var (
+	ProcessStarted  = define(1001, "process_started", infoLevel, "process started", nothing)
+	ProcessStopping = define(1002, "process_stopping", infoLevel, "graceful shutdown started", nothing)
+	ProcessStopped  = define(1003, "process_stopped", infoLevel, "process stopped", nothing)
+	SettingsInvalid = define(1004, "settings_invalid", errorLevel, "the settings file is invalid",
+		"Correct the findings; the process ends with exit code 2.")
+	ListenStarted = define(1005, "listen_started", infoLevel, "listening", nothing)
+	ListenFailed  = define(1006, "listen_failed", errorLevel, "the address cannot be listened on",
+		"Check the address in the settings and that no other process uses it.")
+	ShutdownForced = define(1007, "shutdown_forced", warnLevel, "requests were still in progress when the shutdown time ran out",
+		"Raise shutdown_timeout_ms above the longest job timeout.")
+	TraceExportFailed = define(1008, "trace_export_failed", warnLevel, "spans could not be exported",
+		"Check the collector; requests are not affected.")
+)
+
+// Events of the HTTP APIs (1100 to 1299).
+var (
+	RequestFault = define(1101, "request_fault", errorLevel, "a request handler failed",
+		"Report the stack as a bug; the caller got internal_error.")
+	ConfigAccepted        = define(1201, "config_accepted", infoLevel, "a configuration change was accepted", nothing)
+	OperatorChangeRefused = define(1202, "operator_change_refused", warnLevel, "an operator's change was refused",
+		"See the error; repeat the change from the version in force.")
+	DrainChanged = define(1203, "drain_changed", infoLevel, "an operator's drain of a target was set or cleared", nothing)
+	ReadyChanged = define(1204, "ready_changed", infoLevel, "readiness changed", "See the reason if it stays false.")
+)
+
+// Events of the control state and the platform's log (2000 to 2099).
+var (
+	LogUnreachable = define(2001, "log_unreachable", warnLevel, "the platform's log does not answer",
+		"Running work continues. Configuration changes and takeovers wait for the log.")
+	LogReachable = define(2002, "log_reachable", infoLevel, "the platform's log answers again", nothing)
+	LogGap       = define(2003, "log_gap", warnLevel, "records were lost to retention; a snapshot is loaded",
+		"Nothing if it is rare; otherwise raise the log's retention.")
+	SnapshotWritten = define(2004, "snapshot_written", infoLevel, "a snapshot record was written", nothing)
+	RecordRejected  = define(2005, "record_rejected", infoLevel, "a record had no effect, since a newer one took effect first", nothing)
+	RecordMalformed = define(2006, "record_malformed", errorLevel, "a record of the control stream cannot be decoded and is skipped",
+		"Find the writer named in the record; all gateways must run compatible versions.")
+	AppendUnknown = define(2007, "append_outcome_unknown", warnLevel, "the outcome of an append is unknown; it is read back", nothing)
+	ConfigApplied = define(2008, "config_applied", infoLevel, "a configuration is in force", nothing)
+	StateFromPeer = define(2009, "state_from_peer", infoLevel, "the control state was loaded from another gateway", nothing)
+)
+
+// Events of ownership (3000 to 3099).
+var (
+	GatewayFailed     = define(3001, "gateway_failed", warnLevel, "another gateway does not answer pings", "Replace the VM if it does not return.")
+	PartitionsClaimed = define(3002, "partitions_claimed", infoLevel, "partitions were claimed", nothing)
+	TakeoverWaiting   = define(3003, "takeover_waiting", warnLevel, "a takeover waits, since agents are missing",
+		"See the missing agents; keys submitted before the cut-off are answered may_have_run.")
+	TakeoverFinished   = define(3004, "takeover_finished", infoLevel, "a takeover is complete", nothing)
+	OwnershipLost      = define(3005, "ownership_lost", warnLevel, "another gateway owns the partitions now", nothing)
+	OwnershipSuspended = define(3006, "ownership_suspended", warnLevel, "too few agents confirm the ownership; requests are refused as not run",
+		"Check the network between this gateway and the agents.")
+	OwnershipResumed = define(3007, "ownership_resumed", infoLevel, "a majority of the agents confirms the ownership again", nothing)
+	HandoverSent     = define(3008, "handover_sent", infoLevel, "partitions were handed over", nothing)
+	HandoverFailed   = define(3009, "handover_failed", warnLevel, "partitions could not be handed over; the successor takes them over", nothing)
+)
+
+// Events of the request path (4000 to 4099).
+var (
+	LinkUp   = define(4001, "link_up", infoLevel, "the link to an agent is up", nothing)
+	LinkDown = define(4002, "link_down", warnLevel, "the link to an agent is down",
+		"Nothing if the agent left or restarts; otherwise check its VM.")
+	TargetEjected = define(4003, "target_ejected", warnLevel, "a target was taken out, since its tasks fail or are late",
+		"Check the target; it is probed and readmitted by itself.")
+	TargetReadmitted = define(4004, "target_readmitted", infoLevel, "a target receives work again", nothing)
+	OverloadStarted  = define(4005, "overload_started", warnLevel, "requests are refused, since they cannot be answered in time",
+		"Add targets or lower the load; see the clients in the status.")
+	OverloadEnded = define(4006, "overload_ended", infoLevel, "requests are no longer refused for overload", nothing)
+	JobFailed     = define(4007, "job_failed", debugLevel, "a job failed", "See `rhubarbsail explain`.")
+	OutcomeLost   = define(4008, "outcome_lost", warnLevel, "the outcome of a started task is lost; its job is answered may_have_run",
+		"The caller decides whether to submit the work under another key.")
+)
+
+// Events of the agent (5000 to 5099).
+var (
+	TargetAnnounced = define(5001, "target_announced", infoLevel, "the target announced itself", nothing)
+	TargetLeft      = define(5002, "target_left", infoLevel, "the target left", nothing)
+	TargetSilent    = define(5003, "target_silent", warnLevel, "the target's heartbeat is missing; no task is started",
+		"Check the target on this VM.")
+	LeaseLapsed = define(5004, "lease_lapsed", errorLevel, "the worker's lease has lapsed; no task is started",
+		"Check the platform's lease service.")
+	LeaseRenewed = define(5005, "lease_renewed", infoLevel, "the worker's lease is held again", nothing)
+	LedgerFull   = define(5006, "ledger_full", errorLevel, "the start ledger is full; starts are refused",
+		"Raise ledger_entries_max or lower the rate of tasks at this target.")
+	StartRefused = define(5007, "start_refused", debugLevel, "a start was refused", nothing)
+	AgentLeaving = define(5008, "agent_leaving", infoLevel, "the agent leaves: running tasks finish, no task is started", nothing)
+	AgentDrained = define(5009, "agent_drained", infoLevel, "the agent has no running task left", nothing)
+	AgentJoined  = define(5010, "agent_joined", infoLevel, "the log shows the membership of this agent", nothing)
+	FenceRaised  = define(5011, "fence_raised", infoLevel, "a newer epoch was seen; queued starts of the old owner were dropped", nothing)
+)
+
+// Events of the stand-ins (9000 to 9099).
+var (
+	StandinFault = define(9001, "standin_fault", warnLevel, "the stand-in injects a fault", "Only for tests.")
+)
