--- a/common/findings/decode.go
+++ b/common/findings/decode.go
@@ -17,8 +17,12 @@
 	file   string
 	lines  []int64 // offset of the first byte of each line
 	places map[string]int64
+	valid  bool
 }
 
+// Valid is false if the file is not JSON, so that no value was read.
+func (d *Document) Valid() bool { return d.valid }
+
 // At returns the location of the value with the key path, such as
 // targets[3].slots. If the file lacks the key, it is that of the nearest
 // enclosing value.
@@ -63,6 +67,7 @@
 		list.Addf(p, "JSON syntax: %s", err)
 		return d
 	}
+	d.valid = true
 	w := walker{doc: d, data: data, dec: json.NewDecoder(bytes.NewReader(data)), list: list}
 	w.value(reflect.ValueOf(v).Elem(), "")
 	return d
--- a/inventory/config.go
+++ b/inventory/config.go
@@ -67,7 +67,10 @@
 // order. Equal configurations have equal encodings.
 func (c *Config) JSON() ([]byte, error) {
 	b, err := json.Marshal(document{Inventory: c.inventory, Rules: c.rules})
-	return b, errors.Wrap(err, "encode configuration")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	return b, nil
 }
 
 // Targets returns the targets sorted by id.
--- /dev/null
+++ b/inventory/inventory_test.go
@@ -0,0 +1,118 @@
+package inventory_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/rhubarbsail/rhubarbsail/inventory"
+)
+
+func read(t *testing.T, name string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func valid(t *testing.T) *inventory.Config {
+	t.Helper()
+	c, err := inventory.Parse("valid.json", read(t, "valid.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// An operator must see the faults of reading and of cross-checks at once, each
+// with its line, and one finding a fault.
+func TestParseReportsAllFindings(t *testing.T) {
+	for _, name := range []string{"faults", "syntax"} {
+		_, err := inventory.Parse(name+".json", read(t, name+".json"))
+		if err == nil {
+			t.Fatalf("%s: no finding", name)
+		}
+		goldie.New(t).Assert(t, name, []byte(err.Error()+"\n"))
+	}
+}
+
+// Findings of the rules must name the rules' file, also when both files are at
+// fault.
+func TestParseFilesNamesBothFiles(t *testing.T) {
+	_, err := inventory.ParseFiles(
+		inventory.File{Name: "inventory.json", Data: []byte(`{"workers": [], "targets": [], "x": 1}`)},
+		inventory.File{Name: "rules.json", Data: []byte(`{"clients": [{"id": "a", "share": -1}], "services": []}`)})
+	want := "inventory.json:1:32: x: unknown key\nrules.json:1:35: clients[0].share: -1 is not above 0"
+	if err == nil || err.Error() != want {
+		t.Errorf("got\n%v\nwant\n%s", err, want)
+	}
+}
+
+// The order of a file must not change the encoding, or an unchanged
+// configuration would count as a change.
+func TestCanonicalEncodingIgnoresOrder(t *testing.T) {
+	c := valid(t)
+	inv := inventory.Inventory{Workers: c.Workers()}
+	for _, target := range c.Targets() {
+		inv.Targets = append([]inventory.Target{target}, inv.Targets...)
+	}
+	other := inventory.New(inv, inventory.Rules{Clients: c.Clients(), Services: c.Services()})
+	a, errA := c.JSON()
+	b, errB := other.JSON()
+	if errA != nil || errB != nil || string(a) != string(b) {
+		t.Errorf("encodings differ (%v, %v):\n%s\n%s", errA, errB, a, b)
+	}
+	if _, err := inventory.Parse("canonical", a); err != nil {
+		t.Errorf("the canonical encoding has findings: %v", err)
+	}
+}
+
+// A mistake here runs work where a rule forbids it.
+func TestAllowed(t *testing.T) {
+	c := valid(t)
+	for _, tc := range []struct {
+		service, client, target string
+		want                    bool
+	}{
+		{"glue", "bond", "t1", true},
+		{"glue", "bond", "t2", false},  // denied target
+		{"glue", "bond", "t3", false},  // other availability zone
+		{"glue", "other", "t1", false}, // client not allowed
+		{"glue", "nobody", "t1", false},
+		{"glue", "bond", "t4", false}, // target of another service
+		{"free", "other", "t4", true},
+		{"free", "nobody", "t4", false},
+		{"free", "bond", "nothing", false},
+		{"nothing", "bond", "t1", false},
+	} {
+		if got := c.Allowed(tc.service, tc.client, tc.target); got != tc.want {
+			t.Errorf("%+v: got %v", tc, got)
+		}
+	}
+}
+
+// An operator reviews a change by its differences; one that is left out would
+// go into force unseen.
+func TestDiffListsEachChange(t *testing.T) {
+	a := valid(t)
+	text := strings.NewReplacer(`"id": "t3"`, `"id": "t5"`, `"share": 2`, `"share": 3`, `"denied_targets": ["t2"]`, `"denied_targets": []`).
+		Replace(string(read(t, "valid.json")))
+	b, err := inventory.Parse("b", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	for _, c := range inventory.Diff(a, b) {
+		fmt.Fprintln(&out, c)
+	}
+	goldie.New(t).Assert(t, "diff", []byte(out.String()))
+	if same := inventory.Diff(a, valid(t)); len(same) != 0 {
+		t.Errorf("equal configurations differ: %v", same)
+	}
+}
