Add the state machine over the control stream

Ruled out: a deep copy per record, since a map that was not published since its last copy can be changed in place; counters of skipped records in the state, since versions differ in the kinds they know. Records of agents carry lists. A handover claim needs the owner as its writer.

--- /dev/null
+++ b/state/members.go
@@ -0,0 +1,152 @@
+package state
+
+import "github.com/rhubarbsail/rhubarbsail/common/model"
+
+func (m *Machine) gatewayJoined(g Gateway) Result {
+	if g.ID == "" || g.Incarnation == 0 || g.Address == "" {
+		return rejected(ReasonMalformed)
+	}
+	old, known := m.cur.Gateways[g.ID]
+	if known && (g.Incarnation < old.Incarnation || g.Incarnation == old.Incarnation && old.Left) {
+		return rejected(ReasonIncarnation)
+	}
+	own(&m.cur.Gateways, &m.sharedGateways)[g.ID] = Gateway{
+		ID: g.ID, Incarnation: g.Incarnation, Address: g.Address, AvailabilityZone: g.AvailabilityZone,
+	}
+	return Result{}
+}
+
+func (m *Machine) gatewayLeft(l GatewayLeft) Result {
+	g, ok := m.cur.Member(l.ID, l.Incarnation)
+	if !ok {
+		return rejected(ReasonNotMember)
+	}
+	g.Left, g.LeftAt = true, m.cur.LogTime
+	own(&m.cur.Gateways, &m.sharedGateways)[g.ID] = g
+	return Result{}
+}
+
+func (m *Machine) dropLeftGateways() {
+	for id, g := range m.cur.Gateways {
+		if g.Left && m.cur.LogTime.Sub(g.LeftAt) > m.retention {
+			delete(own(&m.cur.Gateways, &m.sharedGateways), id)
+		}
+	}
+}
+
+func (m *Machine) agentsJoined(l AgentsJoined) Result {
+	return each(l.Agents, func(a Agent) (string, Reason) { return a.ID, m.agentJoined(a) })
+}
+
+func (m *Machine) agentsLeft(l AgentsLeft) Result {
+	return each(l.Agents, func(a AgentLeft) (string, Reason) { return a.ID, m.agentLeft(a) })
+}
+
+// each applies the elements of a list record. The record is rejected if none
+// had an effect.
+func each[T any](items []T, apply func(T) (string, Reason)) Result {
+	res := Result{}
+	var first Reason
+	for _, it := range items {
+		if id, reason := apply(it); reason != "" {
+			res.Ignored = append(res.Ignored, id)
+			if first == "" {
+				first = reason
+			}
+		}
+	}
+	if len(items) == 0 {
+		return rejected(ReasonMalformed)
+	}
+	if len(res.Ignored) == len(items) {
+		res.Reason = first
+	}
+	return res
+}
+
+func (m *Machine) agentJoined(a Agent) Reason {
+	if a.ID == "" || a.Incarnation == 0 {
+		return ReasonMalformed
+	}
+	old, listed := m.cur.Agents[a.ID]
+	switch {
+	case listed && a.Incarnation < old.Incarnation, a.Incarnation <= m.gone[a.ID]:
+		return ReasonIncarnation
+	case listed && a == old:
+		return ""
+	case listed && a.Incarnation > old.Incarnation:
+		m.depart(old)
+	}
+	own(&m.cur.Agents, &m.sharedAgents)[a.ID] = a
+	return ""
+}
+
+func (m *Machine) agentLeft(l AgentLeft) Reason {
+	a, ok := m.cur.Agents[l.ID]
+	if !ok || a.Incarnation != l.Incarnation {
+		return ReasonNotMember
+	}
+	m.depart(a)
+	delete(own(&m.cur.Agents, &m.sharedAgents), l.ID)
+	return ""
+}
+
+// depart lists an incarnation as departed. Log time never goes down, so that
+// the list stays in the order of LeftAt.
+func (m *Machine) depart(a Agent) {
+	m.cur.Departed = append(m.cur.Departed, DepartedAgent{ID: a.ID, Incarnation: a.Incarnation, LeftAt: m.cur.LogTime})
+	m.gone[a.ID] = max(m.gone[a.ID], a.Incarnation)
+}
+
+func (m *Machine) dropDeparted() {
+	for len(m.cur.Departed) > 0 {
+		d := m.cur.Departed[0]
+		if m.cur.LogTime.Sub(d.LeftAt) <= m.retention {
+			return
+		}
+		m.cur.Departed = m.cur.Departed[1:]
+		if m.gone[d.ID] == d.Incarnation {
+			delete(m.gone, d.ID)
+		}
+	}
+}
+
+// claim applies a claim for each partition on its own. Only the owner may hand
+// a partition over: the successor of a handover does not wait for fences.
+func (m *Machine) claim(writer string, c Claim) Result {
+	if len(c.Partitions) == 0 {
+		return rejected(ReasonMalformed)
+	}
+	var res Result
+	_, member := m.cur.Member(c.Gateway, c.Incarnation)
+	for _, p := range c.Partitions {
+		if reason := m.claimReason(writer, c, p, member); reason != "" {
+			res.Lost = append(res.Lost, LostClaim{Partition: p.Partition, Reason: reason, Epoch: m.cur.Owners[p.Partition].Epoch})
+			continue
+		}
+		own(&m.cur.Owners, &m.sharedOwners)[p.Partition] = Ownership{
+			Gateway: c.Gateway, Incarnation: c.Incarnation, Epoch: model.Epoch(m.cur.Applied),
+			ClaimedAt: m.cur.LogTime, Handover: c.Handover,
+		}
+		res.Won = append(res.Won, p.Partition)
+	}
+	if len(res.Won) == 0 {
+		res.Reason = res.Lost[0].Reason
+	}
+	return res
+}
+
+func (m *Machine) claimReason(writer string, c Claim, p PartitionClaim, member bool) Reason {
+	cur := m.cur.Owners[p.Partition]
+	switch {
+	case p.Partition >= MaxPartitions:
+		return ReasonMalformed
+	case !member:
+		return ReasonNotMember
+	case cur.Epoch != p.Replaces:
+		return ReasonEpoch
+	case c.Handover && cur.Gateway != writer:
+		return ReasonNotOwner
+	}
+	return ""
+}
