Bound the age of keys by the agents' retention; track copies of a request

An agent counts the retention on its own clock, which may run 10% fast, and a task may start before its submitted_at by the clock skews. A gateway that accepts keys for the full retention can thus get a key whose ledger entry is gone, and would run it again after a takeover. AcceptAge is shorter by both.

A copy of a request that is delayed between gateways can reach an owner after another owner answered not_run. Submission counts open copies.

Ruled out: a longer retention at the agents, which moves the same bound to another setting.

--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -30,7 +30,8 @@
 	Hold Decision = iota + 1
 	// Run: no earlier owner started the task.
 	Run
-	// MayHaveRun: an agent whose ledger is missing may have started the task.
+	// MayHaveRun: an agent whose ledger is missing, or has dropped its entry,
+	// may have started the task.
 	MayHaveRun
 )
 
@@ -181,5 +182,9 @@
 	if c := t.CutOff(now); !c.IsZero() && !submittedAt.After(c) {
 		return MayHaveRun
 	}
+	if t.s.TooOld(now.Wall, submittedAt) {
+		// The request may have waited while the ledgers dropped the task.
+		return MayHaveRun
+	}
 	return Run
 }
--- a/ownership/takeover_test.go
+++ b/ownership/takeover_test.go
@@ -118,9 +118,13 @@
 				return
 			}
 			if c.cutOff == none {
-				if !tk.CutOff(now).IsZero() || tk.Decide(now, wall(-s)) != Run {
+				oldest := now.Wall.Add(-DefaultSettings().AcceptAge())
+				if !tk.CutOff(now).IsZero() || tk.Decide(now, oldest) != Run {
 					t.Fatalf("cut-off %v, want none", tk.CutOff(now))
 				}
+				if tk.Decide(now, oldest.Add(-1)) != MayHaveRun {
+					t.Error("runs a key whose ledger entries may have expired")
+				}
 				return
 			}
 			cut := wall(c.cutOff)
--- a/ownership/validity_test.go
+++ b/ownership/validity_test.go
@@ -114,3 +114,21 @@
 		}
 	}
 }
+
+// An answer not_run while a copy is open can be followed by a start.
+func TestSubmission(t *testing.T) {
+	var s Submission
+	if !s.MayAnswerNotRun() {
+		t.Error("a request that was never sent did not run")
+	}
+	s.Sent()
+	s.Sent()
+	s.Closed()
+	if s.MayAnswerNotRun() {
+		t.Error("one of two copies is open")
+	}
+	s.Closed()
+	if !s.MayAnswerNotRun() {
+		t.Error("both copies are closed")
+	}
+}
