Record agent list versions and partition bases in the control state

Cause: a takeover needs a majority of every agent list version since the partition's base (docs/decisions/0002); the state kept only ids and times. Ruled out: computing the versions from the log at the takeover, since the records may be beyond retention by then. Result: agents carry the offset that listed them, departed agents both offsets, owners the epoch they replaced and their base. Departed agents stay listed while a base still needs them. The golden files gained these fields; go test ./state passes.

--- a/state/members.go
+++ b/state/members.go
@@ -1,6 +1,9 @@
 package state
 
-import "github.com/rhubarbsail/rhubarbsail/common/model"
+import (
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/ownership"
+)
 
 func (m *Machine) gatewayJoined(g Gateway) Result {
 	if g.ID == "" || g.Incarnation == 0 || g.Address == "" {
@@ -69,6 +72,10 @@
 		return ReasonMalformed
 	}
 	old, listed := m.cur.Agents[a.ID]
+	a.Joined = m.cur.Applied
+	if listed && a.Incarnation == old.Incarnation {
+		a.Joined = old.Joined
+	}
 	switch {
 	case listed && a.Incarnation < old.Incarnation, a.Incarnation <= m.gone[a.ID]:
 		return ReasonIncarnation
@@ -91,17 +98,29 @@
 	return ""
 }
 
+// minBase returns the smallest base of all partitions.
+func (m *Machine) minBase() uint64 {
+	base := m.cur.Applied
+	for _, o := range m.cur.Owners {
+		base = min(base, o.Base)
+	}
+	return base
+}
+
 // depart lists an incarnation as departed. Log time never goes down, so that
 // the list stays in the order of LeftAt.
 func (m *Machine) depart(a Agent) {
-	m.cur.Departed = append(m.cur.Departed, DepartedAgent{ID: a.ID, Incarnation: a.Incarnation, LeftAt: m.cur.LogTime})
+	m.cur.Departed = append(m.cur.Departed, DepartedAgent{
+		ID: a.ID, Incarnation: a.Incarnation, Joined: a.Joined, Left: m.cur.Applied, LeftAt: m.cur.LogTime,
+	})
 	m.gone[a.ID] = max(m.gone[a.ID], a.Incarnation)
 }
 
 func (m *Machine) dropDeparted() {
 	for len(m.cur.Departed) > 0 {
 		d := m.cur.Departed[0]
-		if m.cur.LogTime.Sub(d.LeftAt) <= m.retention {
+		if m.cur.LogTime.Sub(d.LeftAt) <= m.retention || d.Left > m.minBase() {
+			// A takeover needs the list versions since its base.
 			return
 		}
 		m.cur.Departed = m.cur.Departed[1:]
@@ -124,10 +143,7 @@
 			res.Lost = append(res.Lost, LostClaim{Partition: p.Partition, Reason: reason, Epoch: m.cur.Owners[p.Partition].Epoch})
 			continue
 		}
-		own(&m.cur.Owners, &m.sharedOwners)[p.Partition] = Ownership{
-			Gateway: c.Gateway, Incarnation: c.Incarnation, Epoch: model.Epoch(m.cur.Applied),
-			ClaimedAt: m.cur.LogTime, Handover: c.Handover,
-		}
+		own(&m.cur.Owners, &m.sharedOwners)[p.Partition] = m.nextOwner(c, p)
 		res.Won = append(res.Won, p.Partition)
 	}
 	if len(res.Won) == 0 {
@@ -136,6 +152,20 @@
 	return res
 }
 
+func (m *Machine) nextOwner(c Claim, p PartitionClaim) Ownership {
+	old := m.cur.Owners[p.Partition]
+	epoch := model.Epoch(m.cur.Applied)
+	return Ownership{
+		Gateway: c.Gateway, Incarnation: c.Incarnation, Epoch: epoch, Replaces: p.Replaces,
+		Base: ownership.NextBase(old.Base, ownership.ClaimRecord{
+			Offset: epoch, Replaces: p.Replaces, Handover: c.Handover,
+			From: ownership.GatewayRef{ID: old.Gateway, Incarnation: old.Incarnation},
+			To:   ownership.GatewayRef{ID: c.Gateway, Incarnation: c.Incarnation},
+		}),
+		ClaimedAt: m.cur.LogTime, Handover: c.Handover,
+	}
+}
+
 func (m *Machine) claimReason(writer string, c Claim, p PartitionClaim, member bool) Reason {
 	cur := m.cur.Owners[p.Partition]
 	switch {
--- a/state/record.go
+++ b/state/record.go
@@ -76,6 +76,9 @@
 	Service          string            `json:"service"`
 	Slots            int               `json:"slots"`
 	Connections      int               `json:"connections"`
+	// Joined is the offset of the record that listed the incarnation. The state
+	// machine sets it; writers leave it 0.
+	Joined uint64 `json:"joined,omitempty"`
 }
 
 // AgentsJoined is the body of agent_joined. It lists several agents so that a
@@ -100,6 +103,10 @@
 type DepartedAgent struct {
 	ID          string            `json:"id"`
 	Incarnation model.Incarnation `json:"incarnation"`
+	// Joined and Left are the offsets of the records that listed and removed
+	// the incarnation.
+	Joined uint64 `json:"joined"`
+	Left   uint64 `json:"left"`
 	// LeftAt is the log's time of the record that removed the incarnation.
 	LeftAt time.Time `json:"left_at"`
 }
@@ -132,6 +139,11 @@
 	Gateway     string            `json:"gateway"`
 	Incarnation model.Incarnation `json:"incarnation"`
 	Epoch       model.Epoch       `json:"epoch"`
+	// Replaces is the epoch before the claim; 0 for the first claim.
+	Replaces model.Epoch `json:"replaces"`
+	// Base is the offset that every owner whose end is not proved has applied
+	// (ownership.NextBase).
+	Base uint64 `json:"base"`
 	// ClaimedAt is the log's time of the claim.
 	ClaimedAt time.Time `json:"claimed_at"`
 	Handover  bool      `json:"handover,omitempty"`
