Add metrics and traces

Cause: operators need one list of metrics with units, and one trace has to cover all hops, including the frames of a link. Ruled out: OpenTelemetry metrics beside tally (two registries for one scrape), and global providers (the single-process mode runs several daemons).

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -27,6 +27,10 @@
 		"Check the collector; requests are not affected.")
 )
 
+// MetricRejected belongs to the events of every process.
+var MetricRejected = define(1009, "metric_rejected", errorLevel, "a metric could not be registered",
+	"Report it as a bug; the metric is missing.")
+
 // Events of the HTTP APIs (1100 to 1299).
 var (
 	RequestFault = define(1101, "request_fault", errorLevel, "a request handler failed",
--- a/common/strictjson/object.go
+++ b/common/strictjson/object.go
@@ -65,6 +65,28 @@
 	return actual.(*layout)
 }
 
+// hint names the known key that differs from name in letter case or unit only,
+// or all known keys.
+func (l *layout) hint(name string) string {
+	for _, f := range l.fields {
+		if stem(f.name) == stem(name) {
+			return fmt.Sprintf("the known key is %s", f.name)
+		}
+	}
+	return "the known keys are " + l.names
+}
+
+// stem returns a key in lower case without its unit.
+func stem(key string) string {
+	key = strings.ToLower(key)
+	for _, unit := range []string{"_bytes", "_seconds", "_ms", "_us", "_ns", "_s", "_kb", "_mb", "_kib", "_mib"} {
+		if s, ok := strings.CutSuffix(key, unit); ok {
+			return s
+		}
+	}
+	return key
+}
+
 // parseRules panics on a malformed tag, which is a programming error.
 func parseRules(tag string) rules {
 	r := rules{min: math.Inf(-1), max: math.Inf(1)}
@@ -130,7 +152,7 @@
 	i, known := l.byName[name]
 	switch {
 	case !known:
-		if err = d.faultAt(at, "unknown key; the known keys are %s", l.names); err == nil {
+		if err = d.faultAt(at, "unknown key; %s", l.hint(name)); err == nil {
 			err = d.skipNext()
 		}
 	case places[i] >= 0:
--- a/common/strictjson/strictjson.go
+++ b/common/strictjson/strictjson.go
@@ -7,6 +7,9 @@
 //
 //	TimeoutMS int64 `json:"timeout_ms" strict:"required,min=10,max=120000"`
 //
+// In contrast to findings.Decode, which keeps the place of each value of an
+// operator's file, it bounds the memory that a hostile document can take.
+//
 // The rules are required (the key must be present), min and max (bounds of a
 // number, of the length of a string or of the number of elements).
 package strictjson
@@ -22,6 +25,8 @@
 	"unicode/utf8"
 
 	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/common/findings"
 )
 
 const (
@@ -33,24 +38,6 @@
 	defaultMaxItems = 100_000
 )
 
-// Fault is one fault of a document. Line and Column start at 1; Column counts
-// bytes.
-type Fault struct {
-	Line, Column int
-	// Key is the path of the value, such as tasks[3].payload; empty for the
-	// whole document.
-	Key     string
-	Message string
-}
-
-// String returns the place and the message.
-func (f Fault) String() string {
-	if f.Key == "" {
-		return fmt.Sprintf("line %d, column %d: %s", f.Line, f.Column, f.Message)
-	}
-	return fmt.Sprintf("line %d, column %d: %s: %s", f.Line, f.Column, f.Key, f.Message)
-}
-
 // Options bounds the decoding. The zero value uses defaults.
 type Options struct {
 	// MaxItems bounds the elements of each array and map; further ones are
@@ -70,7 +57,8 @@
 // Document is the result of a decoding.
 type Document struct {
 	// Faults are in the order of the document, then those added.
-	Faults []Fault
+	Faults findings.List
+	file   string
 	data   []byte
 	places map[string]int
 }
@@ -85,7 +73,7 @@
 			break
 		}
 	}
-	d.Faults = append(d.Faults, faultAt(d.data, at, key, message))
+	d.Faults.Addf(d.place(at, key), "%s", message)
 }
 
 // Has reports whether the document contains key. It needs Options.Places.
@@ -98,23 +86,22 @@
 	return key[:max(0, strings.LastIndexAny(key, ".["))]
 }
 
-func faultAt(data []byte, offset int, key, message string) Fault {
-	offset = min(max(offset, 0), len(data))
-	line := bytes.Count(data[:offset], []byte{'\n'}) + 1
-	column := offset - bytes.LastIndexByte(data[:offset], '\n')
-	return Fault{Line: line, Column: column, Key: key, Message: message}
+func (d *Document) place(offset int, key string) findings.Place {
+	line, column := findings.LineColumn(d.data, int64(offset))
+	return findings.Place{File: d.file, Line: line, Column: column, Key: key}
 }
 
 // Decode decodes data into the struct that into points to. Values without a
-// fault are set even if others have one.
-func Decode(data []byte, into any, o Options) *Document {
+// fault are set even if others have one. The file name goes into the findings
+// and may be empty.
+func Decode(file string, data []byte, into any, o Options) *Document {
 	if o.MaxItems == 0 {
 		o.MaxItems = defaultMaxItems
 	}
 	if o.MaxFaults == 0 {
 		o.MaxFaults = defaultMaxFaults
 	}
-	d := &decoder{doc: &Document{data: data}, o: o, dec: json.NewDecoder(bytes.NewReader(data))}
+	d := &decoder{doc: &Document{file: file, data: data}, o: o, dec: json.NewDecoder(bytes.NewReader(data))}
 	if o.Places {
 		d.doc.places = map[string]int{}
 	}
@@ -193,12 +180,11 @@
 }
 
 func (d *decoder) faultAt(offset int, format string, args ...any) error {
-	d.doc.Faults = append(d.doc.Faults, faultAt(d.doc.data, offset, d.key(), fmt.Sprintf(format, args...)))
+	d.doc.Faults.Addf(d.doc.place(offset, d.key()), format, args...)
 	if len(d.doc.Faults) < d.o.MaxFaults {
 		return nil
 	}
-	d.path = nil
-	d.doc.Faults = append(d.doc.Faults, faultAt(d.doc.data, offset, "", "too many faults; the rest is not listed"))
+	d.doc.Faults.Addf(d.doc.place(offset, ""), "too many faults; the rest is not listed")
 	return errTooManyFaults
 }
 
--- a/common/strictjson/strictjson_test.go
+++ b/common/strictjson/strictjson_test.go
@@ -28,7 +28,7 @@
 	deep := strings.Repeat("[", 70)
 	for _, c := range []struct{ name, in, want string }{
 		{"unknown key", `{"cuont":1}`, `1:2 cuont: unknown key`},
-		{"case of a key", `{"Count":1}`, `1:2 Count: unknown key`},
+		{"case of a key", `{"Count":1}`, `1:2 Count: unknown key; the known key is count`},
 		{"duplicated key", `{"count":1,"count":2}`, `1:12 count: duplicated key`},
 		{"duplicated map key", `{"labels":{"a":"b","a":"c"}}`, `1:20 labels.a: duplicated key`},
 		{"null", `{"count":null}`, `1:10 count: want an integer, found null`},
@@ -56,8 +56,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			var v outer
 			var got []string
-			for _, f := range Decode([]byte(c.in), &v, Options{MaxItems: 3, MaxBytes: 8}).Faults {
-				got = append(got, fmt.Sprintf("%d:%d %s: %s", f.Line, f.Column, f.Key, f.Message))
+			for _, f := range Decode("", []byte(c.in), &v, Options{MaxItems: 3, MaxBytes: 8}).Faults {
+				got = append(got, fmt.Sprintf("%d:%d %s: %s", f.Place.Line, f.Place.Column, f.Place.Key, f.Message))
 			}
 			want := strings.Split(c.want, "|")
 			if len(got) != len(want) {
@@ -77,7 +77,7 @@
 	in := `{"count":3,"ratio":0.5,"mode":"slow","at":"2026-01-02T03:04:05.000000006Z","flag":false,
 		"items":[{"name":"ab","bytes":"AQI="}],"labels":{"a":"b"}}`
 	var v outer
-	d := Decode([]byte(in), &v, Options{Places: true})
+	d := Decode("", []byte(in), &v, Options{Places: true})
 	if len(d.Faults) > 0 {
 		t.Fatal(d.Faults)
 	}
@@ -85,7 +85,7 @@
 		t.Fatalf("got %+v", v)
 	}
 	d.Add("items[0].absent", "clash")
-	if f := d.Faults[0]; f.Line != 2 || f.Column != 12 {
+	if f := d.Faults[0].Place; f.Line != 2 || f.Column != 12 {
 		t.Fatalf("fault on an absent key is at %d:%d", f.Line, f.Column)
 	}
 }
@@ -94,7 +94,7 @@
 func TestNumberOfFaultsIsBounded(t *testing.T) {
 	var v outer
 	in := `{` + strings.Repeat(`"x":1,`, 10_000) + `"x":1}`
-	if n := len(Decode([]byte(in), &v, Options{MaxFaults: 7}).Faults); n != 8 {
+	if n := len(Decode("", []byte(in), &v, Options{MaxFaults: 7}).Faults); n != 8 {
 		t.Fatalf("%d faults", n)
 	}
 }
--- /dev/null
+++ b/common/telemetry/metrics.go
@@ -0,0 +1,62 @@
+package telemetry
+
+// Metrics of the HTTP APIs.
+var (
+	HTTPRequests = define(KindCounter, "http_requests_total", "requests",
+		"Requests answered, by API (callers, operators), route and status code.", "api", "route", "code")
+	HTTPDuration = define(KindHistogram, "http_request_duration_seconds", "seconds",
+		"Time from the request's header to the end of its answer.", "api", "route")
+	HTTPInProgress = define(KindGauge, "http_requests_in_progress", "requests",
+		"Requests being handled.", "api")
+	BuildInfo = define(KindGauge, "build_info", "1",
+		"Always 1; the labels give the version of the program and of Go.", "version", "go")
+	Ready = define(KindGauge, "ready", "0 or 1", "1 while the process takes new requests.")
+)
+
+// Metrics of the request path.
+var (
+	Jobs = define(KindCounter, "jobs_total", "jobs",
+		"Jobs answered, by run state and reason.", "run_state", "reason")
+	JobDuration = define(KindHistogram, "job_duration_seconds", "seconds",
+		"Time from the admission of a job to its answer, by run state.", "run_state")
+	JobsInProgress = define(KindGauge, "jobs_in_progress", "jobs", "Jobs owned by this gateway without an answer.")
+	JobTableSize   = define(KindGauge, "job_table_entries", "jobs", "Jobs in the table, with the retained answers.")
+	TasksQueued    = define(KindGauge, "tasks_queued", "tasks", "Tasks that wait for a target.")
+	TasksRunning   = define(KindGauge, "tasks_outstanding", "tasks", "Tasks sent to an agent without an outcome.")
+	Tasks          = define(KindCounter, "tasks_total", "tasks", "Outcomes of tasks (succeeded, failed, not_started, lost).", "outcome")
+	TaskRun        = define(KindHistogram, "task_run_seconds", "seconds", "Time of a task at its target.")
+	TaskQueue      = define(KindHistogram, "task_agent_queue_seconds", "seconds", "Time of a task in the agent's queue.")
+	Messages       = define(KindCounter, "link_messages_total", "frames", "Frames on links, by direction (sent, received) and kind.", "direction", "kind")
+	WastedMessages = define(KindCounter, "link_messages_wasted_total", "frames", "Frames without effect, such as refused or revoked starts.", "cause")
+	Links          = define(KindGauge, "links_up", "links", "Links to agents that are up.")
+	TargetsEjected = define(KindGauge, "targets_ejected", "targets", "Targets taken out since their tasks fail or are late.")
+	Forwards       = define(KindCounter, "forwards_total", "requests", "Requests forwarded to the owner of their partition, by result.", "result")
+	DecideDuration = define(KindHistogram, "decide_duration_seconds", "seconds", "Time of one scheduling decision.")
+)
+
+// Metrics of ownership and the control state.
+var (
+	PartitionsOwned    = define(KindGauge, "partitions_owned", "partitions", "Partitions that the log assigns to this gateway.")
+	PartitionsServing  = define(KindGauge, "partitions_serving", "partitions", "Owned partitions whose takeover is complete.")
+	OwnershipValid     = define(KindGauge, "ownership_valid", "0 or 1", "1 while a majority of the agents confirms the ownership.")
+	Takeovers          = define(KindCounter, "takeovers_total", "partitions", "Partitions taken over, by cause (first, crash, handover).", "cause")
+	TakeoverDuration   = define(KindHistogram, "takeover_duration_seconds", "seconds", "Time from the claim's record to serving.")
+	LogAppends         = define(KindCounter, "log_appends_total", "records", "Appends to the platform's log, by result (ok, unavailable, unknown).", "result")
+	LogAppliedOffset   = define(KindGauge, "log_applied_offset", "offset", "Offset of the last record applied.")
+	LogReachable       = define(KindGauge, "log_reachable", "0 or 1", "1 while the platform's log answers.")
+	ConfigVersion      = define(KindGauge, "config_version", "offset", "Version of the configuration in force.")
+	LogRecordsRejected = define(KindCounter, "log_records_rejected_total", "records", "Records without effect, by kind.", "kind")
+)
+
+// Metrics of the agent.
+var (
+	AgentStarts      = define(KindCounter, "agent_starts_total", "tasks", "Tasks started at the target.")
+	AgentRefusals    = define(KindCounter, "agent_refusals_total", "tasks", "Starts refused, by reason.", "reason")
+	AgentRunning     = define(KindGauge, "agent_tasks_running", "tasks", "Tasks running at the target.")
+	AgentQueued      = define(KindGauge, "agent_tasks_queued", "tasks", "Tasks in the agent's queue.")
+	LedgerEntries    = define(KindGauge, "ledger_entries", "entries", "Entries of the start ledger.")
+	LedgerBytes      = define(KindGauge, "ledger_bytes", "bytes", "Size of the results kept in the start ledger.")
+	LeaseValid       = define(KindGauge, "lease_valid", "0 or 1", "1 while the worker's lease is held.")
+	AgentLinks       = define(KindGauge, "agent_links", "links", "Gateways connected to the agent.")
+	AgentFenceRaised = define(KindCounter, "agent_fences_total", "partitions", "Newer epochs seen.")
+)
--- /dev/null
+++ b/common/telemetry/scope.go
@@ -0,0 +1,71 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+)
+
+// Prefix precedes the name of each metric.
+const Prefix = "rhubarbsail"
+
+// reportInterval is how often tally passes counters and gauges on to the
+// registry; a scrape sees values that are at most this old.
+const reportInterval = time.Second
+
+// Metrics is the metrics registry of a process.
+type Metrics struct {
+	// Scope creates metrics.
+	Scope tally.Scope
+	// Handler serves the Prometheus text.
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns a registry whose metrics have the labels process and id.
+func NewMetrics(process, id string, log zerolog.Logger) *Metrics {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewGoCollector(), prometheus.NewProcessCollector(prometheus.ProcessCollectorOpts{}))
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:       registry,
+		DefaultTimerType: tallyprom.HistogramTimerType,
+		OnRegisterError: func(err error) {
+			events.MetricRejected.Log(log).Err(err).Send()
+		},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 Prefix,
+		Tags:                   map[string]string{"process": process, "id": id},
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	BuildInfo.Gauge(scope, version(), runtime.Version()).Update(1)
+	return &Metrics{
+		Scope:   scope,
+		Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		closer:  closer,
+	}
+}
+
+// Close reports the last values and stops the reporting goroutine.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// version returns the module version that the program was built from.
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "unknown"
+}
