--- a/httpapi/api.go
+++ b/httpapi/api.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/common/findings"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 )
 
@@ -82,8 +83,8 @@
 	// Config returns the configuration in force at this gateway.
 	Config(ctx context.Context) ConfigView
 	// ChangeConfig replaces the configuration and returns the new version once
-	// it has been read back from the log. It fails with *FindingsError,
-	// *VersionConflictError, *UnknownOutcomeError or ErrUnavailable.
+	// it has been read back from the log. It fails with findings.List or
+	// *FindingsError, *VersionConflictError, *UnknownOutcomeError or ErrUnavailable.
 	ChangeConfig(ctx context.Context, change ConfigChange) (version uint64, err error)
 	// Status returns this gateway's view of the deployment.
 	Status(ctx context.Context) Status
@@ -182,6 +183,17 @@
 	Message string `json:"message"`
 }
 
+// findingsOf converts collected findings.
+func findingsOf(list findings.List) []Finding {
+	out := make([]Finding, len(list))
+	for i, f := range list {
+		out[i] = Finding{
+			File: f.Place.File, Line: f.Place.Line, Column: f.Place.Column, Key: f.Place.Key, Message: f.Message,
+		}
+	}
+	return out
+}
+
 // FindingsError reports that a configuration is invalid. Nothing was changed.
 type FindingsError struct{ Findings []Finding }
 
