--- a/common/telemetry/scope.go
+++ b/common/telemetry/scope.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
@@ -35,7 +36,7 @@
 // NewMetrics returns a registry whose metrics have the labels process and id.
 func NewMetrics(process, id string, log zerolog.Logger) *Metrics {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(prometheus.NewGoCollector(), prometheus.NewProcessCollector(prometheus.ProcessCollectorOpts{}))
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reporter := tallyprom.NewReporter(tallyprom.Options{
 		Registerer:       registry,
 		DefaultTimerType: tallyprom.HistogramTimerType,
