--- /dev/null
+++ b/standin/logserver/logserver.go
@@ -0,0 +1,148 @@
+// Package logserver is the HTTP stand-in of the platform's log and lease
+// service. It is never linked into gateway or agent.
+package logserver
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/standin/memlog"
+)
+
+// maxWait bounds a long poll.
+const maxWait = time.Minute
+
+// FaultsBody is the body of POST and the reply of GET /v1/faults. It replaces
+// all faults in force.
+type FaultsBody struct {
+	Outage       bool  `json:"outage"`
+	SlowMS       int64 `json:"slow_ms"`
+	LoseReplies  int   `json:"lose_replies"`
+	LoseRequests int   `json:"lose_requests"`
+}
+
+type server struct{ store *memlog.Store }
+
+// New returns the service over a store.
+func New(store *memlog.Store) http.Handler {
+	s := &server{store: store}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.POST("/v1/streams/:stream/records", s.append)
+	e.GET("/v1/streams/:stream/records", s.read)
+	e.PUT("/v1/leases/:worker", s.renew)
+	e.POST("/v1/faults", s.setFaults)
+	e.GET("/v1/faults", s.getFaults)
+	return e
+}
+
+func (s *server) append(c echo.Context) error {
+	var body platform.AppendRequest
+	stream, err := bind(c, "stream", &body)
+	if err != nil {
+		return badRequest(c, err)
+	}
+	offset, err := s.store.Append(c.Request().Context(), stream, body.Data)
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.JSON(http.StatusOK, platform.AppendReply{Offset: offset})
+}
+
+func (s *server) read(c echo.Context) error {
+	stream, err := url.PathUnescape(c.Param("stream"))
+	from, errFrom := strconv.ParseUint(c.QueryParam("from"), 10, 64)
+	limit, errLimit := optional(c.QueryParam("limit"), 0, strconv.Atoi)
+	wait, errWait := optional(c.QueryParam("wait"), 0, time.ParseDuration)
+	if err := errors.Join(err, errFrom, errLimit, errWait); err != nil {
+		return badRequest(c, err)
+	}
+	page, err := s.store.Read(c.Request().Context(), stream, from, limit, min(wait, maxWait))
+	reply := platform.RecordsReply{Entries: make([]platform.RecordEntry, 0, len(page.Entries)), First: page.First, Next: page.Next}
+	if errors.Is(err, platform.ErrTrimmed) {
+		return c.JSON(http.StatusGone, reply)
+	}
+	if err != nil {
+		return fail(c, err)
+	}
+	for _, e := range page.Entries {
+		reply.Entries = append(reply.Entries, platform.RecordEntry(e))
+	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+func (s *server) renew(c echo.Context) error {
+	var body platform.LeaseRequest
+	worker, err := bind(c, "worker", &body)
+	if err != nil {
+		return badRequest(c, err)
+	}
+	ttl, err := s.store.Renew(c.Request().Context(), worker, body.Holder, time.Duration(body.TTLMS)*time.Millisecond)
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.JSON(http.StatusOK, platform.LeaseReply{TTLMS: ttl.Milliseconds()})
+}
+
+func (s *server) setFaults(c echo.Context) error {
+	var b FaultsBody
+	if err := (&echo.DefaultBinder{}).BindBody(c, &b); err != nil {
+		return badRequest(c, err)
+	}
+	s.store.SetFaults(memlog.Faults{
+		Outage: b.Outage, Slow: time.Duration(b.SlowMS) * time.Millisecond,
+		LoseReplies: b.LoseReplies, LoseRequests: b.LoseRequests,
+	})
+	return s.getFaults(c)
+}
+
+func (s *server) getFaults(c echo.Context) error {
+	f := s.store.Faults()
+	return c.JSON(http.StatusOK, FaultsBody{
+		Outage: f.Outage, SlowMS: f.Slow.Milliseconds(), LoseReplies: f.LoseReplies, LoseRequests: f.LoseRequests,
+	})
+}
+
+// bind reads the JSON body and the path parameter, which echo leaves escaped
+// if it has escaped slashes.
+func bind(c echo.Context, param string, body any) (string, error) {
+	if err := (&echo.DefaultBinder{}).BindBody(c, body); err != nil {
+		return "", err
+	}
+	return url.PathUnescape(c.Param(param))
+}
+
+func optional[T any](text string, missing T, parse func(string) (T, error)) (T, error) {
+	if text == "" {
+		return missing, nil
+	}
+	return parse(text)
+}
+
+func badRequest(c echo.Context, err error) error {
+	return c.JSON(http.StatusBadRequest, platform.ErrorReply{Error: err.Error()})
+}
+
+// fail answers with the status of the error. A lost reply closes the
+// connection without one.
+func fail(c echo.Context, err error) error {
+	reply := platform.ErrorReply{Error: err.Error()}
+	switch {
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, platform.ErrLeaseHeld):
+		return c.JSON(http.StatusConflict, reply)
+	case errors.Is(err, platform.ErrInvalid):
+		return badRequest(c, err)
+	case errors.Is(err, platform.ErrUnavailable):
+		return c.JSON(http.StatusServiceUnavailable, reply)
+	}
+	return fmt.Errorf("log stand-in: %w", err)
+}
