--- /dev/null
+++ b/gateway/convert.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/ownership"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+func taskIDProto(id model.TaskID) *rhubarbsailv1.TaskID {
+	return &rhubarbsailv1.TaskID{Client: id.Job.Client, Key: id.Job.Key, Index: uint32(id.Index)}
+}
+
+func taskIDModel(id *rhubarbsailv1.TaskID) model.TaskID {
+	return model.TaskID{Job: model.JobKey{Client: id.GetClient(), Key: id.GetKey()}, Index: int(id.GetIndex())}
+}
+
+func partitionEpochs(in []*rhubarbsailv1.PartitionEpoch) []ownership.PartitionEpoch {
+	out := make([]ownership.PartitionEpoch, len(in))
+	for i, p := range in {
+		out[i] = ownership.PartitionEpoch{Partition: model.Partition(p.Partition), Epoch: model.Epoch(p.Epoch)}
+	}
+	return out
+}
+
+// members returns the agents of all list versions that a takeover may need.
+func members(v *state.Snapshot) []ownership.Member {
+	out := make([]ownership.Member, 0, len(v.Agents)+len(v.Departed))
+	for _, a := range v.Agents {
+		out = append(out, ownership.Member{
+			Agent: ownership.AgentRef{ID: a.ID, Incarnation: a.Incarnation}, Joined: a.Joined,
+		})
+	}
+	for _, d := range v.Departed {
+		out = append(out, ownership.Member{
+			Agent: ownership.AgentRef{ID: d.ID, Incarnation: d.Incarnation}, Joined: d.Joined, Left: d.Left, LeftAt: d.LeftAt,
+		})
+	}
+	return out
+}
+
+func submitRequest(j *model.Job) *rhubarbsailv1.SubmitRequest {
+	r := &rhubarbsailv1.SubmitRequest{
+		Client: j.Key.Client, Key: j.Key.Key, Service: j.Service,
+		SubmittedUnixNanos: j.SubmittedAt.UnixNano(),
+		DeadlineUnixNanos:  j.Deadline.UnixNano(),
+		Repeatable:         j.Repeatable,
+		Tasks:              make([]*rhubarbsailv1.Task, len(j.Tasks)),
+	}
+	for i := range j.Tasks {
+		r.Tasks[i] = &rhubarbsailv1.Task{
+			Payload: j.Tasks[i].Payload, ExpectedMs: uint32(j.Tasks[i].Expected / time.Millisecond),
+		}
+	}
+	return r
+}
+
+func jobModel(r *rhubarbsailv1.SubmitRequest) *model.Job {
+	j := &model.Job{
+		Key:     model.JobKey{Client: r.Client, Key: r.Key},
+		Service: r.Service, Repeatable: r.Repeatable,
+		SubmittedAt: time.Unix(0, r.SubmittedUnixNanos),
+		Deadline:    time.Unix(0, r.DeadlineUnixNanos),
+		Tasks:       make([]model.Task, len(r.Tasks)),
+	}
+	for i, t := range r.Tasks {
+		j.Tasks[i] = model.Task{Payload: t.Payload, Expected: time.Duration(t.ExpectedMs) * time.Millisecond}
+	}
+	return j
+}
+
+var runStates = map[model.RunState]rhubarbsailv1.RunState{
+	model.RunComplete:   rhubarbsailv1.RunState_RUN_STATE_COMPLETE,
+	model.RunNotRun:     rhubarbsailv1.RunState_RUN_STATE_NOT_RUN,
+	model.RunMayHaveRun: rhubarbsailv1.RunState_RUN_STATE_MAY_HAVE_RUN,
+}
+
+func answerProto(a model.Answer) *rhubarbsailv1.SubmitResponse {
+	return &rhubarbsailv1.SubmitResponse{
+		State: runStates[a.State], Reason: string(a.Reason), Message: a.Message,
+		RetryAfterMs: a.RetryAfter.Milliseconds(), Results: a.Results,
+	}
+}
+
+// answerModel converts an answer. A state that this version does not know
+// counts as may_have_run.
+func answerModel(r *rhubarbsailv1.SubmitResponse) model.Answer {
+	a := model.Answer{
+		State: model.RunMayHaveRun, Reason: model.Reason(r.Reason), Message: r.Message,
+		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond, Results: r.Results,
+	}
+	switch r.State {
+	case rhubarbsailv1.RunState_RUN_STATE_COMPLETE:
+		a.State = model.RunComplete
+	case rhubarbsailv1.RunState_RUN_STATE_NOT_RUN:
+		a.State = model.RunNotRun
+	}
+	return a
+}
--- /dev/null
+++ b/gateway/membership.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/ownership"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+const (
+	// startupDelay lets gateways that start together see each other before the
+	// first claim, so that partitions need not move at once.
+	startupDelay = 500 * time.Millisecond
+	// claimTimeout bounds one attempt to claim or hand over.
+	claimTimeout = 10 * time.Second
+)
+
+// peer is what this gateway knows of another member.
+type peer struct {
+	ref          ownership.GatewayRef
+	lastHeard    time.Duration
+	healthySince time.Duration
+	leaving      bool
+	pinging      bool
+}
+
+// membership pings the other gateways, claims partitions and hands them over.
+// One goroutine runs it and owns its fields; pings and claims run in goroutines
+// of their own and report through results.
+type membership struct {
+	g       *Gateway
+	peers   map[ownership.GatewayRef]*peer
+	pending map[model.Partition]bool
+	results chan func()
+}
+
+func newMembership(g *Gateway) *membership {
+	return &membership{
+		g: g, peers: make(map[ownership.GatewayRef]*peer),
+		pending: make(map[model.Partition]bool), results: make(chan func(), 256),
+	}
+}
+
+// run pings and plans until ctx ends.
+func (m *membership) run(ctx context.Context) {
+	tick := time.NewTicker(m.g.opts.PingInterval)
+	defer tick.Stop()
+	start := time.Now().Add(startupDelay)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case apply := <-m.results:
+			apply()
+		case <-tick.C:
+			v := m.g.control.Snapshot()
+			now := m.g.mono(time.Now())
+			m.syncPeers(now, v)
+			m.pingAll(ctx, now, v)
+			if time.Now().After(start) {
+				m.act(ctx, now, v)
+			}
+		}
+	}
+}
+
+func (m *membership) done(ctx context.Context, apply func()) {
+	select {
+	case m.results <- apply:
+	case <-ctx.Done():
+	}
+}
+
+func (m *membership) syncPeers(now time.Duration, v *state.Snapshot) {
+	live := make(map[ownership.GatewayRef]bool)
+	for _, gw := range v.Gateways {
+		ref := ownership.GatewayRef{ID: gw.ID, Incarnation: gw.Incarnation}
+		if gw.Left || ref == m.g.ref() {
+			continue
+		}
+		live[ref] = true
+		if m.peers[ref] == nil {
+			m.peers[ref] = &peer{ref: ref, lastHeard: now, healthySince: now}
+		}
+	}
+	for ref := range m.peers {
+		if !live[ref] {
+			delete(m.peers, ref)
+		}
+	}
+}
+
+func (m *membership) pingAll(ctx context.Context, now time.Duration, v *state.Snapshot) {
+	for ref, p := range m.peers {
+		if now-p.lastHeard >= m.g.opts.Ownership.SuspectAfter {
+			p.healthySince = now
+		}
+		if p.pinging {
+			continue
+		}
+		gw, ok := v.Member(ref.ID, ref.Incarnation)
+		if !ok {
+			continue
+		}
+		p.pinging = true
+		go m.ping(ctx, now, p, gw.Address)
+	}
+}
+
+func (m *membership) ping(ctx context.Context, sent time.Duration, p *peer, address string) {
+	pctx, cancel := context.WithTimeout(ctx, m.g.opts.Ownership.SuspectAfter)
+	defer cancel()
+	resp, err := m.g.peers.client(address).Ping(pctx, connect.NewRequest(&rhubarbsailv1.PingRequest{
+		Gateway: m.g.opts.ID, Incarnation: uint64(m.g.opts.Incarnation),
+	}))
+	m.done(ctx, func() {
+		p.pinging = false
+		if err == nil && resp.Msg.Gateway == p.ref.ID && model.Incarnation(resp.Msg.Incarnation) == p.ref.Incarnation {
+			p.lastHeard = sent
+			p.leaving = resp.Msg.Leaving
+		}
+	})
+}
+
+// act carries out what the ownership rules ask for.
+func (m *membership) act(ctx context.Context, now time.Duration, v *state.Snapshot) {
+	if _, member := v.Member(m.g.opts.ID, m.g.opts.Incarnation); !member {
+		return
+	}
+	actions := ownership.Plan(now, m.g.opts.Ownership, m.planView(now, v))
+	if len(actions.Claims) > 0 && !m.g.leaving.Load() {
+		m.claim(ctx, actions.Claims)
+	}
+	for _, h := range actions.Handovers {
+		m.pending[h.Partition] = true
+		go m.handOver(ctx, h)
+	}
+}
+
+func (m *membership) planView(now time.Duration, v *state.Snapshot) ownership.View {
+	view := ownership.View{
+		Self:      m.g.ref(),
+		Gateways:  []ownership.GatewayState{{Ref: m.g.ref(), LastHeard: now, Leaving: m.g.leaving.Load()}},
+		Reachable: len(v.Agents) == 0 || m.g.engine.reachable.Load(),
+	}
+	for _, p := range m.peers {
+		view.Gateways = append(view.Gateways, ownership.GatewayState{
+			Ref: p.ref, LastHeard: p.lastHeard, HealthySince: p.healthySince, Leaving: p.leaving,
+		})
+	}
+	for i := range m.g.opts.Partitions {
+		id := model.Partition(i)
+		o := v.Owners[id]
+		view.Partitions = append(view.Partitions, ownership.PartitionState{
+			Partition: id, Owner: ownership.GatewayRef{ID: o.Gateway, Incarnation: o.Incarnation},
+			Epoch: o.Epoch, Pending: m.pending[id],
+		})
+	}
+	return view
+}
+
+func (m *membership) claim(ctx context.Context, claims []ownership.PlannedClaim) {
+	c := state.Claim{Gateway: m.g.opts.ID, Incarnation: m.g.opts.Incarnation}
+	for _, p := range claims {
+		m.pending[p.Partition] = true
+		c.Partitions = append(c.Partitions, state.PartitionClaim{Partition: p.Partition, Replaces: p.Replaces})
+	}
+	go func() {
+		cctx, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		res, err := m.g.control.Claim(cctx, c)
+		m.g.log.claimed(c, res, err)
+		m.done(ctx, func() {
+			for _, p := range c.Partitions {
+				delete(m.pending, p.Partition)
+			}
+		})
+	}()
+}
+
+// handOver gives one partition to another gateway: it stops work on it, sends
+// the job table and then writes the claim for the successor.
+func (m *membership) handOver(ctx context.Context, h ownership.PlannedHandover) {
+	defer m.done(ctx, func() { delete(m.pending, h.Partition) })
+	err := m.g.handOver(ctx, h)
+	m.g.log.handedOver(h, err)
+}
--- /dev/null
+++ b/gateway/operations.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/control"
+	"github.com/rhubarbsail/rhubarbsail/httpapi"
+	"github.com/rhubarbsail/rhubarbsail/inventory"
+	"github.com/rhubarbsail/rhubarbsail/ownership"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+)
+
+var _ httpapi.Operations = (*Gateway)(nil)
+
+// configParts is a configuration as its two documents.
+type configParts struct {
+	Inventory json.RawMessage `json:"inventory"`
+	Rules     json.RawMessage `json:"rules"`
+}
+
+func partsOf(c *inventory.Config) (configParts, error) {
+	var parts configParts
+	b, err := c.JSON()
+	if err != nil {
+		return parts, err
+	}
+	return parts, errors.Wrap(json.Unmarshal(b, &parts), "split configuration")
+}
+
+// Config implements httpapi.Operations.
+func (g *Gateway) Config(context.Context) httpapi.ConfigView {
+	v := g.control.Snapshot()
+	parts, _ := partsOf(v.Config)
+	return httpapi.ConfigView{Version: v.ConfigVersion, Inventory: parts.Inventory, Rules: parts.Rules}
+}
+
+// ChangeConfig implements httpapi.Operations.
+func (g *Gateway) ChangeConfig(ctx context.Context, c httpapi.ConfigChange) (uint64, error) {
+	v := g.control.Snapshot()
+	parts, err := partsOf(v.Config)
+	if err != nil {
+		return 0, err
+	}
+	if c.Inventory != nil {
+		parts.Inventory = c.Inventory
+	}
+	if c.Rules != nil {
+		parts.Rules = c.Rules
+	}
+	cfg, err := inventory.ParseFiles(
+		inventory.File{Name: "inventory", Data: parts.Inventory}, inventory.File{Name: "rules", Data: parts.Rules})
+	if err != nil {
+		return 0, err
+	}
+	version, err := g.control.ChangeConfig(ctx, c.Base, c.Operator, cfg)
+	return version, operationError(err)
+}
+
+// operationError maps errors of the control loop to those of the API.
+func operationError(err error) error {
+	var conflict *control.VersionConflictError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return &httpapi.VersionConflictError{Base: conflict.Base, Won: conflict.Current}
+	case errors.Is(err, platform.ErrUnavailable):
+		return httpapi.ErrUnavailable
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		return &httpapi.UnknownOutcomeError{Cause: err}
+	}
+	return err
+}
+
+// SetDrain implements httpapi.Operations.
+func (g *Gateway) SetDrain(ctx context.Context, target string, drain bool) error {
+	v := g.control.Snapshot()
+	_, known := v.Config.Target(target)
+	for _, a := range v.Agents {
+		known = known || a.Target == target
+	}
+	if !known {
+		return httpapi.ErrUnknownTarget
+	}
+	return operationError(g.control.Drain(ctx, target, drain))
+}
+
+// Ready implements httpapi.Operations.
+func (g *Gateway) Ready() (bool, string) {
+	switch {
+	case g.leaving.Load():
+		return false, "the gateway is shutting down"
+	case !g.control.Status().Ready:
+		return false, "the control state has not been read yet"
+	case g.control.Snapshot().ConfigVersion == 0:
+		return false, "no configuration has been loaded"
+	case len(g.control.Snapshot().Owners) == 0:
+		return false, "no partition has an owner yet"
+	}
+	return true, ""
+}
+
+// Status implements httpapi.Operations.
+func (g *Gateway) Status(ctx context.Context) httpapi.Status {
+	st, err := call(ctx, g.engine, func(e *engine, now time.Time) httpapi.Status { return e.status(now) })
+	if err != nil {
+		st = httpapi.Status{}
+	}
+	v := g.control.Snapshot()
+	st.Gateway, st.Incarnation, st.AvailabilityZone = g.opts.ID, g.opts.Incarnation, g.opts.AvailabilityZone
+	st.Ready, st.NotReady = g.Ready()
+	st.ConfigVersion, st.AppliedOffset = v.ConfigVersion, v.Applied
+	st.LogReachable = g.control.Status().LogAvailable
+	owned := make(map[string]int)
+	for _, o := range v.Owners {
+		owned[o.Gateway]++
+	}
+	for _, gw := range v.Gateways {
+		st.Gateways = append(st.Gateways, httpapi.GatewayStatus{
+			ID: gw.ID, Address: gw.Address, AvailabilityZone: gw.AvailabilityZone, Alive: !gw.Left, Partitions: owned[gw.ID],
+		})
+	}
+	sort.Slice(st.Gateways, func(i, j int) bool { return st.Gateways[i].ID < st.Gateways[j].ID })
+	return st
+}
+
+// status returns the engine's part of the status.
+func (e *engine) status(now time.Time) httpapi.Status {
+	out := httpapi.Status{Jobs: len(e.jobs), Queued: e.policy.Queued()}
+	for _, p := range e.partitions {
+		if p.epoch == 0 {
+			continue
+		}
+		out.Partitions++
+		if !p.stopped && p.takeover.State(e.mono(now)) == ownership.Ready && e.validity.Valid(e.mono(now), p.id, p.epoch) {
+			out.Serving++
+		}
+	}
+	for _, t := range e.policy.Status(now) {
+		ag := e.byTarget[t.ID]
+		if ag == nil {
+			continue
+		}
+		a := e.view.Agents[ag.addr.id]
+		out.Targets = append(out.Targets, httpapi.TargetStatus{
+			ID: string(t.ID), Service: a.Service, AvailabilityZone: a.AvailabilityZone, Worker: a.Worker,
+			Connected: ag.usable(), Accepting: ag.load.Accepting, Leaving: ag.load.Leaving,
+			Draining: e.view.Drained[string(t.ID)], Ejected: t.Ejected, Why: t.Why,
+			Slots: t.Slots, Outstanding: t.Outstanding, Speed: t.Speed,
+		})
+	}
+	sort.Slice(out.Targets, func(i, j int) bool { return out.Targets[i].ID < out.Targets[j].ID })
+	return out
+}
--- /dev/null
+++ b/gateway/options.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/ownership"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/scheduler"
+)
+
+// Options configures a gateway. Zero values take the defaults of
+// docs/design.md, section 10.
+type Options struct {
+	// ID names the gateway; it is unique in the cell and required.
+	ID string
+	// Incarnation tells this run from earlier ones; 0 takes the start time.
+	Incarnation model.Incarnation
+	// Address is the host:port by IP number at which other gateways and agents
+	// reach this gateway. It is required.
+	Address          string
+	AvailabilityZone string
+	// Peers are addresses of other gateways, asked for the control state while
+	// the log is down.
+	Peers []string
+	// Stream is the control stream in the platform's log.
+	Stream string
+	// Partitions is the number of partitions; the same in all gateways.
+	Partitions int
+	Ownership  ownership.Settings
+	// PingInterval and ProbeInterval are the times between two pings of a
+	// gateway and two probes of an agent.
+	PingInterval, ProbeInterval time.Duration
+	// ZoneDelay is the one-way network delay to another availability zone.
+	ZoneDelay time.Duration
+	// MaxJobs bounds the job table with the retained answers.
+	MaxJobs int
+	// MaxAnswerBytes bounds the results of one answer, RetainedBytes those of
+	// all retained answers.
+	MaxAnswerBytes, RetainedBytes int
+	// ShutdownTimeout bounds a planned stop.
+	ShutdownTimeout time.Duration
+	// RemoveAfter is the time without a link after which a gateway asks for
+	// the lease of an agent's worker, to record the agent as gone.
+	RemoveAfter time.Duration
+	// LogRetention is the time for which the platform's log keeps records.
+	LogRetention time.Duration
+}
+
+// Deps are the gateway's dependencies. Log is required.
+type Deps struct {
+	Log platform.Log
+	// Lease proves that an unreachable worker is gone; nil never removes one.
+	Lease platform.Lease
+	// Policy places tasks; nil takes scheduler.New.
+	Policy scheduler.Policy
+	Logger zerolog.Logger
+	Scope  tally.Scope
+	Tracer trace.TracerProvider
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Incarnation, model.Incarnation(time.Now().UnixNano()))
+	setDefault(&o.Stream, "control")
+	setDefault(&o.Partitions, 64)
+	setDefault(&o.Ownership, ownership.DefaultSettings())
+	setDefault(&o.PingInterval, 250*time.Millisecond)
+	setDefault(&o.ProbeInterval, 500*time.Millisecond)
+	setDefault(&o.ZoneDelay, 1500*time.Microsecond)
+	setDefault(&o.MaxJobs, 200_000)
+	setDefault(&o.MaxAnswerBytes, 16<<20)
+	setDefault(&o.RetainedBytes, 64<<20)
+	setDefault(&o.ShutdownTimeout, 30*time.Second)
+	setDefault(&o.RemoveAfter, 30*time.Second)
+	setDefault(&o.LogRetention, time.Hour)
+	return o
+}
+
+func (d Deps) withDefaults(o Options) Deps {
+	if d.Policy == nil {
+		d.Policy = scheduler.New(scheduler.Options{Seed: uint64(o.Incarnation)})
+	}
+	if d.Scope == nil {
+		d.Scope = tally.NoopScope
+	}
+	if d.Tracer == nil {
+		d.Tracer = noop.NewTracerProvider()
+	}
+	return d
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// delayTo returns the one-way network delay to an availability zone.
+func (o Options) delayTo(zone string) time.Duration {
+	if zone == o.AvailabilityZone {
+		return 0
+	}
+	return o.ZoneDelay
+}
--- /dev/null
+++ b/gateway/partition.go
@@ -0,0 +1,349 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/ownership"
+	"github.com/rhubarbsail/rhubarbsail/scheduler"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+// adoptedHandle marks the flight of a task that an earlier owner sent. The
+// policy does not know it.
+const adoptedHandle scheduler.JobHandle = 0
+
+// knownTask is what a ledger or a job table says of a task.
+type knownTask struct {
+	agent  ownership.AgentRef
+	record *rhubarbsailv1.TaskRecord
+}
+
+// knownJob is a job of an earlier owner that was not submitted here yet.
+type knownJob struct {
+	digest model.Digest
+	answer *model.Answer
+	tasks  map[int]knownTask
+}
+
+// heldSubmission waits until a takeover is ready.
+type heldSubmission struct {
+	submission submission
+	reply      chan<- reply
+}
+
+// partition is this gateway's view of one partition. The engine goroutine owns
+// it.
+type partition struct {
+	id model.Partition
+	// epoch is the epoch under which this gateway owns the partition, or 0.
+	epoch model.Epoch
+	// takeover is nil while the partition is not owned.
+	takeover *ownership.Takeover
+	// known holds what earlier owners did, until retention has passed.
+	known      map[model.JobKey]*knownJob
+	knownUntil time.Time
+	// fenced lists the agents whose complete ledger arrived under this epoch.
+	fenced map[ownership.AgentRef]bool
+	held   []heldSubmission
+	// stopped is true while the partition is being handed over: nothing is
+	// started and new submissions wait for the next owner.
+	stopped bool
+}
+
+// setView applies a new control snapshot.
+func (e *engine) setView(now time.Time, v *state.Snapshot) {
+	old := e.view
+	e.view = v
+	e.syncAgents(now)
+	e.syncLimits(now, old)
+	e.syncOwnership(now)
+	e.syncDrains(old)
+	e.syncTargets(now)
+}
+
+func (e *engine) syncLimits(now time.Time, old *state.Snapshot) {
+	if old != nil && old.ConfigVersion == e.view.ConfigVersion {
+		return
+	}
+	clients := e.view.Config.Clients()
+	limits := make([]scheduler.ClientLimit, len(clients))
+	for i, c := range clients {
+		limits[i] = scheduler.ClientLimit{Client: c.ID, Share: c.Share, MaxQueued: c.MaxQueued, MaxRunning: c.MaxRunning}
+	}
+	e.policy.SetLimits(now, limits)
+}
+
+// syncOwnership starts takeovers for partitions that the log now gives to this
+// gateway and drops those that it gave to another.
+func (e *engine) syncOwnership(now time.Time) {
+	var gained []*partition
+	for _, p := range e.partitions {
+		o, claimed := e.view.Owners[p.id]
+		mine := claimed && o.Gateway == e.opts.ID && o.Incarnation == e.opts.Incarnation
+		switch {
+		case !mine:
+			e.dropPartition(now, p)
+		case p.epoch == o.Epoch:
+		case p.epoch != 0 && o.Replaces == p.epoch:
+			// A renewal keeps the takeover and the jobs.
+			p.epoch = o.Epoch
+			e.resume(now, p)
+		default:
+			e.dropPartition(now, p)
+			e.gain(now, p, o)
+			gained = append(gained, p)
+		}
+	}
+	if len(gained) == 0 {
+		return
+	}
+	for _, ag := range e.agents {
+		if ag.usableForFence() {
+			e.sendFences(ag)
+		}
+	}
+}
+
+// gain starts the takeover of a partition.
+func (e *engine) gain(now time.Time, p *partition, o state.Ownership) {
+	p.epoch = o.Epoch
+	p.known = make(map[model.JobKey]*knownJob)
+	p.knownUntil = now.Add(e.opts.Ownership.Retention)
+	p.fenced = make(map[ownership.AgentRef]bool)
+	p.stopped = false
+	table := e.tables[p.id]
+	delete(e.tables, p.id)
+	switch {
+	case o.Replaces == 0:
+		p.takeover = ownership.NewFirstClaim(e.opts.Ownership)
+	case o.Handover && table != nil && table.epoch == o.Replaces:
+		p.takeover = ownership.NewHandover(e.opts.Ownership, table.cutOff)
+		p.known = table.known
+	default:
+		p.takeover = ownership.NewTakeover(e.clock(now), e.opts.Ownership, o.Epoch, o.Base, members(e.view))
+	}
+	telemetry.Takeovers.Counter(e.metrics.scope, takeoverCause(o, table != nil)).Inc(1)
+}
+
+func takeoverCause(o state.Ownership, table bool) string {
+	switch {
+	case o.Replaces == 0:
+		return "first"
+	case o.Handover && table:
+		return "handover"
+	}
+	return "crash"
+}
+
+// dropPartition gives up a partition that another gateway owns now. Waiting
+// submissions are told to ask the new owner; the jobs are forgotten, since the
+// new owner finds what ran in the ledgers.
+func (e *engine) dropPartition(now time.Time, p *partition) {
+	if p.epoch == 0 {
+		return
+	}
+	for key, j := range e.jobs {
+		if j.partition == p.id {
+			e.abandon(now, j)
+			delete(e.jobs, key)
+		}
+	}
+	for _, h := range p.held {
+		h.reply <- reply{moved: true}
+	}
+	*p = partition{id: p.id}
+}
+
+// abandon removes a job without an answer.
+func (e *engine) abandon(now time.Time, j *job) {
+	j.gone = true
+	e.withdraw(now, j)
+	for ag := range j.sentTo {
+		for id, f := range ag.flights {
+			if f.job == j {
+				ag.removeFlight(id, f)
+				e.policy.Finish(now, scheduler.Outcome{
+					Task: scheduler.TaskRef{Job: f.handle, Index: f.index}, Target: ag.target, Kind: scheduler.OutcomeNotStarted,
+				})
+			}
+		}
+	}
+	if j.answered() {
+		e.retained.remove(j)
+		return
+	}
+	j.deliver(reply{moved: true})
+	j.span.end(model.Failed(j.runState(), model.ReasonOwnerChanged, ""))
+}
+
+// withdraw takes the job's waiting tasks out of the policy.
+func (e *engine) withdraw(now time.Time, j *job) {
+	for _, h := range j.handles {
+		e.policy.Remove(now, h)
+		delete(e.byHandle, h)
+	}
+	j.handles = nil
+}
+
+// dropSuperseded gives up the partitions for which an agent knows a newer
+// epoch: another claim took effect, even if this gateway cannot read the log.
+func (e *engine) dropSuperseded(now time.Time) {
+	for _, p := range e.partitions {
+		if p.epoch != 0 && e.validity.Superseded(p.id, p.epoch) {
+			e.dropPartition(now, p)
+		}
+	}
+}
+
+// noteStaleEpoch records that the agent refused a start under an old epoch.
+func (e *engine) noteStaleEpoch(r *rhubarbsailv1.TaskRecord) {
+	e.validity.Observe([]ownership.PartitionEpoch{{
+		Partition: model.PartitionOf(taskIDModel(r.Task).Job, len(e.partitions)),
+		Epoch:     model.Epoch(r.Epoch) + 1,
+	}})
+}
+
+// usableForFence reports whether the listed incarnation answers on a link.
+func (a *agentState) usableForFence() bool {
+	return a.session != nil && a.welcomed == a.addr.incarnation
+}
+
+// sendFences asks the agent for the ledgers of all partitions that this
+// gateway took over and that the agent has not sent under the present epoch.
+func (e *engine) sendFences(ag *agentState) {
+	var wanted []ownership.PartitionEpoch
+	for _, p := range e.partitions {
+		if p.epoch != 0 && !p.fenced[ag.ref()] {
+			wanted = append(wanted, ownership.PartitionEpoch{Partition: p.id, Epoch: p.epoch})
+		}
+	}
+	if len(wanted) == 0 {
+		return
+	}
+	e.nextRequest++
+	ag.fences[e.nextRequest] = wanted
+	f := &rhubarbsailv1.Fence{Request: e.nextRequest}
+	for _, w := range wanted {
+		f.Partitions = append(f.Partitions, &rhubarbsailv1.PartitionEpoch{Partition: uint32(w.Partition), Epoch: uint64(w.Epoch)})
+	}
+	if ag.send(&rhubarbsailv1.GatewayFrame{Frame: &rhubarbsailv1.GatewayFrame_Fence{Fence: f}}) {
+		e.metrics.frame("sent", "fence")
+	}
+}
+
+// applyFence takes over the ledger of an agent.
+func (e *engine) applyFence(now time.Time, ag *agentState, r *rhubarbsailv1.FenceReply) {
+	e.validity.Observe(partitionEpochs(r.Newer))
+	e.dropSuperseded(now)
+	for _, rec := range r.Records {
+		e.learnRecord(now, ag, rec)
+	}
+	if !r.Last {
+		return
+	}
+	for _, w := range ag.fences[r.Request] {
+		p := e.partitions[w.Partition]
+		if p.epoch != w.Epoch {
+			continue
+		}
+		p.fenced[ag.ref()] = true
+		p.takeover.Replied(e.clock(now), ag.ref())
+		e.returnAbsent(now, ag, p)
+	}
+	delete(ag.fences, r.Request)
+}
+
+// learnRecord stores a ledger record of an earlier owner, or applies it to a
+// job that was adopted already.
+func (e *engine) learnRecord(now time.Time, ag *agentState, r *rhubarbsailv1.TaskRecord) {
+	id := taskIDModel(r.Task)
+	if f := ag.flights[id]; f != nil {
+		f.confirmed = true
+		e.applyRecord(now, ag, r)
+		return
+	}
+	p := e.partitions[model.PartitionOf(id.Job, len(e.partitions))]
+	if p.epoch == 0 || p.known == nil || e.jobs[id.Job] != nil {
+		return
+	}
+	k := p.known[id.Job]
+	if k == nil {
+		k = &knownJob{tasks: make(map[int]knownTask)}
+		copy(k.digest[:], r.JobDigest)
+		p.known[id.Job] = k
+	}
+	if k.answer == nil && k.stronger(id.Index, r) {
+		k.tasks[id.Index] = knownTask{agent: ag.ref(), record: r}
+	}
+}
+
+// stronger reports whether a record says more about the task than what is
+// known: a tombstone at one agent says nothing about a start at another.
+func (k *knownJob) stronger(index int, r *rhubarbsailv1.TaskRecord) bool {
+	old, ok := k.tasks[index]
+	if !ok {
+		return true
+	}
+	return rank(r.State) >= rank(old.record.State)
+}
+
+func rank(s rhubarbsailv1.TaskState) int {
+	switch s {
+	case rhubarbsailv1.TaskState_TASK_STATE_SUCCEEDED, rhubarbsailv1.TaskState_TASK_STATE_FAILED:
+		return 3
+	case rhubarbsailv1.TaskState_TASK_STATE_RUNNING:
+		return 2
+	case rhubarbsailv1.TaskState_TASK_STATE_QUEUED:
+		return 1
+	}
+	return 0
+}
+
+// updateKnown records the end of a task whose job was not submitted here yet.
+func (e *engine) updateKnown(ag *agentState, r *rhubarbsailv1.TaskRecord) {
+	id := taskIDModel(r.Task)
+	p := e.partitions[model.PartitionOf(id.Job, len(e.partitions))]
+	if k := p.known[id.Job]; k != nil && k.answer == nil && k.stronger(id.Index, r) {
+		k.tasks[id.Index] = knownTask{agent: ag.ref(), record: r}
+	}
+}
+
+// returnAbsent handles tasks that the previous owner's table shows as sent to
+// the agent and that the agent's complete ledger does not hold: they never
+// arrived, and the fence now refuses them.
+func (e *engine) returnAbsent(now time.Time, ag *agentState, p *partition) {
+	for id, f := range ag.flights {
+		if f.handle == adoptedHandle && f.job.partition == p.id && !f.confirmed {
+			e.endFlight(now, ag, id, f, &rhubarbsailv1.TaskRecord{}, scheduler.OutcomeNotStarted)
+		}
+	}
+	for _, k := range p.known {
+		for i, t := range k.tasks {
+			if t.agent == ag.ref() && t.record.State == rhubarbsailv1.TaskState_TASK_STATE_UNSPECIFIED {
+				delete(k.tasks, i)
+			}
+		}
+	}
+}
+
+// advanceTakeovers releases the submissions that waited for a takeover.
+func (e *engine) advanceTakeovers(now time.Time) {
+	for _, p := range e.partitions {
+		if p.epoch == 0 {
+			continue
+		}
+		if len(p.held) > 0 && p.takeover.State(e.mono(now)) == ownership.Ready {
+			held := p.held
+			p.held = nil
+			for _, h := range held {
+				e.submit(now, h.submission, h.reply)
+			}
+		}
+		if len(p.known) > 0 && now.After(p.knownUntil) {
+			p.known = nil
+		}
+	}
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/httpapi"
+)
+
+// Listeners are the sockets of a gateway.
+type Listeners struct {
+	Callers, Operators, Internal net.Listener
+}
+
+// ServeOptions configures the HTTP side of a gateway.
+type ServeOptions struct {
+	Limits httpapi.Limits
+	Server httpapi.ServerLimits
+	API    httpapi.Options
+	// Notice is the time between readiness going false and the listener
+	// closing, so that the balancer stops sending first.
+	Notice time.Duration
+}
+
+// internalIdleTimeout closes connections of agents and gateways that are gone.
+const internalIdleTimeout = 2 * time.Minute
+
+// Serve runs the gateway until ctx ends and then stops it as planned: partitions
+// are handed over and requests in progress are answered.
+func (g *Gateway) Serve(ctx context.Context, l Listeners, o ServeOptions) error {
+	internal, err := g.InternalHandler()
+	if err != nil {
+		return err
+	}
+	callers := httpapi.NewServer(httpapi.Callers(g, o.Limits, o.API), o.Server)
+	operators := httpapi.NewServer(httpapi.Operators(g, o.API), o.Server)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	peers := &http.Server{
+		Handler: internal, Protocols: protocols,
+		ReadHeaderTimeout: o.Server.HeaderTimeout, IdleTimeout: internalIdleTimeout,
+	}
+	var running errgroup.Group
+	running.Go(func() error { return callers.Serve(l.Callers) })
+	running.Go(func() error { return operators.Serve(l.Operators) })
+	running.Go(func() error { return ignoreClosed(peers.Serve(l.Internal)) })
+	g.Start()
+	events.ProcessStarted.Log(g.deps.Logger).Str("id", g.opts.ID).Str("callers", l.Callers.Addr().String()).
+		Str("operators", l.Operators.Addr().String()).Str("internal", l.Internal.Addr().String()).Send()
+
+	<-ctx.Done()
+	g.BeginStop()
+	stopCtx, cancel := context.WithTimeout(context.Background(), g.opts.ShutdownTimeout)
+	defer cancel()
+	drained := g.Drained(stopCtx)
+	stopped := callers.Stop(stopCtx, o.Notice)
+	if drained != nil || stopped != nil {
+		events.ShutdownForced.Log(g.deps.Logger).AnErr("drain", drained).AnErr("callers", stopped).Send()
+	}
+	g.Close(stopCtx)
+	_ = operators.Stop(stopCtx, 0)
+	_ = peers.Shutdown(stopCtx)
+	_ = peers.Close()
+	_ = callers.Close()
+	return errors.Wrap(running.Wait(), "serve")
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+const (
+	// internalReadBytes bounds one message between gateways: a job table with
+	// its retained answers.
+	internalReadBytes = 256 << 20
+	// announceTimeout bounds the wait of an agent's announcement for the log.
+	announceTimeout = 3 * time.Second
+)
+
+// service serves gateways and agents.
+type service struct{ g *Gateway }
+
+var _ rhubarbsailv1connect.GatewayServiceHandler = service{}
+
+// InternalHandler returns the handler for gateways and agents. It needs a
+// server that speaks HTTP/2 without TLS.
+func (g *Gateway) InternalHandler() (http.Handler, error) {
+	interceptor, err := telemetry.Interceptor(g.deps.Tracer)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(rhubarbsailv1connect.NewGatewayServiceHandler(service{g},
+		connect.WithReadMaxBytes(internalReadBytes), connect.WithInterceptors(interceptor)))
+	return mux, nil
+}
+
+// Submit answers moved unless this gateway owns the partition.
+func (s service) Submit(ctx context.Context, req *connect.Request[rhubarbsailv1.SubmitRequest]) (*connect.Response[rhubarbsailv1.SubmitResponse], error) {
+	j := jobModel(req.Msg)
+	rep, err := s.g.router.askSelf(ctx, submission{job: j, digest: j.Digest(), ctx: ctx})
+	if err != nil {
+		return nil, err
+	}
+	if rep.moved {
+		return connect.NewResponse(&rhubarbsailv1.SubmitResponse{Moved: true}), nil
+	}
+	return connect.NewResponse(answerProto(rep.answer)), nil
+}
+
+// Cancel cancels a job of this gateway.
+func (s service) Cancel(ctx context.Context, req *connect.Request[rhubarbsailv1.CancelRequest]) (*connect.Response[rhubarbsailv1.CancelResponse], error) {
+	key := model.JobKey{Client: req.Msg.Client, Key: req.Msg.Key}
+	resp, err := call(ctx, s.g.engine, func(e *engine, now time.Time) *rhubarbsailv1.CancelResponse {
+		known := e.cancelJob(now, key)
+		return &rhubarbsailv1.CancelResponse{Known: known, Moved: !known && e.notMine(key)}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Lookup returns a job of this gateway.
+func (s service) Lookup(ctx context.Context, req *connect.Request[rhubarbsailv1.LookupRequest]) (*connect.Response[rhubarbsailv1.LookupResponse], error) {
+	key := model.JobKey{Client: req.Msg.Client, Key: req.Msg.Key}
+	resp, err := call(ctx, s.g.engine, func(e *engine, _ time.Time) *rhubarbsailv1.LookupResponse { return e.lookup(key) })
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Explain returns the decisions about a job of this gateway.
+func (s service) Explain(ctx context.Context, req *connect.Request[rhubarbsailv1.ExplainRequest]) (*connect.Response[rhubarbsailv1.ExplainResponse], error) {
+	key := model.JobKey{Client: req.Msg.Client, Key: req.Msg.Key}
+	resp, err := call(ctx, s.g.engine, func(e *engine, _ time.Time) *rhubarbsailv1.ExplainResponse { return e.explain(key) })
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Announce records an agent in the log.
+func (s service) Announce(ctx context.Context, req *connect.Request[rhubarbsailv1.AnnounceRequest]) (*connect.Response[rhubarbsailv1.AnnounceResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	m := req.Msg
+	var err error
+	if m.Leaving {
+		err = s.g.control.AgentLeft(ctx, state.AgentLeft{ID: m.Agent, Incarnation: model.Incarnation(m.Incarnation)})
+	} else {
+		err = s.g.control.AgentJoined(ctx, state.Agent{
+			ID: m.Agent, Incarnation: model.Incarnation(m.Incarnation), Address: m.Address,
+			Worker: m.Worker, Rack: m.Rack, AvailabilityZone: m.AvailabilityZone,
+			Target: m.Target, Service: m.Service, Slots: int(m.Slots), Connections: int(m.Connections),
+		})
+	}
+	if err != nil && ctx.Err() == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&rhubarbsailv1.AnnounceResponse{Recorded: err == nil}), nil
+}
+
+// State returns the control snapshot.
+func (s service) State(_ context.Context, _ *connect.Request[rhubarbsailv1.StateRequest]) (*connect.Response[rhubarbsailv1.StateResponse], error) {
+	v := s.g.control.Snapshot()
+	b, err := v.Encode()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&rhubarbsailv1.StateResponse{AppliedOffset: v.Applied, Snapshot: b}), nil
+}
+
+// Handover keeps a job table until the log shows the claim.
+func (s service) Handover(ctx context.Context, req *connect.Request[rhubarbsailv1.HandoverRequest]) (*connect.Response[rhubarbsailv1.HandoverResponse], error) {
+	accepted, err := call(ctx, s.g.engine, func(e *engine, _ time.Time) bool {
+		if s.g.leaving.Load() {
+			return false
+		}
+		e.storeTable(req.Msg)
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&rhubarbsailv1.HandoverResponse{Accepted: accepted}), nil
+}
+
+// Ping answers a member's health check.
+func (s service) Ping(_ context.Context, _ *connect.Request[rhubarbsailv1.PingRequest]) (*connect.Response[rhubarbsailv1.PingResponse], error) {
+	return connect.NewResponse(&rhubarbsailv1.PingResponse{
+		Gateway: s.g.opts.ID, Incarnation: uint64(s.g.opts.Incarnation),
+		Leaving: s.g.leaving.Load(), AppliedOffset: s.g.control.Snapshot().Applied,
+	}), nil
+}
--- /dev/null
+++ b/gateway/submit.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/ownership"
+	"github.com/rhubarbsail/rhubarbsail/scheduler"
+)
+
+// submission is a job that asks its owner for an answer.
+type submission struct {
+	job    *model.Job
+	digest model.Digest
+	// ctx carries the caller's span.
+	ctx context.Context
+}
+
+// submit joins, answers, refuses or accepts a submission. to has room for one
+// reply.
+func (e *engine) submit(now time.Time, s submission, to chan<- reply) {
+	key := s.job.Key
+	p := e.partitions[model.PartitionOf(key, len(e.partitions))]
+	if p.epoch == 0 || p.stopped {
+		to <- reply{moved: true}
+		return
+	}
+	if j := e.jobs[key]; j != nil {
+		e.join(now, j, s, to)
+		return
+	}
+	if p.takeover.State(e.mono(now)) != ownership.Ready {
+		p.held = append(p.held, heldSubmission{submission: s, reply: to})
+		return
+	}
+	if !e.validity.Valid(e.mono(now), p.id, p.epoch) {
+		to <- reply{answer: ownershipUnconfirmed(e.opts.Ownership.Validity)}
+		return
+	}
+	if e.opts.Ownership.TooOld(now, s.job.SubmittedAt) {
+		to <- reply{answer: model.Failed(model.RunMayHaveRun, model.ReasonTooOld,
+			"submitted_at is older than the time for which starts are remembered")}
+		return
+	}
+	if k := p.known[key]; k != nil {
+		delete(p.known, key)
+		e.adopt(now, p, k, s, to)
+		return
+	}
+	if p.takeover.Decide(e.clock(now), s.job.SubmittedAt) == ownership.MayHaveRun {
+		to <- reply{answer: model.Failed(model.RunMayHaveRun, model.ReasonOwnerChanged,
+			"the previous owner may have started this job on an agent whose records are missing")}
+		return
+	}
+	e.accept(now, p, s, to)
+}
+
+// ownershipUnconfirmed is the answer of an owner that cannot reach a majority
+// of the agents. Another owner may have run the job, so it cannot be not_run.
+func ownershipUnconfirmed(retry time.Duration) model.Answer {
+	a := model.Failed(model.RunMayHaveRun, model.ReasonNoOwner,
+		"the gateway cannot confirm its ownership of the key; submit the same key again")
+	a.RetryAfter = retry
+	return a
+}
+
+// join adds a resubmission to a job that is known.
+func (e *engine) join(now time.Time, j *job, s submission, to chan<- reply) {
+	switch {
+	case j.digest != s.digest:
+		to <- reply{answer: model.Failed(model.RunNotRun, model.ReasonConflict,
+			"another job was submitted under this key; this one was not run")}
+	case j.answered():
+		to <- reply{answer: *j.answer}
+	default:
+		j.trace.add(now, "joined", wholeJob, "", "a resubmission waits for the same answer")
+		j.waiters = append(j.waiters, to)
+		if s.job.Deadline.After(j.deadline) {
+			j.deadline = s.job.Deadline
+			e.deadlines.push(j)
+		}
+	}
+}
+
+// accept takes a new job if the policy admits it.
+func (e *engine) accept(now time.Time, p *partition, s submission, to chan<- reply) {
+	if e.draining {
+		a := model.Failed(model.RunNotRun, model.ReasonShuttingDown, "the gateway is shutting down and no other gateway is known")
+		a.RetryAfter = tableFullRetry
+		to <- reply{answer: a}
+		return
+	}
+	if len(e.jobs) >= e.opts.MaxJobs {
+		a := model.Failed(model.RunNotRun, model.ReasonTableFull, "the gateway holds as many jobs as it may")
+		a.RetryAfter = tableFullRetry
+		to <- reply{answer: a}
+		return
+	}
+	if a, refused := e.checkRules(now, s.job); refused {
+		to <- reply{answer: a}
+		return
+	}
+	j := newJob(s.job, s.digest, p.id, now)
+	a := e.admit(now, j, nil)
+	if !a.Admitted {
+		to <- reply{answer: refusal(a)}
+		return
+	}
+	j.trace.add(now, "accepted", wholeJob, "", "")
+	e.addJob(j, s, to)
+}
+
+func refusal(a scheduler.Admission) model.Answer {
+	out := model.Failed(model.RunNotRun, a.Reason, "the job was refused before any task started")
+	out.RetryAfter = a.RetryAfter
+	return out
+}
+
+func (e *engine) addJob(j *job, s submission, to chan<- reply) {
+	j.waiters = append(j.waiters, to)
+	j.span = startJob(s.ctx, e.tracer, j)
+	j.traceID = j.span.traceID()
+	e.jobs[j.key] = j
+	e.deadlines.push(j)
+}
+
+// admit passes the job's waiting tasks to the policy under a new handle. With
+// only set, it passes that task alone.
+func (e *engine) admit(now time.Time, j *job, only *int) scheduler.Admission {
+	e.nextHandle++
+	h := e.nextHandle
+	cfg := e.view.Config
+	tasks := make([]scheduler.Task, len(j.spec.Tasks))
+	for i := range tasks {
+		tasks[i].Expected = j.spec.Tasks[i].Expected
+	}
+	service, client := j.spec.Service, j.key.Client
+	a := e.policy.Admit(now, scheduler.Job{
+		Handle: h, Client: client, Service: service, Deadline: j.deadline, Tasks: tasks,
+		Allowed: func(t scheduler.TargetID) bool { return cfg.Allowed(service, client, string(t)) },
+	}, func(i int) bool {
+		return j.tasks[i].phase != taskWaiting || only != nil && *only != i
+	})
+	if a.Admitted {
+		j.handles = append(j.handles, h)
+		e.byHandle[h] = j
+	}
+	return a
+}
+
+// requeue places a task again that an earlier owner had sent and that was not
+// started.
+func (e *engine) requeue(now time.Time, j *job, index int) {
+	if a := e.admit(now, j, &index); !a.Admitted {
+		e.fail(j, now, a.Reason, "a task that was given back cannot be placed again in time")
+	}
+}
+
+// adopt continues a job of an earlier owner.
+func (e *engine) adopt(now time.Time, p *partition, k *knownJob, s submission, to chan<- reply) {
+	if k.digest != s.digest {
+		p.known[s.job.Key] = k
+		to <- reply{answer: model.Failed(model.RunNotRun, model.ReasonConflict,
+			"another job was submitted under this key; this one was not run")}
+		return
+	}
+	j := newJob(s.job, s.digest, p.id, now)
+	e.addJob(j, s, to)
+	if k.answer != nil {
+		e.answer(j, now, *k.answer)
+		return
+	}
+	j.trace.add(now, "adopted", wholeJob, "", "continued from the previous owner")
+	unknown := e.takeOver(now, p, k, j)
+	if j.answered() {
+		return
+	}
+	if unknown && p.takeover.Decide(e.clock(now), j.submitted) == ownership.MayHaveRun {
+		e.failWith(j, now, model.Failed(model.RunMayHaveRun, model.ReasonOwnerChanged,
+			"tasks may have started on an agent whose records are missing"))
+		return
+	}
+	if unknown {
+		if a := e.admit(now, j, nil); !a.Admitted {
+			e.fail(j, now, a.Reason, "the rest of the job cannot be placed in time")
+		}
+	}
+}
+
+// takeOver applies what is known of the tasks. It reports whether some tasks
+// are not known to have been started.
+func (e *engine) takeOver(now time.Time, p *partition, k *knownJob, j *job) (unknown bool) {
+	for i := range j.tasks {
+		t, ok := k.tasks[i]
+		if !ok || t.record.State == rhubarbsailv1.TaskState_TASK_STATE_NOT_STARTED {
+			unknown = true
+			continue
+		}
+		switch t.record.State {
+		case rhubarbsailv1.TaskState_TASK_STATE_SUCCEEDED:
+			e.collect(now, j, i, t.record.Result)
+		case rhubarbsailv1.TaskState_TASK_STATE_FAILED:
+			j.tasks[i].phase = taskEnded
+			e.fail(j, now, model.ReasonTaskFailed, t.record.Error)
+		default:
+			e.adoptFlight(now, p, j, i, t)
+		}
+		if j.answered() {
+			return false
+		}
+	}
+	return unknown
+}
+
+// adoptFlight waits for a task that an earlier owner sent.
+func (e *engine) adoptFlight(now time.Time, p *partition, j *job, index int, t knownTask) {
+	j.tasks[index].phase = taskSent
+	ag := e.agents[t.agent.ID]
+	if ag == nil || ag.ref() != t.agent || ag.welcomed > t.agent.Incarnation {
+		j.tasks[index].phase = taskEnded
+		e.fail(j, now, model.ReasonOutcomeLost, "the agent that ran a task is gone")
+		return
+	}
+	id := model.TaskID{Job: j.key, Index: index}
+	ag.addFlight(id, &flight{
+		job: j, index: index, handle: adoptedHandle,
+		epoch: model.Epoch(t.record.Epoch), attempt: t.record.Attempt,
+		confirmed: p.fenced[ag.ref()],
+	})
+}
+
+// cancelJob answers a job as cancelled. It reports whether the key is known.
+func (e *engine) cancelJob(now time.Time, key model.JobKey) bool {
+	j := e.jobs[key]
+	if j == nil {
+		return false
+	}
+	e.fail(j, now, model.ReasonCancelled, "the client cancelled the job")
+	return true
+}
+
+// expireDeadlines fails the jobs whose deadline has passed.
+func (e *engine) expireDeadlines(now time.Time) {
+	for {
+		j := e.deadlines.pop(now)
+		if j == nil {
+			return
+		}
+		e.fail(j, now, model.ReasonDeadline, "the deadline passed before all tasks had an outcome")
+	}
+}
+
+// forget drops an answered job whose retention has passed.
+func (e *engine) forget(j *job) {
+	if e.jobs[j.key] == j {
+		delete(e.jobs, j.key)
+	}
+}
--- a/gen/rhubarbsail/v1/rhubarbsailv1connect/gateway.connect.go
+++ b/gen/rhubarbsail/v1/rhubarbsailv1connect/gateway.connect.go
@@ -37,6 +37,8 @@
 	GatewayServiceSubmitProcedure = "/rhubarbsail.v1.GatewayService/Submit"
 	// GatewayServiceCancelProcedure is the fully-qualified name of the GatewayService's Cancel RPC.
 	GatewayServiceCancelProcedure = "/rhubarbsail.v1.GatewayService/Cancel"
+	// GatewayServiceLookupProcedure is the fully-qualified name of the GatewayService's Lookup RPC.
+	GatewayServiceLookupProcedure = "/rhubarbsail.v1.GatewayService/Lookup"
 	// GatewayServiceExplainProcedure is the fully-qualified name of the GatewayService's Explain RPC.
 	GatewayServiceExplainProcedure = "/rhubarbsail.v1.GatewayService/Explain"
 	// GatewayServiceAnnounceProcedure is the fully-qualified name of the GatewayService's Announce RPC.
@@ -54,6 +56,8 @@
 	// Submit runs a job at the owner of its partition and returns its answer.
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
 	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
+	// Lookup returns what the owner knows of a job.
+	Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 	// Announce reports an agent that joins, changes or leaves.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
@@ -88,6 +92,12 @@
 			connect.WithSchema(gatewayServiceMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
+		lookup: connect.NewClient[v1.LookupRequest, v1.LookupResponse](
+			httpClient,
+			baseURL+GatewayServiceLookupProcedure,
+			connect.WithSchema(gatewayServiceMethods.ByName("Lookup")),
+			connect.WithClientOptions(opts...),
+		),
 		explain: connect.NewClient[v1.ExplainRequest, v1.ExplainResponse](
 			httpClient,
 			baseURL+GatewayServiceExplainProcedure,
@@ -125,6 +135,7 @@
 type gatewayServiceClient struct {
 	submit   *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
 	cancel   *connect.Client[v1.CancelRequest, v1.CancelResponse]
+	lookup   *connect.Client[v1.LookupRequest, v1.LookupResponse]
 	explain  *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
 	announce *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
 	state    *connect.Client[v1.StateRequest, v1.StateResponse]
@@ -142,6 +153,11 @@
 	return c.cancel.CallUnary(ctx, req)
 }
 
+// Lookup calls rhubarbsail.v1.GatewayService.Lookup.
+func (c *gatewayServiceClient) Lookup(ctx context.Context, req *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error) {
+	return c.lookup.CallUnary(ctx, req)
+}
+
 // Explain calls rhubarbsail.v1.GatewayService.Explain.
 func (c *gatewayServiceClient) Explain(ctx context.Context, req *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
 	return c.explain.CallUnary(ctx, req)
@@ -172,6 +188,8 @@
 	// Submit runs a job at the owner of its partition and returns its answer.
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
 	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
+	// Lookup returns what the owner knows of a job.
+	Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 	// Announce reports an agent that joins, changes or leaves.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
@@ -202,6 +220,12 @@
 		connect.WithSchema(gatewayServiceMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayServiceLookupHandler := connect.NewUnaryHandler(
+		GatewayServiceLookupProcedure,
+		svc.Lookup,
+		connect.WithSchema(gatewayServiceMethods.ByName("Lookup")),
+		connect.WithHandlerOptions(opts...),
+	)
 	gatewayServiceExplainHandler := connect.NewUnaryHandler(
 		GatewayServiceExplainProcedure,
 		svc.Explain,
@@ -238,6 +262,8 @@
 			gatewayServiceSubmitHandler.ServeHTTP(w, r)
 		case GatewayServiceCancelProcedure:
 			gatewayServiceCancelHandler.ServeHTTP(w, r)
+		case GatewayServiceLookupProcedure:
+			gatewayServiceLookupHandler.ServeHTTP(w, r)
 		case GatewayServiceExplainProcedure:
 			gatewayServiceExplainHandler.ServeHTTP(w, r)
 		case GatewayServiceAnnounceProcedure:
@@ -265,6 +291,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsail.v1.GatewayService.Cancel is not implemented"))
 }
 
+func (UnimplementedGatewayServiceHandler) Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsail.v1.GatewayService.Lookup is not implemented"))
+}
+
 func (UnimplementedGatewayServiceHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsail.v1.GatewayService.Explain is not implemented"))
 }
