Add baseline policies and the experiment tool with the policy mode

Cause: the policy's decisions were not measured. Tests: go test -race ./scheduler/... ./experiment passes. Scheduling interface: OutcomeAborted marks attempts aborted by a cancellation, so that they do not count against the target.

--- /dev/null
+++ b/cmd/rhubarbsail-experiment/main.go
@@ -0,0 +1,20 @@
+// Command rhubarbsail-experiment measures scheduling policies in a small model
+// of targets, or running gateways over HTTP.
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type commands struct {
+	Policy policyCommand `command:"policy" description:"Compare policies in a discrete-event model of targets"`
+}
+
+func main() {
+	var c commands
+	if _, err := flags.Parse(&c); err != nil {
+		os.Exit(1)
+	}
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -6,12 +6,14 @@
 	"slices"
 )
 
+// WhyProbe is the reason of an assignment to an ejected target.
+const WhyProbe = "probe of an ejected target"
+
 // Reasons for an assignment, for the operator.
 const (
 	whyEarliest = "earliest expected finish, slot free"
 	whyPrefetch = "earliest expected finish, slot free within a round trip"
 	whyAhead    = "sent ahead in a batch of a large job"
-	whyProbe    = "probe of an ejected target"
 )
 
 const (
@@ -87,7 +89,7 @@
 	}
 	p.svc.renew(j, index)
 	work := j.tasks[index].work * p.svc.ratio.mean
-	t, finish := p.best(j, work)
+	t, _ := p.best(j, work)
 	if t == nil {
 		return false, false
 	}
@@ -99,7 +101,7 @@
 	} else {
 		t.touched = true
 	}
-	replaceMin(t.slots, finish-t.delay)
+	replaceMin(t.slots, start+work*t.slow)
 	if wasOpen && !t.open(p.now) {
 		p.open--
 	}
@@ -124,7 +126,7 @@
 	ahead := len(t.out) - t.Slots
 	switch {
 	case t.health.ejected:
-		return whyProbe
+		return WhyProbe
 	case t.slots[0] <= p.now+t.delay && ahead < 0:
 		return whyEarliest
 	case t.slots[0] <= t.horizon(p.now) && ahead < p.e.opts.Prefetch:
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -103,6 +103,9 @@
 	// OutcomeStarted: a revoke came too late; the task runs and its end
 	// follows as another outcome.
 	OutcomeStarted
+	// OutcomeAborted: the attempt was started and aborted since its job was
+	// removed. It says nothing about the target.
+	OutcomeAborted
 )
 
 // Outcome is the end of one attempt of a task.
