Bound the cost of the engine's periodic checks

Cause: the checks go over all partitions and agents after each event; at 400 agents and thousands of events a second that is millions of steps a second. Ruled out: a separate timer goroutine, since the engine owns the state. Result: they run at most every 2 ms; no measurement yet.

--- a/gateway/agentstate.go
+++ b/gateway/agentstate.go
@@ -35,7 +35,6 @@
 	welcomed model.Incarnation
 	permit   *rhubarbsailv1.Permit
 	load     scheduler.Load
-	drained  bool
 	flights  map[model.TaskID]*flight
 	// fences holds the partitions of each fence without a complete reply.
 	fences    map[uint64][]ownership.PartitionEpoch
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -26,6 +26,9 @@
 	engineBatch = 256
 	// engineTick bounds the time without deadline checks and probes.
 	engineTick = 20 * time.Millisecond
+	// housekeepingInterval bounds the cost of the checks that go over all
+	// partitions and agents while events arrive at a high rate.
+	housekeepingInterval = 2 * time.Millisecond
 )
 
 // event is one input of the engine.
@@ -65,6 +68,8 @@
 	cancels     map[*agentState][]*rhubarbsailv1.JobKey
 	quotas      quotas
 	draining    bool
+	// lastHousekeeping is the time of the last run of housekeeping.
+	lastHousekeeping time.Time
 }
 
 func newEngine(g *Gateway) *engine {
@@ -148,6 +153,10 @@
 
 // housekeeping runs the work that depends on time alone.
 func (e *engine) housekeeping(now time.Time) {
+	if now.Sub(e.lastHousekeeping) < housekeepingInterval {
+		return
+	}
+	e.lastHousekeeping = now
 	e.expireDeadlines(now)
 	e.probeAgents(now)
 	e.noteReachable(now)
