Read settings files strictly and report all findings together

Cause: a daemon must not start with a misspelt key, a value in another unit or two values that contradict each other, and an operator should see all of them at once. Ruled out: findings.Decode, which has no bounds on values; strictjson reads them from struct tags, from which the schemas and docs/settings.md are generated too.

--- /dev/null
+++ b/common/settings/gateway.go
@@ -0,0 +1,140 @@
+package settings
+
+// Gateway holds the settings of a gateway.
+type Gateway struct {
+	ID                string    `json:"id" strict:"required,min=1,max=128" doc:"Name of the gateway, unique in the deployment."`
+	AvailabilityZone  string    `json:"availability_zone" strict:"required,min=1,max=128" doc:"Availability zone of this VM."`
+	CallersAddress    string    `json:"callers_address" strict:"required,min=1" doc:"IP:port of the callers' HTTP API."`
+	OperatorsAddress  string    `json:"operators_address" strict:"required,min=1" doc:"IP:port of the operators' HTTP API and of /metrics, /live and /ready."`
+	InternalAddress   string    `json:"internal_address" strict:"required,min=1" doc:"IP:port for gateways and agents."`
+	AdvertisedAddress string    `json:"advertised_address" doc:"IP:port at which gateways and agents reach internal_address; internal_address if absent."`
+	PlatformLogURL    string    `json:"platform_log_url" strict:"required,min=1" doc:"URL of the platform's log service."`
+	ControlStream     string    `json:"control_stream" strict:"min=1,max=128" doc:"Stream of the control records; the same in the whole cell."`
+	Peers             []string  `json:"peers" doc:"IP:port (advertised) of other gateways, asked for the control state while the log is down."`
+	Partitions        int64     `json:"partitions" strict:"min=1,max=4096" doc:"Partitions of the key space; fixed for the life of a cell."`
+	Timing            Timing    `json:"timing" doc:"Times of the at-most-once rules; the same in the whole cell."`
+	Probing           Probing   `json:"probing" doc:"Intervals of probes and pings."`
+	Limits            Limits    `json:"limits" doc:"Bounds of requests."`
+	HTTP              HTTP      `json:"http" doc:"Bounds of the connections to the HTTP APIs."`
+	Log               Log       `json:"log" doc:"Use of the platform's log."`
+	Shutdown          Shutdown  `json:"shutdown" doc:"Times of the graceful shutdown."`
+	Telemetry         Telemetry `json:"telemetry" doc:"Logs and traces."`
+}
+
+// Probing holds the intervals at which a gateway checks agents and gateways.
+type Probing struct {
+	PingInterval  Milliseconds `json:"ping_interval_ms" strict:"min=10,max=60000" doc:"Time between two pings to another gateway."`
+	PingFailure   Milliseconds `json:"ping_failure_ms" strict:"min=50,max=600000" doc:"Time without a reply after which a gateway counts as failed."`
+	ProbeInterval Milliseconds `json:"probe_interval_ms" strict:"min=10,max=60000" doc:"Time between two probes of an agent."`
+}
+
+// Limits bounds requests.
+type Limits struct {
+	TasksPerJob    int64        `json:"tasks_per_job" strict:"min=1,max=1300" doc:"Most tasks of a job."`
+	BodyBytes      int64        `json:"body_bytes" strict:"min=1024,max=67108864" doc:"Largest body of a submission."`
+	BodyTotalBytes int64        `json:"body_total_bytes" strict:"min=1024,max=17179869184" doc:"Bound of the bodies of all submissions in progress; further ones are refused as overload."`
+	PayloadBytes   int64        `json:"payload_bytes" strict:"min=1,max=16777216" doc:"Largest payload of a task."`
+	ResultBytes    int64        `json:"result_bytes" strict:"min=1,max=16777216" doc:"Largest result of a task."`
+	AnswerBytes    int64        `json:"answer_bytes" strict:"min=1,max=268435456" doc:"Largest sum of the results of a job."`
+	TimeoutMin     Milliseconds `json:"job_timeout_min_ms" strict:"min=1,max=120000" doc:"Smallest timeout that a job may have."`
+	TimeoutDefault Milliseconds `json:"job_timeout_default_ms" strict:"min=1,max=120000" doc:"Timeout of a job that names none."`
+	TimeoutMax     Milliseconds `json:"job_timeout_max_ms" strict:"min=1,max=120000" doc:"Largest timeout that a job may have."`
+}
+
+// HTTP bounds connections.
+type HTTP struct {
+	HeaderBytes   int64        `json:"header_bytes" strict:"min=1024,max=1048576" doc:"Largest request header."`
+	HeaderTimeout Milliseconds `json:"header_timeout_ms" strict:"min=100,max=60000" doc:"Time in which a request header must arrive."`
+	ReadTimeout   Milliseconds `json:"read_timeout_ms" strict:"min=100,max=600000" doc:"Time in which header and body must arrive."`
+	WriteTimeout  Milliseconds `json:"write_timeout_ms" strict:"min=100,max=900000" doc:"Time from the header to the end of the answer."`
+	IdleTimeout   Milliseconds `json:"idle_timeout_ms" strict:"min=100,max=900000" doc:"Time after which an idle connection is closed."`
+	Connections   int64        `json:"connections" strict:"min=1,max=1000000" doc:"Most connections to each API."`
+}
+
+// Log holds the settings for the platform's log.
+type Log struct {
+	AppendTimeout Milliseconds `json:"append_timeout_ms" strict:"min=10,max=60000" doc:"Bound of one attempt to append."`
+	Retention     Milliseconds `json:"retention_ms" strict:"min=10000,max=31536000000" doc:"Time for which the log keeps records; a snapshot is written before it ends."`
+}
+
+// Shutdown holds the times of a graceful shutdown.
+type Shutdown struct {
+	Notice  Milliseconds `json:"notice_ms" strict:"min=0,max=600000" doc:"Time between readiness false and the end of listening, so that load balancers notice."`
+	Timeout Milliseconds `json:"timeout_ms" strict:"min=0,max=900000" doc:"Time for requests in progress after the notice."`
+}
+
+func (g *Gateway) setDefaults() {
+	*g = Gateway{
+		ControlStream: "rhubarbsail-control",
+		Partitions:    64,
+		Timing:        defaultTiming(),
+		Probing:       Probing{PingInterval: 250, PingFailure: 1500, ProbeInterval: 500},
+		Limits: Limits{
+			TasksPerJob: 1300, BodyBytes: 8 << 20, BodyTotalBytes: 256 << 20, PayloadBytes: defaultPayloadBytes,
+			ResultBytes: defaultResultBytes, AnswerBytes: 16 << 20,
+			TimeoutMin: 10, TimeoutDefault: 30_000, TimeoutMax: 120_000,
+		},
+		HTTP: HTTP{
+			HeaderBytes: 16 << 10, HeaderTimeout: 5000, ReadTimeout: 20_000, WriteTimeout: 150_000,
+			IdleTimeout: 90_000, Connections: 10_000,
+		},
+		Log:       Log{AppendTimeout: 2000, Retention: 3_600_000},
+		Shutdown:  Shutdown{Notice: 2000, Timeout: 125_000},
+		Telemetry: defaultTelemetry(),
+	}
+}
+
+// Advertised returns the address at which others reach this gateway.
+func (g *Gateway) Advertised() string {
+	if g.AdvertisedAddress != "" {
+		return g.AdvertisedAddress
+	}
+	return g.InternalAddress
+}
+
+func (g *Gateway) check(c *checker) {
+	c.address("callers_address", g.CallersAddress, true)
+	c.address("operators_address", g.OperatorsAddress, true)
+	c.address("internal_address", g.InternalAddress, true)
+	c.address("advertised_address", g.AdvertisedAddress, false)
+	c.distinct([]string{"callers_address", "operators_address", "internal_address"},
+		[]string{g.CallersAddress, g.OperatorsAddress, g.InternalAddress})
+	c.addresses("peers", g.Peers, g.Advertised())
+	c.url("platform_log_url", g.PlatformLogURL)
+	g.Timing.check(c)
+	g.Telemetry.check(c)
+	g.checkLimits(c)
+	g.checkTimes(c)
+}
+
+func (g *Gateway) checkLimits(c *checker) {
+	l := g.Limits
+	c.atMost(quantity{"limits.payload_bytes", l.PayloadBytes}, quantity{"limits.body_bytes", l.BodyBytes},
+		"a body has to hold a payload of the largest size")
+	c.atMost(quantity{"limits.body_bytes", l.BodyBytes}, quantity{"limits.body_total_bytes", l.BodyTotalBytes},
+		"one body has to fit into the bound of all")
+	c.atMost(quantity{"limits.result_bytes", l.ResultBytes}, quantity{"limits.answer_bytes", l.AnswerBytes},
+		"an answer has to hold a result of the largest size")
+	c.atMost(quantity{"limits.job_timeout_min_ms", int64(l.TimeoutMin)}, quantity{"limits.job_timeout_default_ms", int64(l.TimeoutDefault)},
+		"the default has to be within the bounds")
+	c.atMost(quantity{"limits.job_timeout_default_ms", int64(l.TimeoutDefault)}, quantity{"limits.job_timeout_max_ms", int64(l.TimeoutMax)},
+		"the default has to be within the bounds")
+}
+
+func (g *Gateway) checkTimes(c *checker) {
+	longest := quantity{"limits.job_timeout_max_ms", int64(g.Limits.TimeoutMax)}
+	c.less(longest, quantity{"timing.retention_ms", int64(g.Timing.Retention)},
+		"the outcome of a task must be kept until its job ends")
+	c.less(longest, quantity{"http.write_timeout_ms", int64(g.HTTP.WriteTimeout)},
+		"the connection must stay open until the answer")
+	c.atMost(longest, quantity{"shutdown.timeout_ms", int64(g.Shutdown.Timeout)},
+		"a graceful shutdown must not cut a request in progress")
+	c.atMost(quantity{"http.header_timeout_ms", int64(g.HTTP.HeaderTimeout)}, quantity{"http.read_timeout_ms", int64(g.HTTP.ReadTimeout)},
+		"the header is part of the request")
+	c.less(quantity{"probing.ping_interval_ms", int64(g.Probing.PingInterval)}, quantity{"probing.ping_failure_ms", int64(g.Probing.PingFailure)},
+		"one lost ping must not count as a failure")
+	c.less(quantity{"probing.probe_interval_ms", int64(g.Probing.ProbeInterval)}, quantity{"timing.validity_ms", int64(g.Timing.Validity)},
+		"a confirmation must arrive before the last one ends")
+	c.less(quantity{"timing.retention_ms", int64(g.Timing.Retention)}, quantity{"log.retention_ms", int64(g.Log.Retention)},
+		"departed agents must stay in the log while their ledgers would count")
+}
--- a/common/strictjson/object.go
+++ b/common/strictjson/object.go
@@ -194,3 +194,25 @@
 	})
 	return err
 }
+
+// Member describes a member of a struct, for schemas and pages.
+type Member struct {
+	Name     string
+	Field    reflect.StructField
+	Required bool
+	// Min and Max are infinite without a bound.
+	Min, Max float64
+	One      []string
+}
+
+// Members returns the members of a struct type in the order of its fields.
+func Members(t reflect.Type) []Member {
+	var out []Member
+	for _, f := range layoutOf(t).fields {
+		r := f.rules
+		out = append(out, Member{
+			Name: f.name, Field: t.FieldByIndex(f.index), Required: r.required, Min: r.min, Max: r.max, One: r.one,
+		})
+	}
+	return out
+}
