Add the control loop

Cause: one goroutine has to own the state, and a change may be reported as accepted only after its record was read back and applied. Ruled out: a later own marker to decide about a lost append; repeating the append with the same id until the context ends needs no second record, and the state machine ignores the duplicate.

--- /dev/null
+++ b/control/append_test.go
@@ -0,0 +1,180 @@
+package control_test
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/control"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+// A change whose reply is lost must be reported as it stands in the log, act
+// once, and never be called "not made" while it may be made.
+func TestAppendUnderFaults(t *testing.T) {
+	const patience = 20 * time.Second
+	for _, tc := range []struct {
+		name   string
+		faults platformtest.Faults
+		// then changes the faults after some seconds.
+		then    func(*platformtest.Fake)
+		want    error
+		records int
+	}{
+		{"none", platformtest.Faults{}, nil, nil, 1},
+		// The read-back resolves the outcome before another attempt.
+		{"lost reply", platformtest.Faults{LoseReplies: 1}, nil, nil, 1},
+		{"lost requests", platformtest.Faults{LoseRequests: 3}, nil, nil, 1},
+		{"lost request, then lost reply", platformtest.Faults{LoseRequests: 1, LoseReplies: 1}, nil, nil, 1},
+		// The attempt times out before the slow read-back; the second record
+		// has the id of the first and no effect.
+		{"slow beyond the attempt's timeout", platformtest.Faults{Slow: 5 * time.Second}, nil, nil, 2},
+		{
+			"outage that ends", platformtest.Faults{Outage: true},
+			func(s *platformtest.Fake) { s.SetFaults(platformtest.Faults{}) }, nil, 1,
+		},
+		{"outage that stays", platformtest.Faults{Outage: true}, nil, platform.ErrUnavailable, 0},
+		{
+			"unknown, then outage", platformtest.Faults{LoseRequests: 1000},
+			func(s *platformtest.Fake) { s.SetFaults(platformtest.Faults{Outage: true}) }, platform.ErrUnknownOutcome, 0,
+		},
+		// The first attempt arrives after the second one took effect.
+		{"late duplicate", platformtest.Faults{HoldAppends: 1}, func(s *platformtest.Fake) { s.Release() }, nil, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, store *platformtest.Fake) {
+				g := start(t, store, "g1", nil)
+				<-g.Ready()
+				store.SetFaults(tc.faults)
+				result := make(chan error, 1)
+				go func() { result <- g.Drain(within(t, patience), "t1", true) }()
+				time.Sleep(patience / 2)
+				if tc.then != nil {
+					tc.then(store)
+				}
+				if err := <-result; !errors.Is(err, tc.want) {
+					t.Errorf("got %v, want %v", err, tc.want)
+				} else if tc.want == platform.ErrUnavailable && errors.Is(err, platform.ErrUnknownOutcome) {
+					t.Errorf("a refusal is also of unknown outcome: %v", err)
+				}
+				if done := g.Snapshot().Drained["t1"]; done != (tc.want == nil) {
+					t.Errorf("drained: %v", done)
+				}
+				store.SetFaults(platformtest.Faults{})
+				if n := len(records(t, store)); n != tc.records {
+					t.Errorf("%d records, want %d", n, tc.records)
+				}
+			})
+		})
+	}
+}
+
+// Of two operators' changes on one version, one must win at every gateway, and
+// the other operator must learn the version that won.
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+		gateways := []*gateway{start(t, store, "g1", nil), start(t, store, "g2", nil)}
+		errs, versions := make([]error, 2), make([]uint64, 2)
+		var wg sync.WaitGroup
+		for i, g := range gateways {
+			wg.Go(func() {
+				<-g.Ready()
+				versions[i], errs[i] = g.ChangeConfig(within(t, time.Minute), 0, g.name(i), config(g.name(i)))
+			})
+		}
+		wg.Wait()
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		var conflict *control.VersionConflictError
+		if errs[winner] != nil || !errors.As(errs[1-winner], &conflict) || conflict.Current != versions[winner] {
+			t.Fatalf("errors %v, versions %v", errs, versions)
+		}
+		synctest.Wait()
+		for i, g := range gateways {
+			if _, ok := g.Snapshot().Config.Client(g.name(winner)); !ok || g.Snapshot().ConfigVersion != versions[winner] {
+				t.Errorf("gateway %d has version %d", i, g.Snapshot().ConfigVersion)
+			}
+		}
+	})
+}
+
+func (g *gateway) name(i int) string { return []string{"ann", "bob"}[i] }
+
+// A restart of a whole cell must not exceed the append rate of the log, and
+// each agent must learn whether its own incarnation counts.
+func TestAgentAnnouncementsShareRecords(t *testing.T) {
+	const agents = 400
+	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+		g := start(t, store, "g1", nil)
+		announce := func(inc uint64) (errs [agents]error) {
+			var wg sync.WaitGroup
+			for i := range agents {
+				wg.Go(func() { errs[i] = g.AgentJoined(within(t, time.Minute), agent(i, inc)) })
+			}
+			wg.Wait()
+			return errs
+		}
+		for _, inc := range []uint64{5, 6, 6} {
+			for i, err := range announce(inc) {
+				if err != nil {
+					t.Fatalf("agent %d, incarnation %d: %v", i, inc, err)
+				}
+			}
+		}
+		var rejected *state.RejectedError
+		if err := announce(4)[7]; !errors.As(err, &rejected) || rejected.Result.Reason != state.ReasonIncarnation {
+			t.Errorf("stale incarnation: %v", err)
+		}
+		if err := g.AgentLeft(within(t, time.Minute), state.AgentLeft{ID: agent(7, 6).ID, Incarnation: 6}); err != nil {
+			t.Error(err)
+		}
+		if n := len(records(t, store)); n > 8 {
+			t.Errorf("%d records for three restarts of %d agents", n, agents)
+		}
+		if s := g.Snapshot(); len(s.Agents) != agents-1 || len(s.Departed) != agents+1 {
+			t.Errorf("%d agents, %d departed", len(s.Agents), len(s.Departed))
+		}
+	})
+}
+
+// A gateway must learn which partitions it won; a stopped loop must not leave a
+// writer waiting.
+func TestMembershipClaimsAndStop(t *testing.T) {
+	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+		g := start(t, store, "g1", nil)
+		ctx := within(t, time.Hour)
+		if err := g.Join(ctx, state.Gateway{ID: "g1", Incarnation: 2, Address: "a:1"}); err != nil {
+			t.Fatal(err)
+		}
+		var rejected *state.RejectedError
+		if err := g.Join(ctx, state.Gateway{ID: "g1", Incarnation: 1, Address: "a:1"}); !errors.As(err, &rejected) {
+			t.Errorf("older incarnation joined: %v", err)
+		}
+		claim := state.Claim{Gateway: "g1", Incarnation: 2, Partitions: []state.PartitionClaim{{Partition: 1}, {Partition: 2, Replaces: 7}}}
+		if r, err := g.Claim(ctx, claim); err != nil || len(r.Won) != 1 || len(r.Lost) != 1 {
+			t.Errorf("claim: %+v, %v", r, err)
+		}
+		for range 2 {
+			if err := g.Leave(ctx, "g1", 2); err != nil {
+				t.Errorf("leave: %v", err)
+			}
+		}
+		store.SetFaults(platformtest.Faults{LoseRequests: 1 << 20})
+		result := make(chan error, 1)
+		go func() { result <- g.Drain(ctx, "t", true) }()
+		time.Sleep(time.Minute)
+		g.stop()
+		if err := <-result; !errors.Is(err, control.ErrStopped) || !errors.Is(err, platform.ErrUnknownOutcome) {
+			t.Errorf("pending append: %v", err)
+		}
+		if err := g.Drain(ctx, "t", true); !errors.Is(err, control.ErrStopped) || errors.Is(err, platform.ErrUnknownOutcome) {
+			t.Errorf("append after the stop: %v", err)
+		}
+	})
+}
--- a/control/control.go
+++ b/control/control.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"github.com/rhubarbsail/rhubarbsail/common/model"
-	"github.com/rhubarbsail/rhubarbsail/inventory"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
@@ -28,7 +28,9 @@
 	// LogRetention is the time for which the log keeps records.
 	LogRetention time.Duration
 	// PeerState returns the encoded snapshot of a peer gateway and its offset,
-	// for a process that cannot read the log. It may be nil.
+	// for a process that cannot read the log. It may be nil. While the log
+	// stays unavailable it is called every few seconds; it may return offset 0
+	// if no peer is ahead of Loop.Snapshot, to save the transfer.
 	PeerState func(ctx context.Context) (offset uint64, snapshot []byte, err error)
 	// ShouldSnapshot reports whether this gateway writes the snapshots at the
 	// moment. It may be nil for never.
@@ -47,63 +49,100 @@
 	Report func(Event)
 }
 
-// Loop owns the state machine and publishes its snapshots.
-type Loop struct{}
+// The defaults of Options.
+const (
+	defaultPollWait      = 10 * time.Second
+	defaultAppendTimeout = 3 * time.Second
+	defaultBatchWait     = 200 * time.Millisecond
+	defaultSnapshotEvery = 1000
+	// defaultLogRetention is far below the retention of any log in use.
+	defaultLogRetention = time.Hour
+)
+
+func (o Options) withDefaults() Options {
+	orDuration := func(p *time.Duration, def time.Duration) {
+		if *p <= 0 {
+			*p = def
+		}
+	}
+	orDuration(&o.PollWait, defaultPollWait)
+	orDuration(&o.AppendTimeout, defaultAppendTimeout)
+	orDuration(&o.BatchWait, defaultBatchWait)
+	orDuration(&o.LogRetention, defaultLogRetention)
+	if o.SnapshotEvery <= 0 {
+		o.SnapshotEvery = defaultSnapshotEvery
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Report == nil {
+		o.Report = func(Event) {}
+	}
+	return o
+}
+
+// Loop owns the state machine and publishes its snapshots. One goroutine, that
+// of Run, owns the fields of tail; the others may be used by any.
+type Loop struct {
+	opts        Options
+	tail        tail
+	snap        atomic.Pointer[state.Snapshot]
+	status      atomic.Pointer[Status]
+	ready       chan struct{}
+	stopped     context.Context // ended when Run ends
+	stop        context.CancelFunc
+	waiters     waiters
+	subscribers subscribers
+	joins       *batcher[state.Agent]
+	leaves      *batcher[state.AgentLeft]
+	writing     atomic.Bool // a snapshot is being written
+	background  sync.WaitGroup
+}
 
 // New returns a loop; Run starts it.
-func New(opts Options) *Loop { return &Loop{} }
+func New(opts Options) *Loop {
+	l := &Loop{
+		opts: opts.withDefaults(), ready: make(chan struct{}),
+		waiters: waiters{byID: map[string]chan state.Result{}},
+	}
+	l.stopped, l.stop = context.WithCancel(context.Background())
+	l.tail = tail{machine: state.NewMachine(state.Options{Retention: opts.Retention}), next: 1}
+	l.snap.Store(l.tail.machine.Snapshot())
+	l.status.Store(&Status{})
+	l.joins = newBatcher(l, state.KindAgentJoined, func(a []state.Agent) any { return state.AgentsJoined{Agents: a} })
+	l.leaves = newBatcher(l, state.KindAgentLeft, func(a []state.AgentLeft) any { return state.AgentsLeft{Agents: a} })
+	return l
+}
 
-// Run tails the stream until the context ends.
-func (l *Loop) Run(ctx context.Context) error { return nil }
+// Run tails the stream until the context ends. It is called once.
+func (l *Loop) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer l.background.Wait()
+	defer l.stop()
+	defer cancel()
+	l.background.Go(func() { l.joins.run(ctx) })
+	l.background.Go(func() { l.leaves.run(ctx) })
+	b := newBackoff()
+	for ctx.Err() == nil {
+		if err := l.step(ctx); err != nil {
+			b.sleep(ctx, nil)
+			continue
+		}
+		b.reset()
+	}
+}
 
 // Snapshot returns the newest state. It is never nil.
-func (l *Loop) Snapshot() *state.Snapshot { return nil }
+func (l *Loop) Snapshot() *state.Snapshot { return l.snap.Load() }
 
 // Subscribe returns a channel that receives a value after each change of the
 // snapshot; several changes may give one value. The function ends the
 // subscription.
-func (l *Loop) Subscribe() (<-chan struct{}, func()) { return nil, func() {} }
+func (l *Loop) Subscribe() (<-chan struct{}, func()) { return l.subscribers.add() }
 
 // Ready is closed once the state was read to the end of the log, or loaded
 // from a peer.
-func (l *Loop) Ready() <-chan struct{} { return nil }
+func (l *Loop) Ready() <-chan struct{} { return l.ready }
 
 // Status returns the state of the tail.
-func (l *Loop) Status() Status { return Status{} }
-
-// Append writes a record and returns once it was read back and applied.
-//
-// The result may be a rejection; Result.Err tells. An error that wraps
-// platform.ErrUnavailable means that the record is not in the log, one that
-// wraps platform.ErrUnknownOutcome that it may be or may yet arrive.
-func (l *Loop) Append(ctx context.Context, kind state.Kind, body any) (state.Result, error) {
-	return state.Result{}, ErrStopped
-}
-
-// Join records the gateway as a member.
-func (l *Loop) Join(ctx context.Context, g state.Gateway) error { return ErrStopped }
-
-// Leave records that the incarnation of a gateway, own or crashed, is gone.
-func (l *Loop) Leave(ctx context.Context, id string, inc model.Incarnation) error { return ErrStopped }
-
-// Claim writes a claim; the result lists the partitions won and lost.
-func (l *Loop) Claim(ctx context.Context, c state.Claim) (state.Result, error) {
-	return state.Result{}, ErrStopped
-}
-
-// AgentJoined records an agent. Calls at the same time share a record. It
-// returns at once if the state lists the same agent already.
-func (l *Loop) AgentJoined(ctx context.Context, a state.Agent) error { return ErrStopped }
-
-// AgentLeft records that an incarnation of an agent is gone.
-func (l *Loop) AgentLeft(ctx context.Context, a state.AgentLeft) error { return ErrStopped }
-
-// Drain sets or clears an operator's drain of a target.
-func (l *Loop) Drain(ctx context.Context, target string, drain bool) error { return ErrStopped }
-
-// ChangeConfig replaces the configuration if base is the version in force and
-// returns the new version. It fails with *VersionConflictError if another
-// change won.
-func (l *Loop) ChangeConfig(ctx context.Context, base uint64, operator string, c *inventory.Config) (uint64, error) {
-	return 0, ErrStopped
-}
+func (l *Loop) Status() Status { return *l.status.Load() }
--- /dev/null
+++ b/control/helpers_test.go
@@ -0,0 +1,159 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/control"
+	"github.com/rhubarbsail/rhubarbsail/inventory"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+const stream = "control"
+
+// link is the way of one gateway to the log; cut, it refuses everything.
+type link struct {
+	log atomic.Pointer[platformtest.Fake]
+	cut atomic.Bool
+}
+
+func (l *link) Append(ctx context.Context, s string, data []byte) (uint64, error) {
+	if l.cut.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return l.log.Load().Append(ctx, s, data)
+}
+
+func (l *link) Read(ctx context.Context, s string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+	if l.cut.Load() {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return l.log.Load().Read(ctx, s, from, limit, wait)
+}
+
+// gateway is a running loop with its events.
+type gateway struct {
+	*control.Loop
+	link *link
+	stop func()
+
+	mu     sync.Mutex
+	events []control.EventKind
+}
+
+func (g *gateway) seen() []control.EventKind {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.events)
+}
+
+func (g *gateway) saw(kind control.EventKind) int { return count(g.seen(), kind) }
+
+// start runs a loop until the end of the test or stop.
+func start(t *testing.T, store *platformtest.Fake, writer string, change func(*control.Options)) *gateway {
+	t.Helper()
+	g := &gateway{link: &link{}}
+	g.link.log.Store(store)
+	opts := control.Options{Log: g.link, Stream: stream, Writer: writer, Report: func(e control.Event) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.events = append(g.events, e.Kind)
+	}}
+	if change != nil {
+		change(&opts)
+	}
+	g.Loop = control.New(opts)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	g.stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(g.stop)
+	return g
+}
+
+// bubble runs a test on virtual time, so that waits cost nothing and no result
+// depends on the machine's speed.
+func bubble(t *testing.T, test func(t *testing.T, store *platformtest.Fake)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, platformtest.NewFake()) })
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func encoded(t *testing.T, g *gateway) string {
+	t.Helper()
+	data, err := g.Snapshot().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// records returns the kinds of the records that the log keeps.
+func records(t *testing.T, store *platformtest.Fake) []state.Kind {
+	t.Helper()
+	page, err := store.Read(t.Context(), stream, 1, 0, 0)
+	if err != nil {
+		page, err = store.Read(t.Context(), stream, page.First, 0, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kinds []state.Kind
+	for _, e := range page.Entries {
+		var r state.Record
+		if err := json.Unmarshal(e.Data, &r); err != nil {
+			t.Fatal(err)
+		}
+		kinds = append(kinds, r.Kind)
+	}
+	return kinds
+}
+
+func count[K comparable](kinds []K, kind K) int {
+	n := 0
+	for _, k := range kinds {
+		if k == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func drain(t *testing.T, g *gateway, target string) {
+	t.Helper()
+	if err := g.Drain(within(t, time.Minute), target, true); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func config(client string) *inventory.Config {
+	return inventory.New(inventory.Inventory{}, inventory.Rules{Clients: []inventory.Client{{ID: client, Share: 1}}})
+}
+
+// peer gives the state of a running gateway.
+func peer(g *gateway) func(context.Context) (uint64, []byte, error) {
+	return func(context.Context) (uint64, []byte, error) {
+		s := g.Snapshot()
+		data, err := s.Encode()
+		return s.Applied, data, err
+	}
+}
