--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 
 // Start begins to follow the log, to link to agents and to claim partitions.
 func (g *Gateway) Start() {
-	g.goRun(func(ctx context.Context) { _ = g.control.Run(ctx) })
+	g.goRun(g.control.Run)
 	g.goRun(g.engine.run)
 	g.goRun(g.followView)
 	g.goRun(g.join)
