Record spans in memory and complete the gateway's settings

Cause: the single-process mode shows the trace of its job, and the gateway of main has options that the settings file lacked. Result: telemetry.Recorder and WriteTree; settings for the lease service, the job table, the removal of agents and the delay between availability zones. The control stream's default is that of the gateway. go test -race passes for common/settings and common/telemetry.

--- a/common/settings/gateway.go
+++ b/common/settings/gateway.go
@@ -9,6 +9,7 @@
 	InternalAddress   string    `json:"internal_address" strict:"required,min=1" doc:"IP:port for gateways and agents."`
 	AdvertisedAddress string    `json:"advertised_address" doc:"IP:port at which gateways and agents reach internal_address; internal_address if absent."`
 	PlatformLogURL    string    `json:"platform_log_url" strict:"required,min=1" doc:"URL of the platform's log service."`
+	PlatformLeaseURL  string    `json:"platform_lease_url" doc:"URL of the platform's lease service, which proves that an unreachable worker is gone; absent: such agents are never removed."`
 	ControlStream     string    `json:"control_stream" strict:"min=1,max=128" doc:"Stream of the control records; the same in the whole cell."`
 	Peers             []string  `json:"peers" doc:"IP:port (advertised) of other gateways, asked for the control state while the log is down."`
 	Partitions        int64     `json:"partitions" strict:"min=1,max=4096" doc:"Partitions of the key space; fixed for the life of a cell."`
@@ -26,6 +27,8 @@
 	PingInterval  Milliseconds `json:"ping_interval_ms" strict:"min=10,max=60000" doc:"Time between two pings to another gateway."`
 	PingFailure   Milliseconds `json:"ping_failure_ms" strict:"min=50,max=600000" doc:"Time without a reply after which a gateway counts as failed."`
 	ProbeInterval Milliseconds `json:"probe_interval_ms" strict:"min=10,max=60000" doc:"Time between two probes of an agent."`
+	RemoveAfter   Milliseconds `json:"remove_after_ms" strict:"min=1000,max=86400000" doc:"Time without a link after which the lease of an agent's worker is asked for, to record the agent as gone."`
+	ZoneDelay     int64        `json:"zone_delay_us" strict:"min=0,max=1000000" doc:"One-way network delay to another availability zone, in microseconds."`
 }
 
 // Limits bounds requests.
@@ -36,6 +39,8 @@
 	PayloadBytes   int64        `json:"payload_bytes" strict:"min=1,max=16777216" doc:"Largest payload of a task."`
 	ResultBytes    int64        `json:"result_bytes" strict:"min=1,max=16777216" doc:"Largest result of a task."`
 	AnswerBytes    int64        `json:"answer_bytes" strict:"min=1,max=268435456" doc:"Largest sum of the results of a job."`
+	JobsMax        int64        `json:"jobs_max" strict:"min=1,max=100000000" doc:"Most jobs in the table of a gateway, with the retained answers."`
+	RetainedBytes  int64        `json:"retained_bytes" strict:"min=0,max=17179869184" doc:"Bound of the results of all retained answers."`
 	TimeoutMin     Milliseconds `json:"job_timeout_min_ms" strict:"min=1,max=120000" doc:"Smallest timeout that a job may have."`
 	TimeoutDefault Milliseconds `json:"job_timeout_default_ms" strict:"min=1,max=120000" doc:"Timeout of a job that names none."`
 	TimeoutMax     Milliseconds `json:"job_timeout_max_ms" strict:"min=1,max=120000" doc:"Largest timeout that a job may have."`
@@ -65,13 +70,14 @@
 
 func (g *Gateway) setDefaults() {
 	*g = Gateway{
-		ControlStream: "rhubarbsail-control",
+		ControlStream: "control",
 		Partitions:    64,
 		Timing:        defaultTiming(),
-		Probing:       Probing{PingInterval: 250, PingFailure: 1500, ProbeInterval: 500},
+		Probing:       Probing{PingInterval: 250, PingFailure: 1500, ProbeInterval: 500, RemoveAfter: 30_000, ZoneDelay: 1500},
 		Limits: Limits{
 			TasksPerJob: 1300, BodyBytes: 8 << 20, BodyTotalBytes: 256 << 20, PayloadBytes: defaultPayloadBytes,
 			ResultBytes: defaultResultBytes, AnswerBytes: 16 << 20,
+			JobsMax: 200_000, RetainedBytes: 64 << 20,
 			TimeoutMin: 10, TimeoutDefault: 30_000, TimeoutMax: 120_000,
 		},
 		HTTP: HTTP{
@@ -101,6 +107,7 @@
 		[]string{g.CallersAddress, g.OperatorsAddress, g.InternalAddress})
 	c.addresses("peers", g.Peers, g.Advertised())
 	c.url("platform_log_url", g.PlatformLogURL)
+	c.url("platform_lease_url", g.PlatformLeaseURL)
 	g.Timing.check(c)
 	g.Telemetry.check(c)
 	g.checkLimits(c)
--- /dev/null
+++ b/common/telemetry/recorder.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// maxRecordedSpans bounds the memory of a Recorder. A job of 1,300 tasks has a
+// few spans for each.
+const maxRecordedSpans = 20_000
+
+// Recorder is a span exporter that keeps spans in memory, for the
+// single-process mode and tests. Its methods may be called from several
+// goroutines.
+type Recorder struct {
+	mu    sync.Mutex // owns spans
+	spans []sdktrace.ReadOnlySpan
+}
+
+// ExportSpans keeps the spans; those over the bound are dropped.
+func (r *Recorder) ExportSpans(_ context.Context, spans []sdktrace.ReadOnlySpan) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	room := min(len(spans), maxRecordedSpans-len(r.spans))
+	r.spans = append(r.spans, spans[:room]...)
+	return nil
+}
+
+// Shutdown does nothing.
+func (r *Recorder) Shutdown(context.Context) error { return nil }
+
+// Trace returns the spans of one trace in the order of their start.
+func (r *Recorder) Trace(id trace.TraceID) []sdktrace.ReadOnlySpan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []sdktrace.ReadOnlySpan
+	for _, s := range r.spans {
+		if s.SpanContext().TraceID() == id {
+			out = append(out, s)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b sdktrace.ReadOnlySpan) int { return a.StartTime().Compare(b.StartTime()) })
+	return out
+}
+
+// WriteTree writes the spans of one trace as a tree, each with its process, its
+// start relative to the first span and its duration. Spans whose parent is not
+// among them are at the top.
+func WriteTree(w io.Writer, spans []sdktrace.ReadOnlySpan) {
+	if len(spans) == 0 {
+		return
+	}
+	known := make(map[trace.SpanID]bool, len(spans))
+	children := map[trace.SpanID][]sdktrace.ReadOnlySpan{}
+	for _, s := range spans {
+		known[s.SpanContext().SpanID()] = true
+	}
+	for _, s := range spans {
+		parent := s.Parent().SpanID()
+		if !known[parent] {
+			parent = trace.SpanID{}
+		}
+		children[parent] = append(children[parent], s)
+	}
+	start := spans[0].StartTime()
+	var write func(parent trace.SpanID, depth int)
+	write = func(parent trace.SpanID, depth int) {
+		for _, s := range children[parent] {
+			fmt.Fprintf(w, "%9s %9s  %s%s (%s)\n", milliseconds(s.StartTime().Sub(start)),
+				milliseconds(s.EndTime().Sub(s.StartTime())), strings.Repeat("  ", depth), s.Name(), processOf(s))
+			write(s.SpanContext().SpanID(), depth+1)
+		}
+	}
+	fmt.Fprintf(w, "%9s %9s  span\n", "start", "duration")
+	write(trace.SpanID{}, 0)
+}
+
+func milliseconds(d time.Duration) string { return fmt.Sprintf("%.2f ms", d.Seconds()*1000) }
+
+func processOf(s sdktrace.ReadOnlySpan) string {
+	var name, id string
+	for _, a := range s.Resource().Attributes() {
+		switch a.Key {
+		case "service.name":
+			name = strings.TrimPrefix(a.Value.AsString(), "rhubarbsail-")
+		case "service.instance.id":
+			id = a.Value.AsString()
+		}
+	}
+	return strings.TrimSpace(name + " " + id)
+}
--- a/common/telemetry/telemetry_test.go
+++ b/common/telemetry/telemetry_test.go
@@ -146,3 +146,25 @@
 		t.Errorf("stdout exporter wrote %q", out.String())
 	}
 }
+
+// A trace over several processes must be shown as one tree.
+func TestTreeJoinsProcesses(t *testing.T) {
+	r := &Recorder{}
+	gateway := NewTracerWith(TraceConfig{Ratio: 1, Process: "gateway", ID: "g1"}, r)
+	agent := NewTracerWith(TraceConfig{Ratio: 0, Process: "agent", ID: "a1"}, r)
+	ctx, root := gateway.Tracer("").Start(context.Background(), "submit")
+	_, run := agent.Tracer("").Start(WithTraceparent(context.Background(), Traceparent(ctx)), "run")
+	run.End()
+	root.End()
+	for _, p := range []interface{ ForceFlush(context.Context) error }{gateway, agent} {
+		if err := p.ForceFlush(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var b strings.Builder
+	WriteTree(&b, r.Trace(root.SpanContext().TraceID()))
+	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+	if len(lines) != 3 || !strings.HasSuffix(lines[1], "  submit (gateway g1)") || !strings.HasSuffix(lines[2], "    run (agent a1)") {
+		t.Fatalf("got\n%s", &b)
+	}
+}
