--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,6 +50,7 @@
 	// them are made under it, so that a gateway sees them in one order.
 	mu       sync.Mutex
 	target   targetState
+	drain    drainState
 	sessions map[string]*session
 	// owners maps a partition to the gateway that receives its outcomes: the one
 	// with the newest epoch.
@@ -70,6 +71,13 @@
 	change chan struct{}
 }
 
+// drainState is the newest operator's drain that a gateway passed on.
+type drainState struct {
+	set bool
+	// offset is the log offset up to which its sender had applied the log.
+	offset uint64
+}
+
 // New returns an agent. It does no I/O.
 func New(opts Options, deps Dependencies) (*Agent, error) {
 	if err := opts.check(deps); err != nil {
@@ -172,7 +180,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	a.drain()
+	a.stopTasks()
 	stopAnnouncing()
 	announcer.Wait()
 	a.announceLeaving()
@@ -214,9 +222,9 @@
 	return s
 }
 
-// drain gives the queue back, reports leaving and waits for the running tasks
+// stopTasks gives the queue back, reports leaving and waits for the running tasks
 // and for their delivery.
-func (a *Agent) drain() {
+func (a *Agent) stopTasks() {
 	a.mu.Lock()
 	a.stopping = true
 	a.giveBack(a.now(), ledger.Leaving)
--- a/agent/executor.go
+++ b/agent/executor.go
@@ -37,7 +37,7 @@
 // a.mu.
 func (a *Agent) veto(now time.Duration, service string) ledger.Reason {
 	switch {
-	case a.stopping || a.target.left:
+	case a.stopping || a.target.left || a.drain.set:
 		return ledger.Leaving
 	case !a.target.present || service != a.target.service:
 		return ledger.NoTarget
--- a/agent/ledger/types.go
+++ b/agent/ledger/types.go
@@ -60,6 +60,20 @@
 	Cancelled
 )
 
+var reasonNames = map[Reason]string{
+	StaleEpoch: "stale_epoch", PermitExpired: "permit_expired", Duplicate: "duplicate", Revoked: "revoked",
+	Leaving: "leaving", LeaseLapsed: "lease_lapsed", QueueFull: "queue_full", LedgerFull: "ledger_full",
+	Deadline: "deadline", NoTarget: "no_target", Cancelled: "cancelled",
+}
+
+// String returns the name of the reason for logs and metrics.
+func (r Reason) String() string {
+	if n, ok := reasonNames[r]; ok {
+		return n
+	}
+	return "unknown"
+}
+
 // Permit allows starts for a limited time. A gateway returns it unchanged.
 type Permit struct {
 	Incarnation model.Incarnation
--- a/agent/session.go
+++ b/agent/session.go
@@ -201,6 +201,7 @@
 			Queued:    uint32(len(a.queue)),
 			Leaving:   a.stopping || a.target.left,
 			Accepting: a.veto(now, a.target.service) == 0,
+			MayDepart: a.stopping || a.target.left || !a.lease.valid(now),
 		}
 }
 
@@ -242,6 +243,8 @@
 		return a.handleFence(s, v.Fence)
 	case *pb.GatewayFrame_Probe:
 		return a.handleProbe(s, v.Probe)
+	case *pb.GatewayFrame_Drain:
+		return a.handleDrain(s, v.Drain)
 	}
 	return errors.Errorf("unexpected frame %T", f.GetFrame())
 }
@@ -343,6 +346,25 @@
 	})
 }
 
+// handleDrain sets or clears an operator's drain. Gateways that lag behind the
+// log send older drains, which have no effect. The queue is given back, since
+// a task in it would be new work for the target.
+func (a *Agent) handleDrain(s *session, f *pb.Drain) error {
+	return a.withSession(s, func(now time.Duration) {
+		if f.GetAppliedOffset() < a.drain.offset {
+			return
+		}
+		changed := a.drain.set != f.GetDrain()
+		a.drain = drainState{set: f.GetDrain(), offset: f.GetAppliedOffset()}
+		if changed && a.drain.set {
+			a.giveBack(now, ledger.Leaving)
+		}
+		if changed {
+			a.notifyLoad()
+		}
+	})
+}
+
 // push gives a message to a session, or ends the session if it does not keep up.
 // The caller holds a.mu.
 func (a *Agent) push(s *session, m message) {
