--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync/atomic"
 
-	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/rhubarbsail/rhubarbsail/agent"
@@ -18,32 +17,34 @@
 )
 
 // Agent runs an agent until ctx ends and its running tasks are delivered.
-func Agent(ctx context.Context, s *settings.Agent, out Output) error {
-	t, err := newTelemetry(ctx, "agent", s.ID, s.Telemetry, out)
+func Agent(ctx context.Context, s *settings.Agent, env Env) error {
+	t, err := newTelemetry(ctx, "agent", s.ID, s.Telemetry, env)
 	if err != nil {
 		return err
 	}
 	defer t.close()
-	a, err := agent.New(agentOptions(s), agent.Dependencies{
-		Lease:   platform.NewHTTP(s.PlatformLeaseURL, &http.Client{}),
-		Log:     t.log,
-		Tracer:  t.tracer.Tracer("github.com/rhubarbsail/rhubarbsail/agent"),
-		Metrics: newAgentMetrics(t.metrics.Scope),
-	})
+	l, err := listenAgent(s, env)
 	if err != nil {
+		events.ListenFailed.Log(t.log).Err(err).Send()
 		return err
 	}
-	listener, err := net.Listen("tcp", s.OperatorsAddress)
+	a, err := agent.New(agentOptions(s), agent.Dependencies{
+		Lease:          platform.NewHTTP(s.PlatformLeaseURL, &http.Client{}),
+		Log:            t.log,
+		Tracer:         t.tracer.Tracer("github.com/rhubarbsail/rhubarbsail/agent"),
+		Metrics:        newAgentMetrics(t.metrics.Scope),
+		LinkListener:   l.link,
+		TargetListener: l.target,
+	})
 	if err != nil {
-		events.ListenFailed.Log(t.log).Err(err).Send()
-		return errors.Wrap(err, "listen")
+		return err
 	}
 	var leaving atomic.Bool
 	stopNotice := context.AfterFunc(ctx, func() { leaving.Store(true) })
 	defer stopNotice()
 	health := httpapi.NewServer(healthHandler(t.metrics.Handler, &leaving), httpapi.DefaultServerLimits())
 	served := make(chan error, 1)
-	go func() { served <- health.Serve(listener) }()
+	go func() { served <- health.Serve(l.operators) }()
 	events.ProcessStarted.Log(t.log).Str("id", s.ID).Str("link", s.LinkAddress).Send()
 	err = a.Run(ctx)
 	_ = health.Close()
@@ -52,6 +53,19 @@
 	return err
 }
 
+type agentListeners struct{ link, target, operators net.Listener }
+
+func listenAgent(s *settings.Agent, env Env) (l agentListeners, err error) {
+	if l.link, err = env.listen(s.LinkAddress); err != nil {
+		return l, err
+	}
+	if l.target, err = env.listen(s.AnnounceAddress); err != nil {
+		return l, err
+	}
+	l.operators, err = env.listen(s.OperatorsAddress)
+	return l, err
+}
+
 func agentOptions(s *settings.Agent) agent.Options {
 	return agent.Options{
 		Agent: s.ID, Listen: s.LinkAddress, Advertise: s.Advertised(), TargetListen: s.AnnounceAddress,
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -22,20 +22,34 @@
 	"github.com/rhubarbsail/rhubarbsail/platform"
 )
 
-// Output is where a daemon writes its log lines and, with the stdout exporter,
-// its spans.
-type Output struct {
+// Env is the surroundings of a daemon.
+type Env struct {
+	// Log receives the log lines, Spans those of the stdout exporter.
 	Log, Spans io.Writer
+	// Listen opens a listener; nil is net.Listen.
+	Listen func(network, address string) (net.Listener, error)
+}
+
+func (e Env) listen(address string) (net.Listener, error) {
+	open := e.Listen
+	if open == nil {
+		open = net.Listen
+	}
+	l, err := open("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return l, nil
 }
 
 // Gateway runs a gateway until ctx ends and the planned stop is complete.
-func Gateway(ctx context.Context, s *settings.Gateway, out Output) error {
-	t, err := newTelemetry(ctx, "gateway", s.ID, s.Telemetry, out)
+func Gateway(ctx context.Context, s *settings.Gateway, env Env) error {
+	t, err := newTelemetry(ctx, "gateway", s.ID, s.Telemetry, env)
 	if err != nil {
 		return err
 	}
 	defer t.close()
-	l, err := listenGateway(s)
+	l, err := listenGateway(s, env)
 	if err != nil {
 		events.ListenFailed.Log(t.log).Err(err).Send()
 		return err
@@ -97,15 +111,15 @@
 	}
 }
 
-func listenGateway(s *settings.Gateway) (gateway.Listeners, error) {
+func listenGateway(s *settings.Gateway, env Env) (gateway.Listeners, error) {
 	var l gateway.Listeners
 	for _, a := range []struct {
 		to      *net.Listener
 		address string
 	}{{&l.Callers, s.CallersAddress}, {&l.Operators, s.OperatorsAddress}, {&l.Internal, s.InternalAddress}} {
-		opened, err := net.Listen("tcp", a.address)
+		opened, err := env.listen(a.address)
 		if err != nil {
-			return l, errors.Wrap(err, "listen")
+			return l, err
 		}
 		*a.to = opened
 	}
@@ -123,14 +137,14 @@
 	flush   func(context.Context) error
 }
 
-func newTelemetry(ctx context.Context, process, id string, s settings.Telemetry, out Output) (*processTelemetry, error) {
-	log, err := events.NewLogger(out.Log, s.LogLevel, process, id)
+func newTelemetry(ctx context.Context, process, id string, s settings.Telemetry, env Env) (*processTelemetry, error) {
+	log, err := events.NewLogger(env.Log, s.LogLevel, process, id)
 	if err != nil {
 		return nil, err
 	}
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
 		Exporter: telemetry.Exporter(s.TraceExporter), Endpoint: s.TraceEndpointURL, Ratio: s.TraceRatio,
-		Process: process, ID: id, Out: out.Spans,
+		Process: process, ID: id, Out: env.Spans,
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -15,13 +15,13 @@
 
 // Main loads the settings named on the command line, runs the daemon until
 // SIGTERM or SIGINT and returns the exit code.
-func Main[S settings.Settings](name string, s S, run func(context.Context, S, Output) error) int {
+func Main[S settings.Settings](name string, s S, run func(context.Context, S, Env) error) int {
 	if exit, done := settings.FromArgs(name, os.Args[1:], s, os.Stdout, os.Stderr); done || exit != 0 {
 		return exit
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, s, Output{Log: os.Stderr, Spans: os.Stdout}); err != nil {
+	if err := run(ctx, s, Env{Log: os.Stderr, Spans: os.Stdout}); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return exitFailed
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,9 @@
 	log     eventLog
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
+	// successor is true while another gateway answers pings and is not leaving;
+	// membership writes it.
+	successor atomic.Bool
 	// joined is set once the log shows this gateway as a member.
 	joined atomic.Bool
 	// ctx is the lifetime of links, control and engine.
@@ -142,7 +145,7 @@
 func (g *Gateway) Drained(ctx context.Context) error {
 	for {
 		idle, err := call(ctx, g.engine, func(e *engine, _ time.Time) bool {
-			e.draining = !g.hasSuccessor()
+			e.draining = !g.successor.Load()
 			return e.idle()
 		})
 		if err == nil && idle {
@@ -156,16 +159,6 @@
 	}
 }
 
-// hasSuccessor reports whether the log shows another gateway.
-func (g *Gateway) hasSuccessor() bool {
-	for _, o := range g.control.Snapshot().Gateways {
-		if o.ID != g.opts.ID && !o.Left {
-			return true
-		}
-	}
-	return false
-}
-
 // Close ends all work. After a planned stop, the departure is recorded first.
 func (g *Gateway) Close(ctx context.Context) {
 	if g.leaving.Load() && g.joined.Load() {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -42,7 +42,10 @@
 	sctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	resp, err := g.peers.client(to.Address).Handover(sctx, connect.NewRequest(table))
-	if err != nil || !resp.Msg.Accepted {
+	if err == nil && !resp.Msg.Accepted {
+		err = errors.New("the successor is leaving")
+	}
+	if err != nil {
 		_, _ = call(ctx, g.engine, func(e *engine, now time.Time) bool {
 			e.resumePartition(now, h)
 			return true
@@ -69,7 +72,10 @@
 		_, _ = g.control.Claim(rctx, state.Claim{Gateway: g.opts.ID, Incarnation: g.opts.Incarnation, Partitions: parts})
 		cancel()
 	}
-	return errors.Wrap(err, "claim for the successor")
+	if err != nil {
+		return errors.Wrap(err, "claim for the successor")
+	}
+	return ctx.Err()
 }
 
 // stopPartition ends work on a partition and returns its job table, or nil if
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -62,6 +62,7 @@
 			now := m.g.mono(time.Now())
 			m.syncPeers(now, v)
 			m.pingAll(ctx, now, v)
+			m.g.successor.Store(m.hasSuccessor(now))
 			if time.Now().After(start) {
 				m.act(ctx, now, v)
 			}
@@ -112,6 +113,16 @@
 	}
 }
 
+// hasSuccessor reports whether another gateway could take partitions over.
+func (m *membership) hasSuccessor(now time.Duration) bool {
+	for _, p := range m.peers {
+		if !p.leaving && now-p.lastHeard < m.g.opts.Ownership.SuspectAfter {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *membership) ping(ctx context.Context, sent time.Duration, p *peer, address string) {
 	pctx, cancel := context.WithTimeout(ctx, m.g.opts.Ownership.SuspectAfter)
 	defer cancel()
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -29,7 +29,10 @@
 	if err != nil {
 		return parts, err
 	}
-	return parts, errors.Wrap(json.Unmarshal(b, &parts), "split configuration")
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return parts, errors.Wrap(err, "split configuration")
+	}
+	return parts, nil
 }
 
 // Config implements httpapi.Operations.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -68,7 +68,10 @@
 	_ = peers.Shutdown(stopCtx)
 	_ = peers.Close()
 	_ = callers.Close()
-	return errors.Wrap(running.Wait(), "serve")
+	if err := running.Wait(); err != nil {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
 }
 
 func ignoreClosed(err error) error {
