--- a/state/property_test.go
+++ b/state/property_test.go
@@ -37,10 +37,13 @@
 			state.TargetDrain{Target: gw, Drain: inc > 1},
 			claim(gw, inc, inc == 3, uint64(small("partition", 2)), uint64(replaces)),
 			"{}", "7",
+			// A snapshot must have no effect where no record is missing.
+			`{"format":1,"applied":9,"config_version":9,"drained":["g1"]}`,
 		}
 		kinds := []state.Kind{
 			state.KindConfigChange, state.KindGatewayJoined, state.KindGatewayLeft, state.KindAgentJoined,
 			state.KindAgentLeft, state.KindTargetDrain, state.KindClaim, "unknown", state.KindClaim,
+			state.KindSnapshot,
 		}
 		k := small("kind", len(kinds)-1)
 		return entry{at, record(id, kinds[k], gw, body[k])}
