Read inventory and rules through strictjson

Cause: two strict decoders were written at the same time, findings.Decode and common/strictjson; strictjson also bounds what a hostile file can take and has bounds in tags. Ruled out: keeping findings.Decode for its hints on units; strictjson names the known keys.

--- a/common/strictjson/strictjson.go
+++ b/common/strictjson/strictjson.go
@@ -7,9 +7,6 @@
 //
 //	TimeoutMS int64 `json:"timeout_ms" strict:"required,min=10,max=120000"`
 //
-// In contrast to findings.Decode, which keeps the place of each value of an
-// operator's file, it bounds the memory that a hostile document can take.
-//
 // The rules are required (the key must be present), min and max (bounds of a
 // number, of the length of a string or of the number of elements).
 package strictjson
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -48,7 +48,7 @@
 	_, err := inventory.ParseFiles(
 		inventory.File{Name: "inventory.json", Data: []byte(`{"workers": [], "targets": [], "x": 1}`)},
 		inventory.File{Name: "rules.json", Data: []byte(`{"clients": [{"id": "a", "share": -1}], "services": []}`)})
-	want := "inventory.json:1:32: x: unknown key\nrules.json:1:35: clients[0].share: -1 is not above 0"
+	want := "inventory.json:1:32: x: unknown key; the known keys are workers, targets\nrules.json:1:35: clients[0].share: -1 is not above 0"
 	if err == nil || err.Error() != want {
 		t.Errorf("got\n%v\nwant\n%s", err, want)
 	}
--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -1,11 +1,18 @@
 package inventory
 
 import (
+	"encoding/json"
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/rhubarbsail/rhubarbsail/common/findings"
+	"github.com/rhubarbsail/rhubarbsail/common/strictjson"
 )
 
+// decoding keeps the place of each value. An operator gets all faults of a
+// file at once, up to a bound far above what anyone reads.
+var decoding = strictjson.Options{Places: true, MaxFaults: 10_000}
+
 // File is the name and content of a file, for findings.
 type File struct {
 	Name string
@@ -15,48 +22,70 @@
 // Parse reads a configuration with the keys "inventory" and "rules". The error
 // is a findings.List with all faults.
 func Parse(file string, data []byte) (*Config, error) {
-	var list findings.List
 	var d document
-	doc := findings.Decode(file, data, &d, &list)
-	at := func(prefix string) func(string) findings.Place {
-		return func(key string) findings.Place { return doc.At(prefix + key) }
+	doc := strictjson.Decode(file, data, &d, decoding)
+	if isJSON(data) {
+		check(d, newSection(doc, "inventory."), newSection(doc, "rules."))
 	}
-	return finish(list, d, doc.Valid(), at("inventory."), at("rules."))
+	return finish(d, doc.Faults)
 }
 
 // ParseFiles reads an inventory and rules from two files. The error is a
 // findings.List with all faults of both.
 func ParseFiles(inventory, rules File) (*Config, error) {
-	var list findings.List
 	var d document
-	inv := findings.Decode(inventory.Name, inventory.Data, &d.Inventory, &list)
-	rul := findings.Decode(rules.Name, rules.Data, &d.Rules, &list)
-	return finish(list, d, inv.Valid() && rul.Valid(), inv.At, rul.At)
-}
-
-// finish cross-checks the parts. After an error of syntax it does not, since
-// each name would seem to be missing.
-func finish(list findings.List, d document, valid bool, inv, rules func(string) findings.Place) (*Config, error) {
-	if valid {
-		c := checker{list: &list, inv: inv, rules: rules, faulty: map[findings.Place]struct{}{}}
-		for _, f := range list {
-			c.faulty[keyOnly(f.Place)] = struct{}{}
-		}
-		c.inventory(d.Inventory)
-		c.checkRules(d.Rules, d.Inventory.Targets)
+	inv := strictjson.Decode(inventory.Name, inventory.Data, &d.Inventory, decoding)
+	rul := strictjson.Decode(rules.Name, rules.Data, &d.Rules, decoding)
+	if isJSON(inventory.Data) && isJSON(rules.Data) {
+		check(d, newSection(inv, ""), newSection(rul, ""))
 	}
-	if err := list.Err(); err != nil {
+	return finish(d, append(inv.Faults, rul.Faults...))
+}
+
+// isJSON reports whether the values of a file were read. After an error of
+// syntax there is no cross-check, since each name would seem to be missing.
+func isJSON(data []byte) bool { return json.Valid(data) && utf8.Valid(data) }
+
+func finish(d document, faults findings.List) (*Config, error) {
+	if err := faults.Err(); err != nil {
 		return nil, err
 	}
 	return New(d.Inventory, d.Rules), nil
 }
 
-func keyOnly(p findings.Place) findings.Place { return findings.Place{File: p.File, Key: p.Key} }
+// section is the part of a document that holds the inventory or the rules.
+type section struct {
+	doc    *strictjson.Document
+	prefix string
+	// faulty holds the keys whose value could not be read. A check of their
+	// zero value would report the same fault again.
+	faulty map[string]struct{}
+}
+
+func newSection(doc *strictjson.Document, prefix string) *section {
+	s := &section{doc: doc, prefix: prefix, faulty: map[string]struct{}{}}
+	for _, f := range doc.Faults {
+		s.faulty[f.Place.Key] = struct{}{}
+	}
+	return s
+}
 
-// item returns the key path of a field of a list's element.
-func item(list string, i int, field string) string {
-	if field == "" {
-		return fmt.Sprintf("%s[%d]", list, i)
+func (s *section) addf(key, format string, args ...any) {
+	if _, faulty := s.faulty[s.prefix+key]; !faulty {
+		s.doc.Add(s.prefix+key, fmt.Sprintf(format, args...))
 	}
-	return fmt.Sprintf("%s[%d].%s", list, i, field)
+}
+
+// element is one element of a list in a section.
+type element struct {
+	*section
+	key string
+}
+
+func (s *section) element(list string, i int) element {
+	return element{section: s, key: fmt.Sprintf("%s[%d]", list, i)}
+}
+
+func (e element) addf(field, format string, args ...any) {
+	e.section.addf(e.key+"."+field, format, args...)
 }
