Add the command line for callers and operators

Cause: operators and callers need one tool for jobs, configuration and status, with exit codes that scripts can rely on. Ruled out: a change that carries only one document; a gateway could merge the other from an older view, so load always sends the whole configuration. A refusal after a lost answer is reported as "may have run", since the lost attempt may have run. Result: submit, cancel, status, explain, inventory and rules (load, check, diff, show), drain and local.

--- /dev/null
+++ b/command/client.go
@@ -0,0 +1,115 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/rhubarbsail/rhubarbsail/common/findings"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/httpapi"
+)
+
+// maxReplyBytes bounds a reply: an answer of 16 MiB grows by a third in base64.
+const maxReplyBytes = 64 << 20
+
+// reply is an answer of either API.
+type reply struct {
+	code int
+	body []byte
+}
+
+// send sends one request and returns the reply whatever its status code.
+func send(ctx context.Context, method, address string, body []byte) (*reply, error) {
+	r, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return nil, exitf(ExitInvalid, "address: %v", err)
+	}
+	if body != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	// A span in ctx is continued by the gateway.
+	telemetry.Propagator.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "no reply")
+	}
+	defer w.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(w.Body, maxReplyBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "the reply ended early")
+	}
+	return &reply{code: w.StatusCode, body: data}, nil
+}
+
+// call sends a request, turns an error reply into an error and decodes the
+// body of a successful one into out.
+func (a *App) call(method, address string, body []byte, out any) (*reply, error) {
+	ctx, cancel := context.WithTimeout(a.ctx, a.global.Timeout)
+	defer cancel()
+	r, err := send(ctx, method, address, body)
+	if err != nil {
+		return nil, err
+	}
+	if r.code != http.StatusOK {
+		return nil, r.failure()
+	}
+	if err := json.Unmarshal(r.body, out); err != nil {
+		return nil, errors.Wrapf(err, "%s %s: the reply is not that of a gateway", method, address)
+	}
+	return r, nil
+}
+
+// failure returns the error of a reply with its exit code.
+func (r *reply) failure() error {
+	var e httpapi.ErrorBody
+	if err := json.Unmarshal(r.body, &e); err != nil || e.Reason == "" {
+		return exitf(ExitFailed, "status code %d: %.200s", r.code, r.body)
+	}
+	if len(e.Findings) > 0 {
+		return listOf(e.Findings)
+	}
+	switch r.code {
+	case http.StatusBadRequest:
+		return exitf(ExitInvalid, "%s: %s", e.Reason, e.Message)
+	case http.StatusNotFound:
+		return exitf(ExitNotFound, "%s: %s", e.Reason, e.Message)
+	case http.StatusConflict:
+		return exitf(ExitConflict, "%s: %s", e.Reason, e.Message)
+	case http.StatusGatewayTimeout:
+		return exitf(ExitUnknown, "%s: %s", e.Reason, e.Message)
+	}
+	return exitf(ExitFailed, "%s: %s", e.Reason, e.Message)
+}
+
+func listOf(in []httpapi.Finding) findings.List {
+	var list findings.List
+	for _, f := range in {
+		list.Addf(findings.Place{File: f.File, Line: f.Line, Column: f.Column, Key: f.Key}, "%s", f.Message)
+	}
+	return list
+}
+
+// join appends escaped path elements to a base address.
+func join(base string, elements ...string) string {
+	b := strings.TrimRight(base, "/")
+	for _, e := range elements {
+		b += "/" + url.PathEscape(e)
+	}
+	return b
+}
+
+func (a *App) jobAddress(client, key string, more ...string) string {
+	return join(a.global.Callers, append([]string{"v1", "jobs", client, key}, more...)...)
+}
+
+func (a *App) operatorsAddress(elements ...string) string {
+	return join(a.global.Operators, append([]string{"v1"}, elements...)...)
+}
--- /dev/null
+++ b/command/config_test.go
@@ -0,0 +1,105 @@
+package command
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/rhubarbsail/rhubarbsail/httpapi"
+)
+
+var loadArgs = []string{"inventory", "load", "testdata/assets.csv", "--with", "testdata/rules.json"}
+
+// The asset register's export must arrive as the inventory that it describes.
+func TestLoadCSV(t *testing.T) {
+	x := newTool(t)
+	x.want(ExitOK, "version", loadArgs...)
+	x.want(ExitOK, "", "inventory", "show")
+	goldie.New(t).Assert(t, "inventory", x.stdout.Bytes())
+	if x.ops.view.Operator != "ana" {
+		t.Errorf("operator is %q", x.ops.view.Operator)
+	}
+	x.want(ExitOK, "no change", "inventory", "diff", "testdata/assets.csv")
+	x.want(ExitOK, "glue", "rules", "show")
+}
+
+// What show prints as JSON must be a file that load takes unchanged.
+func TestShownInventoryCanBeLoaded(t *testing.T) {
+	x := newTool(t)
+	x.want(ExitOK, "", loadArgs...)
+	for _, kind := range []string{"inventory", "rules"} {
+		x.want(ExitOK, "", kind, "show", "--output", "json")
+		file := filepath.Join(t.TempDir(), kind+".json")
+		if err := os.WriteFile(file, x.stdout.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		x.want(ExitOK, "no change", kind, "diff", file)
+		x.want(ExitOK, "version", kind, "load", file)
+	}
+}
+
+// A bad file changes nothing, and all its findings are shown together with the
+// lines of the file that the operator wrote.
+func TestBadFilesChangeNothing(t *testing.T) {
+	x := newTool(t)
+	out := ""
+	for _, file := range []string{"faults.csv", "clashes.csv", "rules.json"} {
+		for _, action := range []string{"check", "load"} {
+			if exit := x.run("inventory", action, "testdata/"+file, "--with", "testdata/rules.json"); exit != ExitInvalid {
+				t.Errorf("%s %s: exit %d", action, file, exit)
+			}
+		}
+		out += x.stderr.String() + "\n"
+	}
+	goldie.New(t).Assert(t, "findings", []byte(out))
+	x.want(ExitInvalid, "no such file", "inventory", "load", "testdata/absent.csv")
+	if x.ops.view.Version != 0 {
+		t.Errorf("version %d", x.ops.view.Version)
+	}
+}
+
+// Each row is a CSV file whose columns would be taken for others.
+func TestCSVHeader(t *testing.T) {
+	for content, want := range map[string]string{
+		"":                               "the header row cannot be read",
+		"worker,colour\n":                "colour: unknown column",
+		"worker,worker\n":                "worker: the column is given twice",
+		"worker\n":                       "rack: the column is missing",
+		"\xef\xbb\xbfworker\n":           "rack: the column is missing",
+		"worker,\"rack\n":                "the header row cannot be read",
+		"worker,rack,memory_gb,target\n": "memory_gb: unknown column",
+	} {
+		if _, err := inventoryFromCSV("a.csv", []byte(content)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", content, err, want)
+		}
+	}
+}
+
+// An operator has to know whether to repeat a change.
+func TestChangeExitCodes(t *testing.T) {
+	x := newTool(t)
+	x.want(ExitOK, "", loadArgs...)
+	x.want(ExitConflict, "version 1", append(loadArgs, "--base", "0")...)
+	x.ops.err = &httpapi.UnknownOutcomeError{Cause: errors.New("reply lost")}
+	x.want(ExitUnknown, "unknown", loadArgs...)
+	x.ops.err = httpapi.ErrUnavailable
+	x.want(ExitFailed, "nothing was changed", loadArgs...)
+}
+
+// Drain and its end must not be mixed up.
+func TestDrainCommand(t *testing.T) {
+	x := newTool(t)
+	x.want(ExitOK, "draining", "drain", "t1")
+	if !x.ops.drained["t1"] {
+		t.Error("t1 is not draining")
+	}
+	x.want(ExitOK, "in use", "drain", "t1", "--undo")
+	if x.ops.drained["t1"] {
+		t.Error("t1 is draining")
+	}
+	x.want(ExitNotFound, "unknown_target", "drain", "t9")
+}
--- /dev/null
+++ b/command/diff.go
@@ -0,0 +1,33 @@
+package command
+
+import "github.com/rhubarbsail/rhubarbsail/inventory"
+
+type diffCommand struct{ partCommand }
+
+// Execute prints the changes.
+func (c *diffCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	p, err := c.propose()
+	if err != nil {
+		return err
+	}
+	return c.app.printChanges(inventory.Diff(p.inForce, p.config))
+}
+
+func (a *App) printChanges(changes []inventory.Change) error {
+	if changes == nil {
+		changes = []inventory.Change{}
+	}
+	return a.printValue(changes, func(t *table) {
+		if len(changes) == 0 {
+			t.row("no change")
+			return
+		}
+		t.row("CHANGE", "LIST", "ID", "FIELD", "OLD", "NEW")
+		for _, c := range changes {
+			t.row(c.Kind, c.List, c.ID, dash(c.Field), dash(c.Old), dash(c.New))
+		}
+	})
+}
--- /dev/null
+++ b/command/output.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+)
+
+// print writes body as it is with --output json, else the table.
+func (a *App) print(body []byte, table func(t *table)) error {
+	if a.global.Output == "json" {
+		var b bytes.Buffer
+		if err := json.Indent(&b, body, "", "  "); err != nil {
+			return errors.Wrap(err, "reply")
+		}
+		fmt.Fprintln(a.Stdout, strings.TrimSpace(b.String()))
+		return nil
+	}
+	t := newTable(a)
+	table(t)
+	return t.flush()
+}
+
+// printValue writes the JSON form of value, or the table.
+func (a *App) printValue(value any, table func(t *table)) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "output")
+	}
+	return a.print(body, table)
+}
+
+// table writes aligned columns.
+type table struct{ w *tabwriter.Writer }
+
+func newTable(a *App) *table {
+	return &table{tabwriter.NewWriter(a.Stdout, 0, 8, 2, ' ', 0)}
+}
+
+func (t *table) row(cells ...any) {
+	for i, c := range cells {
+		if i > 0 {
+			fmt.Fprint(t.w, "\t")
+		}
+		fmt.Fprint(t.w, c)
+	}
+	fmt.Fprintln(t.w)
+}
+
+func (t *table) flush() error {
+	if err := t.w.Flush(); err != nil {
+		return errors.Wrap(err, "output")
+	}
+	return nil
+}
+
+// yes shows a flag in a table.
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// dash shows an empty cell.
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/command/submit.go
@@ -0,0 +1,259 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/httpapi"
+)
+
+const submitExamples = `  rhubarbsail submit --client bondline --service glue 'joint 7' 'joint 8'
+  rhubarbsail submit --client bondline --service glue --key lot-7 --timeout-ms 500 --payload-file check.bin
+  rhubarbsail submit --body job.json
+  rhubarbsail submit --body - --output json < job.json
+
+Each argument is the payload of one task. Without --key a random key is used and
+printed with the submission time; a job that is resubmitted with both is run at
+most once. The command does that by itself when the connection is lost or the
+gateway asks to retry (--retries).`
+
+// submitGrace is the time beyond the job's timeout for the answer to arrive.
+const submitGrace = 5 * time.Second
+
+type submitCommand struct {
+	app *App
+
+	Client        string   `long:"client" description:"client that the work belongs to"`
+	Service       string   `long:"service" description:"service that runs the tasks"`
+	Key           string   `long:"key" description:"idempotency key, unique for the client"`
+	SubmittedAt   string   `long:"submitted-at" value-name:"TIME" description:"time of the first submission (RFC 3339), for a resubmission"`
+	TimeoutMS     int64    `long:"timeout-ms" default:"30000" description:"time for the job, in milliseconds"`
+	NotRepeatable bool     `long:"not-repeatable" description:"the work must run at most once even under another key"`
+	PayloadFiles  []string `long:"payload-file" value-name:"FILE" description:"file whose content is the payload of one more task; may be repeated"`
+	Body          string   `long:"body" value-name:"FILE" description:"file with the whole request body (docs/API.md), - for stdin; replaces the other options"`
+	Retries       int      `long:"retries" default:"3" description:"resubmissions under the same key"`
+}
+
+// jobBody is the part of a request body that the command needs to know.
+type jobBody struct {
+	Client      string     `json:"client"`
+	Key         string     `json:"key"`
+	Service     string     `json:"service"`
+	SubmittedAt string     `json:"submitted_at"`
+	TimeoutMS   int64      `json:"timeout_ms"`
+	Repeatable  bool       `json:"repeatable"`
+	Tasks       []taskBody `json:"tasks"`
+}
+
+type taskBody struct {
+	Payload []byte `json:"payload"`
+}
+
+// Execute submits the job and prints its answer.
+func (c *submitCommand) Execute(args []string) error {
+	body, job, err := c.body(args)
+	if err != nil {
+		return err
+	}
+	s, err := c.app.submit(c.app.ctx, body, job, c.Retries)
+	if err != nil {
+		return err
+	}
+	var answer httpapi.AnswerBody
+	if err := json.Unmarshal(s.reply.body, &answer); err != nil || answer.State == "" {
+		return s.reply.failure()
+	}
+	if len(answer.Findings) > 0 {
+		list := listOf(answer.Findings)
+		if c.Body != "" {
+			for i := range list {
+				list[i].Place.File = c.Body
+			}
+		}
+		return list
+	}
+	if err := c.app.print(s.reply.body, func(t *table) { answerTable(t, answer) }); err != nil {
+		return err
+	}
+	return s.answerError(job, answer)
+}
+
+func (c *submitCommand) body(args []string) ([]byte, jobBody, error) {
+	if c.Body != "" {
+		return c.bodyFromFile(args)
+	}
+	j := jobBody{
+		Client: c.Client, Key: c.Key, Service: c.Service, SubmittedAt: c.SubmittedAt,
+		TimeoutMS: c.TimeoutMS, Repeatable: !c.NotRepeatable,
+	}
+	if j.Client == "" || j.Service == "" {
+		return nil, j, exitf(ExitInvalid, "--client and --service are required without --body")
+	}
+	if j.SubmittedAt != "" && j.Key == "" {
+		return nil, j, exitf(ExitInvalid, "--submitted-at needs the --key of the first submission")
+	}
+	for _, a := range args {
+		j.Tasks = append(j.Tasks, taskBody{[]byte(a)})
+	}
+	for _, f := range c.PayloadFiles {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return nil, j, exitf(ExitInvalid, "%v", err)
+		}
+		j.Tasks = append(j.Tasks, taskBody{data})
+	}
+	if len(j.Tasks) == 0 {
+		return nil, j, exitf(ExitInvalid, "the job has no task; give payloads as arguments or with --payload-file")
+	}
+	if j.Key == "" {
+		j.Key = rand.Text()
+	}
+	if j.SubmittedAt == "" {
+		j.SubmittedAt = time.Now().UTC().Format(time.RFC3339Nano)
+	}
+	if c.Key == "" || c.SubmittedAt == "" {
+		fmt.Fprintf(c.app.Stderr, "key %s, submitted at %s\n", j.Key, j.SubmittedAt)
+	}
+	body, err := json.Marshal(j)
+	return body, j, err
+}
+
+func (c *submitCommand) bodyFromFile(args []string) ([]byte, jobBody, error) {
+	var j jobBody
+	if len(args)+len(c.PayloadFiles) > 0 || c.Client+c.Service+c.Key+c.SubmittedAt != "" || c.NotRepeatable {
+		return nil, j, exitf(ExitInvalid, "--body replaces the options and arguments that describe a job")
+	}
+	var data []byte
+	var err error
+	if c.Body == "-" {
+		data, err = io.ReadAll(c.app.Stdin)
+	} else {
+		data, err = os.ReadFile(c.Body)
+	}
+	if err != nil {
+		return nil, j, exitf(ExitInvalid, "%v", err)
+	}
+	// The gateway reports the faults of the body with their place.
+	_ = json.Unmarshal(data, &j)
+	return data, j, nil
+}
+
+// submission is the outcome of one or several attempts to submit a job.
+type submission struct {
+	reply *reply
+	// lost is true if an earlier attempt reached a gateway and its answer was
+	// lost. The job may have run then, whatever a later refusal says.
+	lost bool
+}
+
+// submit sends the body until it gets an answer that a resubmission would not
+// change. Every attempt has the same key and submission time, so that the job
+// runs at most once.
+func (a *App) submit(parent context.Context, body []byte, job jobBody, retries int) (submission, error) {
+	limit := time.Duration(job.TimeoutMS) * time.Millisecond
+	if limit <= 0 {
+		limit = defaultJobTimeout
+	}
+	stop := a.showProgress(job)
+	defer stop()
+	var s submission
+	for attempt := 0; ; attempt++ {
+		ctx, cancel := context.WithTimeout(parent, limit+submitGrace)
+		r, err := send(ctx, http.MethodPost, join(a.global.Callers, "v1", "jobs"), body)
+		cancel()
+		s.reply = r
+		s.lost = s.lost || err != nil && !neverSent(err)
+		wait, again := retryAfter(r, err)
+		if !again || attempt >= retries || a.ctx.Err() != nil {
+			return s, s.failure(job, err)
+		}
+		select {
+		case <-a.ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s submission) failure(job jobBody, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case s.lost:
+		return &exitError{ExitMayHaveRun, errors.Wrapf(err, "job %s/%s submitted at %s may have run; resubmit it with the same key and time",
+			job.Client, job.Key, job.SubmittedAt)}
+	}
+	return errors.Wrap(err, "the job was not submitted")
+}
+
+// neverSent reports whether no gateway can have seen the request.
+func neverSent(err error) bool {
+	var coded *exitError
+	var op *net.OpError
+	return errors.As(err, &coded) || errors.As(err, &op) && op.Op == "dial"
+}
+
+const (
+	// defaultJobTimeout is the gateway's default for a body without timeout_ms.
+	defaultJobTimeout = 30 * time.Second
+	// lostRetryDelay gives a load balancer time to choose another gateway.
+	lostRetryDelay = 200 * time.Millisecond
+)
+
+// retryAfter reports whether a resubmission makes sense, and when.
+func retryAfter(r *reply, err error) (time.Duration, bool) {
+	if err != nil {
+		var coded *exitError
+		return lostRetryDelay, !errors.As(err, &coded)
+	}
+	var answer httpapi.AnswerBody
+	if json.Unmarshal(r.body, &answer) != nil || answer.RunState != "not_run" {
+		return 0, false
+	}
+	if r.code != http.StatusTooManyRequests && r.code != http.StatusServiceUnavailable {
+		return 0, false
+	}
+	return max(lostRetryDelay, time.Duration(answer.RetryAfterMS)*time.Millisecond), true
+}
+
+func answerTable(t *table, a httpapi.AnswerBody) {
+	t.row("STATE", "RUN STATE", "REASON", "MESSAGE")
+	t.row(a.State, a.RunState, dash(string(a.Reason)), dash(a.Message))
+	if len(a.Results) > 0 {
+		t.row()
+		t.row("TASK", "RESULT")
+	}
+	for i, r := range a.Results {
+		t.row(i, printable(r))
+	}
+}
+
+// printable shows text as it is and other results by size.
+func printable(b []byte) string {
+	s := string(b)
+	if utf8.ValidString(s) && strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) < 0 {
+		return s
+	}
+	return fmt.Sprintf("(%d bytes; see --output json)", len(b))
+}
+
+func (s submission) answerError(job jobBody, a httpapi.AnswerBody) error {
+	switch {
+	case a.RunState == "complete":
+		return nil
+	case a.RunState == "not_run" && !s.lost:
+		return exitf(ExitNotRun, "job %s/%s did not run: %s", job.Client, job.Key, a.Reason)
+	}
+	return exitf(ExitMayHaveRun, "job %s/%s may have run: %s", job.Client, job.Key, a.Reason)
+}
--- a/common/telemetry/recorder.go
+++ b/common/telemetry/recorder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -51,12 +50,12 @@
 	return out
 }
 
-// WriteTree writes the spans of one trace as a tree, each with its process, its
-// start relative to the first span and its duration. Spans whose parent is not
-// among them are at the top.
-func WriteTree(w io.Writer, spans []sdktrace.ReadOnlySpan) {
+// Tree returns the spans of one trace as the lines of a tree, each with its
+// start relative to the first span, its duration and its process. Spans whose
+// parent is not among them are at the top.
+func Tree(spans []sdktrace.ReadOnlySpan) []string {
 	if len(spans) == 0 {
-		return
+		return nil
 	}
 	known := make(map[trace.SpanID]bool, len(spans))
 	children := map[trace.SpanID][]sdktrace.ReadOnlySpan{}
@@ -71,16 +70,17 @@
 		children[parent] = append(children[parent], s)
 	}
 	start := spans[0].StartTime()
-	var write func(parent trace.SpanID, depth int)
-	write = func(parent trace.SpanID, depth int) {
+	lines := []string{fmt.Sprintf("%10s %10s  SPAN", "START", "DURATION")}
+	var add func(parent trace.SpanID, depth int)
+	add = func(parent trace.SpanID, depth int) {
 		for _, s := range children[parent] {
-			fmt.Fprintf(w, "%9s %9s  %s%s (%s)\n", milliseconds(s.StartTime().Sub(start)),
-				milliseconds(s.EndTime().Sub(s.StartTime())), strings.Repeat("  ", depth), s.Name(), processOf(s))
-			write(s.SpanContext().SpanID(), depth+1)
+			lines = append(lines, fmt.Sprintf("%10s %10s  %s%s (%s)", milliseconds(s.StartTime().Sub(start)),
+				milliseconds(s.EndTime().Sub(s.StartTime())), strings.Repeat("  ", depth), s.Name(), processOf(s)))
+			add(s.SpanContext().SpanID(), depth+1)
 		}
 	}
-	fmt.Fprintf(w, "%9s %9s  span\n", "start", "duration")
-	write(trace.SpanID{}, 0)
+	add(trace.SpanID{}, 0)
+	return lines
 }
 
 func milliseconds(d time.Duration) string { return fmt.Sprintf("%.2f ms", d.Seconds()*1000) }
--- a/common/telemetry/telemetry_test.go
+++ b/common/telemetry/telemetry_test.go
@@ -161,10 +161,8 @@
 			t.Fatal(err)
 		}
 	}
-	var b strings.Builder
-	WriteTree(&b, r.Trace(root.SpanContext().TraceID()))
-	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+	lines := Tree(r.Trace(root.SpanContext().TraceID()))
 	if len(lines) != 3 || !strings.HasSuffix(lines[1], "  submit (gateway g1)") || !strings.HasSuffix(lines[2], "    run (agent a1)") {
-		t.Fatalf("got\n%s", &b)
+		t.Fatalf("got %q", lines)
 	}
 }
