--- a/command/client.go
+++ b/command/client.go
@@ -56,6 +56,9 @@
 	defer cancel()
 	r, err := send(ctx, method, address, body)
 	if err != nil {
+		if method != http.MethodGet && !neverSent(err) {
+			return nil, &exitError{ExitUnknown, errors.Wrap(err, "the outcome is unknown")}
+		}
 		return nil, err
 	}
 	if r.code != http.StatusOK {
--- a/command/config_test.go
+++ b/command/config_test.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -90,6 +92,16 @@
 	x.want(ExitFailed, "nothing was changed", loadArgs...)
 }
 
+// A change whose reply is lost may have taken effect.
+func TestLostReplyOfChangeIsUnknown(t *testing.T) {
+	x := newTool(t)
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	x.want(ExitUnknown, "the outcome is unknown", "drain", "t1", "--operators", cut.URL)
+	x.want(ExitFailed, "no reply", "status", "--operators", cut.URL)
+	x.want(ExitFailed, "no reply", "drain", "t1", "--operators", "http://127.0.0.1:1")
+}
+
 // Drain and its end must not be mixed up.
 func TestDrainCommand(t *testing.T) {
 	x := newTool(t)
@@ -103,3 +115,11 @@
 	}
 	x.want(ExitNotFound, "unknown_target", "drain", "t9")
 }
+
+// The walk through README.md loads these files.
+func TestExampleInventoriesAreEqual(t *testing.T) {
+	x := newTool(t)
+	x.want(ExitOK, "", "inventory", "load", "../examples/inventory.csv", "--with", "../examples/rules.json")
+	x.want(ExitOK, "no change", "inventory", "diff", "../examples/inventory.json")
+	x.want(ExitOK, "no change", "rules", "diff", "../examples/rules.json")
+}
--- a/command/jobs_test.go
+++ b/command/jobs_test.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// An open outcome followed by a refusal leaves the outcome open.
+func TestOpenOutcomeIsResubmitted(t *testing.T) {
+	open := model.Failed(model.RunMayHaveRun, model.ReasonNoOwner, "no majority")
+	refused := model.Failed(model.RunNotRun, model.ReasonShuttingDown, "stopping")
+	for _, c := range []struct {
+		answers []model.Answer
+		exit    int
+	}{
+		{[]model.Answer{open, complete}, ExitOK},
+		{[]model.Answer{open, refused}, ExitMayHaveRun},
+		{[]model.Answer{refused}, ExitNotRun},
+	} {
+		x := newTool(t)
+		x.jobs.answers = c.answers
+		x.want(c.exit, "", append(submitArgs, "--retries", "1")...)
+		if len(x.jobs.submitted) != 2 {
+			t.Errorf("%d submissions", len(x.jobs.submitted))
+		}
+	}
+}
+
 // A job that never reached a gateway did not run.
 func TestNoGateway(t *testing.T) {
 	x := newTool(t)
--- a/command/submit.go
+++ b/command/submit.go
@@ -153,8 +153,8 @@
 // submission is the outcome of one or several attempts to submit a job.
 type submission struct {
 	reply *reply
-	// lost is true if an earlier attempt reached a gateway and its answer was
-	// lost. The job may have run then, whatever a later refusal says.
+	// lost is true if the answer of some attempt was lost or left open whether
+	// the job ran. The job may have run then, whatever a later refusal says.
 	lost bool
 }
 
@@ -174,8 +174,8 @@
 		r, err := send(ctx, http.MethodPost, join(a.global.Callers, "v1", "jobs"), body)
 		cancel()
 		s.reply = r
-		s.lost = s.lost || err != nil && !neverSent(err)
-		wait, again := retryAfter(r, err)
+		answer, wait, again := retryAfter(r, err)
+		s.lost = s.lost || err != nil && !neverSent(err) || answer.RunState == "may_have_run"
 		if !again || attempt >= retries || a.ctx.Err() != nil {
 			return s, s.failure(job, err)
 		}
@@ -211,20 +211,18 @@
 	lostRetryDelay = 200 * time.Millisecond
 )
 
-// retryAfter reports whether a resubmission makes sense, and when.
-func retryAfter(r *reply, err error) (time.Duration, bool) {
+// retryAfter reports whether a resubmission makes sense, and when. It is safe
+// after any answer, since the key stays the same.
+func retryAfter(r *reply, err error) (answer httpapi.AnswerBody, wait time.Duration, again bool) {
 	if err != nil {
 		var coded *exitError
-		return lostRetryDelay, !errors.As(err, &coded)
+		return answer, lostRetryDelay, !errors.As(err, &coded)
 	}
-	var answer httpapi.AnswerBody
-	if json.Unmarshal(r.body, &answer) != nil || answer.RunState != "not_run" {
-		return 0, false
-	}
-	if r.code != http.StatusTooManyRequests && r.code != http.StatusServiceUnavailable {
-		return 0, false
+	if json.Unmarshal(r.body, &answer) != nil {
+		return answer, 0, false
 	}
-	return max(lostRetryDelay, time.Duration(answer.RetryAfterMS)*time.Millisecond), true
+	again = r.code == http.StatusTooManyRequests || r.code == http.StatusServiceUnavailable
+	return answer, max(lostRetryDelay, time.Duration(answer.RetryAfterMS)*time.Millisecond), again
 }
 
 func answerTable(t *table, a httpapi.AnswerBody) {
--- /dev/null
+++ b/common/settings/examples_test.go
@@ -0,0 +1,22 @@
+package settings
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A user's first files are copies of the examples.
+func TestExamplesAreValid(t *testing.T) {
+	for _, d := range All() {
+		files, err := filepath.Glob("../../examples/" + d.Name + "*.json")
+		if err != nil || len(files) == 0 {
+			t.Errorf("no example for %s (%v)", d.Name, err)
+		}
+		for _, f := range files {
+			if err := Load(f, d.settings); err != nil {
+				t.Errorf("%s: %v", strings.TrimPrefix(f, "../../"), err)
+			}
+		}
+	}
+}
--- a/common/telemetry/scope.go
+++ b/common/telemetry/scope.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"runtime/debug"
 	"time"
+	"unicode/utf8"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -49,7 +50,7 @@
 		Tags:                   map[string]string{"process": process, "id": id},
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
-		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	BuildInfo.Gauge(scope, version(), runtime.Version()).Update(1)
@@ -60,6 +61,14 @@
 	}
 }
 
+// sanitizer keeps label values as they are; tally's default for Prometheus
+// would change the id gateway-1 to gateway_1.
+func sanitizer() *tally.SanitizeOptions {
+	o := tallyprom.DefaultSanitizerOpts
+	o.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{0, utf8.MaxRune}}}
+	return &o
+}
+
 // Close reports the last values and stops the reporting goroutine.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
--- a/common/telemetry/telemetry_test.go
+++ b/common/telemetry/telemetry_test.go
@@ -28,7 +28,7 @@
 // A metric that is missing in the scrape or that two entries define is of no
 // use to operators.
 func TestScrapeShowsEachMetric(t *testing.T) {
-	m := NewMetrics("gateway", "g1", zerolog.Nop())
+	m := NewMetrics("gateway", "g-1/é", zerolog.Nop())
 	for _, d := range All() {
 		record(t, m.Scope, d)
 	}
@@ -43,7 +43,7 @@
 			t.Errorf("%q appears %d times", header, n)
 		}
 	}
-	if !strings.Contains(w.Body.String(), `id="g1"`) {
+	if !strings.Contains(w.Body.String(), `id="g-1/é"`) {
 		t.Error("the label id is missing")
 	}
 }
