Let the request path decide about names and add their place

Cause: httpapi.Options.Directory refused an unknown client or service as "not run" before the key was looked up. A job that ran under an earlier configuration would then be called not run when it is resubmitted. Ruled out: dropping the place of the name; the decoder keeps it for the answer. Result: Directory is gone (nothing used it). An answer unknown_client or unknown_service gets a finding with line, column and key.

--- a/command/app.go
+++ b/command/app.go
@@ -71,7 +71,7 @@
 	Callers   string        `long:"callers" env:"RHUBARBSAIL_CALLERS" default:"http://127.0.0.1:7000" value-name:"URL" description:"callers' API of a gateway"`
 	Operators string        `long:"operators" env:"RHUBARBSAIL_OPERATORS" default:"http://127.0.0.1:7001" value-name:"URL" description:"operators' API of a gateway"`
 	Output    string        `long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
-	Timeout   time.Duration `long:"request-timeout" default:"10s" description:"time for one request other than submit"`
+	Timeout   time.Duration `long:"request-timeout" default:"20s" description:"time for one request other than submit"`
 }
 
 // Run parses the arguments, runs a subcommand and returns the exit code.
--- a/command/submit.go
+++ b/command/submit.go
@@ -16,6 +16,8 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/common/findings"
+	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 )
 
@@ -75,21 +77,33 @@
 	if err := json.Unmarshal(s.reply.body, &answer); err != nil || answer.State == "" {
 		return s.reply.failure()
 	}
-	if len(answer.Findings) > 0 {
-		list := listOf(answer.Findings)
-		if c.Body != "" {
-			for i := range list {
-				list[i].Place.File = c.Body
-			}
-		}
+	list := c.findings(answer)
+	if answer.Reason == model.ReasonInvalid && len(list) > 0 {
 		return list
 	}
 	if err := c.app.print(s.reply.body, func(t *table) { answerTable(t, answer) }); err != nil {
 		return err
 	}
+	for _, f := range list {
+		fmt.Fprintln(c.app.Stderr, f)
+	}
 	return s.answerError(job, answer)
 }
 
+// findings returns the faults of the body. Their lines mean something to the
+// user only if the body is the user's own.
+func (c *submitCommand) findings(a httpapi.AnswerBody) findings.List {
+	list := listOf(a.Findings)
+	for i := range list {
+		if c.Body == "" {
+			list[i].Place = findings.Place{Key: list[i].Place.Key}
+		} else {
+			list[i].Place.File = c.Body
+		}
+	}
+	return list
+}
+
 func (c *submitCommand) body(args []string) ([]byte, jobBody, error) {
 	if c.Body != "" {
 		return c.bodyFromFile(args)
@@ -239,7 +253,7 @@
 
 // printable shows text as it is and other results by size.
 func printable(b []byte) string {
-	s := string(b)
+	s := strings.TrimRight(string(b), "\r\n")
 	if utf8.ValidString(s) && strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) < 0 {
 		return s
 	}
--- a/common/strictjson/object.go
+++ b/common/strictjson/object.go
@@ -183,15 +183,7 @@
 		return nil
 	}
 	var err error
-	d.o.Check(v.Addr().Interface(), func(member, message string) {
-		place := at
-		if i, ok := l.byName[member]; ok && places[i] >= 0 {
-			place = places[i]
-		}
-		if err == nil {
-			err = d.faultIn(member, place, message)
-		}
-	})
+	d.o.Check(v.Addr().Interface(), Located{d: d, l: l, places: places, at: at, err: &err})
 	return err
 }
 
--- a/common/strictjson/strictjson.go
+++ b/common/strictjson/strictjson.go
@@ -48,12 +48,45 @@
 	// MaxFaults ends the decoding when it is reached.
 	MaxFaults int
 	// Check is called with a pointer to each struct after its members have been
-	// decoded; report adds a fault at the place of a member.
-	Check func(value any, report func(member, message string))
+	// decoded.
+	Check func(value any, at Located)
 	// Places keeps the place of each key for Document.Add.
 	Places bool
 }
 
+// Located knows the places of the members of a struct that was decoded.
+type Located struct {
+	d      *decoder
+	l      *layout
+	places []int
+	at     int
+	err    *error
+}
+
+// offset returns where the member starts, or the struct if it lacks the member.
+func (s Located) offset(member string) int {
+	if i, ok := s.l.byName[member]; ok && s.places[i] >= 0 {
+		return s.places[i]
+	}
+	return s.at
+}
+
+// Report adds a fault at the place of a member.
+func (s Located) Report(member, message string) {
+	if *s.err == nil {
+		*s.err = s.d.faultIn(member, s.offset(member), message)
+	}
+}
+
+// Place returns the place of a member.
+func (s Located) Place(member string) findings.Place {
+	key := member
+	if outer := s.d.key(); outer != "" {
+		key = outer + "." + member
+	}
+	return s.d.doc.place(s.offset(member), key)
+}
+
 // Document is the result of a decoding.
 type Document struct {
 	// Faults are in the order of the document, then those added.
--- a/httpapi/api.go
+++ b/httpapi/api.go
@@ -28,13 +28,6 @@
 	Explain(ctx context.Context, key model.JobKey) (Explanation, bool, error)
 }
 
-// Directory answers whether names in a request are configured. It must not
-// block; it is called on each submission.
-type Directory interface {
-	KnowsClient(client string) bool
-	KnowsService(service string) bool
-}
-
 // JobState is the progress of a job in a JobView.
 type JobState string
 
@@ -183,8 +176,9 @@
 	Message string `json:"message"`
 }
 
-// findingsOf converts collected findings.
+// findingsOf converts collected findings, sorted by place.
 func findingsOf(list findings.List) []Finding {
+	list.Sort()
 	out := make([]Finding, len(list))
 	for i, f := range list {
 		out[i] = Finding{
--- a/httpapi/body.go
+++ b/httpapi/body.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 	"unicode"
 
+	"github.com/rhubarbsail/rhubarbsail/common/findings"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/common/strictjson"
 )
@@ -27,18 +27,27 @@
 	ExpectedMS int64  `json:"expected_ms" strict:"min=0,max=3600000"`
 }
 
-// decodeJob decodes and checks a body. With findings the job is not valid, and
-// the reason says what all of them have in common.
-func decodeJob(data []byte, limits Limits, now time.Time, dir Directory) (model.Job, model.Reason, []Finding) {
+// decoded is a job with the places that a later refusal names.
+type decoded struct {
+	job model.Job
+	// reason and findings are set if the body is not valid.
+	reason   model.Reason
+	findings []Finding
+	// client and service are the places of these keys in the body.
+	client, service findings.Place
+}
+
+// decodeJob decodes and checks a body.
+func decodeJob(data []byte, limits Limits, now time.Time) decoded {
 	var b jobBody
-	check := &jobCheck{limits: limits, now: now, dir: dir}
+	check := &jobCheck{limits: limits, now: now}
 	doc := strictjson.Decode("", data, &b, strictjson.Options{
 		MaxItems: limits.TasksPerJob,
 		MaxBytes: limits.PayloadBytes,
 		Check:    check.check,
 	})
 	if len(doc.Faults) > 0 {
-		return model.Job{}, check.reason(len(doc.Faults)), findingsOf(doc.Faults)
+		return decoded{reason: check.reason(len(doc.Faults)), findings: findingsOf(doc.Faults)}
 	}
 	timeout := limits.TimeoutDefault
 	if b.TimeoutMS != nil {
@@ -55,66 +64,68 @@
 	for i, t := range b.Tasks {
 		job.Tasks[i] = model.Task{Payload: t.Payload, Expected: time.Duration(t.ExpectedMS) * time.Millisecond}
 	}
-	return job, "", nil
+	return decoded{job: job, client: check.client, service: check.service}
+}
+
+// refusalFindings returns the place in the body of what the request path
+// refused.
+func (d decoded) refusalFindings(a model.Answer) []Finding {
+	switch a.Reason {
+	case model.ReasonUnknownClient:
+		return findingsOf(findings.List{{Place: d.client, Message: a.Message}})
+	case model.ReasonUnknownService:
+		return findingsOf(findings.List{{Place: d.service, Message: a.Message}})
+	}
+	return nil
 }
 
-// jobCheck holds the rules that depend on limits, clock and configuration.
+// jobCheck holds the rules that depend on limits and clock.
 type jobCheck struct {
 	limits Limits
 	now    time.Time
-	dir    Directory
-	// special holds the reasons of findings that have a reason of their own.
-	special []model.Reason
+	// future is true if submitted_at is too far ahead.
+	future          bool
+	client, service findings.Place
 }
 
 // reason returns the reason of a body with the given number of findings.
 func (c *jobCheck) reason(findings int) model.Reason {
-	if len(c.special) != findings || len(slices.Compact(c.special)) != 1 {
-		return model.ReasonInvalid
+	if c.future && findings == 1 {
+		return model.ReasonClock
 	}
-	return c.special[0]
+	return model.ReasonInvalid
 }
 
-func (c *jobCheck) check(value any, report func(member, message string)) {
+func (c *jobCheck) check(value any, at strictjson.Located) {
 	b, ok := value.(*jobBody)
 	if !ok {
 		return
 	}
-	c.name("client", b.Client, report)
-	c.name("key", b.Key, report)
-	c.name("service", b.Service, report)
+	c.client, c.service = at.Place("client"), at.Place("service")
+	c.name("client", b.Client, at)
+	c.name("key", b.Key, at)
+	c.name("service", b.Service, at)
 	if t := b.TimeoutMS; t != nil {
 		lo, hi := c.limits.TimeoutMin.Milliseconds(), c.limits.TimeoutMax.Milliseconds()
 		if *t < lo || *t > hi {
-			report("timeout_ms", fmt.Sprintf("%d is out of bounds; want %d to %d", *t, lo, hi))
+			at.Report("timeout_ms", fmt.Sprintf("%d is out of bounds; want %d to %d", *t, lo, hi))
 		}
 	}
 	if ahead := b.SubmittedAt.Sub(c.now); ahead > c.limits.SubmittedAhead {
-		c.special = append(c.special, model.ReasonClock)
-		report("submitted_at", fmt.Sprintf("%s ahead of the gateway's clock; at most %s is allowed",
+		c.future = true
+		at.Report("submitted_at", fmt.Sprintf("%s ahead of the gateway's clock; at most %s is allowed",
 			ahead.Round(time.Millisecond), c.limits.SubmittedAhead))
 	}
-	if c.dir == nil {
-		return
-	}
-	if b.Client != "" && !c.dir.KnowsClient(b.Client) {
-		c.special = append(c.special, model.ReasonUnknownClient)
-		report("client", "unknown client")
-	}
-	if b.Service != "" && !c.dir.KnowsService(b.Service) {
-		c.special = append(c.special, model.ReasonUnknownService)
-		report("service", "unknown service")
-	}
 }
 
 // name refuses names that are too long for the tables and logs they go into,
 // and characters that could make two names look alike.
-func (c *jobCheck) name(member, s string, report func(member, message string)) {
+func (c *jobCheck) name(member, s string, at strictjson.Located) {
 	if len(s) > c.limits.NameBytes {
-		report(member, fmt.Sprintf("%d bytes long; at most %d are allowed", len(s), c.limits.NameBytes))
+		at.Report(member, fmt.Sprintf("%d bytes long; at most %d are allowed", len(s), c.limits.NameBytes))
 	}
 	if i := strings.IndexFunc(s, notInName); i >= 0 {
-		report(member, fmt.Sprintf("character %q at byte %d is not allowed in a name", firstRune(s[i:]), i))
+		at.Report(member, fmt.Sprintf("character %q at byte %d is not allowed in a name", firstRune(s[i:]), i))
 	}
 }
 
--- a/httpapi/callers.go
+++ b/httpapi/callers.go
@@ -44,19 +44,19 @@
 	}
 	defer release()
 	now := h.o.Now()
-	job, reason, findings := decodeJob(data, h.limits, now, h.o.Directory)
-	if len(findings) > 0 {
-		a := model.Failed(model.RunNotRun, reason, fmt.Sprintf("the request body has %d findings", len(findings)))
-		return writeAnswer(c, StatusCode(a), a, findings)
+	d := decodeJob(data, h.limits, now)
+	if len(d.findings) > 0 {
+		a := model.Failed(model.RunNotRun, d.reason, fmt.Sprintf("the request body has %d findings", len(d.findings)))
+		return writeAnswer(c, StatusCode(a), a, d.findings)
 	}
-	if age := now.Sub(job.SubmittedAt); age > h.limits.Retention {
+	if age := now.Sub(d.job.SubmittedAt); age > h.limits.Retention {
 		a := model.Failed(model.RunMayHaveRun, model.ReasonTooOld, fmt.Sprintf(
 			"submitted_at is %s old; outcomes are kept for %s, so an earlier submission may have run",
 			age.Round(time.Second), h.limits.Retention))
 		return writeAnswer(c, StatusCode(a), a, nil)
 	}
-	a := h.jobs.Submit(c.Request().Context(), job)
-	return writeAnswer(c, StatusCode(a), a, nil)
+	a := h.jobs.Submit(c.Request().Context(), d.job)
+	return writeAnswer(c, StatusCode(a), a, d.refusalFindings(a))
 }
 
 // pathKey returns the job key of the path.
--- a/httpapi/options.go
+++ b/httpapi/options.go
@@ -10,13 +10,10 @@
 )
 
 // Options holds the optional dependencies of the handlers. The zero value uses
-// the system clock, no directory, no metrics, no traces and no log.
+// the system clock, no metrics, no traces and no log.
 type Options struct {
 	// Now is the wall clock.
 	Now func() time.Time
-	// Directory, when set, refuses unknown clients and services with their
-	// place in the body before the job reaches Jobs.
-	Directory Directory
 	// Scope receives the metrics of the handlers.
 	Scope tally.Scope
 	// Tracer starts one span a request, which continues the caller's
