Deliver missed outcomes on reconnect and align batch reports with the policy

Cause: a gateway that reconnects revokes its tasks but fences only partitions that it has not fenced before, so an outcome that found no link depended on the revoke. A deep queue reserved 256 KiB for each queued task, so the ledger refused starts at about 250 queued tasks. The policy and its experiment expect one early report for each batch. Ruled out: StartBatch.more, which no gateway sets; a note of undelivered partitions instead of tasks (the whole partition would be sent again). Result: outcomes whose link was down are sent to the owner as it reconnects; room for an outcome is reserved when a task begins; the payloads of the queue are bounded in bytes; one early report for each batch.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,14 +56,14 @@
 	// with the newest epoch.
 	owners map[model.Partition]string
 	queue  []*work
+	// queueBytes is the size of the payloads in queue.
+	queueBytes int
 	// queued counts the queue by gateway.
 	queued map[string]int
 	// held are outcomes that wait for the end of their batch, by gateway.
-	held    map[string][]ledger.Record
-	running map[ledger.Attempt]context.CancelCauseFunc
-	// undelivered maps partitions with outcomes that no gateway received to the
-	// time of the last one.
-	undelivered map[model.Partition]time.Duration
+	held        map[string][]ledger.Record
+	running     map[ledger.Attempt]context.CancelCauseFunc
+	undelivered undelivered
 	// stopping is set when Run ends: nothing new starts. closing is set later,
 	// when the links end.
 	stopping, closing bool
@@ -99,7 +99,7 @@
 		queued:      make(map[string]int),
 		held:        make(map[string][]ledger.Record),
 		running:     make(map[ledger.Attempt]context.CancelCauseFunc),
-		undelivered: make(map[model.Partition]time.Duration),
+		undelivered: newUndelivered(),
 		change:      make(chan struct{}),
 	}
 	a.runCtx, a.cancelRun = context.WithCancelCause(context.Background())
@@ -266,16 +266,8 @@
 			return false
 		}
 	}
-	retention := a.opts.Ledger.Retention
-	if retention <= 0 {
-		retention = ledger.DefaultRetention
-	}
-	for _, at := range a.undelivered {
-		if a.now()-at < retention {
-			return false
-		}
-	}
-	return true
+	a.undelivered.prune(a.kept)
+	return len(a.undelivered.tasks) == 0
 }
 
 // closeLinks sends what waits in the outboxes and ends the links.
--- a/agent/executor.go
+++ b/agent/executor.go
@@ -19,9 +19,11 @@
 // batch is one StartBatch of a gateway. Agent.mu guards it.
 type batch struct {
 	gateway string
-	// each asks for a report of each outcome; more says that the gateway wants to
-	// know when the agent runs out of its tasks.
-	each, more bool
+	// each asks for a report of each outcome.
+	each bool
+	// early is set by the report before the end, which tells the gateway of free
+	// slots. A second one would cost large jobs up to a message a task.
+	early bool
 	// open counts the tasks of the batch without an outcome.
 	open int
 }
@@ -55,7 +57,8 @@
 // and calls dispatch.
 func (a *Agent) admit(now time.Duration, s ledger.Start, b *batch, w *pb.Start) (ledger.Record, bool) {
 	reason := a.veto(now, w.GetService())
-	if reason == 0 && len(a.queue)+len(a.running) >= a.slots()+a.opts.QueueLimit {
+	size := len(w.GetPayload())
+	if reason == 0 && (len(a.queue)+len(a.running) >= a.slots()+a.opts.QueueLimit || a.queueBytes+size > a.opts.QueueBytes) {
 		reason = ledger.QueueFull
 	}
 	var rec ledger.Record
@@ -73,17 +76,16 @@
 	}
 	a.queue = append(a.queue, &work{attempt: s.Attempt, batch: b, start: w})
 	a.queued[b.gateway]++
+	a.queueBytes += size
 	return rec, true
 }
 
 // own makes the gateway the receiver of the partition's outcomes unless a newer
 // epoch is known. The caller holds a.mu.
-func (a *Agent) own(p model.Partition, e model.Epoch, gateway string) bool {
-	if e < a.ledger.Epoch(p) {
-		return false
+func (a *Agent) own(p model.Partition, e model.Epoch, gateway string) {
+	if e >= a.ledger.Epoch(p) {
+		a.owners[p] = gateway
 	}
-	a.owners[p] = gateway
-	return true
 }
 
 // dispatch begins queued tasks while there are free slots. The caller holds a.mu.
@@ -107,7 +109,9 @@
 	}
 }
 
+// unqueue takes w out of the counts of the queue. The caller holds a.mu.
 func (a *Agent) unqueue(w *work) {
+	a.queueBytes -= len(w.start.GetPayload())
 	if a.queued[w.batch.gateway]--; a.queued[w.batch.gateway] == 0 {
 		delete(a.queued, w.batch.gateway)
 	}
@@ -135,11 +139,12 @@
 // batch is complete. The caller holds a.mu.
 func (a *Agent) settle(b *batch, rec ledger.Record) {
 	b.open--
-	ranOut := b.more && a.queued[b.gateway] == 0 && len(a.running) < a.slots()
-	if !b.each && rec.State == ledger.Succeeded && b.open > 0 && !ranOut {
+	idle := a.queued[b.gateway] == 0 && len(a.running) < a.slots()
+	if !b.each && rec.State == ledger.Succeeded && b.open > 0 && (!idle || b.early) {
 		a.held[b.gateway] = append(a.held[b.gateway], rec)
 		return
 	}
+	b.early = b.early || idle
 	a.deliver(append(a.held[b.gateway], rec))
 	delete(a.held, b.gateway)
 }
@@ -156,7 +161,7 @@
 		if s := a.sessions[g]; s != nil {
 			a.push(s, message{kind: messageReport, records: rs})
 		} else {
-			a.markUndelivered(rs)
+			a.undelivered.add(rs, a.kept)
 		}
 	}
 }
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -25,6 +25,8 @@
 	service        platform.Lease
 	worker, holder string
 	ttl            time.Duration
+	// interval bounds the time between two renewals.
+	interval time.Duration
 	// until is the agent's monotonic time in nanoseconds up to which the lease is
 	// valid.
 	until atomic.Int64
@@ -35,7 +37,7 @@
 		service: service,
 		worker:  o.Worker,
 		holder:  o.Agent + "/" + strconv.FormatUint(uint64(o.Incarnation), 10),
-		ttl:     o.LeaseTTL,
+		ttl:     o.LeaseTTL, interval: o.LeaseRenew,
 	}
 }
 
@@ -82,7 +84,7 @@
 		return jitter(max(k.ttl/(4*renewals), leaseRetry)), err
 	}
 	k.until.Store(int64(sent + granted - granted/driftMargin))
-	return max(granted/renewals, leaseRetry), nil
+	return max(min(granted/renewals, k.interval), leaseRetry), nil
 }
 
 // leaseChanged continues with the queue and reports the load.
--- a/agent/ledger/ledger.go
+++ b/agent/ledger/ledger.go
@@ -44,7 +44,7 @@
 	// MaxBytes bounds the memory of the entries as estimated by the ledger;
 	// default 64 MiB.
 	MaxBytes int64
-	// ResultLimit bounds one result and is reserved for each unfinished task;
+	// ResultLimit bounds one result and is reserved for each running task;
 	// default 256 KiB.
 	ResultLimit int
 }
--- a/agent/ledger/ledger_test.go
+++ b/agent/ledger/ledger_test.go
@@ -312,6 +312,23 @@
 	}
 }
 
+// Many queued tasks must not reserve room for results that only running tasks
+// can have, and a task that cannot store its outcome must not begin.
+func TestRoomForOutcomeIsReservedAtBegin(t *testing.T) {
+	l := New(Options{Incarnation: incarnation, MaxBytes: 3000, ResultLimit: 400})
+	for i := range 2 {
+		if rec, ok := l.Admit(0, startAt(0, attempt(i, 5, 1))); !ok {
+			t.Fatalf("start %d: %v", i, rec.Refusal)
+		}
+	}
+	if rec, ok := l.Begin(0, attempt(0, 5, 1)); !ok {
+		t.Fatalf("first begin: %v", rec.Refusal)
+	}
+	if rec, ok := l.Begin(0, attempt(1, 5, 1)); ok || rec.Refusal != LedgerFull {
+		t.Fatalf("second begin: %v, %v", ok, rec.Refusal)
+	}
+}
+
 // A result over the limit must not be kept, and must not count as success.
 func TestOversizedResultFails(t *testing.T) {
 	l := New(Options{Incarnation: incarnation, ResultLimit: 10})
--- a/agent/ledger/start.go
+++ b/agent/ledger/start.go
@@ -23,8 +23,8 @@
 	if rec, refused := l.refusal(s); refused {
 		return rec, false
 	}
-	cost := entryCost(s.Task) + int64(l.opts.ResultLimit) + errorLimit
-	if !l.room(l.entries[s.Task], cost) {
+	cost := entryCost(s.Task)
+	if !l.room(l.entries[s.Task], cost+l.reservation()) {
 		return l.bury(s.Attempt, s.Digest, LedgerFull), false
 	}
 	e := &entry{
@@ -89,10 +89,13 @@
 		l.now-p.Issued <= l.opts.PermitLifetime
 }
 
-// Begin moves a queued attempt to Running. The caller gives the task to the
-// target only if it returns true. Otherwise the record says why the attempt
-// does not begin: Refusal is StaleEpoch, Deadline, or Revoked if the attempt is
-// no longer the queued one.
+// reservation is the memory for the outcome of a running task.
+func (l *Ledger) reservation() int64 { return int64(l.opts.ResultLimit) + errorLimit }
+
+// Begin moves a queued attempt to Running and reserves room for its outcome. The
+// caller gives the task to the target only if it returns true. Otherwise the
+// record says why the attempt does not begin: Refusal is StaleEpoch, Deadline,
+// LedgerFull, or Revoked if the attempt is no longer the queued one.
 func (l *Ledger) Begin(now time.Duration, a Attempt) (Record, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,6 +110,11 @@
 	if e.deadline != 0 && l.now >= e.deadline {
 		return l.bury(a, e.Digest, Deadline), false
 	}
+	if l.bytes+l.reservation() > l.opts.MaxBytes {
+		return l.bury(a, e.Digest, LedgerFull), false
+	}
+	e.cost += l.reservation()
+	l.bytes += l.reservation()
 	e.State = Running
 	e.begun = l.now
 	e.Wait = e.begun - e.admitted
--- a/agent/ledger/types.go
+++ b/agent/ledger/types.go
@@ -155,6 +155,6 @@
 	Queued, Running int
 	// Entries counts tasks, tombstones and cancelled jobs.
 	Entries int
-	// Bytes includes the reservations for results of unfinished tasks.
+	// Bytes includes the reservations for results of running tasks.
 	Bytes int64
 }
--- a/agent/options.go
+++ b/agent/options.go
@@ -39,6 +39,8 @@
 	// QueueLimit bounds the tasks that wait at the agent beyond the slots;
 	// default 16, which is two more rounds of today's 8 slots.
 	QueueLimit int
+	// QueueBytes bounds the payloads of these tasks together; default 16 MiB.
+	QueueBytes int
 	// PayloadLimit bounds one payload in bytes; default 256 KiB.
 	PayloadLimit int
 	// FrameLimit bounds a frame from a gateway in bytes; default 4 MiB.
@@ -56,6 +58,9 @@
 
 	// LeaseTTL is the time to live asked for the worker's lease; default 10 s.
 	LeaseTTL time.Duration
+	// LeaseRenew bounds the time between two renewals, which is at most a third of
+	// the time granted.
+	LeaseRenew time.Duration
 	// HeartbeatExpiry is the time after which a target that stopped announcing
 	// counts as gone, and for which a target that left cannot announce itself
 	// again; default 3 s.
@@ -113,6 +118,7 @@
 
 const (
 	defaultQueueLimit   = 16
+	defaultQueueBytes   = 16 << 20
 	defaultPayloadLimit = 256 << 10
 	defaultFrameLimit   = 4 << 20
 	defaultReportLimit  = 1 << 20
@@ -133,12 +139,14 @@
 	o.Ledger.Incarnation = o.Incarnation
 	orDefault(&o.Ledger.ResultLimit, ledger.DefaultResultLimit)
 	orDefault(&o.QueueLimit, defaultQueueLimit)
+	orDefault(&o.QueueBytes, defaultQueueBytes)
 	orDefault(&o.PayloadLimit, defaultPayloadLimit)
 	orDefault(&o.FrameLimit, defaultFrameLimit)
 	orDefault(&o.ReportLimit, defaultReportLimit)
 	orDefault(&o.OutboxLimit, defaultOutboxLimit)
 	orDefault(&o.RunTimeout, defaultRunTimeout)
 	orDefault(&o.LeaseTTL, 10*time.Second)
+	orDefault(&o.LeaseRenew, o.LeaseTTL/renewals)
 	orDefault(&o.HeartbeatExpiry, 3*time.Second)
 	orDefault(&o.AnnounceRetry, 2*time.Second)
 	orDefault(&o.AnnouncePending, time.Second)
--- a/agent/session.go
+++ b/agent/session.go
@@ -126,7 +126,8 @@
 		old.abort()
 	}
 	a.sessions[s.gateway] = s
-	s.out.push(message{kind: messageWelcome})
+	a.push(s, message{kind: messageWelcome})
+	a.redeliver(s)
 	a.log.Info().Str("event", "agent.link_opened").Str("gateway", s.gateway).
 		Uint64("incarnation", uint64(s.incarnation)).Msg("link opened")
 	return nil
@@ -277,7 +278,6 @@
 		b := &batch{
 			gateway: s.gateway,
 			each:    f.GetReport() != pb.ReportMode_REPORT_MODE_BATCH,
-			more:    f.GetMore(),
 			open:    len(starts),
 		}
 		var refused []ledger.Record
@@ -331,9 +331,7 @@
 		r := a.ledger.Fence(now, fences)
 		a.abandonStale()
 		for _, p := range fences {
-			if a.own(p.Partition, p.Epoch, s.gateway) {
-				delete(a.undelivered, p.Partition)
-			}
+			a.own(p.Partition, p.Epoch, s.gateway)
 		}
 		a.push(s, message{kind: messageFenced, request: f.GetRequest(), records: r.Records, newer: r.Newer})
 	})
@@ -369,9 +367,10 @@
 // The caller holds a.mu.
 func (a *Agent) push(s *session, m message) {
 	if s.out.push(m) {
+		a.undelivered.remove(m.records)
 		return
 	}
-	a.markUndelivered(m.records)
+	a.undelivered.add(m.records, a.kept)
 	if s.out.overflowed() {
 		a.log.Warn().Str("event", "agent.link_overflow").Str("gateway", s.gateway).
 			Int("limit", a.opts.OutboxLimit).Msg("gateway does not read its link, closing it")
@@ -384,16 +383,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for i := range msgs {
-		a.markUndelivered(msgs[i].records)
-	}
-}
-
-// markUndelivered notes the partitions with outcomes that no gateway has
-// received. They stay in the ledger until the owner fences. The caller holds a.mu.
-func (a *Agent) markUndelivered(recs []ledger.Record) {
-	for i := range recs {
-		if s := recs[i].State; s == ledger.Succeeded || s == ledger.Failed {
-			a.undelivered[recs[i].Partition] = a.now()
-		}
+		a.undelivered.add(msgs[i].records, a.kept)
 	}
 }
