Log the agent's events from the catalogue

Cause: the agent logged text names, which operators cannot alert on. Result: events 5012 to 5017 are added; repeated failures of lease, announcement and a full ledger are logged once, not at each attempt. docs/events.md is regenerated; go test -race ./common/events ./agent/... passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
 )
@@ -64,6 +65,8 @@
 	held        map[string][]ledger.Record
 	running     map[ledger.Attempt]context.CancelCauseFunc
 	undelivered undelivered
+	// ledgerFullLog is the time before which a full ledger is not logged again.
+	ledgerFullLog time.Duration
 	// stopping is set when Run ends: nothing new starts. closing is set later,
 	// when the links end.
 	stopping, closing bool
@@ -89,7 +92,7 @@
 	a := &Agent{
 		opts:        opts,
 		deps:        deps,
-		log:         deps.Log.With().Str("agent", opts.Agent).Logger(),
+		log:         deps.Log,
 		ledger:      ledger.New(opts.Ledger),
 		lease:       newLeaseKeeper(deps.Lease, opts),
 		started:     started,
@@ -172,9 +175,8 @@
 	wg.Go(func() { a.watchTarget(loops) })
 	var announcer sync.WaitGroup
 	announcer.Go(func() { a.announceLoop(announcing) })
-	a.log.Info().Str("event", "agent.started").Str("address", a.opts.Advertise).
-		Str("target_address", target.Addr().String()).
-		Uint64("incarnation", uint64(a.opts.Incarnation)).Msg("agent started")
+	events.ListenStarted.Log(a.log).Str("link", link.Addr().String()).Str("announce", target.Addr().String()).
+		Str("advertised", a.opts.Advertise).Uint64("incarnation", uint64(a.opts.Incarnation)).Send()
 
 	select {
 	case <-ctx.Done():
@@ -189,7 +191,6 @@
 	stopLoops()
 	wg.Wait()
 	a.tasks.Wait()
-	a.log.Info().Str("event", "agent.stopped").Msg("agent stopped")
 	return err
 }
 
@@ -231,20 +232,21 @@
 	a.notifyLoad()
 	running := len(a.running)
 	a.mu.Unlock()
-	a.log.Info().Str("event", "agent.draining").Int("running", running).Msg("agent refuses starts and waits for running tasks")
+	events.AgentLeaving.Log(a.log).Int("running", running).Send()
 
 	ctx, cancel := context.WithTimeout(context.Background(), a.opts.StopTimeout)
 	defer cancel()
 	if a.await(ctx, func() bool { return len(a.running) == 0 }) != nil {
-		a.log.Error().Str("event", "agent.drain_timeout").Dur("timeout", a.opts.StopTimeout).Msg("running tasks aborted")
+		events.ShutdownForced.Log(a.log).Dur("timeout_ms", a.opts.StopTimeout).Send()
 		a.cancelRun(errStopped)
 	}
 	a.tasks.Wait()
+	events.AgentDrained.Log(a.log).Send()
 	a.flushHeld()
 	ctx, cancelDelivery := context.WithTimeout(context.Background(), a.opts.DeliveryTimeout)
 	defer cancelDelivery()
 	if a.await(ctx, a.delivered) != nil {
-		a.log.Error().Str("event", "agent.outcomes_undelivered").Msg("no gateway fetched the last outcomes")
+		events.OutcomesUndelivered.Log(a.log).Dur("timeout_ms", a.opts.DeliveryTimeout).Send()
 	}
 }
 
@@ -281,7 +283,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
-		a.log.Warn().Str("event", "agent.links_aborted").Err(err).Msg("links did not end in time")
+		events.ShutdownForced.Log(a.log).Dur("timeout_ms", closeTimeout).Err(err).Send()
 		_ = s.Close()
 	}
 }
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
 )
@@ -37,6 +38,7 @@
 func (a *Agent) announceLoop(ctx context.Context) {
 	retry := announceFirstRetry
 	next := 0
+	failing, joined := false, false
 	for ctx.Err() == nil {
 		req := a.announcement()
 		wait := a.opts.AnnounceInterval
@@ -44,15 +46,21 @@
 			recorded, err := a.announceTo(ctx, a.opts.Gateways[next], req)
 			switch {
 			case err != nil:
-				a.log.Warn().Str("event", "agent.announce_failed").Str("gateway", a.opts.Gateways[next]).Err(err).Msg("announcement failed")
+				if !failing && ctx.Err() == nil {
+					events.AnnounceFailed.Log(a.log).Str("gateway", a.opts.Gateways[next]).Err(err).Send()
+				}
 				next = (next + 1) % len(a.opts.Gateways)
 				wait = retry
 				retry = min(2*retry, a.opts.AnnounceRetry)
 			case !recorded:
 				wait, retry = a.opts.AnnouncePending, announceFirstRetry
 			default:
-				retry = announceFirstRetry
+				if !joined {
+					events.AgentJoined.Log(a.log).Str("gateway", a.opts.Gateways[next]).Send()
+				}
+				retry, joined = announceFirstRetry, true
 			}
+			failing = err != nil
 		}
 		timer := time.NewTimer(jitter(wait))
 		select {
@@ -113,6 +121,6 @@
 		if err == nil {
 			return
 		}
-		a.log.Warn().Str("event", "agent.announce_failed").Str("gateway", address).Err(err).Msg("announcement of leaving failed")
+		events.AnnounceFailed.Log(a.log).Str("gateway", address).Bool("leaving", true).Err(err).Send()
 	}
 }
--- a/agent/executor.go
+++ b/agent/executor.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 )
@@ -16,6 +17,9 @@
 	errStopped   = errors.New("agent stopped before the target answered")
 )
 
+// ledgerFullInterval is the time between two log lines about a full ledger.
+const ledgerFullInterval = 10 * time.Second
+
 // batch is one StartBatch of a gateway. Agent.mu guards it.
 type batch struct {
 	gateway string
@@ -71,7 +75,7 @@
 	a.own(s.Partition, s.Epoch, b.gateway)
 	if !ok {
 		b.open--
-		a.deps.Metrics.TaskRefused(rec.Refusal)
+		a.refused(now, rec)
 		return rec, false
 	}
 	a.queue = append(a.queue, &work{attempt: s.Attempt, batch: b, start: w})
@@ -80,6 +84,17 @@
 	return rec, true
 }
 
+// refused counts and logs a refusal. The caller holds a.mu.
+func (a *Agent) refused(now time.Duration, rec ledger.Record) {
+	a.deps.Metrics.TaskRefused(rec.Refusal)
+	events.StartRefused.Log(a.log).Stringer("task", rec.Task).Stringer("reason", rec.Refusal).Send()
+	if rec.Refusal == ledger.LedgerFull && now >= a.ledgerFullLog {
+		a.ledgerFullLog = now + ledgerFullInterval
+		c := a.ledger.Counts(now)
+		events.LedgerFull.Log(a.log).Int("entries", c.Entries).Int64("bytes", c.Bytes).Send()
+	}
+}
+
 // own makes the gateway the receiver of the partition's outcomes unless a newer
 // epoch is known. The caller holds a.mu.
 func (a *Agent) own(p model.Partition, e model.Epoch, gateway string) {
@@ -97,7 +112,7 @@
 		a.unqueue(w)
 		rec, ok := a.ledger.Begin(now, w.attempt)
 		if !ok {
-			a.deps.Metrics.TaskRefused(rec.Refusal)
+			a.refused(now, rec)
 			a.settle(w.batch, rec)
 			continue
 		}
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 )
 
@@ -51,13 +52,15 @@
 	if k.service == nil {
 		return
 	}
+	failing := false
 	for ctx.Err() == nil {
 		was := k.valid(a.now())
 		wait, err := k.renew(ctx, a.now)
 		is := k.valid(a.now())
-		if err != nil && ctx.Err() == nil {
-			a.log.Warn().Str("event", "agent.lease_renewal_failed").Str("worker", k.worker).Err(err).Msg("lease not renewed")
+		if err != nil && !failing && ctx.Err() == nil {
+			events.LeaseRenewalFailed.Log(a.log).Str("worker", k.worker).Err(err).Send()
 		}
+		failing = err != nil
 		if is != was {
 			a.leaseChanged(is)
 		}
@@ -89,7 +92,11 @@
 
 // leaseChanged continues with the queue and reports the load.
 func (a *Agent) leaseChanged(valid bool) {
-	a.log.Info().Str("event", "agent.lease_changed").Str("worker", a.opts.Worker).Bool("valid", valid).Msg("lease changed")
+	event := events.LeaseLapsed
+	if valid {
+		event = events.LeaseRenewed
+	}
+	event.Log(a.log).Str("worker", a.opts.Worker).Send()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatch(a.now())
--- a/agent/session.go
+++ b/agent/session.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 )
@@ -93,8 +94,7 @@
 	s.out.end()
 	sendErr := <-sent
 	a.closed(s)
-	a.log.Info().Str("event", "agent.link_closed").Str("gateway", s.gateway).
-		AnErr("receive", err).AnErr("send", sendErr).Msg("link closed")
+	events.GatewayDisconnected.Log(a.log).Str("gateway", s.gateway).AnErr("receive", err).AnErr("send", sendErr).Send()
 	return linkError(err, a.stopped())
 }
 
@@ -128,8 +128,7 @@
 	a.sessions[s.gateway] = s
 	a.push(s, message{kind: messageWelcome})
 	a.redeliver(s)
-	a.log.Info().Str("event", "agent.link_opened").Str("gateway", s.gateway).
-		Uint64("incarnation", uint64(s.incarnation)).Msg("link opened")
+	events.GatewayConnected.Log(a.log).Str("gateway", s.gateway).Uint64("incarnation", uint64(s.incarnation)).Send()
 	return nil
 }
 
@@ -333,6 +332,9 @@
 		for _, p := range fences {
 			a.own(p.Partition, p.Epoch, s.gateway)
 		}
+		if len(r.Dropped) > 0 {
+			events.FenceRaised.Log(a.log).Str("gateway", s.gateway).Int("partitions", len(fences)).Int("dropped", len(r.Dropped)).Send()
+		}
 		a.push(s, message{kind: messageFenced, request: f.GetRequest(), records: r.Records, newer: r.Newer})
 	})
 }
@@ -358,6 +360,7 @@
 			a.giveBack(now, ledger.Leaving)
 		}
 		if changed {
+			events.DrainChanged.Log(a.log).Bool("drain", a.drain.set).Uint64("offset", a.drain.offset).Send()
 			a.notifyLoad()
 		}
 	})
@@ -372,8 +375,7 @@
 	}
 	a.undelivered.add(m.records, a.kept)
 	if s.out.overflowed() {
-		a.log.Warn().Str("event", "agent.link_overflow").Str("gateway", s.gateway).
-			Int("limit", a.opts.OutboxLimit).Msg("gateway does not read its link, closing it")
+		events.GatewaySlow.Log(a.log).Str("gateway", s.gateway).Int("limit", a.opts.OutboxLimit).Send()
 		s.abort()
 	}
 }
--- a/agent/targetapi.go
+++ b/agent/targetapi.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 )
 
 // Limits of an announcement.
@@ -110,8 +111,8 @@
 	t.name, t.service, t.address = n.Target, n.Service, n.Address
 	t.slots, t.connections = n.Slots, n.Connections
 	t.present, t.left = true, false
-	a.log.Info().Str("event", "agent.target_announced").Str("target", n.Target).Str("service", n.Service).
-		Int("slots", n.Slots).Int("connections", n.Connections).Str("address", n.Address).Msg("target announced")
+	events.TargetAnnounced.Log(a.log).Str("target", n.Target).Str("service", n.Service).
+		Int("slots", n.Slots).Int("connections", n.Connections).Str("address", n.Address).Send()
 	a.dispatch(now)
 	a.notifyLoad()
 	select {
@@ -131,7 +132,7 @@
 	a.target.rejoin = now + a.opts.HeartbeatExpiry
 	a.giveBack(now, ledger.Leaving)
 	a.notifyLoad()
-	a.log.Info().Str("event", "agent.target_left").Str("target", a.target.name).Int("running", len(a.running)).Msg("target is leaving")
+	events.TargetLeft.Log(a.log).Str("target", a.target.name).Int("running", len(a.running)).Send()
 	return len(a.running)
 }
 
@@ -146,8 +147,7 @@
 	a.target.present = false
 	a.giveBack(now, ledger.NoTarget)
 	a.notifyLoad()
-	a.log.Warn().Str("event", "agent.target_expired").Str("target", a.target.name).
-		Dur("expiry", a.opts.HeartbeatExpiry).Msg("target stopped announcing itself")
+	events.TargetSilent.Log(a.log).Str("target", a.target.name).Dur("expiry_ms", a.opts.HeartbeatExpiry).Send()
 }
 
 // watchTarget checks the heartbeat until ctx ends.
--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -105,6 +105,17 @@
 	AgentDrained = define(5009, "agent_drained", infoLevel, "the agent has no running task left", nothing)
 	AgentJoined  = define(5010, "agent_joined", infoLevel, "the log shows the membership of this agent", nothing)
 	FenceRaised  = define(5011, "fence_raised", infoLevel, "a newer epoch was seen; queued starts of the old owner were dropped", nothing)
+
+	GatewayConnected    = define(5012, "gateway_connected", infoLevel, "a gateway opened its link to this agent", nothing)
+	GatewayDisconnected = define(5013, "gateway_disconnected", infoLevel, "the link of a gateway to this agent ended", nothing)
+	GatewaySlow         = define(5014, "gateway_slow", warnLevel, "a gateway does not read its link; the link is closed",
+		"Check the gateway; it gets the outcomes when it reconnects.")
+	OutcomesUndelivered = define(5015, "outcomes_undelivered", errorLevel, "the agent stops with outcomes that no gateway fetched; their jobs are answered may_have_run",
+		"Check the network between the agent and the gateways.")
+	LeaseRenewalFailed = define(5016, "lease_renewal_failed", warnLevel, "the worker's lease was not renewed",
+		"Nothing if it is renewed before it lapses; otherwise check the platform's lease service.")
+	AnnounceFailed = define(5017, "announce_failed", warnLevel, "a gateway did not take the agent's announcement; the next one is tried",
+		"Check the gateways in the agent's settings if agent_joined does not follow.")
 )
 
 // Events of the stand-ins (9000 to 9099).
