--- a/standin/target/options.go
+++ b/standin/target/options.go
@@ -21,16 +21,23 @@
 	// Advertise is the host:port given to the agent; default is the address of the
 	// listener.
 	Advertise string
-	// Agent is the host:port on which the agent takes announcements; without it
-	// the target does not announce itself.
-	Agent string
+	// AgentURL is the URL at which the agent takes announcements; without it the
+	// target does not announce itself.
+	AgentURL string
+	// HeartbeatInterval bounds the time between two announcements; default 500 ms.
+	// The agent may ask for a shorter one.
+	HeartbeatInterval time.Duration
 	// Slots is the number of tasks that run at a time, others wait; default 8.
 	Slots int
 	// Connections is the number of open connections, others are closed; default
 	// 64. One more is taken, for readers of the record.
 	Connections int
+	// Run is the run time at speed 1 of a task whose payload gives none.
+	Run time.Duration
 	// Speed divides the run time of a task; default 1.
 	Speed float64
+	// FailRatio is the share of tasks that fail after their run time, from 0 to 1.
+	FailRatio float64
 	// RecordLimit bounds the tasks in the record; default 1,000,000.
 	RecordLimit int
 	// Listener replaces listening on Listen.
@@ -41,6 +48,7 @@
 const (
 	defaultSlots       = 8
 	defaultConnections = 64
+	defaultHeartbeat   = 500 * time.Millisecond
 	defaultRecordLimit = 1_000_000
 	// maxRun bounds the run time that a payload can ask for.
 	maxRun = 10 * time.Minute
@@ -61,6 +69,9 @@
 	if o.Connections <= 0 {
 		o.Connections = defaultConnections
 	}
+	if o.HeartbeatInterval <= 0 {
+		o.HeartbeatInterval = defaultHeartbeat
+	}
 	if o.Speed <= 0 {
 		o.Speed = 1
 	}
