--- a/common/settings/standin.go
+++ b/common/settings/standin.go
@@ -21,23 +21,26 @@
 
 // TargetStandin holds the settings of the stand-in of a target.
 type TargetStandin struct {
-	ID            string    `json:"id" strict:"required,min=1,max=128" doc:"Name of the target, as in the inventory."`
-	Service       string    `json:"service" strict:"required,min=1,max=128" doc:"Service that the target offers."`
-	ListenAddress string    `json:"listen_address" strict:"required,min=1" doc:"IP:port for tasks."`
-	AgentAddress  string    `json:"agent_address" strict:"required,min=1" doc:"announce_address of the agent."`
-	Slots         int64     `json:"slots" strict:"min=1,max=4096" doc:"Tasks that run at the same time."`
-	Connections   int64     `json:"connections" strict:"min=1,max=65536" doc:"Connections that the target accepts."`
-	Speed         float64   `json:"speed" strict:"min=0.001,max=1000" doc:"Speed of the target; the run time that a task asks for is divided by it."`
-	Telemetry     Telemetry `json:"telemetry" doc:"Logs and traces."`
+	ID                string       `json:"id" strict:"required,min=1,max=128" doc:"Name of the target, as in the inventory."`
+	Service           string       `json:"service" strict:"required,min=1,max=128" doc:"Service that the target offers."`
+	ListenAddress     string       `json:"listen_address" strict:"required,min=1" doc:"IP:port for tasks."`
+	AgentURL          string       `json:"agent_url" strict:"required,min=1" doc:"URL of the agent's announce_address."`
+	Slots             int64        `json:"slots" strict:"min=1,max=4096" doc:"Tasks that run at the same time."`
+	Connections       int64        `json:"connections" strict:"min=1,max=65536" doc:"Connections that the target accepts."`
+	Run               Milliseconds `json:"run_ms" strict:"min=0,max=120000" doc:"Time that a task takes at speed 1 if its payload names none."`
+	Speed             float64      `json:"speed" strict:"min=0.001,max=1000" doc:"Speed of the target; the run time of a task is divided by it."`
+	FailRatio         float64      `json:"fail_ratio" strict:"min=0,max=1" doc:"Share of tasks that fail."`
+	HeartbeatInterval Milliseconds `json:"heartbeat_interval_ms" strict:"min=10,max=60000" doc:"Time between two announcements."`
+	Telemetry         Telemetry    `json:"telemetry" doc:"Logs and traces."`
 }
 
 func (t *TargetStandin) setDefaults() {
-	*t = TargetStandin{Slots: 8, Connections: 64, Speed: 1, Telemetry: defaultTelemetry()}
+	*t = TargetStandin{Slots: 8, Connections: 64, Run: 200, Speed: 1, HeartbeatInterval: 500, Telemetry: defaultTelemetry()}
 }
 
 func (t *TargetStandin) check(c *checker) {
 	c.address("listen_address", t.ListenAddress, true)
-	c.address("agent_address", t.AgentAddress, false)
+	c.url("agent_url", t.AgentURL)
 	t.Telemetry.check(c)
 	c.atMost(quantity{"slots", t.Slots}, quantity{"connections", t.Connections}, "each running task needs a connection")
 }
