--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -1,6 +1,7 @@
 package inventory_test
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -9,6 +10,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/rhubarbsail/rhubarbsail/common/findings"
 	"github.com/rhubarbsail/rhubarbsail/inventory"
 )
 
@@ -48,7 +50,7 @@
 	_, err := inventory.ParseFiles(
 		inventory.File{Name: "inventory.json", Data: []byte(`{"workers": [], "targets": [], "x": 1}`)},
 		inventory.File{Name: "rules.json", Data: []byte(`{"clients": [{"id": "a", "share": -1}], "services": []}`)})
-	want := "inventory.json:1:32: x: unknown key\nrules.json:1:35: clients[0].share: -1 is not above 0"
+	want := "inventory.json:1:32: x: unknown key; the known keys are workers, targets\nrules.json:1:35: clients[0].share: -1 is not above 0"
 	if err == nil || err.Error() != want {
 		t.Errorf("got\n%v\nwant\n%s", err, want)
 	}
@@ -116,3 +118,20 @@
 		t.Errorf("equal configurations differ: %v", same)
 	}
 }
+
+// A file that is wrong throughout must not occupy a gateway for minutes.
+func TestFindingsAreBounded(t *testing.T) {
+	var inv inventory.Inventory
+	for i := range 2000 {
+		inv.Targets = append(inv.Targets, inventory.Target{ID: fmt.Sprint("t", i), Worker: "gone", Rack: "r", AvailabilityZone: "z", Service: "gone", Slots: 1, Connections: 1})
+	}
+	data, err := inventory.New(inv, inventory.Rules{}).JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = inventory.Parse("f", data)
+	var list findings.List
+	if !errors.As(err, &list) || len(list) != 1001 || !strings.Contains(err.Error(), "too many findings") {
+		t.Errorf("%d findings", len(list))
+	}
+}
