--- a/agent/lease.go
+++ b/agent/lease.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 )
 
@@ -25,6 +26,8 @@
 	service        platform.Lease
 	worker, holder string
 	ttl            time.Duration
+	// interval bounds the time between two renewals.
+	interval time.Duration
 	// until is the agent's monotonic time in nanoseconds up to which the lease is
 	// valid.
 	until atomic.Int64
@@ -35,7 +38,7 @@
 		service: service,
 		worker:  o.Worker,
 		holder:  o.Agent + "/" + strconv.FormatUint(uint64(o.Incarnation), 10),
-		ttl:     o.LeaseTTL,
+		ttl:     o.LeaseTTL, interval: o.LeaseRenew,
 	}
 }
 
@@ -49,13 +52,15 @@
 	if k.service == nil {
 		return
 	}
+	failing := false
 	for ctx.Err() == nil {
 		was := k.valid(a.now())
 		wait, err := k.renew(ctx, a.now)
 		is := k.valid(a.now())
-		if err != nil && ctx.Err() == nil {
-			a.log.Warn().Str("event", "agent.lease_renewal_failed").Str("worker", k.worker).Err(err).Msg("lease not renewed")
+		if err != nil && !failing && ctx.Err() == nil {
+			events.LeaseRenewalFailed.Log(a.log).Str("worker", k.worker).Err(err).Send()
 		}
+		failing = err != nil
 		if is != was {
 			a.leaseChanged(is)
 		}
@@ -82,12 +87,16 @@
 		return jitter(max(k.ttl/(4*renewals), leaseRetry)), err
 	}
 	k.until.Store(int64(sent + granted - granted/driftMargin))
-	return max(granted/renewals, leaseRetry), nil
+	return max(min(granted/renewals, k.interval), leaseRetry), nil
 }
 
 // leaseChanged continues with the queue and reports the load.
 func (a *Agent) leaseChanged(valid bool) {
-	a.log.Info().Str("event", "agent.lease_changed").Str("worker", a.opts.Worker).Bool("valid", valid).Msg("lease changed")
+	event := events.LeaseLapsed
+	if valid {
+		event = events.LeaseRenewed
+	}
+	event.Log(a.log).Str("worker", a.opts.Worker).Send()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatch(a.now())
--- a/agent/session.go
+++ b/agent/session.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 )
@@ -93,8 +94,7 @@
 	s.out.end()
 	sendErr := <-sent
 	a.closed(s)
-	a.log.Info().Str("event", "agent.link_closed").Str("gateway", s.gateway).
-		AnErr("receive", err).AnErr("send", sendErr).Msg("link closed")
+	events.GatewayDisconnected.Log(a.log).Str("gateway", s.gateway).AnErr("receive", err).AnErr("send", sendErr).Send()
 	return linkError(err, a.stopped())
 }
 
@@ -126,9 +126,9 @@
 		old.abort()
 	}
 	a.sessions[s.gateway] = s
-	s.out.push(message{kind: messageWelcome})
-	a.log.Info().Str("event", "agent.link_opened").Str("gateway", s.gateway).
-		Uint64("incarnation", uint64(s.incarnation)).Msg("link opened")
+	a.push(s, message{kind: messageWelcome})
+	a.redeliver(s)
+	events.GatewayConnected.Log(a.log).Str("gateway", s.gateway).Uint64("incarnation", uint64(s.incarnation)).Send()
 	return nil
 }
 
@@ -277,7 +277,6 @@
 		b := &batch{
 			gateway: s.gateway,
 			each:    f.GetReport() != pb.ReportMode_REPORT_MODE_BATCH,
-			more:    f.GetMore(),
 			open:    len(starts),
 		}
 		var refused []ledger.Record
@@ -331,9 +330,10 @@
 		r := a.ledger.Fence(now, fences)
 		a.abandonStale()
 		for _, p := range fences {
-			if a.own(p.Partition, p.Epoch, s.gateway) {
-				delete(a.undelivered, p.Partition)
-			}
+			a.own(p.Partition, p.Epoch, s.gateway)
+		}
+		if len(r.Dropped) > 0 {
+			events.FenceRaised.Log(a.log).Str("gateway", s.gateway).Int("partitions", len(fences)).Int("dropped", len(r.Dropped)).Send()
 		}
 		a.push(s, message{kind: messageFenced, request: f.GetRequest(), records: r.Records, newer: r.Newer})
 	})
@@ -360,6 +360,7 @@
 			a.giveBack(now, ledger.Leaving)
 		}
 		if changed {
+			events.DrainChanged.Log(a.log).Bool("drain", a.drain.set).Uint64("offset", a.drain.offset).Send()
 			a.notifyLoad()
 		}
 	})
@@ -369,12 +370,12 @@
 // The caller holds a.mu.
 func (a *Agent) push(s *session, m message) {
 	if s.out.push(m) {
+		a.undelivered.remove(m.records)
 		return
 	}
-	a.markUndelivered(m.records)
+	a.undelivered.add(m.records, a.kept)
 	if s.out.overflowed() {
-		a.log.Warn().Str("event", "agent.link_overflow").Str("gateway", s.gateway).
-			Int("limit", a.opts.OutboxLimit).Msg("gateway does not read its link, closing it")
+		events.GatewaySlow.Log(a.log).Str("gateway", s.gateway).Int("limit", a.opts.OutboxLimit).Send()
 		s.abort()
 	}
 }
@@ -384,16 +385,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for i := range msgs {
-		a.markUndelivered(msgs[i].records)
-	}
-}
-
-// markUndelivered notes the partitions with outcomes that no gateway has
-// received. They stay in the ledger until the owner fences. The caller holds a.mu.
-func (a *Agent) markUndelivered(recs []ledger.Record) {
-	for i := range recs {
-		if s := recs[i].State; s == ledger.Succeeded || s == ledger.Failed {
-			a.undelivered[recs[i].Partition] = a.now()
-		}
+		a.undelivered.add(msgs[i].records, a.kept)
 	}
 }
--- a/common/settings/standin.go
+++ b/common/settings/standin.go
@@ -27,8 +27,8 @@
 	AgentURL          string       `json:"agent_url" strict:"required,min=1" doc:"URL of the agent's announce_address."`
 	Slots             int64        `json:"slots" strict:"min=1,max=4096" doc:"Tasks that run at the same time."`
 	Connections       int64        `json:"connections" strict:"min=1,max=65536" doc:"Connections that the target accepts."`
-	Run               Milliseconds `json:"run_ms" strict:"min=0,max=120000" doc:"Time that a task takes at speed 1."`
-	Speed             float64      `json:"speed" strict:"min=0.001,max=1000" doc:"Speed of the target; a task takes run_ms divided by it."`
+	Run               Milliseconds `json:"run_ms" strict:"min=0,max=120000" doc:"Time that a task takes at speed 1 if its payload names none."`
+	Speed             float64      `json:"speed" strict:"min=0.001,max=1000" doc:"Speed of the target; the run time of a task is divided by it."`
 	FailRatio         float64      `json:"fail_ratio" strict:"min=0,max=1" doc:"Share of tasks that fail."`
 	HeartbeatInterval Milliseconds `json:"heartbeat_interval_ms" strict:"min=10,max=60000" doc:"Time between two announcements."`
 	Telemetry         Telemetry    `json:"telemetry" doc:"Logs and traces."`
--- a/common/telemetry/telemetry_test.go
+++ b/common/telemetry/telemetry_test.go
@@ -28,7 +28,7 @@
 // A metric that is missing in the scrape or that two entries define is of no
 // use to operators.
 func TestScrapeShowsEachMetric(t *testing.T) {
-	m := NewMetrics("gateway", "g1", zerolog.Nop())
+	m := NewMetrics("gateway", "g-1/é", zerolog.Nop())
 	for _, d := range All() {
 		record(t, m.Scope, d)
 	}
@@ -43,7 +43,7 @@
 			t.Errorf("%q appears %d times", header, n)
 		}
 	}
-	if !strings.Contains(w.Body.String(), `id="g1"`) {
+	if !strings.Contains(w.Body.String(), `id="g-1/é"`) {
 		t.Error("the label id is missing")
 	}
 }
@@ -161,10 +161,8 @@
 			t.Fatal(err)
 		}
 	}
-	var b strings.Builder
-	WriteTree(&b, r.Trace(root.SpanContext().TraceID()))
-	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+	lines := Tree(r.Trace(root.SpanContext().TraceID()))
 	if len(lines) != 3 || !strings.HasSuffix(lines[1], "  submit (gateway g1)") || !strings.HasSuffix(lines[2], "    run (agent a1)") {
-		t.Fatalf("got\n%s", &b)
+		t.Fatalf("got %q", lines)
 	}
 }
