Start partial configuration changes from their base version

Cause: a change of one part through a gateway that lags behind could write back its older other part; the state of a peer was transferred even if it was not newer; agents that announce themselves again appended a record each time. Ruled out: requiring both parts in every change, which operators would feel.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -53,9 +53,16 @@
 	RecordRejected  = define(2005, "record_rejected", infoLevel, "a record had no effect, since a newer one took effect first", nothing)
 	RecordMalformed = define(2006, "record_malformed", errorLevel, "a record of the control stream cannot be decoded and is skipped",
 		"Find the writer named in the record; all gateways must run compatible versions.")
-	AppendUnknown = define(2007, "append_outcome_unknown", warnLevel, "the outcome of an append is unknown; it is read back", nothing)
-	ConfigApplied = define(2008, "config_applied", infoLevel, "a configuration is in force", nothing)
-	StateFromPeer = define(2009, "state_from_peer", infoLevel, "the control state was loaded from another gateway", nothing)
+	AppendUnknown   = define(2007, "append_outcome_unknown", warnLevel, "the outcome of an append is unknown; it is read back", nothing)
+	ConfigApplied   = define(2008, "config_applied", infoLevel, "a configuration is in force", nothing)
+	StateFromPeer   = define(2009, "state_from_peer", infoLevel, "the control state was loaded from another gateway", nothing)
+	PeerStateFailed = define(2010, "peer_state_failed", warnLevel, "no other gateway gave the control state",
+		"Check the peers in the settings; the gateway tries again.")
+	LogBehind = define(2011, "log_behind", errorLevel, "the log ends before the state of this gateway",
+		"The platform's log has lost records. Restore it before any gateway is replaced.")
+	SnapshotFailed = define(2012, "snapshot_failed", warnLevel, "a snapshot record could not be written",
+		"Nothing while the log is down; it is tried again.")
+	SnapshotLoaded = define(2013, "snapshot_loaded", infoLevel, "the control state was loaded from a snapshot record", nothing)
 )
 
 // Events of ownership (3000 to 3099).
--- a/control/changes.go
+++ b/control/changes.go
@@ -65,7 +65,9 @@
 // returns at once if the state lists the same agent already, and fails with
 // *state.RejectedError if a newer incarnation is listed or this one has left.
 func (l *Loop) AgentJoined(ctx context.Context, a state.Agent) error {
-	if l.Snapshot().Agents[a.ID] == a {
+	listed := l.Snapshot().Agents[a.ID]
+	listed.Joined = 0 // only the state machine sets it
+	if listed == a {
 		return nil
 	}
 	if err := l.joins.add(ctx, a); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -184,24 +184,44 @@
 	return ok && o.Gateway == g.opts.ID && o.Incarnation == g.opts.Incarnation
 }
 
-// peerState asks the configured peers for the control state.
+// peerState returns the control state of the configured peer that is furthest
+// ahead, or offset 0 if none is ahead of this gateway. A ping tells the offset
+// first, since a snapshot has hundreds of kilobytes.
 func (g *Gateway) peerState(ctx context.Context) (uint64, []byte, error) {
-	err := errors.New("no peers are configured")
+	best, newest := "", g.control.Snapshot().Applied
+	var failed error
 	for _, p := range g.opts.Peers {
 		if p == g.opts.Address {
 			continue
 		}
-		resp, callErr := g.peers.client(p).State(ctx, connect.NewRequest(&rhubarbsailv1.StateRequest{}))
-		if callErr == nil && resp.Msg.AppliedOffset > 0 {
-			return resp.Msg.AppliedOffset, resp.Msg.Snapshot, nil
-		}
-		if callErr != nil {
-			err = callErr
+		pctx, cancel := context.WithTimeout(ctx, peerPingTimeout)
+		resp, err := g.peers.client(p).Ping(pctx, connect.NewRequest(&rhubarbsailv1.PingRequest{
+			Gateway: g.opts.ID, Incarnation: uint64(g.opts.Incarnation),
+		}))
+		cancel()
+		switch {
+		case err != nil:
+			failed = err
+		case resp.Msg.AppliedOffset > newest:
+			best, newest = p, resp.Msg.AppliedOffset
 		}
 	}
-	return 0, nil, errors.Wrap(err, "control state of peers")
+	if best == "" && failed != nil {
+		return 0, nil, errors.Wrap(failed, "control state of peers")
+	}
+	if best == "" {
+		return 0, nil, nil
+	}
+	resp, err := g.peers.client(best).State(ctx, connect.NewRequest(&rhubarbsailv1.StateRequest{}))
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "control state of peer")
+	}
+	return resp.Msg.AppliedOffset, resp.Msg.Snapshot, nil
 }
 
+// peerPingTimeout bounds the wait for one peer while the log is down.
+const peerPingTimeout = time.Second
+
 func (g *Gateway) controlEvent(ev control.Event) {
 	e, ok := controlEvents[ev.Kind]
 	if !ok {
@@ -217,6 +237,10 @@
 	control.EventSkipped:         events.RecordMalformed,
 	control.EventSnapshotWritten: events.SnapshotWritten,
 	control.EventLoadedPeer:      events.StateFromPeer,
+	control.EventPeerFailed:      events.PeerStateFailed,
+	control.EventLogBehind:       events.LogBehind,
+	control.EventSnapshotFailed:  events.SnapshotFailed,
+	control.EventLoadedSnapshot:  events.SnapshotLoaded,
 }
 
 // removeDeadAgents records agents as gone that have had no link for a while and
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -44,8 +44,13 @@
 
 // ChangeConfig implements httpapi.Operations.
 func (g *Gateway) ChangeConfig(ctx context.Context, c httpapi.ConfigChange) (uint64, error) {
-	v := g.control.Snapshot()
-	parts, err := partsOf(v.Config)
+	// Parts that the change leaves out come from its base version: this gateway
+	// may lag behind, and its older parts would revert a newer change.
+	base, err := g.control.ConfigAt(ctx, c.Base)
+	if err != nil {
+		return 0, operationError(err)
+	}
+	parts, err := partsOf(base)
 	if err != nil {
 		return 0, err
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
@@ -101,6 +102,10 @@
 			Target: m.Target, Service: m.Service, Slots: int(m.Slots), Connections: int(m.Connections),
 		})
 	}
+	var rejected *state.RejectedError
+	if errors.As(err, &rejected) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
 	if err != nil && ctx.Err() == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
