Let an agent whose target left confirm ownership

Cause: a process run with three agents stopped serving after one target left and another agent stopped: the agent of the target that left marked its frames as may_depart, so its probe replies confirmed nothing, although only an agent that stops or loses its lease can be recorded as departed. Also: errors.Wrap of go-faster returns an error for nil, so each heartbeat of the stand-in counted as failed and was repeated after 200 ms; frames of up to 16 MiB are taken, since a gateway sends 24 payloads of up to 256 KiB in one frame.

--- a/agent/lifecycle_test.go
+++ b/agent/lifecycle_test.go
@@ -38,6 +38,11 @@
 			leave(h)
 			f := l.receive()
 			recs := f.GetReport().GetRecords()
+			// Only an agent that stops may be recorded as departed. One whose target
+			// left must confirm ownership, or gateways stop when most targets leave.
+			if f.GetLoad().GetMayDepart() != (name == "agent") {
+				t.Fatalf("may depart: %v", f.GetLoad())
+			}
 			if !f.GetLoad().GetLeaving() || f.GetLoad().GetAccepting() || len(recs) != 1 ||
 				recs[0].GetRefusal() != pb.RefusalReason_REFUSAL_REASON_LEAVING || recs[0].GetTask().GetIndex() != 2 {
 				t.Fatalf("first frame after leaving: %v", f)
--- a/agent/options.go
+++ b/agent/options.go
@@ -43,7 +43,8 @@
 	QueueBytes int
 	// PayloadLimit bounds one payload in bytes; default 256 KiB.
 	PayloadLimit int
-	// FrameLimit bounds a frame from a gateway in bytes; default 4 MiB.
+	// FrameLimit bounds a frame from a gateway in bytes; default 16 MiB, which is
+	// 64 payloads of the largest size.
 	FrameLimit int
 	// ReportLimit is the size in bytes at which a frame to a gateway is split;
 	// default 1 MiB. A frame exceeds it by at most one record.
@@ -120,7 +121,7 @@
 	defaultQueueLimit   = 16
 	defaultQueueBytes   = 16 << 20
 	defaultPayloadLimit = 256 << 10
-	defaultFrameLimit   = 4 << 20
+	defaultFrameLimit   = 16 << 20
 	defaultReportLimit  = 1 << 20
 	defaultOutboxLimit  = 20_000
 	defaultRunTimeout   = 2 * time.Minute
--- a/agent/session.go
+++ b/agent/session.go
@@ -201,7 +201,7 @@
 			Queued:    uint32(len(a.queue)),
 			Leaving:   a.stopping || a.target.left,
 			Accepting: a.veto(now, a.target.service) == 0,
-			MayDepart: a.stopping || a.target.left || !a.lease.valid(now),
+			MayDepart: a.stopping || !a.lease.valid(now),
 		}
 }
 
--- a/standin/target/announce.go
+++ b/standin/target/announce.go
@@ -113,5 +113,8 @@
 	if reply == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(reply), "decode reply")
+	if err := json.NewDecoder(resp.Body).Decode(reply); err != nil {
+		return errors.Wrap(err, "decode reply")
+	}
+	return nil
 }
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -193,6 +193,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// A heartbeat that counts as failed would be repeated in the wrong interval.
+	if wait, err := target.sendAnnounce(t.Context()); err != nil || wait != minHeartbeat {
+		t.Fatalf("wait %v, error %v", wait, err)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- target.Run(ctx) }()
