Release the worker's lease when the agent stops

Cause: a process run showed that an agent restarted after SIGTERM started nothing until the lease of its predecessor had lapsed, up to 10 s. Ruled out: a lease holder without the incarnation (a paused predecessor could renew beside its successor).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -190,7 +190,9 @@
 	_ = targetServer.Close()
 	stopLoops()
 	wg.Wait()
-	a.tasks.Wait()
+	if rerr := a.lease.release(); rerr != nil {
+		events.LeaseRenewalFailed.Log(a.log).Str("worker", a.opts.Worker).Bool("release", true).Err(rerr).Send()
+	}
 	return err
 }
 
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -16,6 +16,8 @@
 	renewals = 3
 	// leaseRetry is the shortest wait after a failed renewal.
 	leaseRetry = 100 * time.Millisecond
+	// releaseTTL is the shortest time to live that the lease service takes.
+	releaseTTL = time.Millisecond
 	// driftMargin is the divisor of the part of a lease that is not used, since
 	// the clocks of agent and platform may drift by up to 10%.
 	driftMargin = 10
@@ -90,6 +92,18 @@
 	return max(min(granted/renewals, k.interval), leaseRetry), nil
 }
 
+// release lets the lease lapse at once, so that the next agent of this worker need
+// not wait for the rest of it. The loop of run must have ended.
+func (k *leaseKeeper) release() error {
+	if k.service == nil || k.until.Swap(0) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_, err := k.service.Renew(ctx, k.worker, k.holder, releaseTTL)
+	return err
+}
+
 // leaseChanged continues with the queue and reports the load.
 func (a *Agent) leaseChanged(valid bool) {
 	event := events.LeaseLapsed
--- a/agent/lifecycle_test.go
+++ b/agent/lifecycle_test.go
@@ -176,10 +176,13 @@
 type fakeLease struct {
 	clock *manualClock
 	next  leaseReply
+	// asked is the time to live of the last request.
+	asked time.Duration
 }
 
-func (f *fakeLease) Renew(context.Context, string, string, time.Duration) (time.Duration, error) {
+func (f *fakeLease) Renew(_ context.Context, _, _ string, ttl time.Duration) (time.Duration, error) {
 	f.clock.advance(f.next.delay)
+	f.asked = ttl
 	return f.next.granted, f.next.err
 }
 
@@ -227,6 +230,20 @@
 	}
 }
 
+// An agent that stops must not keep the next one of its worker waiting, and must
+// not start anything on a lease that it has given up.
+func TestLeaseIsReleased(t *testing.T) {
+	f := &fakeLease{clock: newManualClock(), next: leaseReply{granted: time.Hour}}
+	k := newLeaseKeeper(f, Options{Worker: "w", LeaseTTL: time.Hour, LeaseRenew: time.Minute})
+	now := func() time.Duration { return 0 }
+	if wait, err := k.renew(t.Context(), now); err != nil || wait != time.Minute {
+		t.Fatalf("wait %v, error %v", wait, err)
+	}
+	if err := k.release(); err != nil || f.asked != time.Millisecond || k.valid(0) {
+		t.Fatalf("error %v, asked for %v, valid %v", err, f.asked, k.valid(0))
+	}
+}
+
 // A lapsed lease must hold the queue back until it is renewed, also when the
 // agent notices the lapse only after a pause.
 func TestNothingStartsWithoutLease(t *testing.T) {
--- a/agent/session.go
+++ b/agent/session.go
@@ -213,7 +213,7 @@
 			if a.replaced(s) {
 				return errReplaced
 			}
-			if errors.Is(err, io.EOF) {
+			if errors.Is(err, io.EOF) || a.stopped() {
 				return nil
 			}
 			return err
