Start the embedded deployment from the command; end agents that the log removed

Ruled out: letting a removed agent rejoin under its old incarnation, since takeovers already count its ledger as gone.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -167,14 +167,18 @@
 	defer stopLoops()
 	announcing, stopAnnouncing := context.WithCancel(loops)
 	defer stopAnnouncing()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	var wg sync.WaitGroup
 	wg.Go(func() { failed <- errors.Wrap(linkServer.Serve(link), "serve links") })
 	wg.Go(func() { failed <- errors.Wrap(targetServer.Serve(target), "serve the target") })
 	wg.Go(func() { a.lease.run(loops, a) })
 	wg.Go(func() { a.watchTarget(loops) })
 	var announcer sync.WaitGroup
-	announcer.Go(func() { a.announceLoop(announcing) })
+	announcer.Go(func() {
+		if err := a.announceLoop(announcing); err != nil {
+			failed <- err
+		}
+	})
 	events.ListenStarted.Log(a.log).Str("link", link.Addr().String()).Str("announce", target.Addr().String()).
 		Str("advertised", a.opts.Advertise).Uint64("incarnation", uint64(a.opts.Incarnation)).Send()
 
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -14,6 +14,10 @@
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
 )
 
+// errRemoved ends an agent that the log lists as gone. The VM's supervisor
+// starts it again under a new incarnation.
+var errRemoved = errors.New("the log lists this incarnation of the agent as gone")
+
 const (
 	// announceTimeout bounds one announcement, which waits for the log's read-back
 	// at the gateway.
@@ -34,8 +38,9 @@
 }
 
 // announceLoop announces the agent until ctx ends: at each change of the target,
-// often until the log shows the agent, then rarely.
-func (a *Agent) announceLoop(ctx context.Context) {
+// often until the log shows the agent, then rarely. It fails with errRemoved if
+// the log took this incarnation as gone, which is final for the incarnation.
+func (a *Agent) announceLoop(ctx context.Context) error {
 	retry := announceFirstRetry
 	next := 0
 	failing, joined := false, false
@@ -45,6 +50,8 @@
 		if req != nil && len(a.opts.Gateways) > 0 {
 			recorded, err := a.announceTo(ctx, a.opts.Gateways[next], req)
 			switch {
+			case connect.CodeOf(err) == connect.CodeFailedPrecondition:
+				return errors.Wrap(errRemoved, err.Error())
 			case err != nil:
 				if !failing && ctx.Err() == nil {
 					events.AnnounceFailed.Log(a.log).Str("gateway", a.opts.Gateways[next]).Err(err).Send()
@@ -70,6 +77,7 @@
 		}
 		timer.Stop()
 	}
+	return nil
 }
 
 // announcement returns the announcement of the agent with its target, or nil
--- a/cmd/rhubarbsail/main.go
+++ b/cmd/rhubarbsail/main.go
@@ -17,7 +17,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	app := &command.App{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
-		Terminal: isatty.IsTerminal(os.Stderr.Fd()),
+		Terminal:   isatty.IsTerminal(os.Stderr.Fd()),
+		StartLocal: startLocal,
 	}
 	if u, err := user.Current(); err == nil {
 		app.Operator = u.Username
--- a/command/local.go
+++ b/command/local.go
@@ -175,3 +175,10 @@
 		}
 	})
 }
+
+// The addresses of --callers and --operators, on which the first gateway of
+// `local --keep` listens.
+const (
+	DefaultCallersAddress   = "127.0.0.1:7000"
+	DefaultOperatorsAddress = "127.0.0.1:7001"
+)
--- a/common/telemetry/trace.go
+++ b/common/telemetry/trace.go
@@ -59,8 +59,18 @@
 // NewTracerWith returns a tracer provider that exports to the given exporter in
 // batches.
 func NewTracerWith(c TraceConfig, exporter sdktrace.SpanExporter) *sdktrace.TracerProvider {
+	return newProvider(c, sdktrace.WithBatcher(exporter))
+}
+
+// NewSyncTracer returns a tracer provider that exports each span when it ends,
+// for an exporter in memory.
+func NewSyncTracer(c TraceConfig, exporter sdktrace.SpanExporter) *sdktrace.TracerProvider {
+	return newProvider(c, sdktrace.WithSyncer(exporter))
+}
+
+func newProvider(c TraceConfig, export sdktrace.TracerProviderOption) *sdktrace.TracerProvider {
 	return sdktrace.NewTracerProvider(
-		sdktrace.WithBatcher(exporter),
+		export,
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(c.Ratio))),
 		sdktrace.WithResource(resource.NewSchemaless(
 			attribute.String("service.name", "rhubarbsail-"+c.Process),
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
@@ -26,6 +27,8 @@
 type Env struct {
 	// Log receives the log lines, Spans those of the stdout exporter.
 	Log, Spans io.Writer
+	// Exporter receives every span in place of the exporter in the settings.
+	Exporter sdktrace.SpanExporter
 	// Listen opens a listener; nil is net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 }
@@ -142,16 +145,26 @@
 	if err != nil {
 		return nil, err
 	}
-	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceConfig{
-		Exporter: telemetry.Exporter(s.TraceExporter), Endpoint: s.TraceEndpointURL, Ratio: s.TraceRatio,
-		Process: process, ID: id, Out: env.Spans,
-	})
+	tracer, flush, err := newTracer(ctx, process, id, s, env)
 	if err != nil {
 		return nil, err
 	}
 	return &processTelemetry{log: log, metrics: telemetry.NewMetrics(process, id, log), tracer: tracer, flush: flush}, nil
 }
 
+func newTracer(ctx context.Context, process, id string, s settings.Telemetry, env Env) (trace.TracerProvider, func(context.Context) error, error) {
+	c := telemetry.TraceConfig{
+		Exporter: telemetry.Exporter(s.TraceExporter), Endpoint: s.TraceEndpointURL, Ratio: s.TraceRatio,
+		Process: process, ID: id, Out: env.Spans,
+	}
+	if env.Exporter == nil {
+		return telemetry.NewTracer(ctx, c)
+	}
+	c.Ratio = 1
+	p := telemetry.NewSyncTracer(c, env.Exporter)
+	return p, p.Shutdown, nil
+}
+
 func (t *processTelemetry) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"github.com/rhubarbsail/rhubarbsail/common/settings"
 	"github.com/rhubarbsail/rhubarbsail/daemon"
@@ -33,10 +34,16 @@
 	Speeds []float64
 	// Service and Client are the one service and client of the rules.
 	Service, Client string
-	// TraceSpans receives the spans of all processes; nil writes none.
-	TraceSpans io.Writer
+	// Spans receives the spans of all processes; nil records none.
+	Spans sdktrace.SpanExporter
 	// Log receives the log lines of all processes; nil writes none.
 	Log io.Writer
+	// LogLevel is the least level of the log lines; default info.
+	LogLevel string
+	// CallersAddress and OperatorsAddress fix those of the first gateway.
+	CallersAddress, OperatorsAddress string
+	// Run is the run time of a task whose payload gives none; default 200 ms.
+	Run time.Duration
 	// AdjustGateway and AdjustAgent may change settings before the start.
 	AdjustGateway func(*settings.Gateway)
 	AdjustAgent   func(*settings.Agent)
@@ -99,6 +106,12 @@
 	if o.Client == "" {
 		o.Client = "demo"
 	}
+	if o.LogLevel == "" {
+		o.LogLevel = "info"
+	}
+	if o.Run <= 0 {
+		o.Run = 200 * time.Millisecond
+	}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -186,6 +199,9 @@
 			}
 			*a = address
 		}
+		if i == 0 && d.opts.CallersAddress != "" {
+			s.CallersAddress, s.OperatorsAddress = d.opts.CallersAddress, d.opts.OperatorsAddress
+		}
 		internal = append(internal, s.InternalAddress)
 		d.Callers = append(d.Callers, "http://"+s.CallersAddress)
 		d.Operators = append(d.Operators, "http://"+s.OperatorsAddress)
@@ -222,7 +238,7 @@
 	for i, s := range d.agents {
 		t, err := target.New(target.Options{
 			Target: targetName(i), Service: d.opts.Service, Listen: "127.0.0.1:0", AgentURL: "http://" + s.AnnounceAddress,
-			Slots: slots, Connections: connections, Speed: d.opts.Speeds[i%len(d.opts.Speeds)], Log: zerolog.Nop(),
+			Slots: slots, Connections: connections, Run: d.opts.Run, Speed: d.opts.Speeds[i%len(d.opts.Speeds)], Log: zerolog.Nop(),
 		})
 		if err != nil {
 			return err
@@ -264,15 +280,11 @@
 }
 
 func (d *Deployment) telemetry() settings.Telemetry {
-	t := settings.Telemetry{LogLevel: "info", TraceExporter: "none", TraceRatio: 0}
-	if d.opts.TraceSpans != nil {
-		t.TraceExporter, t.TraceRatio = "stdout", 1
-	}
-	return t
+	return settings.Telemetry{LogLevel: d.opts.LogLevel, TraceExporter: "none"}
 }
 
 func (d *Deployment) env() daemon.Env {
-	return daemon.Env{Log: d.opts.Log, Spans: d.opts.TraceSpans, Listen: d.listen}
+	return daemon.Env{Log: d.opts.Log, Exporter: d.opts.Spans, Listen: d.listen}
 }
 
 func targetName(i int) string { return fmt.Sprintf("target-%d", i) }
