Adapt the stand-in's callers after the merge

Cause: daemon.Output became daemon.Env, and target.Options.Agent became AgentURL when the stand-in took its settings.

--- a/cmd/standin-target/main.go
+++ b/cmd/standin-target/main.go
@@ -15,8 +15,8 @@
 	os.Exit(daemon.Main("standin-target", &settings.TargetStandin{}, run))
 }
 
-func run(ctx context.Context, s *settings.TargetStandin, out daemon.Output) error {
-	log, err := events.NewLogger(out.Log, s.Telemetry.LogLevel, "standin-target", s.ID)
+func run(ctx context.Context, s *settings.TargetStandin, env daemon.Env) error {
+	log, err := events.NewLogger(env.Log, s.Telemetry.LogLevel, "standin-target", s.ID)
 	if err != nil {
 		return err
 	}
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -221,7 +221,7 @@
 func (d *Deployment) startTargets(ctx context.Context) error {
 	for i, s := range d.agents {
 		t, err := target.New(target.Options{
-			Target: targetName(i), Service: d.opts.Service, Listen: "127.0.0.1:0", Agent: s.AnnounceAddress,
+			Target: targetName(i), Service: d.opts.Service, Listen: "127.0.0.1:0", AgentURL: "http://" + s.AnnounceAddress,
 			Slots: slots, Connections: connections, Speed: d.opts.Speeds[i%len(d.opts.Speeds)], Log: zerolog.Nop(),
 		})
 		if err != nil {
