Let a departed agent join again as a new incarnation

Cause: once the log shows an incarnation of an agent as departed (it was out of reach and its worker's lease could be taken), no announcement of it is recorded any more, so an agent that is reachable again would get no work until it restarts. Ruled out: a new incarnation after each lapse of the lease (an outage of the lease service would make every agent count as missing). Result: when a gateway answers an announcement with FAILED_PRECONDITION, and the lease is valid, the agent takes a new incarnation, voids its permits, gives its queue back, ends its links and keeps its ledger. Gateways do not send this code yet. go test -race ./agent/... passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,10 +49,12 @@
 
 	// mu guards the fields below. Changes of the ledger and the messages about
 	// them are made under it, so that a gateway sees them in one order.
-	mu       sync.Mutex
-	target   targetState
-	drain    drainState
-	sessions map[string]*session
+	mu     sync.Mutex
+	target targetState
+	// incarnation changes when the log shows the former one as departed.
+	incarnation model.Incarnation
+	drain       drainState
+	sessions    map[string]*session
 	// owners maps a partition to the gateway that receives its outcomes: the one
 	// with the newest epoch.
 	owners map[model.Partition]string
@@ -96,6 +98,7 @@
 		ledger:      ledger.New(opts.Ledger),
 		lease:       newLeaseKeeper(deps.Lease, opts),
 		started:     started,
+		incarnation: opts.Incarnation,
 		announceNow: make(chan struct{}, 1),
 		sessions:    make(map[string]*session),
 		owners:      make(map[model.Partition]string),
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -9,7 +9,9 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/model"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
 )
@@ -45,6 +47,8 @@
 		if req != nil && len(a.opts.Gateways) > 0 {
 			recorded, err := a.announceTo(ctx, a.opts.Gateways[next], req)
 			switch {
+			case connect.CodeOf(err) == connect.CodeFailedPrecondition && a.rejoin():
+				wait = announceFirstRetry
 			case err != nil:
 				if !failing && ctx.Err() == nil {
 					events.AnnounceFailed.Log(a.log).Str("gateway", a.opts.Gateways[next]).Err(err).Send()
@@ -82,7 +86,7 @@
 	}
 	return &pb.AnnounceRequest{
 		Agent:            a.opts.Agent,
-		Incarnation:      uint64(a.opts.Incarnation),
+		Incarnation:      uint64(a.incarnation),
 		Address:          a.opts.Advertise,
 		Worker:           a.opts.Worker,
 		Rack:             a.opts.Rack,
@@ -94,6 +98,29 @@
 	}
 }
 
+// rejoin takes a new incarnation after a gateway answered that the log shows the
+// present one as departed, which happens when the agent was out of reach and had
+// lost its lease. The ledger stays. It returns false without a valid lease: the
+// worker may then belong to a newer agent of the same name.
+func (a *Agent) rejoin() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	if a.stopping || !a.lease.valid(a.since(now)) {
+		return false
+	}
+	old := a.incarnation
+	a.incarnation = max(model.Incarnation(now.UnixNano()), old+1)
+	a.ledger.SetIncarnation(a.incarnation)
+	a.giveBack(a.since(now), ledger.Leaving)
+	// Gateways hold their links with the old incarnation.
+	for _, s := range a.sessions {
+		s.abort()
+	}
+	events.AgentRejoined.Log(a.log).Uint64("old", uint64(old)).Uint64("incarnation", uint64(a.incarnation)).Send()
+	return true
+}
+
 func (a *Agent) announceTo(ctx context.Context, address string, req *pb.AnnounceRequest) (recorded bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
--- a/agent/ledger/ledger.go
+++ b/agent/ledger/ledger.go
@@ -98,6 +98,8 @@
 	opts Options
 
 	mu sync.Mutex // guards all fields below
+	// incarnation is the one whose permits are valid.
+	incarnation model.Incarnation
 	// now is the latest time that a caller passed.
 	now     time.Duration
 	entries map[model.TaskID]*entry
@@ -124,6 +126,7 @@
 func New(opts Options) *Ledger {
 	return &Ledger{
 		opts:         opts.withDefaults(),
+		incarnation:  opts.Incarnation,
 		entries:      make(map[model.TaskID]*entry),
 		open:         make(map[model.TaskID]*entry),
 		partitions:   make(map[model.Partition]*partition),
@@ -132,6 +135,14 @@
 	}
 }
 
+// SetIncarnation makes all permits issued so far void. Entries and epochs stay,
+// which refuses more than the empty ledger of a new process would.
+func (l *Ledger) SetIncarnation(i model.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.incarnation = i
+}
+
 // Counts returns the size of the ledger.
 func (l *Ledger) Counts(now time.Duration) Counts {
 	l.mu.Lock()
--- a/agent/ledger/ledger_test.go
+++ b/agent/ledger/ledger_test.go
@@ -312,6 +312,22 @@
 	}
 }
 
+// An agent that was recorded as departed joins again as a new incarnation. Its old
+// permits must not start anything, and what ran must not run again.
+func TestNewIncarnationKeepsEntries(t *testing.T) {
+	l := newLedger()
+	begin(t, l, 0, attempt(0, 5, 1))
+	old := startAt(0, attempt(1, 5, 1))
+	l.SetIncarnation(incarnation + 1)
+	if rec, ok := l.Admit(0, old); ok || rec.Refusal != PermitExpired {
+		t.Fatalf("old permit: accepted %v, %v", ok, rec.Refusal)
+	}
+	again := Start{Attempt: attempt(0, 6, 1), Permit: l.Issue(0)}
+	if rec, ok := l.Admit(0, again); ok || rec.Refusal != Duplicate || rec.State != Running {
+		t.Fatalf("started task: accepted %v, %v", ok, rec.Refusal)
+	}
+}
+
 // Many queued tasks must not reserve room for results that only running tasks
 // can have, and a task that cannot store its outcome must not begin.
 func TestRoomForOutcomeIsReservedAtBegin(t *testing.T) {
--- a/agent/ledger/start.go
+++ b/agent/ledger/start.go
@@ -9,7 +9,9 @@
 
 // Issue returns a permit for starts sent after now.
 func (l *Ledger) Issue(now time.Duration) Permit {
-	return Permit{Incarnation: l.opts.Incarnation, Issued: now}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Permit{Incarnation: l.incarnation, Issued: now}
 }
 
 // Admit decides about a start. If it is accepted, the record is Queued and the
@@ -84,7 +86,7 @@
 }
 
 func (l *Ledger) valid(p Permit) bool {
-	return p.Incarnation == l.opts.Incarnation &&
+	return p.Incarnation == l.incarnation &&
 		p.Issued > l.refuseIssued && p.Issued <= l.now &&
 		l.now-p.Issued <= l.opts.PermitLifetime
 }
--- a/agent/lifecycle_test.go
+++ b/agent/lifecycle_test.go
@@ -311,7 +311,7 @@
 
 func startGateway(t *testing.T, reply func() (*pb.AnnounceResponse, error)) (*fakeGateway, string) {
 	t.Helper()
-	f := &fakeGateway{got: make(chan *pb.AnnounceRequest, 100), reply: reply}
+	f := &fakeGateway{got: make(chan *pb.AnnounceRequest, 10000), reply: reply}
 	mux := http.NewServeMux()
 	mux.Handle(rhubarbsailv1connect.NewGatewayServiceHandler(f))
 	s := httptest.NewServer(mux)
@@ -367,6 +367,44 @@
 	}
 }
 
+// An agent that was recorded as departed while it was out of reach must come back,
+// with void permits, instead of announcing for ever what the log rejects.
+func TestDepartedIncarnationRejoins(t *testing.T) {
+	rejected := make(chan bool, 1)
+	gateway, address := startGateway(t, func() (*pb.AnnounceResponse, error) {
+		select {
+		case <-rejected:
+			return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("departed"))
+		default:
+			return &pb.AnnounceResponse{Recorded: true}, nil
+		}
+	})
+	transport := &http.Transport{}
+	h := startAgent(t, Options{Gateways: []string{address}, AnnounceInterval: time.Millisecond},
+		Dependencies{GatewayClient: &http.Client{Transport: transport}}, func(http.ResponseWriter, *http.Request) {})
+	t.Cleanup(transport.CloseIdleConnections)
+	h.announce()
+	first := (<-gateway.got).GetIncarnation()
+	old := h.dial("g1")
+	rejected <- true
+	for (<-gateway.got).GetIncarnation() == first {
+	}
+	for {
+		if _, err := old.stream.Receive(); err != nil {
+			break
+		}
+	}
+	l := h.dial("g1")
+	if l.permit.GetAgentIncarnation() <= first {
+		t.Fatalf("incarnation %d after %d", l.permit.GetAgentIncarnation(), first)
+	}
+	l.permit = old.permit
+	l.start(each, start(0, 1))
+	if rec := l.records(1)[0]; rec.GetRefusal() != pb.RefusalReason_REFUSAL_REASON_PERMIT_EXPIRED {
+		t.Fatalf("start with an old permit: %v", rec)
+	}
+}
+
 // An outcome that no gateway has received when the agent stops must wait for the
 // gateway to reconnect.
 func TestStopDeliversAfterReconnect(t *testing.T) {
@@ -413,7 +451,7 @@
 	var sizes []int
 	for more := true; more; {
 		var f *pb.AgentFrame
-		f, more = m.next(1000, 1)
+		f, more = m.next(1000)
 		if f.GetFenced().GetLast() == more || f.GetFenced().GetRequest() != 3 {
 			t.Fatalf("frame %v, more %v", f, more)
 		}
--- a/agent/outbox.go
+++ b/agent/outbox.go
@@ -4,7 +4,6 @@
 	"sync"
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
-	"github.com/rhubarbsail/rhubarbsail/common/model"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 )
 
@@ -22,7 +21,8 @@
 // message is a frame to a gateway before it is split and encoded.
 type message struct {
 	kind messageKind
-	// request is the number of the revoke, fence or probe that is answered.
+	// request is the number of the revoke, fence or probe that is answered, or the
+	// incarnation in a welcome.
 	request uint64
 	records []ledger.Record
 	newer   []ledger.PartitionEpoch
@@ -30,14 +30,14 @@
 
 // next encodes the next frame of the message and removes its records from the
 // message. It returns true if more frames follow.
-func (m *message) next(limit int, incarnation model.Incarnation) (*pb.AgentFrame, bool) {
+func (m *message) next(limit int) (*pb.AgentFrame, bool) {
 	n := nextChunk(m.records, limit)
 	recs := recordsToWire(m.records[:n])
 	m.records = m.records[n:]
 	more := len(m.records) > 0
 	switch m.kind {
 	case messageWelcome:
-		return &pb.AgentFrame{Frame: &pb.AgentFrame_Welcome{Welcome: &pb.Welcome{AgentIncarnation: uint64(incarnation)}}}, false
+		return &pb.AgentFrame{Frame: &pb.AgentFrame_Welcome{Welcome: &pb.Welcome{AgentIncarnation: m.request}}}, false
 	case messageProbed:
 		return &pb.AgentFrame{Frame: &pb.AgentFrame_Probed{Probed: &pb.ProbeReply{
 			Sequence: m.request, Newer: epochsToWire(m.newer),
--- a/agent/session.go
+++ b/agent/session.go
@@ -126,7 +126,7 @@
 		old.abort()
 	}
 	a.sessions[s.gateway] = s
-	a.push(s, message{kind: messageWelcome})
+	a.push(s, message{kind: messageWelcome, request: uint64(a.incarnation)})
 	a.redeliver(s)
 	events.GatewayConnected.Log(a.log).Str("gateway", s.gateway).Uint64("incarnation", uint64(s.incarnation)).Send()
 	return nil
@@ -177,7 +177,7 @@
 	for more := true; more; {
 		n := len(m.records)
 		var f *pb.AgentFrame
-		f, more = m.next(a.opts.ReportLimit, a.opts.Incarnation)
+		f, more = m.next(a.opts.ReportLimit)
 		f.Permit, f.Load = a.status()
 		if err := stream.Send(f); err != nil {
 			*m = all
--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -116,6 +116,8 @@
 		"Nothing if it is renewed before it lapses; otherwise check the platform's lease service.")
 	AnnounceFailed = define(5017, "announce_failed", warnLevel, "a gateway did not take the agent's announcement; the next one is tried",
 		"Check the gateways in the agent's settings if agent_joined does not follow.")
+	AgentRejoined = define(5018, "agent_rejoined", warnLevel, "the log shows this incarnation as departed; the agent joins as a new one",
+		"Nothing after a network interruption; otherwise look for a second agent with the same id.")
 )
 
 // Events of the stand-ins (9000 to 9099).
--- a/gen/rhubarbsail/v1/rhubarbsailv1connect/gateway.connect.go
+++ b/gen/rhubarbsail/v1/rhubarbsailv1connect/gateway.connect.go
@@ -59,7 +59,9 @@
 	// Lookup returns what the owner knows of a job.
 	Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
-	// Announce reports an agent that joins, changes or leaves.
+	// Announce reports an agent that joins, changes or leaves. It fails with
+	// FAILED_PRECONDITION if the log shows this incarnation as departed; the agent
+	// then joins as a new one.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// State returns the control snapshot for a process that starts during an
 	// outage of the log.
@@ -191,7 +193,9 @@
 	// Lookup returns what the owner knows of a job.
 	Lookup(context.Context, *connect.Request[v1.LookupRequest]) (*connect.Response[v1.LookupResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
-	// Announce reports an agent that joins, changes or leaves.
+	// Announce reports an agent that joins, changes or leaves. It fails with
+	// FAILED_PRECONDITION if the log shows this incarnation as departed; the agent
+	// then joins as a new one.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	// State returns the control snapshot for a process that starts during an
 	// outage of the log.
