--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -78,12 +78,12 @@
 	var jobs []JobSpec
 	for at := 0.0; ; {
 		// Thinning of a Poisson process at the highest rate.
-		peak, here := w.rates(rate, at)
+		peak, _ := w.rates(rate, at)
 		at += rng.ExpFloat64() / peak
 		if at > w.Duration.Seconds() {
 			break
 		}
-		_, here = w.rates(rate, at)
+		_, here := w.rates(rate, at)
 		if rng.Float64()*peak > here {
 			continue
 		}
