Judge overdue tasks by the age distribution of running tasks

The test compared ages with the distribution of all run times, but long tasks are seen running more often than they start. Change: use the distribution of ages (tail of the run times times expected rest); raise the assumed slowness only until the ages are plausible.

--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -112,6 +112,7 @@
 	ratioPrior     = 20
 	ratioRefresh   = 64
 	ratioWindow    = 2000
+	ratioLeast     = 1e-6
 )
 
 // ratioTable is the distribution of run time / predicted run time of a
@@ -123,7 +124,8 @@
 	unread int
 	// mean is the mean ratio; rest[i] the expected rest of a task that has run
 	// for the lower edge of bucket i, and logTail[i] the logarithm of the share
-	// of tasks that run longer.
+	// of running tasks that have run longer. That share is larger than the share
+	// of all tasks that run longer, since long tasks are seen running more often.
 	mean    float64
 	rest    [ratioBuckets + 1]float64
 	logTail [ratioBuckets + 1]float64
@@ -173,16 +175,18 @@
 func (t *ratioTable) rebuild() {
 	t.unread = 0
 	tail, sum := 0.0, 0.0
-	last := ratioEdge(ratioBuckets)
-	t.rest[ratioBuckets] = last
-	t.logTail[ratioBuckets] = math.Log(1e-6)
+	t.rest[ratioBuckets] = ratioEdge(ratioBuckets)
 	for i := ratioBuckets - 1; i >= 0; i-- {
 		tail += t.count[i]
 		sum += t.count[i] * (ratioEdge(i) + ratioEdge(i+1)) / 2
 		t.rest[i] = math.Max(sum/tail-ratioEdge(i), 0.02)
-		t.logTail[i] = math.Log(math.Max(tail/t.total, 1e-6))
+		t.logTail[i] = math.Log(math.Max(tail/t.total*t.rest[i], ratioLeast))
 	}
 	t.mean = sum / t.total
+	t.logTail[ratioBuckets] = math.Log(ratioLeast)
+	for i := range t.logTail {
+		t.logTail[i] -= math.Log(t.mean)
+	}
 }
 
 func interpolate(table *[ratioBuckets + 1]float64, x float64) float64 {
@@ -203,8 +207,8 @@
 	return interpolate(&t.rest, x)
 }
 
-// surprise returns -ln of the share of tasks that run longer than x
-// predictions; it is distributed as Exp(1) for ordinary tasks.
+// surprise returns -ln of the share of running tasks that have run for longer
+// than x predictions; for ordinary tasks it is distributed as Exp(1).
 func (t *ratioTable) surprise(x float64) float64 {
 	if x <= ratioEdge(0) {
 		return 0
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -198,13 +198,8 @@
 			n++
 			sum += t.svc.ratio.surprise((now - a.start - 2*t.delay) / (a.job.tasks[a.index].work * base * k))
 		}
-		// The sum of n terms of Exp(1) exceeds this bound in less than 0.3% of
-		// the cases; once it does, the factor grows until the sum is ordinary.
-		bound := n + 3*math.Sqrt(n) + 2
-		if k > 1 {
-			bound = n
-		}
-		if sum <= bound {
+		// The sum of n terms of Exp(1) has mean n and deviation sqrt(n).
+		if sum <= n+4*math.Sqrt(n)+3 {
 			break
 		}
 	}
