Count the risk of collisions with other gateways when a target is chosen

Change: the number of foreign tasks is a distribution that widens with the age of the report; the expected wait at the agent counts in the choice.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -159,7 +159,8 @@
 			continue
 		}
 		t.refresh(now)
-		free := math.Max(0.1*float64(t.Slots), float64(t.Slots)-t.foreignNow(now))
+		foreign, _ := t.foreignNow(now)
+		free := math.Max(0.1*float64(t.Slots), float64(t.Slots)-foreign)
 		s.rate += free / t.slow
 		s.fastest = math.Min(s.fastest, t.slow)
 	}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -21,6 +21,16 @@
 // so that errors of the estimates even out.
 const aheadShare = 0.5
 
+const (
+	// openChoices bounds the targets with room that are compared for a task, in
+	// order of speed.
+	openChoices = 48
+	// collisionWeight weighs the expected wait after a collision. Measured with
+	// 3 gateways and equal targets at 80% load, p99 slowdown: 2.05 without the
+	// term, 1.67 with a weight of 1, 1.46 with 4.
+	collisionWeight = 4
+)
+
 // place assigns waiting tasks of a service in the order in which they would be
 // served. A task goes to the fastest target with a free slot, unless it does
 // better to wait for a faster one; each task that waits makes waiting longer
@@ -54,6 +64,7 @@
 		rate := float64(min(len(t.out), t.Slots)) / (mean * t.slow)
 		ends += rate
 		speed += rate / t.slow
+		t.foreignSeen, t.foreignWidth = t.foreignNow(now)
 		t.room = t.freeSlots(now)
 		if t.room == 0 && len(t.out) < t.limit(now) {
 			// The report of a free slot and the next start take two delays; tasks
@@ -68,7 +79,7 @@
 
 // freeSlots returns the number of slots that are expected to be free.
 func (t *target) freeSlots(now float64) int {
-	free := int(float64(t.Slots-len(t.out)) - t.foreignNow(now) + 0.5)
+	free := int(float64(t.Slots-len(t.out)) - t.foreignSeen + 0.5)
 	return max(0, min(free, t.limit(now)-len(t.out)))
 }
 
@@ -88,7 +99,7 @@
 func (p *placer) visit(j *job, index int) (take, stop bool) {
 	p.svc.renew(j, index)
 	work := j.tasks[index].work * p.svc.ratio.mean
-	t := p.open(j)
+	t := p.open(j, work)
 	if t != nil && !p.shouldWait(t, work) {
 		why := whyFree
 		switch {
@@ -118,8 +129,9 @@
 	replaceMin(t.slots, start+work*t.slow)
 }
 
-// open returns the fastest target with room that may run j, or nil.
-func (p *placer) open(j *job) *target {
+// open returns the target with room that may run j and has the least expected
+// time for the work, or nil.
+func (p *placer) open(j *job, work float64) *target {
 	list := p.svc.usable
 	for p.first < len(list) && list[p.first].room == 0 {
 		full := list[p.first]
@@ -128,12 +140,32 @@
 		p.speed += rate / full.slow
 		p.first++
 	}
+	var best *target
+	cost := math.Inf(1)
+	seen := 0
 	for _, t := range list[p.first:] {
-		if t.room > 0 && (j.allowed == nil || j.allowed(t.ID)) {
-			return t
+		if t.room == 0 || (j.allowed != nil && !j.allowed(t.ID)) {
+			continue
 		}
+		if c := work*t.slow + 2*t.delay + t.collisionCost(); c < cost {
+			best, cost = t, c
+		}
+		if seen++; seen == openChoices {
+			break
+		}
+	}
+	return best
+}
+
+// collisionCost returns the expected time in seconds that one more task waits
+// at the agent, since other gateways may have filled the slots since the last
+// report. It is weighted, so that gateways spread over targets of like speed.
+func (t *target) collisionCost() float64 {
+	excess := float64(len(t.out)+1-t.Slots) + t.foreignSeen
+	if t.foreignWidth > 0.01 {
+		excess = t.foreignWidth * math.Log1p(math.Exp(excess/t.foreignWidth))
 	}
-	return nil
+	return collisionWeight * math.Max(0, excess) * t.svc.meanWork() * t.slow / float64(t.Slots)
 }
 
 // shouldWait reports whether a task does better to wait for a target that is
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -13,6 +13,9 @@
 	// staleHalf is the time in seconds in which the excess slowness of a stale
 	// target halves.
 	staleHalf = 10.0
+	// logisticWidth is the scale of a logistic distribution with a standard
+	// deviation of 1.
+	logisticWidth = 0.55
 	// usualWindow is the number of outcomes that define a target's usual speed.
 	usualWindow = 1000
 	// overdueStep is the factor by which the assumed slowness of a target grows
@@ -66,6 +69,8 @@
 	// tasks that the Decide has sent. All are valid within one Decide.
 	room, sent              int
 	fasterEnds, fasterSpeed float64
+	// foreignSeen and foreignWidth are the results of foreignNow.
+	foreignSeen, foreignWidth float64
 	// order ranks equal targets.
 	order uint64
 }
@@ -107,12 +112,14 @@
 	return (t.speed.n*s + prior) / (t.speed.n + 1)
 }
 
-// foreignNow returns the expected number of tasks of other gateways. An old
-// report counts less, in favour of the mean.
-func (t *target) foreignNow(now float64) float64 {
+// foreignNow returns the expected number of tasks of other gateways, and the
+// width of a logistic distribution of it. An old report counts less, in favour
+// of the mean: since then, tasks have ended and others have come.
+func (t *target) foreignNow(now float64) (expected, width float64) {
 	tau := math.Max(t.svc.meanWork()*t.slow, 0.01)
 	w := math.Exp(-(now - t.foreignAt) / tau)
-	return t.foreignMean + (t.foreign-t.foreignMean)*w
+	variance := t.foreign*w*(1-w) + t.foreignMean*(1-w)
+	return t.foreignMean + (t.foreign-t.foreignMean)*w, logisticWidth * math.Sqrt(variance)
 }
 
 func (t *target) report(now float64, load Load) {
@@ -159,7 +166,8 @@
 func (t *target) model(now float64) {
 	t.slots = slices.Grow(t.slots[:0], t.Slots)[:t.Slots]
 	ratio := t.svc.ratio
-	foreign := int(math.Round(t.foreignNow(now)))
+	expected, _ := t.foreignNow(now)
+	foreign := int(math.Round(expected))
 	mean := t.svc.meanWork() * t.slow
 	for i := range t.slots {
 		t.slots[i] = math.Inf(-1)
@@ -229,7 +237,8 @@
 		if !t.usable(now) || t.health.ejected {
 			continue
 		}
-		served += math.Min(float64(t.Slots), float64(len(t.out))+t.foreignNow(now)) / t.slow
+		foreign, _ := t.foreignNow(now)
+		served += math.Min(float64(t.Slots), float64(len(t.out))+foreign) / t.slow
 	}
 	s.served += (served - s.served) * (1 - math.Exp(-elapsed/servedWindow))
 	mean := s.meanWork()
