--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -40,9 +40,11 @@
 	// Default 3.
 	ProbeSuccesses int
 	// RevokeGain is the factor by which another target has to finish a queued
-	// task sooner before it is revoked. Default 1.5.
+	// task sooner before it is revoked. Default 3.
 	RevokeGain float64
-	// RevokeMin is the least time saved that is worth a revoke. Default 30 ms.
+	// RevokeMin is the least time saved that is worth a revoke. Default 200 ms. With a gain of
+	// 1.5 and 30 ms, 2.5% of the messages at 80% load went into revokes, without a
+	// lower p99.
 	RevokeMin time.Duration
 	// AdmitMargin multiplies the estimated completion before it is compared
 	// with the deadline. Default 1.2.
@@ -65,8 +67,8 @@
 	setDefault(&o.EjectBackoffMax, 2*time.Minute)
 	setDefault(&o.EjectShare, 0.4)
 	setDefault(&o.ProbeSuccesses, 3)
-	setDefault(&o.RevokeGain, 1.5)
-	setDefault(&o.RevokeMin, 30*time.Millisecond)
+	setDefault(&o.RevokeGain, 3)
+	setDefault(&o.RevokeMin, 200*time.Millisecond)
 	setDefault(&o.AdmitMargin, 1.2)
 	setDefault(&o.RetryMin, 100*time.Millisecond)
 	setDefault(&o.RetryMax, 10*time.Second)
