--- a/experiment/cases.go
+++ b/experiment/cases.go
@@ -32,7 +32,9 @@
 		{Name: "steady-80-1gw", Fleet: fleet(), Load: load(0.8, single), Gateways: 1},
 		{Name: "steady-95", Fleet: fleet(), Load: load(0.95, single)},
 		{Name: "even-80", Fleet: NewFleet(fleetSize, fleetSlots, 1), Load: load(0.8, single)},
-		{Name: "declared-exact-80", Fleet: fleet(), Load: load(0.8, single, func(w *Workload) { w.DeclaredError = 1 })},
+		{Name: "even-80-1gw", Fleet: NewFleet(fleetSize, fleetSlots, 1), Load: load(0.8, single), Gateways: 1},
+		{Name: "declared-exact-80", Fleet: fleet(), Load: load(0.8, single, exact)},
+		{Name: "declared-exact-80-1gw", Fleet: fleet(), Load: load(0.8, single, exact), Gateways: 1},
 		{Name: "burst", Fleet: fleet(), Load: load(0.6, single, func(w *Workload) {
 			w.BurstFactor, w.BurstLength, w.BurstPeriod = 4, time.Second, 10*time.Second
 		})},
@@ -57,6 +59,9 @@
 	return cases
 }
 
+// exact makes declared run times correct.
+func exact(w *Workload) { w.DeclaredError = 1 }
+
 // longer gives large jobs, of which there are few, a longer run and timeout.
 func longer(w *Workload) {
 	w.Timeout = 2 * time.Minute
--- a/scheduler/fairqueue.go
+++ b/scheduler/fairqueue.go
@@ -2,22 +2,35 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
-// fairQueue holds the waiting tasks of one service. Clients share it by
-// start-time fair queueing (Goyal, Vin and Cheng 1996) with the expected work
-// of a task as its cost. Within a client, jobs are ordered by arrival plus
-// expected makespan, which bounds the slowdown of small jobs behind large ones
-// and starves none, since later jobs rank later.
+// fairQueue holds the waiting tasks of one service. Jobs are ordered by rank,
+// which is arrival plus expected makespan: this bounds the slowdown of small
+// jobs behind large ones and starves none, since later jobs rank later.
+// Clients that were served more than their share while others waited rank later
+// by their lead. The lead is kept by tags as in start-time fair queueing (Goyal,
+// Vin and Cheng 1996) with the expected work of a task as its cost, and a lead of
+// up to leadAllowance counts for nothing, so that a short queue is served in the
+// order of ranks.
 type fairQueue struct {
 	flows  map[*client]*flow
 	active []*flow
-	vtime  float64
+	// vtime is the least tag of the active flows, or the greatest tag reached
+	// when none is active; scale is the time in seconds for a tag of 1.
+	vtime, maxTag, scale float64
+	// rate is the work per second that the service can do.
+	rate float64
+
 	queued int
 	work   float64
 }
 
+// leadAllowance is the service time in seconds by which a client may be ahead
+// of its share before its jobs rank later.
+const leadAllowance = 2.0
+
 // flow is the queue of one client in one service.
 type flow struct {
 	client *client
@@ -49,6 +62,9 @@
 func (q *fairQueue) add(j *job) {
 	f := j.flow
 	if f.queued == 0 && len(f.jobs) == 0 {
+		if len(q.active) == 0 {
+			q.vtime = q.maxTag
+		}
 		f.tag = max(f.tag, q.vtime)
 		q.active = append(q.active, f)
 	}
@@ -111,6 +127,7 @@
 // until limit tasks were seen or visit returns stop. A task for which visit
 // returns take leaves the queue.
 func (q *fairQueue) walk(limit int, visit func(j *job, index int) (take, stop bool)) {
+	q.advance()
 	for _, f := range q.active {
 		f.walkTag, f.walkRun = f.tag, f.client.running
 		f.visitJob(0)
@@ -129,8 +146,8 @@
 		f.walkRun++
 		j.walkAt++
 		if take {
-			q.vtime = max(q.vtime, f.tag)
 			f.tag += cost
+			q.maxTag = max(q.maxTag, f.tag)
 			q.count(j, index, -1)
 		} else {
 			j.wait[j.walkKept] = int32(index)
@@ -143,6 +160,19 @@
 	q.compact()
 }
 
+// advance moves vtime to the least tag of the active flows.
+func (q *fairQueue) advance() {
+	least, shares := math.Inf(1), 0.0
+	for _, f := range q.active {
+		least = min(least, f.tag)
+		shares += f.client.share
+	}
+	q.vtime = max(q.vtime, least)
+	if q.rate > 0 {
+		q.scale = shares / q.rate
+	}
+}
+
 func (f *flow) visitJob(at int) {
 	f.walkJob = at
 	if at < len(f.jobs) {
@@ -153,12 +183,14 @@
 // next returns the flow to serve next in a walk.
 func (q *fairQueue) next() *flow {
 	var best *flow
+	first := math.Inf(1)
 	for _, f := range q.active {
 		if f.walkJob >= len(f.jobs) || (f.client.maxRunning > 0 && f.walkRun >= f.client.maxRunning) {
 			continue
 		}
-		if best == nil || f.walkTag < best.walkTag {
-			best = f
+		lead := max(0, (f.walkTag-q.vtime)*q.scale-leadAllowance)
+		if key := f.jobs[f.walkJob].rank + lead; key < first {
+			best, first = f, key
 		}
 	}
 	return best
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -40,6 +40,7 @@
 		return
 	}
 	p := placer{e: e, svc: svc, now: now, out: out}
+	svc.queue.rate = svc.rate / svc.ratio.mean
 	if svc.collect(now, e.opts.Prefetch) == 0 && !svc.queue.hasBatch(e) {
 		return
 	}
