--- a/agent/announce.go
+++ b/agent/announce.go
@@ -36,7 +36,8 @@
 }
 
 // announceLoop announces the agent until ctx ends: at each change of the target,
-// often until the log shows the agent, then rarely.
+// often until the log shows the agent, then rarely. It takes a new incarnation if
+// the log took the present one as gone, which is final for an incarnation.
 func (a *Agent) announceLoop(ctx context.Context) {
 	retry := announceFirstRetry
 	next := 0
