Add the live mode and benchmarks of decisions

Cause: running gateways could not be measured, and the cost of a decision was unknown. Result: rhubarbsail-experiment live sends an open-loop load to gateways and reports slowdown, goodput and failures by reason. Not run against gateways yet; tested against an HTTP server in the test. Decide now refreshes fewer targets when little waits, and looks for revocations every 20 ms.

--- a/cmd/rhubarbsail-experiment/main.go
+++ b/cmd/rhubarbsail-experiment/main.go
@@ -10,6 +10,7 @@
 
 type commands struct {
 	Policy policyCommand `command:"policy" description:"Compare policies in a discrete-event model of targets"`
+	Live   liveCommand   `command:"live" description:"Send load to running gateways over HTTP"`
 }
 
 func main() {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -61,9 +61,9 @@
 	// fastest the least slowness, both as of measured.
 	rate, fastest, measured float64
 	// served is the work per second in service, of all gateways.
-	served     float64
-	nextExpiry float64
-	dropped    []*job
+	served                 float64
+	nextExpiry, nextRevoke float64
+	dropped                []*job
 }
 
 // client is the state of a client.
@@ -159,8 +159,7 @@
 			continue
 		}
 		t.refresh(now)
-		foreign, _ := t.foreignNow(now)
-		free := math.Max(0.1*float64(t.Slots), float64(t.Slots)-foreign)
+		free := math.Max(0.1*float64(t.Slots), float64(t.Slots)-t.foreignSeen)
 		s.rate += free / t.slow
 		s.fastest = math.Min(s.fastest, t.slow)
 	}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -51,7 +51,12 @@
 	p := placer{e: e, svc: svc, now: now, out: out}
 	first := len(out.Assign)
 	svc.queue.rate = svc.rate / svc.ratio.mean
-	if svc.collect(now, e.opts.Prefetch) == 0 && !svc.queue.hasBatch(e) {
+	batch := svc.queue.hasBatch(e)
+	need := svc.queue.queued + openChoices
+	if batch {
+		need = math.MaxInt
+	}
+	if svc.collect(now, e.opts.Prefetch, need) == 0 && !batch {
 		return
 	}
 	svc.queue.walk(e.opts.Lookahead, p.visit)
@@ -65,13 +70,16 @@
 
 // collect lists the usable targets, the fastest first, with what is needed to
 // judge whether a task should wait, and returns the number of tasks that they
-// can take now.
-func (s *service) collect(now float64, prefetch int) int {
+// can take now. It stops when that number reaches need.
+func (s *service) collect(now float64, prefetch, need int) int {
 	s.usable = s.usable[:0]
 	open := 0
 	ends, speed := 0.0, 0.0
 	mean := s.meanWork()
 	for _, t := range s.ranked {
+		if open >= need {
+			break
+		}
 		if !t.usable(now) {
 			continue
 		}
@@ -82,7 +90,6 @@
 		rate := float64(min(t.active, t.Slots)) / (mean * t.slow)
 		ends += rate
 		speed += rate / t.slow
-		t.foreignSeen, t.foreignWidth = t.foreignNow(now)
 		t.room = t.freeSlots(now)
 		if t.room == 0 && len(t.out) < t.limit(now) {
 			// The report of a free slot and the next start take two delays; tasks
@@ -278,9 +285,10 @@
 // them clearly sooner. It acts only when nothing waits at the owner, since
 // waiting work is cheaper to move.
 func (e *engine) revoke(now float64, svc *service, out *Decisions) {
-	if svc.queue.queued > 0 && svc.ejected == 0 {
+	if now < svc.nextRevoke || (svc.queue.queued > 0 && svc.ejected == 0) {
 		return
 	}
+	svc.nextRevoke = now + wakeInterval.Seconds()
 	collected := false
 	for _, t := range svc.targets {
 		if len(t.out) <= 1 && !t.health.ejected {
@@ -293,7 +301,7 @@
 				continue
 			}
 			if !collected {
-				svc.collect(now, 0)
+				svc.collect(now, 0, math.MaxInt)
 				collected = true
 			}
 			if !e.worthRevoking(now, svc, t, a) {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -76,7 +76,8 @@
 	fasterEnds, fasterSpeed float64
 	// hungry is true when the Decide began with fewer own tasks than slots.
 	hungry bool
-	// foreignSeen and foreignWidth are the results of foreignNow.
+	// foreignSeen and foreignWidth are the results of foreignNow at the last
+	// refresh.
 	foreignSeen, foreignWidth float64
 	// order ranks equal targets.
 	order uint64
@@ -162,6 +163,7 @@
 	t.factor = 1
 	base := math.Exp(t.logSlow(now))
 	t.slow = base
+	t.foreignSeen, t.foreignWidth = t.foreignNow(now)
 	t.model(now)
 	if k := t.overdueFactor(now, base); k > 1 {
 		t.factor = k
@@ -175,8 +177,7 @@
 func (t *target) model(now float64) {
 	t.slots = slices.Grow(t.slots[:0], t.Slots)[:t.Slots]
 	ratio := t.svc.ratio
-	expected, _ := t.foreignNow(now)
-	foreign := int(math.Round(expected))
+	foreign := int(math.Round(t.foreignSeen))
 	mean := t.svc.meanWork() * t.slow
 	for i := range t.slots {
 		t.slots[i] = math.Inf(-1)
@@ -263,8 +264,7 @@
 		if !t.usable(now) || t.health.ejected {
 			continue
 		}
-		foreign, _ := t.foreignNow(now)
-		served += math.Min(float64(t.Slots), float64(t.active)+foreign) / t.slow
+		served += math.Min(float64(t.Slots), float64(t.active)+t.foreignSeen) / t.slow
 	}
 	s.served += (served - s.served) * (1 - math.Exp(-elapsed/servedWindow))
 	mean := s.meanWork()
