Follow the new findings of inventory in CSV files

Cause: inventory names other elements as targets[0] now, and a CSV row that is a worker and a target had the same finding twice. The agent's defaults in the settings file differed from those of package agent.

--- a/command/csv.go
+++ b/command/csv.go
@@ -52,30 +52,40 @@
 	for _, t := range f.translate {
 		lines[t.prefix] = t
 	}
-	out := slices.Clone(list)
-	for i, finding := range out {
+	var out findings.List
+	for _, finding := range list {
 		prefix, member, _ := strings.Cut(finding.Place.Key, ".")
 		t, ok := lines[prefix]
-		if !ok || finding.Place.File != t.file {
-			continue
+		if ok && finding.Place.File == t.file {
+			finding = t.translate(finding, prefix, member, lines)
 		}
-		if member == "id" {
-			member = strings.TrimSuffix(prefix[:strings.IndexByte(prefix, '[')], "s")
+		// A row is a worker and a target, so that both may have the finding.
+		if !slices.Contains(out, finding) {
+			out = append(out, finding)
 		}
-		out[i].Place = findings.Place{File: t.file, Line: t.line, Column: 1, Key: member}
-		out[i].Message = jsonPlace.ReplaceAllStringFunc(finding.Message, func(text string) string {
-			if other, ok := lines[jsonPlace.FindStringSubmatch(text)[1]]; ok {
+	}
+	return out.Err()
+}
+
+// translate returns the finding about a member of the element with the place in
+// the CSV file. Elements that the message names become lines too.
+func (t translation) translate(f findings.Finding, prefix, member string, lines map[string]translation) findings.Finding {
+	if member == "id" {
+		member = strings.TrimSuffix(prefix[:strings.IndexByte(prefix, '[')], "s")
+	}
+	return findings.Finding{
+		Place: findings.Place{File: t.file, Line: t.line, Column: 1, Key: member},
+		Message: elementName.ReplaceAllStringFunc(f.Message, func(name string) string {
+			if other, ok := lines[name]; ok {
 				return fmt.Sprintf("line %d", other.line)
 			}
-			return text
-		})
+			return name
+		}),
 	}
-	return out.Err()
 }
 
-// jsonPlace matches the place of another element in a message; the JSON that is
-// made from CSV has one line.
-var jsonPlace = regexp.MustCompile(`\S+:1:\d+: ((?:workers|targets)\[\d+\])\.\w+`)
+// elementName matches the path of another element in a message.
+var elementName = regexp.MustCompile(`(?:workers|targets)\[\d+\]`)
 
 // csvReader turns rows into an inventory.
 type csvReader struct {
--- a/common/settings/agent.go
+++ b/common/settings/agent.go
@@ -36,7 +36,7 @@
 // Target holds what the agent allows its target.
 type Target struct {
 	HeartbeatTimeout Milliseconds `json:"heartbeat_timeout_ms" strict:"min=100,max=600000" doc:"Time without an announcement after which the target counts as gone."`
-	QueueTasks       int64        `json:"queue_tasks" strict:"min=0,max=100000" doc:"Most tasks that wait at the agent."`
+	QueueTasks       int64        `json:"queue_tasks" strict:"min=0,max=100000" doc:"Most tasks that wait at the agent beyond the slots."`
 }
 
 func (a *Agent) setDefaults() {
@@ -44,7 +44,7 @@
 		Lease:     Lease{TTL: 10_000, Renew: 3000},
 		Timing:    defaultTiming(),
 		Ledger:    Ledger{EntriesMax: 120_000, BytesMax: 64 << 20, ResultBytes: defaultResultBytes},
-		Target:    Target{HeartbeatTimeout: 2000, QueueTasks: 2600},
+		Target:    Target{HeartbeatTimeout: 3000, QueueTasks: 16},
 		Shutdown:  Shutdown{Notice: 0, Timeout: 125_000},
 		Telemetry: defaultTelemetry(),
 	}
