--- a/common/telemetry/scope.go
+++ b/common/telemetry/scope.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -30,7 +29,7 @@
 	// Scope creates metrics.
 	Scope tally.Scope
 	// Handler serves the Prometheus text.
-	Handler http.Handler
+	Handler Handler
 	closer  io.Closer
 }
 
@@ -38,6 +37,8 @@
 func NewMetrics(process, id string, log zerolog.Logger) *Metrics {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	gauges := &scrapeGauges{labels: prometheus.Labels{"process": process, "id": id}}
+	registry.MustRegister(gauges)
 	reporter := tallyprom.NewReporter(tallyprom.Options{
 		Registerer:       registry,
 		DefaultTimerType: tallyprom.HistogramTimerType,
@@ -55,8 +56,9 @@
 	}, reportInterval)
 	BuildInfo.Gauge(scope, version(), runtime.Version()).Update(1)
 	return &Metrics{
-		Scope:   scope,
-		Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		Scope: scope,
+		// One metric that cannot be collected must not hide the others.
+		Handler: Handler{promhttp.HandlerFor(registry, promhttp.HandlerOpts{ErrorHandling: promhttp.ContinueOnError}), gauges},
 		closer:  closer,
 	}
 }
--- a/common/telemetry/telemetry_test.go
+++ b/common/telemetry/telemetry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -48,6 +49,25 @@
 	}
 }
 
+// A gauge that is read at the scrape must not be older than the scrape, and one
+// that is reported wrongly must not hide the others.
+func TestGaugesAreReadAtTheScrape(t *testing.T) {
+	m := NewMetrics("gateway", "g1", zerolog.Nop())
+	defer m.Close()
+	value := 1.0
+	m.Handler.OnScrape(func(set Set) {
+		set(TasksQueued, value)
+		set(Ready, 1, "a label that the metric does not have")
+	})
+	for ; value < 3; value++ {
+		w := httptest.NewRecorder()
+		m.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		if want := fmt.Sprintf("rhubarbsail_tasks_queued{id=\"g1\",process=\"gateway\"} %v\n", value); !strings.Contains(w.Body.String(), want) {
+			t.Errorf("%q is missing in %s", want, w.Body)
+		}
+	}
+}
+
 func record(t *testing.T, s tally.Scope, m Metric) {
 	t.Helper()
 	switch m.Kind {
--- a/httpapi/operators.go
+++ b/httpapi/operators.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/findings"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/common/strictjson"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 )
 
 const (
@@ -37,6 +38,9 @@
 	e.DELETE("/v1/targets/:target/drain", func(c echo.Context) error { return h.drain(c, false) })
 	e.GET("/live", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
 	e.GET("/ready", h.ready)
+	if m, ok := o.Metrics.(interface{ OnScrape(func(telemetry.Set)) }); ok {
+		m.OnScrape(func(set telemetry.Set) { statusGauges(ops, set) })
+	}
 	if o.Metrics != nil {
 		e.GET("/metrics", echo.WrapHandler(o.Metrics))
 	}
--- a/httpapi/operators_test.go
+++ b/httpapi/operators_test.go
@@ -15,6 +15,7 @@
 type fakeOperations struct {
 	err      error
 	notReady string
+	status   Status
 	changed  *ConfigChange
 	drained  map[string]bool
 }
@@ -26,7 +27,7 @@
 	return 8, f.err
 }
 
-func (f *fakeOperations) Status(context.Context) Status { return Status{Gateway: "g1"} }
+func (f *fakeOperations) Status(context.Context) Status { return f.status }
 
 func (f *fakeOperations) SetDrain(_ context.Context, target string, drain bool) error {
 	f.drained = map[string]bool{target: drain}
--- a/httpapi/options.go
+++ b/httpapi/options.go
@@ -21,6 +21,7 @@
 	Tracer trace.TracerProvider
 	// Log receives one event for each refused operators' change.
 	Log zerolog.Logger
-	// Metrics serves /metrics on the operators' API; nil leaves it out.
+	// Metrics serves /metrics on the operators' API; nil leaves it out. A
+	// telemetry.Handler also shows the gauges of the status.
 	Metrics http.Handler
 }
