Check configurations without a gateway and test the progress display

Cause: inventory check asked a gateway for the configuration in force even if both documents were given, so that nothing could be checked before the first start. docs/API.md was not checked against the status codes.

--- a/command/app.go
+++ b/command/app.go
@@ -64,6 +64,8 @@
 
 	ctx    context.Context
 	global global
+	// progressDelay is the age at which a job is shown with its progress.
+	progressDelay time.Duration
 }
 
 // global are the options of all subcommands.
@@ -77,6 +79,9 @@
 // Run parses the arguments, runs a subcommand and returns the exit code.
 func (a *App) Run(ctx context.Context, args []string) int {
 	a.ctx = ctx
+	if a.progressDelay == 0 {
+		a.progressDelay = progressDelay
+	}
 	p := flags.NewNamedParser("rhubarbsail", flags.HelpFlag|flags.PassDoubleDash)
 	p.ShortDescription = "dispatcher for sub-second tasks"
 	p.LongDescription = "Submits jobs, and shows and changes a deployment of rhubarbsail.\n\n" + exitCodesHelp
--- a/command/config_test.go
+++ b/command/config_test.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// A configuration can be checked before any gateway runs.
+func TestCheckOfBothFilesNeedsNoGateway(t *testing.T) {
+	x := newTool(t)
+	x.want(ExitOK, "valid", "inventory", "check", "testdata/assets.csv", "--with", "testdata/rules.json", "--operators", "http://127.0.0.1:1")
+	x.want(ExitOK, "valid", "rules", "check", "testdata/rules.json", "--with", "testdata/assets.csv", "--operators", "http://127.0.0.1:1")
+	x.want(ExitFailed, "no reply", "rules", "check", "testdata/rules.json", "--operators", "http://127.0.0.1:1")
+}
+
 // Each row is a CSV file whose columns would be taken for others.
 func TestCSVHeader(t *testing.T) {
 	for content, want := range map[string]string{
--- a/command/jobs_test.go
+++ b/command/jobs_test.go
@@ -1,9 +1,11 @@
 package command
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -113,6 +115,46 @@
 	}
 }
 
+// looked answers a submission only after the job was looked up.
+type looked struct {
+	*fakeJobs
+	lookups chan struct{}
+}
+
+func (l looked) Submit(ctx context.Context, job model.Job) model.Answer {
+	<-l.lookups
+	<-l.lookups
+	return l.fakeJobs.Submit(ctx, job)
+}
+
+func (l looked) Lookup(ctx context.Context, key model.JobKey) (httpapi.JobView, bool, error) {
+	select {
+	case l.lookups <- struct{}{}:
+	case <-ctx.Done():
+	}
+	return l.fakeJobs.Lookup(ctx, key)
+}
+
+// A user at a terminal sees that a long job goes on; a script does not.
+func TestProgressIsShownOnATerminal(t *testing.T) {
+	x := newTool(t)
+	x.jobs.answers, x.jobs.known = []model.Answer{complete}, true
+	x.jobs.view = httpapi.JobView{State: httpapi.JobRunning, Tasks: 2, Started: 2, Finished: 1}
+	x.callers = httpapi.Callers(looked{x.jobs, make(chan struct{})}, httpapi.DefaultLimits(), httpapi.Options{})
+	x.app = &App{Terminal: true, progressDelay: time.Millisecond}
+	x.want(ExitOK, "running: 1 of 2 tasks finished, 2 started", submitArgs...)
+	if strings.Contains(x.stdout.String(), "running") {
+		t.Errorf("progress is in the output: %s", &x.stdout)
+	}
+	x = newTool(t)
+	x.jobs.answers = []model.Answer{complete}
+	x.app = &App{progressDelay: time.Nanosecond}
+	x.want(ExitOK, "ok", submitArgs...)
+	if strings.Contains(x.stderr.String(), "tasks finished") {
+		t.Errorf("progress without a terminal: %s", &x.stderr)
+	}
+}
+
 // A job that never reached a gateway did not run.
 func TestNoGateway(t *testing.T) {
 	x := newTool(t)
--- a/command/part.go
+++ b/command/part.go
@@ -63,23 +63,33 @@
 	parts           map[part][]byte
 }
 
-// propose reads the files, takes what they lack from the configuration in force
-// and checks the whole.
-func (c *partCommand) propose() (*proposal, error) {
+// read returns the named files with the places of another format. The document
+// that no file gives is absent.
+func (c *partCommand) read() (map[part]inventory.File, partFile, error) {
 	files := map[part]inventory.File{}
 	own, err := readPart(c.kind, c.Args.File)
 	if err != nil {
-		return nil, err
+		return nil, own, err
 	}
 	files[c.kind] = own.file
 	if c.With != "" {
 		with, err := readPart(c.kind.other(), c.With)
 		if err != nil {
-			return nil, err
+			return nil, own, err
 		}
 		files[c.kind.other()] = with.file
 		own.translate = append(own.translate, with.translate...)
 	}
+	return files, own, nil
+}
+
+// propose reads the files, takes what they lack from the configuration in force
+// and checks the whole.
+func (c *partCommand) propose() (*proposal, error) {
+	files, own, err := c.read()
+	if err != nil {
+		return nil, err
+	}
 	view, inForce, err := c.app.configInForce()
 	if err != nil {
 		return nil, err
@@ -87,9 +97,9 @@
 	if _, ok := files[c.kind.other()]; !ok {
 		files[c.kind.other()] = view[c.kind.other()]
 	}
-	config, err := inventory.ParseFiles(files[partInventory], files[partRules])
+	config, err := parse(files, own)
 	if err != nil {
-		return nil, own.places(err)
+		return nil, err
 	}
 	return &proposal{
 		base: inForce.version, inForce: inForce.config, config: config,
@@ -97,6 +107,15 @@
 	}, nil
 }
 
+// parse checks both documents.
+func parse(files map[part]inventory.File, own partFile) (*inventory.Config, error) {
+	config, err := inventory.ParseFiles(files[partInventory], files[partRules])
+	if err != nil {
+		return nil, own.places(err)
+	}
+	return config, nil
+}
+
 type versionedConfig struct {
 	version uint64
 	config  *inventory.Config
--- a/command/progress.go
+++ b/command/progress.go
@@ -36,7 +36,7 @@
 }
 
 func (a *App) progress(ctx context.Context, job jobBody) {
-	timer := time.NewTimer(progressDelay)
+	timer := time.NewTimer(a.progressDelay)
 	defer timer.Stop()
 	shown := false
 	for {
--- a/httpapi/callers_test.go
+++ b/httpapi/callers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -132,6 +133,19 @@
 	}
 }
 
+// Callers decide by the table of docs/API.md what to do after an error.
+func TestPageListsEachReason(t *testing.T) {
+	page, err := os.ReadFile("../docs/API.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for reason, code := range statusCodes {
+		if row := fmt.Sprintf("| %d | %s |", code, reason); !strings.Contains(string(page), row) {
+			t.Errorf("the row %q is missing", row)
+		}
+	}
+}
+
 // A header rounded down would send the caller back too early.
 func TestRetryAfterIsRoundedUp(t *testing.T) {
 	jobs := &fakeJobs{answer: model.Answer{State: model.RunNotRun, Reason: model.ReasonQuota, RetryAfter: 1200 * time.Millisecond}}
