Decode request bodies without a copy and an allocation per token

Ruled out: encoding/json/v2 (an experiment in this Go version); json.Unmarshal after a scan for places, which reads the body twice and accepts duplicated keys. Messages are those of encoding/json as before; no golden file changed.

--- a/common/strictjson/object.go
+++ b/common/strictjson/object.go
@@ -124,12 +124,12 @@
 	for i := range places {
 		places[i] = -1
 	}
-	for d.dec.More() {
+	for d.tokens.more() {
 		if err := d.member(v, l, places); err != nil {
 			return err
 		}
 	}
-	if _, err := d.dec.Token(); err != nil {
+	if _, err := d.tokens.next(); err != nil {
 		return err
 	}
 	for i, f := range l.fields {
@@ -144,12 +144,21 @@
 
 func (d *decoder) member(v reflect.Value, l *layout, places []int) error {
 	at := d.next()
-	name, err := d.name()
+	t, err := d.name()
 	if err != nil {
 		return err
 	}
+	i, known := l.byName[string(t.raw)]
+	if t.escaped {
+		i, known = l.byName[t.text()]
+	}
+	var name string
+	if known {
+		name = l.fields[i].name
+	} else {
+		name = shown(t.text())
+	}
 	d.path = append(d.path, element{name: name})
-	i, known := l.byName[name]
 	switch {
 	case !known:
 		if err = d.faultAt(at, "unknown key; %s", l.hint(name)); err == nil {
--- a/common/strictjson/strictjson.go
+++ b/common/strictjson/strictjson.go
@@ -12,14 +12,12 @@
 package strictjson
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"reflect"
 	"strconv"
 	"strings"
-	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 
@@ -131,13 +129,12 @@
 	if o.MaxFaults == 0 {
 		o.MaxFaults = defaultMaxFaults
 	}
-	d := &decoder{doc: &Document{file: file, data: data}, o: o, dec: json.NewDecoder(bytes.NewReader(data))}
+	d := &decoder{doc: &Document{file: file, data: data}, o: o, tokens: tokens{data: data}}
 	if o.Places {
 		d.doc.places = map[string]int{}
 	}
-	d.dec.UseNumber()
 	if i := invalidUTF8(data); i >= 0 {
-		// encoding/json replaces such bytes, which could make two keys equal.
+		// Replacing such bytes could make two keys equal.
 		d.faultAt(i, "invalid UTF-8")
 		return d.doc
 	}
@@ -151,20 +148,6 @@
 	return d.doc
 }
 
-func invalidUTF8(data []byte) int {
-	if utf8.Valid(data) {
-		return -1
-	}
-	for i := 0; i < len(data); {
-		r, n := utf8.DecodeRune(data[i:])
-		if r == utf8.RuneError && n == 1 {
-			return i
-		}
-		i += n
-	}
-	return -1
-}
-
 var (
 	errTooManyFaults = errors.New("too many faults")
 	errTooDeep       = errors.New("nesting is too deep")
@@ -172,11 +155,11 @@
 
 // decoder walks the tokens of a document. One goroutine uses it.
 type decoder struct {
-	doc   *Document
-	o     Options
-	dec   *json.Decoder
-	path  []element
-	depth int
+	doc    *Document
+	o      Options
+	tokens tokens
+	path   []element
+	depth  int
 }
 
 // element is one step of a path: a member name, or an index if name is empty.
@@ -202,7 +185,7 @@
 
 // next returns the offset at which the next token starts.
 func (d *decoder) next() int {
-	i := int(d.dec.InputOffset())
+	i := d.tokens.pos
 	for i < len(d.doc.data) && strings.IndexByte(" \t\r\n,:", d.doc.data[i]) >= 0 {
 		i++
 	}
@@ -218,17 +201,17 @@
 	return errTooManyFaults
 }
 
+// syntax reports an error of the grammar in the words of encoding/json.
 func (d *decoder) syntax(err error) {
-	offset := int(d.dec.InputOffset())
-	message := "malformed JSON: " + err.Error()
+	offset, message := d.tokens.pos, err.Error()
 	var s *json.SyntaxError
 	switch {
 	case errors.Is(err, errTooDeep):
 		message = fmt.Sprintf("more than %d levels of nesting", maxDepth)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		offset, message = len(d.doc.data), "malformed JSON: unexpected end of the document"
-	case errors.As(err, &s):
-		offset = max(int(s.Offset)-1, offset)
+	case errors.As(json.Unmarshal(d.doc.data, new(json.RawMessage)), &s):
+		message = "malformed JSON: " + s.Error()
 	}
 	_ = d.faultAt(offset, "%s", message)
 }
@@ -236,22 +219,21 @@
 // end requires that nothing but white space follows the document.
 func (d *decoder) end() error {
 	at := d.next()
-	if _, err := d.dec.Token(); errors.Is(err, io.EOF) {
+	if _, err := d.tokens.next(); errors.Is(err, io.EOF) {
 		return nil
 	}
 	return d.faultAt(at, "trailing data after the document")
 }
 
 // skip passes over one value whose first token has been read.
-func (d *decoder) skip(first json.Token) error {
+func (d *decoder) skip(t token) error {
 	open := 0
-	for t := first; ; {
-		if delim, ok := t.(json.Delim); ok {
-			if delim == '{' || delim == '[' {
-				open++
-			} else {
-				open--
-			}
+	for {
+		switch t.kind {
+		case '{', '[':
+			open++
+		case '}', ']':
+			open--
 		}
 		if d.depth+open > maxDepth {
 			return errTooDeep
@@ -260,14 +242,14 @@
 			return nil
 		}
 		var err error
-		if t, err = d.dec.Token(); err != nil {
+		if t, err = d.tokens.next(); err != nil {
 			return err
 		}
 	}
 }
 
 func (d *decoder) skipNext() error {
-	t, err := d.dec.Token()
+	t, err := d.tokens.next()
 	if err != nil {
 		return err
 	}
--- a/common/strictjson/strictjson_test.go
+++ b/common/strictjson/strictjson_test.go
@@ -1,7 +1,9 @@
 package strictjson
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -98,3 +100,27 @@
 		t.Fatalf("%d faults", n)
 	}
 }
+
+// The tokens must accept the grammar of encoding/json, neither more nor less;
+// callers and operators write with other libraries.
+func FuzzGrammar(f *testing.F) {
+	for _, seed := range []string{
+		`{"a":[1,-0.5e+3,true,false,null,"x\u00e9\n"],"b":{}}`, `[1,]`, `{"a":1,}`, `01`, `-`, `1.`, `1e`, `"\x"`, `"\u12g4"`, "\"\t\"",
+		`{"a" 1}`, `{1:2}`, `[}`, `{]`, `tru`, `nulll`, `[] []`, ``, ` `, `"`, `{"a":}`, `[,1]`, `{,}`, `:`, `[1 2]`, `{"a":1 "b":2}`, `"\ud800"`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if invalidUTF8(data) >= 0 {
+			return
+		}
+		tokens := tokens{data: data}
+		var err error
+		for err == nil {
+			_, err = tokens.next()
+		}
+		if got, want := err == io.EOF, json.Valid(data); got != want {
+			t.Fatalf("%q: accepted %v, encoding/json %v (%v at %d)", data, got, want, err, tokens.pos)
+		}
+	})
+}
--- a/common/strictjson/value.go
+++ b/common/strictjson/value.go
@@ -33,42 +33,43 @@
 		if err := d.skipNext(); err != nil {
 			return err
 		}
-		v.SetBytes(slices.Clone(d.doc.data[at:d.dec.InputOffset()]))
+		v.SetBytes(slices.Clone(d.doc.data[at:d.tokens.pos]))
 		return nil
 	}
-	t, err := d.dec.Token()
+	t, err := d.tokens.next()
 	if err != nil {
 		return err
 	}
 	if v.Kind() == reflect.Pointer {
-		if t == nil {
+		if t.kind == kindNull {
 			return nil
 		}
 		v.Set(reflect.New(v.Type().Elem()))
 		v = v.Elem()
 	}
-	switch x := t.(type) {
-	case json.Delim:
-		if x == '{' && v.Kind() == reflect.Struct && v.Type() != timeType {
+	switch t.kind {
+	case '{':
+		if v.Kind() == reflect.Struct && v.Type() != timeType {
 			return d.nested(func() error { return d.object(v, at) })
 		}
-		if x == '{' && v.Kind() == reflect.Map {
+		if v.Kind() == reflect.Map {
 			return d.nested(func() error { return d.mapping(v) })
 		}
-		if x == '[' && v.Kind() == reflect.Slice && v.Type() != bytesType {
+	case '[':
+		if v.Kind() == reflect.Slice && v.Type() != bytesType {
 			return d.nested(func() error { return d.array(v, r, at) })
 		}
-	case string:
+	case kindString:
 		if v.Kind() == reflect.String || v.Type() == timeType || v.Type() == bytesType {
-			return d.text(v, r, x, at)
+			return d.text(v, r, t, at)
 		}
-	case json.Number:
+	case kindNumber:
 		if v.CanInt() || v.CanUint() || v.CanFloat() {
-			return d.number(v, r, x.String(), at)
+			return d.number(v, r, string(t.raw), at)
 		}
-	case bool:
+	case kindTrue, kindFalse:
 		if v.Kind() == reflect.Bool {
-			v.SetBool(x)
+			v.SetBool(t.kind == kindTrue)
 			return nil
 		}
 	}
@@ -109,34 +110,34 @@
 	return "an integer"
 }
 
-func found(t json.Token) string {
-	switch x := t.(type) {
-	case json.Delim:
-		if x == '{' {
-			return "an object"
-		}
+func found(t token) string {
+	switch t.kind {
+	case '{':
+		return "an object"
+	case '[':
 		return "an array"
-	case string:
+	case kindString:
 		return "a string"
-	case json.Number:
+	case kindNumber:
 		return "a number"
-	case bool:
+	case kindTrue, kindFalse:
 		return "true or false"
 	}
 	return "null"
 }
 
-func (d *decoder) text(v reflect.Value, r rules, s string, at int) error {
-	switch v.Type() {
-	case timeType:
+func (d *decoder) text(v reflect.Value, r rules, tok token, at int) error {
+	if v.Type() == bytesType {
+		return d.base64(v, tok, at)
+	}
+	s := tok.text()
+	if v.Type() == timeType {
 		t, err := time.Parse(time.RFC3339Nano, s)
 		if err != nil || t.Year() < firstYear || t.Year() > lastYear {
 			return d.faultAt(at, "want a time in RFC 3339 between the years %d and %d", firstYear, lastYear)
 		}
 		v.Set(reflect.ValueOf(t))
 		return nil
-	case bytesType:
-		return d.base64(v, s, at)
 	}
 	if len(r.one) > 0 && !slices.Contains(r.one, s) {
 		return d.faultAt(at, "want one of %s", strings.Join(r.one, ", "))
@@ -148,11 +149,17 @@
 	return nil
 }
 
-func (d *decoder) base64(v reflect.Value, s string, at int) error {
-	if limit := d.o.MaxBytes; limit > 0 && base64.StdEncoding.DecodedLen(len(s))-2 > limit {
+func (d *decoder) base64(v reflect.Value, t token, at int) error {
+	encoded := t.raw
+	if t.escaped {
+		encoded = []byte(t.text())
+	}
+	if limit := d.o.MaxBytes; limit > 0 && base64.StdEncoding.DecodedLen(len(encoded))-2 > limit {
 		return d.faultAt(at, "decoded size is over %d bytes", limit)
 	}
-	b, err := base64.StdEncoding.Strict().DecodeString(s)
+	b := make([]byte, base64.StdEncoding.DecodedLen(len(encoded)))
+	n, err := base64.StdEncoding.Strict().Decode(b, encoded)
+	b = b[:n]
 	if err != nil {
 		return d.faultAt(at, "want standard base64 with padding: %v", err)
 	}
@@ -200,7 +207,7 @@
 
 func (d *decoder) array(v reflect.Value, r rules, at int) error {
 	n := 0
-	for ; d.dec.More(); n++ {
+	for ; d.tokens.more(); n++ {
 		if n >= d.o.MaxItems {
 			if n == d.o.MaxItems {
 				if err := d.faultAt(d.next(), "more than %d elements", d.o.MaxItems); err != nil {
@@ -226,19 +233,20 @@
 			return err
 		}
 	}
-	_, err := d.dec.Token()
+	_, err := d.tokens.next()
 	return err
 }
 
 func (d *decoder) mapping(v reflect.Value) error {
 	v.Set(reflect.MakeMap(v.Type()))
-	for d.dec.More() {
+	for d.tokens.more() {
 		at := d.next()
-		name, err := d.name()
+		t, err := d.name()
 		if err != nil {
 			return err
 		}
-		d.path = append(d.path, element{name: name})
+		name := t.text()
+		d.path = append(d.path, element{name: shown(name)})
 		k := reflect.ValueOf(name).Convert(v.Type().Key())
 		item := reflect.New(v.Type().Elem()).Elem()
 		switch {
@@ -261,19 +269,23 @@
 		}
 		d.path = d.path[:len(d.path)-1]
 	}
-	_, err := d.dec.Token()
+	_, err := d.tokens.next()
 	return err
 }
 
-func (d *decoder) name() (string, error) {
-	t, err := d.dec.Token()
-	if err != nil {
-		return "", err
+// name reads the key of a member.
+func (d *decoder) name() (token, error) {
+	t, err := d.tokens.next()
+	if err == nil && t.kind != kindString {
+		err = errSyntax
 	}
-	// The decoder accepts only strings as member names.
-	name, _ := t.(string)
+	return t, err
+}
+
+// shown is a key as it is shown in a path.
+func shown(name string) string {
 	if name == "" {
-		name = `""`
+		return `""`
 	}
-	return name, nil
+	return name
 }
