--- a/cmd/standin-target/main.go
+++ b/cmd/standin-target/main.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 
+	"github.com/go-faster/errors"
+
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/settings"
 	"github.com/rhubarbsail/rhubarbsail/daemon"
@@ -32,5 +35,12 @@
 	}
 	events.ProcessStarted.Log(log).Send()
 	defer events.ProcessStopped.Log(log).Send()
-	return t.Run(ctx)
+	if err := t.Run(ctx); err != nil {
+		return err
+	}
+	// Nobody can ask for the record any more.
+	if err := json.NewEncoder(env.Spans).Encode(t.Record(false)); err != nil {
+		return errors.Wrap(err, "print record")
+	}
+	return nil
 }
--- /dev/null
+++ b/integration/harness/build.go
@@ -0,0 +1,58 @@
+// Package harness runs a deployment of separate daemons on loopback for the
+// process tests: it builds and starts them, cuts and delays the connections
+// between them, puts load on them and judges what ran by the targets' own
+// records.
+package harness
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+// daemons are the commands that the tests run.
+var daemons = []string{"gateway", "agent", "standin-log", "standin-target"}
+
+// deploymentsMax bounds the deployments at a time: each is about 12 processes.
+const deploymentsMax = 3
+
+var (
+	// binaries is the directory of the built daemons; set before the tests run.
+	binaries string
+	// places has room for one token for each running deployment.
+	places = make(chan struct{}, deploymentsMax)
+)
+
+// Main builds the daemons with the race detector into a temporary directory,
+// runs the tests and removes the directory. It returns the exit code.
+func Main(m *testing.M) int {
+	dir, err := build()
+	if dir != "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+func build() (string, error) {
+	dir, err := os.MkdirTemp("", "rhubarbsail-integration-")
+	if err != nil {
+		return "", errors.Wrap(err, "temporary directory")
+	}
+	args := []string{"build", "-race", "-buildvcs=false", "-o", dir + string(filepath.Separator)}
+	for _, d := range daemons {
+		args = append(args, "github.com/rhubarbsail/rhubarbsail/cmd/"+d)
+	}
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		return dir, errors.Wrapf(err, "build the daemons: %s", out)
+	}
+	return dir, nil
+}
--- /dev/null
+++ b/integration/harness/cluster.go
@@ -0,0 +1,353 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/common/settings"
+	"github.com/rhubarbsail/rhubarbsail/inventory"
+	"github.com/rhubarbsail/rhubarbsail/standin/target"
+)
+
+// Names of the clients and the service of every deployment.
+const (
+	Client      = "bondline"
+	OtherClient = "ljuska"
+	Service     = "glue-check"
+)
+
+const (
+	gatewaysDefault = 3
+	targetsDefault  = 4
+	slots           = 8
+	// readyTimeout is generous: the machine may be busy with other tests.
+	readyTimeout = 60 * time.Second
+	pollInterval = 20 * time.Millisecond
+	logTail      = 3000
+)
+
+// Options sizes a deployment.
+type Options struct {
+	Gateways, Targets int
+	// Fast lowers the timing in the whole cell, for tests that wait for
+	// takeovers.
+	Fast bool
+	// AdjustGateway and AdjustAgent may change settings before the start.
+	AdjustGateway func(*settings.Gateway)
+	AdjustAgent   func(*settings.Agent)
+	// LogArgs are arguments of the log stand-in.
+	LogArgs []string
+}
+
+// Cluster is a running deployment of separate processes.
+type Cluster struct {
+	Gateways, Agents, Targets []*Process
+	Log                       *Process
+	Net                       *Network
+	t                         *testing.T
+	opts                      Options
+	dir                       string
+	logAddress                string
+	gateways                  []settings.Gateway
+	agents                    []settings.Agent
+	targets                   []settings.TargetStandin
+	logRelay                  string
+	journal                   journal
+	// all lists the processes; mu guards it and kept.
+	mu  sync.Mutex
+	all []*Process
+	// kept are the records of targets that were ended; lost tells that some
+	// starts of a killed target may be missing there.
+	kept []target.Record
+	lost bool
+}
+
+// Start starts a deployment, loads its configuration and waits until all
+// gateways serve and all targets are connected. The test's end stops it.
+func Start(t *testing.T, o Options) *Cluster {
+	t.Helper()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
+	if o.Gateways == 0 {
+		o.Gateways = gatewaysDefault
+	}
+	if o.Targets == 0 {
+		o.Targets = targetsDefault
+	}
+	c := &Cluster{t: t, opts: o, dir: t.TempDir()}
+	c.Net = newNetwork(c.processes)
+	t.Cleanup(c.stop)
+	if err := c.start(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// stop kills what still runs and shows the logs if the test failed.
+func (c *Cluster) stop() {
+	for _, p := range c.processes() {
+		p.Resume()
+		p.Kill()
+	}
+	c.Net.close()
+	for _, p := range c.processes() {
+		if log := p.stderr.String(); containsRace(log) {
+			c.t.Errorf("data race in %s:\n%s", p.Name, log)
+		}
+	}
+	if !c.t.Failed() {
+		return
+	}
+	for _, p := range c.processes() {
+		c.t.Logf("log of %s:\n%s", p.Name, p.Log(logTail))
+	}
+}
+
+func (c *Cluster) processes() []*Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.all)
+}
+
+// process prepares a daemon with its settings file.
+func (c *Cluster) process(program, name string, s any) (*Process, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode settings")
+	}
+	file := filepath.Join(c.dir, name+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	return c.launch(&Process{Name: name, program: program, args: []string{"--settings", file}})
+}
+
+func (c *Cluster) launch(p *Process) (*Process, error) {
+	c.mu.Lock()
+	c.all = append(c.all, p)
+	c.mu.Unlock()
+	return p, p.Start()
+}
+
+func (c *Cluster) start() error {
+	for _, step := range []func() error{c.startLog, c.startGateways, c.startAgents, c.loadConfig} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return c.AwaitReady()
+}
+
+func (c *Cluster) startLog() (err error) {
+	if c.logAddress, err = freeAddress(); err != nil {
+		return err
+	}
+	args := append([]string{"--listen", c.logAddress}, c.opts.LogArgs...)
+	if c.Log, err = c.launch(&Process{Name: "log", program: "standin-log", args: args}); err != nil {
+		return err
+	}
+	c.logRelay, err = c.Net.relay("log", c.logAddress)
+	return err
+}
+
+// addresses fills the fields with free addresses.
+func addresses(fields ...*string) error {
+	for _, f := range fields {
+		a, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		*f = a
+	}
+	return nil
+}
+
+func (c *Cluster) timing(t *settings.Timing) {
+	if c.opts.Fast {
+		t.Validity, t.PermitLifetime, t.CallerSkew, t.WallSkew = 1000, 1000, 300, 100
+	}
+}
+
+func (c *Cluster) startGateways() error {
+	var advertised []string
+	for i := range c.opts.Gateways {
+		var s settings.Gateway
+		settings.SetDefaults(&s)
+		s.ID, s.AvailabilityZone = fmt.Sprintf("gateway-%d", i), zoneName(i)
+		s.PlatformLogURL, s.PlatformLeaseURL = "http://"+c.logRelay, "http://"+c.logRelay
+		s.Shutdown.Notice = 200
+		c.timing(&s.Timing)
+		if c.opts.Fast {
+			s.Probing.PingInterval, s.Probing.PingFailure, s.Probing.ProbeInterval = 100, 800, 200
+		}
+		if err := addresses(&s.CallersAddress, &s.OperatorsAddress, &s.InternalAddress); err != nil {
+			return err
+		}
+		var err error
+		if s.AdvertisedAddress, err = c.Net.relay(s.ID, s.InternalAddress); err != nil {
+			return err
+		}
+		if c.opts.AdjustGateway != nil {
+			c.opts.AdjustGateway(&s)
+		}
+		advertised = append(advertised, s.AdvertisedAddress)
+		c.gateways = append(c.gateways, s)
+	}
+	for i := range c.gateways {
+		s := &c.gateways[i]
+		s.Peers = slices.Delete(slices.Clone(advertised), i, i+1)
+		p, err := c.process("gateway", s.ID, s)
+		if err != nil {
+			return err
+		}
+		c.Gateways = append(c.Gateways, p)
+	}
+	return nil
+}
+
+func (c *Cluster) startAgents() error {
+	for i := range c.opts.Targets {
+		var a settings.Agent
+		settings.SetDefaults(&a)
+		a.ID, a.Worker = fmt.Sprintf("agent-%d", i), workerName(i)
+		a.Rack, a.AvailabilityZone = rackName(i), zoneName(i)
+		a.PlatformLeaseURL = "http://" + c.logRelay
+		a.Lease = settings.Lease{TTL: 4000, Renew: 500}
+		c.timing(&a.Timing)
+		for j := range c.gateways {
+			a.Gateways = append(a.Gateways, c.gateways[(i+j)%len(c.gateways)].AdvertisedAddress)
+		}
+		var s settings.TargetStandin
+		settings.SetDefaults(&s)
+		s.ID, s.Service = targetName(i), Service
+		if err := addresses(&a.LinkAddress, &a.AnnounceAddress, &a.OperatorsAddress, &s.ListenAddress); err != nil {
+			return err
+		}
+		s.AgentURL = "http://" + a.AnnounceAddress
+		var err error
+		if a.AdvertisedAddress, err = c.Net.relay(a.ID, a.LinkAddress); err != nil {
+			return err
+		}
+		if c.opts.AdjustAgent != nil {
+			c.opts.AdjustAgent(&a)
+		}
+		agent, err := c.process("agent", a.ID, a)
+		if err != nil {
+			return err
+		}
+		target, err := c.process("standin-target", s.ID, s)
+		if err != nil {
+			return err
+		}
+		c.agents, c.targets = append(c.agents, a), append(c.targets, s)
+		c.Agents, c.Targets = append(c.Agents, agent), append(c.Targets, target)
+	}
+	return nil
+}
+
+func targetName(i int) string { return fmt.Sprintf("target-%d", i) }
+func workerName(i int) string { return fmt.Sprintf("worker-%d", i) }
+func rackName(i int) string   { return fmt.Sprintf("rack-%d", i) }
+func zoneName(i int) string   { return fmt.Sprintf("zone-%d", i%2) }
+
+// Config returns the inventory and the rules of the deployment.
+func (c *Cluster) Config() (inventory.Inventory, inventory.Rules) {
+	var inv inventory.Inventory
+	for i := range c.opts.Targets {
+		inv.Workers = append(inv.Workers, inventory.Worker{
+			ID: workerName(i), Rack: rackName(i), AvailabilityZone: zoneName(i), Processors: 16, MemoryMB: 32 << 10,
+		})
+		inv.Targets = append(inv.Targets, inventory.Target{
+			ID: targetName(i), Worker: workerName(i), Rack: rackName(i), AvailabilityZone: zoneName(i),
+			Service: Service, Slots: slots, Connections: 64,
+		})
+	}
+	return inv, inventory.Rules{
+		Clients:  []inventory.Client{{ID: Client, Share: 1}, {ID: OtherClient, Share: 1}},
+		Services: []inventory.Service{{ID: Service, Repeatable: true}},
+	}
+}
+
+func (c *Cluster) loadConfig() error {
+	return c.poll("load configuration", readyTimeout, func() error {
+		_, err := c.ChangeConfig(context.Background(), 0, 0, "test")
+		return err
+	})
+}
+
+// AwaitReady waits until the running gateways, without the excepted ones, serve
+// all partitions and see all running targets.
+func (c *Cluster) AwaitReady(except ...int) error {
+	up := 0
+	for i, p := range c.Targets {
+		if p.PID() != 0 && c.Agents[i].PID() != 0 {
+			up++
+		}
+	}
+	return c.poll("all partitions served", readyTimeout, func() error {
+		served, want := 0, 0
+		for i, p := range c.Gateways {
+			if p.PID() == 0 || slices.Contains(except, i) {
+				continue
+			}
+			n, err := c.checkServing(i, up)
+			if err != nil {
+				return errors.Wrap(err, p.Name)
+			}
+			served, want = served+n, int(c.gateways[i].Partitions)
+		}
+		if served != want {
+			return errors.Errorf("%d of %d partitions served", served, want)
+		}
+		return nil
+	})
+}
+
+// checkServing returns the number of partitions that a gateway serves. It fails
+// unless the gateway serves all that it owns and sees the targets that are up.
+func (c *Cluster) checkServing(i, up int) (int, error) {
+	st, err := c.Status(i)
+	if err != nil {
+		return 0, err
+	}
+	usable := 0
+	for _, t := range st.Targets {
+		if t.Connected && t.Accepting && !t.Leaving {
+			usable++
+		}
+	}
+	if !st.Ready || st.Serving < st.Partitions || usable < up {
+		return 0, errors.Errorf("ready %t %s, %d of %d partitions served, %d of %d targets usable",
+			st.Ready, st.NotReady, st.Serving, st.Partitions, usable, up)
+	}
+	return st.Serving, nil
+}
+
+func (c *Cluster) poll(what string, timeout time.Duration, f func() error) error {
+	for deadline := time.Now().Add(timeout); ; time.Sleep(pollInterval) {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "%s: not within %v", what, timeout)
+		}
+	}
+}
+
+// Await waits for a condition and ends the test if it does not hold in time.
+func (c *Cluster) Await(what string, f func() error) {
+	c.t.Helper()
+	if err := c.poll(what, readyTimeout, f); err != nil {
+		c.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/integration/harness/network.go
@@ -0,0 +1,289 @@
+package harness
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Network relays the connections between the processes of a deployment, so that
+// those between two named processes can be cut or delayed. All processes
+// advertise the address of their relay.
+type Network struct {
+	// processes resolves the process that dialled; it does not change after the
+	// start.
+	processes func() []*Process
+	listeners []net.Listener
+	// mu guards the fields below.
+	mu     sync.Mutex
+	cut    map[pair]bool
+	delay  map[pair]time.Duration
+	conns  map[*relayed]struct{}
+	closed bool
+}
+
+// pair names two processes; a delay applies to bytes from the first to the
+// second, a cut to both directions.
+type pair struct{ from, to string }
+
+// relayed is one connection through a relay.
+type relayed struct {
+	ends             pair
+	dialled, serving net.Conn
+}
+
+func (r *relayed) close() {
+	_ = r.dialled.Close()
+	_ = r.serving.Close()
+}
+
+const (
+	// cutPoll is the interval at which a cut connection looks for its repair.
+	cutPoll = 2 * time.Millisecond
+	// chunkBytes and chunksMax bound what a relay holds of one direction.
+	chunkBytes = 16 << 10
+	chunksMax  = 256
+)
+
+func newNetwork(processes func() []*Process) *Network {
+	return &Network{
+		processes: processes, cut: make(map[pair]bool),
+		delay: make(map[pair]time.Duration), conns: make(map[*relayed]struct{}),
+	}
+}
+
+// relay serves connections to the process name at address and returns the
+// relay's address.
+func (n *Network) relay(name, address string) (string, error) {
+	own, err := freeAddress()
+	if err != nil {
+		return "", err
+	}
+	l, err := net.Listen("tcp", own)
+	if err != nil {
+		return "", errors.Wrap(err, "relay")
+	}
+	n.listeners = append(n.listeners, l)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go n.serve(c, name, address)
+		}
+	}()
+	return own, nil
+}
+
+func (n *Network) serve(c net.Conn, to, address string) {
+	ends := pair{from: n.dialler(c), to: to}
+	if !n.await(ends) {
+		_ = c.Close()
+		return
+	}
+	s, err := net.Dial("tcp", address)
+	if err != nil {
+		// The listener of the process is gone: the dialler sees a connection
+		// that breaks before its first byte.
+		_ = c.Close()
+		return
+	}
+	r := &relayed{ends: ends, dialled: c, serving: s}
+	n.mu.Lock()
+	n.conns[r] = struct{}{}
+	n.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { n.pump(r, c, s, ends) })
+	wg.Go(func() { n.pump(r, s, c, pair{from: ends.to, to: ends.from}) })
+	wg.Wait()
+	n.mu.Lock()
+	delete(n.conns, r)
+	n.mu.Unlock()
+}
+
+// await waits until the pair is not cut. False means that the network is closed.
+func (n *Network) await(p pair) bool {
+	for {
+		n.mu.Lock()
+		blocked, closed := n.cut[p] || n.cut[pair{p.to, p.from}], n.closed
+		n.mu.Unlock()
+		if closed || !blocked {
+			return !closed
+		}
+		time.Sleep(cutPoll)
+	}
+}
+
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+// pump copies one direction. Bytes that meet a cut are kept and delivered after
+// its repair, as TCP does with segments that were lost.
+func (n *Network) pump(r *relayed, from io.Reader, to io.Writer, direction pair) {
+	defer r.close()
+	chunks := make(chan chunk, chunksMax)
+	var failed atomic.Bool
+	go func() {
+		defer close(chunks)
+		for {
+			b := make([]byte, chunkBytes)
+			k, err := from.Read(b)
+			if k > 0 {
+				n.mu.Lock()
+				d := n.delay[direction]
+				n.mu.Unlock()
+				chunks <- chunk{due: time.Now().Add(d), data: b[:k]}
+			}
+			if err != nil || failed.Load() {
+				return
+			}
+		}
+	}()
+	for c := range chunks {
+		time.Sleep(time.Until(c.due))
+		if failed.Load() || !n.await(direction) {
+			failed.Store(true)
+			continue
+		}
+		if _, err := to.Write(c.data); err != nil {
+			failed.Store(true)
+			r.close()
+		}
+	}
+	n.await(direction)
+}
+
+// Cut holds all bytes between two processes in both directions until Heal, as a
+// network partition does.
+func (n *Network) Cut(a, b string) { n.set(func() { n.cut[pair{a, b}] = true }) }
+
+// Heal ends the cut between two processes.
+func (n *Network) Heal(a, b string) {
+	n.set(func() {
+		delete(n.cut, pair{a, b})
+		delete(n.cut, pair{b, a})
+	})
+}
+
+// Delay delays bytes from one process to another from now on.
+func (n *Network) Delay(from, to string, d time.Duration) {
+	n.set(func() { n.delay[pair{from, to}] = d })
+}
+
+// Break closes the open connections between two processes.
+func (n *Network) Break(a, b string) {
+	n.set(func() {
+		for r := range n.conns {
+			if r.ends == (pair{a, b}) || r.ends == (pair{b, a}) {
+				r.close()
+			}
+		}
+	})
+}
+
+// HealAll ends all cuts and delays.
+func (n *Network) HealAll() {
+	n.set(func() {
+		clear(n.cut)
+		clear(n.delay)
+	})
+}
+
+func (n *Network) set(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func (n *Network) close() {
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	n.set(func() {
+		n.closed = true
+		for r := range n.conns {
+			r.close()
+		}
+	})
+}
+
+// dialler names the process that opened a connection by the owner of its socket:
+// the kernel's table gives the socket's inode for the port, and one of our own
+// processes has it open.
+func (n *Network) dialler(c net.Conn) string {
+	inode := socketInode(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	for _, p := range n.processes() {
+		if pid := p.PID(); pid != 0 && inode != "" && hasSocket(pid, inode) {
+			return p.Name
+		}
+	}
+	return "unknown"
+}
+
+func socketInode(local, remote int) string {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	ends := [2]string{fmt.Sprintf(":%04X", local), fmt.Sprintf(":%04X", remote)}
+	for line := range bytes.Lines(table) {
+		f := bytes.Fields(line)
+		if len(f) > 9 && bytes.HasSuffix(f[1], []byte(ends[0])) && bytes.HasSuffix(f[2], []byte(ends[1])) {
+			return string(f[9])
+		}
+	}
+	return ""
+}
+
+func hasSocket(pid int, inode string) bool {
+	dir := "/proc/" + strconv.Itoa(pid) + "/fd/"
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, e := range entries {
+		if to, err := os.Readlink(dir + e.Name()); err == nil && to == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// Ports below the range from which the kernel takes ports of outgoing
+	// connections, so that none of these can take a port between the choice
+	// and the daemon's listening, or during a restart.
+	portFirst = 20_000
+	portLast  = 32_000
+)
+
+// nextPort is the next port to try.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(portFirst + rand.Int64N(portLast-portFirst)) }
+
+// freeAddress returns an address on loopback that nothing listens on and that
+// no other caller got.
+func freeAddress() (string, error) {
+	for range portLast - portFirst {
+		port := portFirst + nextPort.Add(1)%(portLast-portFirst)
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address, nil
+		}
+	}
+	return "", errors.New("no free port on loopback")
+}
--- /dev/null
+++ b/integration/main_test.go
@@ -0,0 +1,53 @@
+package integration
+
+import (
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/integration/harness"
+)
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+const (
+	// taskTime is the run time of a task in most tests.
+	taskTime = 40 * time.Millisecond
+	// faultTime is how long a fault lasts whose end no condition tells.
+	faultTime = 3 * time.Second
+)
+
+// smallJobs returns a load's jobs of one to eight tasks.
+func smallJobs(repeatable bool) func() harness.Job {
+	return func() harness.Job {
+		j := harness.NewJob(1+rand.IntN(8), taskTime)
+		j.NotRepeatable = !repeatable
+		return j
+	}
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitWork requires that new jobs complete at every gateway again.
+func awaitWork(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	for i := range c.Gateways {
+		if c.Gateways[i].PID() == 0 {
+			continue
+		}
+		c.Await("a new job completes", func() error {
+			if r := c.Submit(i, harness.NewJob(8, taskTime)); !r.Complete() {
+				return errors.New(r.String())
+			}
+			return nil
+		})
+	}
+}
