Let a batch ask for one report at its end

Cause: the policy sends the last tasks of a large job with ReportLast; the link had no such mode, and the early report of a batch told of free slots that the gateway had no work for. Ruled out: a flag beside the mode, which would allow contradictory pairs. Result: REPORT_MODE_LAST; go test ./agent ./local passes.

--- a/agent/session.go
+++ b/agent/session.go
@@ -281,7 +281,8 @@
 	return a.withSession(s, func(now time.Duration) {
 		b := &batch{
 			gateway: s.gateway,
-			each:    f.GetReport() != pb.ReportMode_REPORT_MODE_BATCH,
+			each:    f.GetReport() <= pb.ReportMode_REPORT_MODE_EACH,
+			early:   f.GetReport() == pb.ReportMode_REPORT_MODE_LAST,
 			open:    len(starts),
 		}
 		var refused []ledger.Record
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -75,6 +75,7 @@
 var reportModes = map[scheduler.ReportMode]rhubarbsailv1.ReportMode{
 	scheduler.ReportEach:  rhubarbsailv1.ReportMode_REPORT_MODE_EACH,
 	scheduler.ReportBatch: rhubarbsailv1.ReportMode_REPORT_MODE_BATCH,
+	scheduler.ReportLast:  rhubarbsailv1.ReportMode_REPORT_MODE_LAST,
 }
 
 func (e *engine) sendBatch(now time.Time, k batchKey, starts []*rhubarbsailv1.Start) {
