Measure an embedded deployment under load with its messages

Cause: the policy mode models targets; the figures of real gateways and agents, and the frames that they send, were not known. Ruled out: counting frames in a proxy, which the gateways' own counters make needless. A handover refused by a successor that leaves too is no longer logged as a failure.

--- a/cmd/rhubarbsail-experiment/main.go
+++ b/cmd/rhubarbsail-experiment/main.go
@@ -9,8 +9,9 @@
 )
 
 type commands struct {
-	Policy policyCommand `command:"policy" description:"Compare policies in a discrete-event model of targets"`
-	Live   liveCommand   `command:"live" description:"Send load to running gateways over HTTP"`
+	Policy   policyCommand   `command:"policy" description:"Compare policies in a discrete-event model of targets"`
+	Embedded embeddedCommand `command:"embedded" description:"Start a deployment in this process and send load to it"`
+	Live     liveCommand     `command:"live" description:"Send load to running gateways over HTTP"`
 }
 
 func main() {
--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -73,7 +73,7 @@
 		"See the missing agents; keys submitted before the cut-off are answered may_have_run.")
 	TakeoverFinished   = define(3004, "takeover_finished", infoLevel, "a takeover is complete", nothing)
 	OwnershipLost      = define(3005, "ownership_lost", warnLevel, "another gateway owns the partitions now", nothing)
-	OwnershipSuspended = define(3006, "ownership_suspended", warnLevel, "too few agents confirm the ownership; requests are refused as not run",
+	OwnershipSuspended = define(3006, "ownership_suspended", warnLevel, "too few agents confirm the ownership; no task is started",
 		"Check the network between this gateway and the agents.")
 	OwnershipResumed = define(3007, "ownership_resumed", infoLevel, "a majority of the agents confirms the ownership again", nothing)
 	HandoverSent     = define(3008, "handover_sent", infoLevel, "partitions were handed over", nothing)
--- /dev/null
+++ b/experiment/cpu.go
@@ -0,0 +1,15 @@
+package experiment
+
+import (
+	"syscall"
+	"time"
+)
+
+// ProcessCPU returns the processor time that this process has used.
+func ProcessCPU() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -21,6 +21,9 @@
 	known  map[model.JobKey]*knownJob
 }
 
+// errSuccessorLeaving is no fault: the next plan names another successor.
+var errSuccessorLeaving = errors.New("the successor is leaving")
+
 var errNotOwned = errors.New("partition is not owned, or its takeover is not ready")
 
 // handOver moves one partition to another gateway. Until the claim is
@@ -43,7 +46,7 @@
 	defer cancel()
 	resp, err := g.peers.client(to.Address).Handover(sctx, connect.NewRequest(table))
 	if err == nil && !resp.Msg.Accepted {
-		err = errors.New("the successor is leaving")
+		err = errSuccessorLeaving
 	}
 	if err != nil {
 		_, _ = call(ctx, g.engine, func(e *engine, now time.Time) bool {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
@@ -198,6 +199,7 @@
 // the job table and then writes the claim for the successor.
 func (m *membership) handOver(ctx context.Context, h ownership.PlannedHandover) {
 	defer m.done(ctx, func() { delete(m.pending, h.Partition) })
-	err := m.g.handOver(ctx, h)
-	m.g.log.handedOver(h, err)
+	if err := m.g.handOver(ctx, h); !errors.Is(err, errSuccessorLeaving) && !errors.Is(err, errNotOwned) {
+		m.g.log.handedOver(h, err)
+	}
 }
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -34,6 +34,8 @@
 	Speeds []float64
 	// Service and Client are the one service and client of the rules.
 	Service, Client string
+	// MoreClients are further clients of the rules with the same share.
+	MoreClients []string
 	// Spans receives the spans of all processes; nil records none.
 	Spans sdktrace.SpanExporter
 	// Log receives the log lines of all processes; nil writes none.
@@ -304,8 +306,12 @@
 			Service: d.opts.Service, Slots: slots, Connections: connections,
 		})
 	}
+	clients := []inventory.Client{{ID: d.opts.Client, Share: 1}}
+	for _, c := range d.opts.MoreClients {
+		clients = append(clients, inventory.Client{ID: c, Share: 1})
+	}
 	return inv, inventory.Rules{
-		Clients:  []inventory.Client{{ID: d.opts.Client, Share: 1}},
+		Clients:  clients,
 		Services: []inventory.Service{{ID: d.opts.Service, Repeatable: true}},
 	}
 }
