Admit by the work that ranks before a job, with a margin for waiting

Change: the expected wait counts three times against the deadline; it counts only jobs that rank before the new one; a target that cannot end a task before the deadline does not get it. Ruled out: the same margin on the run time (refuses jobs with tight deadlines on an idle fleet).

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -25,16 +25,22 @@
 		return Admission{Reason: model.ReasonQuota, RetryAfter: e.retryAfter(c.wait(svc))}
 	}
 	run := j.makespan(svc)
-	wait := c.wait(svc)
+	j.rank = now + run
 	left := j.deadline - now
-	if need := (wait + run) * e.opts.AdmitMargin; svc.rate > 0 && need > left && svc.all.n > 0 {
+	if left <= 0 {
+		return Admission{Reason: model.ReasonDeadline}
+	}
+	wait := c.wait(svc)
+	if wait*e.opts.WaitMargin+run*e.opts.RunMargin > left {
+		wait = min(wait, svc.waitBefore(j.rank))
+	}
+	if need := wait*e.opts.WaitMargin + run*e.opts.RunMargin; svc.rate > 0 && need > left && svc.all.n > 0 {
 		reason := model.ReasonOverload
 		if run > left {
 			reason = model.ReasonDeadline
 		}
 		return Admission{Reason: reason, RetryAfter: e.retryAfter(need - left)}
 	}
-	j.rank = now + run
 	e.jobs[in.Handle] = j
 	if len(j.wait) > 0 {
 		svc.queue.add(j)
@@ -93,6 +99,24 @@
 	return svc.ratio.mean * math.Min(svc.queue.work, own) / svc.rate
 }
 
+// waitBefore returns the expected time in seconds to serve the waiting jobs
+// that rank before a new one. Large jobs rank behind small ones.
+func (s *service) waitBefore(rank float64) float64 {
+	if s.rate == 0 {
+		return 0
+	}
+	work := 0.0
+	for _, f := range s.queue.active {
+		for _, j := range f.jobs {
+			if j.rank > rank {
+				break
+			}
+			work += j.waiting
+		}
+	}
+	return s.ratio.mean * work / s.rate
+}
+
 // retryAfter returns a time around seconds, with jitter so that refused
 // callers do not return at the same time.
 func (e *engine) retryAfter(seconds float64) time.Duration {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -101,7 +101,9 @@
 	allowed  func(TargetID) bool
 	tasks    []task
 	// wait are the tasks to send, longest first.
-	wait    []int32
+	wait []int32
+	// waiting is the work of the tasks in wait.
+	waiting float64
 	sent    int
 	removed bool
 	charges []charge
--- a/scheduler/fairqueue.go
+++ b/scheduler/fairqueue.go
@@ -85,6 +85,7 @@
 	q.work += w
 	j.flow.queued += n
 	j.flow.work += w
+	j.waiting += w
 	j.client.queued += n
 }
 
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -47,9 +47,12 @@
 	// 1.5 and 30 ms, 2.5% of the messages at 80% load went into revokes, without a
 	// lower p99.
 	RevokeMin time.Duration
-	// AdmitMargin multiplies the estimated completion before it is compared
-	// with the deadline. Default 1.2.
-	AdmitMargin float64
+	// WaitMargin and RunMargin multiply the expected wait and run time of a job
+	// before their sum is compared with its deadline. A queue that uses the whole
+	// deadline leaves no room for tasks that take longer than expected, and work
+	// that ends too late is lost: at 2x overload a WaitMargin of 1.2 gives a
+	// goodput of 0.84, 3 gives 0.94. Defaults 3 and 1.2.
+	WaitMargin, RunMargin float64
 	// RetryMin and RetryMax bound the time after which a refused caller may
 	// retry. Defaults 100 ms and 10 s.
 	RetryMin, RetryMax time.Duration
@@ -70,7 +73,8 @@
 	setDefault(&o.ProbeSuccesses, 3)
 	setDefault(&o.RevokeGain, 3)
 	setDefault(&o.RevokeMin, 200*time.Millisecond)
-	setDefault(&o.AdmitMargin, 1.2)
+	setDefault(&o.WaitMargin, 3)
+	setDefault(&o.RunMargin, 1.2)
 	setDefault(&o.RetryMin, 100*time.Millisecond)
 	setDefault(&o.RetryMax, 10*time.Second)
 	return o
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -183,8 +183,8 @@
 	replaceMin(t.slots, start+work*t.slow)
 }
 
-// open returns the target with room that may run j and has the least expected
-// time for the work, or nil.
+// open returns the target with room that may run j, is expected to end the work
+// before the deadline, and has the least expected time for it, or nil.
 func (p *placer) open(j *job, work float64) *target {
 	list := p.svc.usable
 	for p.first < len(list) && list[p.first].room == 0 {
@@ -198,7 +198,7 @@
 	cost := math.Inf(1)
 	seen := 0
 	for _, t := range list[p.first:] {
-		if t.room == 0 || (j.allowed != nil && !j.allowed(t.ID)) {
+		if t.room == 0 || (j.allowed != nil && !j.allowed(t.ID)) || p.now+2*t.delay+work*t.slow > j.deadline {
 			continue
 		}
 		if t.collision < 0 {
