Give the large jobs of a client a flow and more patience

Cause (trace of jobs-mixed by slowdown against an idle fleet): single tasks waited 4 to 20 s at the owner, mostly of clients that had also sent a job of 1,300 tasks: the lead of the client counted against its small jobs, and jobs that came later than the large one's expected makespan ranked behind it. Change: large jobs are a flow of their own with the same share, rank later by ten makespans but not beyond their deadline, and their ends do not count as free slots for small jobs.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -20,17 +20,17 @@
 	}
 	svc.measure(now)
 	c := e.client(in.Client)
-	j := newJob(now, e.seconds(in.Deadline), in, svc, c, skip)
+	j := newJob(now, e.seconds(in.Deadline), in, svc, c, e.opts.BatchTasks, skip)
 	if c.queued+len(j.wait) > c.maxQueued && c.queued > 0 || len(j.wait) > c.maxQueued {
-		return Admission{Reason: model.ReasonQuota, RetryAfter: e.retryAfter(c.wait(svc))}
+		return Admission{Reason: model.ReasonQuota, RetryAfter: e.retryAfter(svc.wait(j.flow))}
 	}
 	run := j.makespan(svc)
-	j.rank = now + run
+	j.rank = j.rankAt(now, run)
 	left := j.deadline - now
 	if left <= 0 {
 		return Admission{Reason: model.ReasonDeadline}
 	}
-	wait := c.wait(svc)
+	wait := svc.wait(j.flow)
 	if wait*e.opts.WaitMargin+run*e.opts.RunMargin > left {
 		wait = min(wait, svc.waitBefore(j.rank))
 	}
@@ -48,12 +48,13 @@
 	return Admission{Admitted: true}
 }
 
-func newJob(now, deadline float64, in Job, svc *service, c *client, skip func(int) bool) *job {
+func newJob(now, deadline float64, in Job, svc *service, c *client, batchTasks int, skip func(int) bool) *job {
 	j := &job{
-		handle: in.Handle, client: c, svc: svc, flow: svc.queue.flowOf(c),
+		handle: in.Handle, client: c, svc: svc,
 		deadline: deadline, arrival: now, allowed: in.Allowed,
 		tasks: make([]task, len(in.Tasks)), wait: make([]int32, 0, len(in.Tasks)),
 	}
+	j.flow = svc.queue.flowOf(c, len(in.Tasks) >= batchTasks)
 	for i := range in.Tasks {
 		j.tasks[i] = task{declared: in.Tasks[i].Expected.Seconds()}
 		j.predict(i)
@@ -68,6 +69,23 @@
 	return j
 }
 
+// bulkPatience is the number of makespans by which a large job lets later,
+// smaller ones go first.
+const bulkPatience = 10
+
+// rankAt returns the rank of a new job in seconds, see fairQueue. A large job
+// loses little by each small one that goes first. Near its deadline it waits no
+// longer.
+func (j *job) rankAt(now, run float64) float64 {
+	patience := 1.0
+	if len(j.wait) > 1 {
+		// The excess of the makespan over that of the longest task is bulk.
+		longest := j.svc.ratio.mean * j.tasks[j.wait[0]].work * j.svc.fastest
+		patience += bulkPatience * math.Max(0, 1-longest/math.Max(run, longest))
+	}
+	return math.Max(now+run, math.Min(now+patience*run, j.deadline-2*run))
+}
+
 // makespan returns the expected time in seconds that the waiting tasks take on
 // the whole service.
 func (j *job) makespan(svc *service) float64 {
@@ -83,20 +101,19 @@
 }
 
 // wait returns the expected time in seconds until the present queue no longer
-// delays a new job of c: with fair queueing, the time to serve all waiting work
-// or the client's own at its share, whichever is shorter.
-func (c *client) wait(svc *service) float64 {
-	if svc.rate == 0 {
+// delays a new job of the flow: with fair queueing, the time to serve all
+// waiting work or the flow's own at its share, whichever is shorter.
+func (s *service) wait(own *flow) float64 {
+	if s.rate == 0 {
 		return 0
 	}
-	shares := c.share
-	for _, f := range svc.queue.active {
-		if f.client != c {
+	shares := own.client.share
+	for _, f := range s.queue.active {
+		if f != own {
 			shares += f.client.share
 		}
 	}
-	own := svc.queue.flowOf(c).work * shares / c.share
-	return svc.ratio.mean * math.Min(svc.queue.work, own) / svc.rate
+	return s.ratio.mean * math.Min(s.queue.work, own.work*shares/own.client.share) / s.rate
 }
 
 // waitBefore returns the expected time in seconds to serve the waiting jobs
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -60,8 +60,8 @@
 	// rate is the work per second that the targets can do for this gateway,
 	// fastest the least slowness, both as of measured.
 	rate, fastest, measured float64
-	// ownEnds is the rate per second at which own tasks end, valid within one
-	// Decide.
+	// ownEnds is the rate per second at which own tasks of small jobs end, valid
+	// within one Decide. Slots of large jobs are refilled in chunks.
 	ownEnds float64
 	// served is the work per second in service, of all gateways.
 	served                 float64
--- a/scheduler/fairqueue.go
+++ b/scheduler/fairqueue.go
@@ -7,7 +7,8 @@
 )
 
 // fairQueue holds the waiting tasks of one service. Jobs are ordered by rank,
-// which is arrival plus expected makespan: this bounds the slowdown of small
+// which is arrival plus expected makespan, several makespans for large jobs:
+// this bounds the slowdown of small
 // jobs behind large ones and starves none, since later jobs rank later.
 // Clients that were served more than their share while others waited rank later
 // by their lead. The lead is kept by tags as in start-time fair queueing (Goyal,
@@ -15,7 +16,7 @@
 // up to leadAllowance counts for nothing, so that a short queue is served in the
 // order of ranks.
 type fairQueue struct {
-	flows  map[*client]*flow
+	flows  map[flowKey]*flow
 	active []*flow
 	// vtime is the least tag of the active flows, or the greatest tag reached
 	// when none is active; scale is the time in seconds for a tag of 1.
@@ -31,7 +32,14 @@
 // of its share before its jobs rank later.
 const leadAllowance = 2.0
 
-// flow is the queue of one client in one service.
+// flowKey names a flow. The large jobs of a client are a flow of their own, so
+// that they do not use up the share of its small ones.
+type flowKey struct {
+	client *client
+	large  bool
+}
+
+// flow is the queue of one client's small or large jobs in one service.
 type flow struct {
 	client *client
 	tag    float64
@@ -46,14 +54,15 @@
 }
 
 func newFairQueue() *fairQueue {
-	return &fairQueue{flows: map[*client]*flow{}}
+	return &fairQueue{flows: map[flowKey]*flow{}}
 }
 
-func (q *fairQueue) flowOf(c *client) *flow {
-	f := q.flows[c]
+func (q *fairQueue) flowOf(c *client, large bool) *flow {
+	key := flowKey{c, large}
+	f := q.flows[key]
 	if f == nil {
 		f = &flow{client: c}
-		q.flows[c] = f
+		q.flows[key] = f
 	}
 	return f
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -79,6 +79,7 @@
 	s.usable = s.usable[:0]
 	open := 0
 	ends, speed := 0.0, 0.0
+	s.ownEnds = 0
 	mean := s.meanWork()
 	for _, t := range s.ranked {
 		if open >= need {
@@ -96,6 +97,7 @@
 		rate := float64(min(t.active, t.Slots)) / (mean * t.slow)
 		ends += rate
 		speed += rate / t.slow
+		s.ownEnds += float64(min(len(t.out)-t.batchOut, t.Slots)) / (mean * t.slow)
 		t.room = t.freeSlots(now)
 		if t.room == 0 && len(t.out) < t.limit(now) {
 			// The report of a free slot and the next start take two delays; tasks
@@ -105,7 +107,6 @@
 		}
 		open += t.room
 	}
-	s.ownEnds = ends
 	return open
 }
 
@@ -166,7 +167,7 @@
 // its tasks would wait here without end.
 func (p *placer) queueAt(j *job, work float64) *target {
 	t, finish := p.best(j, work)
-	if t == nil || t.active >= t.Slots+p.e.opts.Prefetch {
+	if t == nil || len(t.out)-t.batchOut >= t.Slots+p.e.opts.Prefetch {
 		return nil
 	}
 	start := finish - t.delay - work*t.slow - p.now
@@ -298,6 +299,9 @@
 	a := &attempt{job: j, index: index, sent: now, batch: j.batch(e)}
 	t.out = append(t.out, a)
 	t.active++
+	if a.batch {
+		t.batchOut++
+	}
 	j.tasks[index].target = t
 	j.sent++
 	j.client.running++
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -55,6 +55,8 @@
 	// Tasks of a batch end silently before its report: modelSilent of them as
 	// modelled, and at least silent of them by the last report of the load.
 	active, modelSilent, silent int
+	// batchOut is the number of attempts in out that belong to large jobs.
+	batchOut int
 
 	leaving   bool
 	rejecting bool
@@ -155,6 +157,9 @@
 }
 
 func (t *target) remove(at int) {
+	if t.out[at].batch {
+		t.batchOut--
+	}
 	t.out = slices.Delete(t.out, at, at+1)
 	t.validUntil = 0
 }
