--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -55,14 +55,11 @@
 	p := placer{e: e, svc: svc, now: now, out: out, mean: svc.meanWork()}
 	first := len(out.Assign)
 	svc.queue.rate = svc.rate / svc.ratio.mean
-	batch := svc.queue.hasBatch(e)
 	need := svc.queue.queued + openChoices
-	if batch {
+	if svc.queue.hasBatch(e) {
 		need = math.MaxInt
 	}
-	if svc.collect(now, e.opts.Prefetch, need) == 0 && !batch {
-		return
-	}
+	svc.collect(now, e.opts.Prefetch, need)
 	svc.queue.walk(e.opts.Lookahead, p.visit)
 	for i := range out.Assign[first:] {
 		a := &out.Assign[first+i]
@@ -95,9 +92,15 @@
 		t.hungry = t.active < t.Slots
 		t.fasterEnds, t.fasterSpeed, t.sent = ends, speed, 0
 		rate := float64(min(t.active, t.Slots)) / (mean * t.slow)
+		if float64(t.active)+t.foreignSeen > float64(t.Slots)+1 {
+			// Tasks that wait at the agent take the slots that become free.
+			rate = 0
+		}
 		ends += rate
 		speed += rate / t.slow
-		s.ownEnds += float64(min(len(t.out)-t.batchOut, t.Slots)) / (mean * t.slow)
+		if rate > 0 {
+			s.ownEnds += float64(min(len(t.out)-t.batchOut, t.Slots)) / (mean * t.slow)
+		}
 		t.room = t.freeSlots(now)
 		if t.room == 0 && len(t.out) < t.limit(now) {
 			// The report of a free slot and the next start take two delays; tasks
