--- a/scheduler/engine_test.go
+++ b/scheduler/engine_test.go
@@ -393,3 +393,142 @@
 	}
 	return list
 }
+
+// Under overload a client that floods the queue must not take the share of one
+// that sends little.
+func TestSharesBoundAFloodingClient(t *testing.T) {
+	b := newBench(4, Options{})
+	b.train(5, func(TargetID) time.Duration { return 100 * time.Millisecond })
+	b.SetLimits(b.now, []ClientLimit{{Client: "flood", Share: 1, MaxQueued: 5000}, {Client: "light", Share: 1, MaxQueued: 5000}})
+	// 8 slots do 8 tasks in a step; the light client asks for 3 of them.
+	client := map[JobHandle]string{}
+	done := map[string]int{}
+	var sent []Assignment
+	const steps = 200
+	for range steps {
+		for i := range 23 {
+			name := "flood"
+			if i < 3 {
+				name = "light"
+			}
+			if h, a := b.submit(name, 1, nil); a.Admitted {
+				client[h] = name
+			}
+		}
+		b.advance(100 * time.Millisecond)
+		free := map[TargetID]int{}
+		var rest []Assignment
+		for _, a := range sent {
+			if free[a.Target]++; free[a.Target] > 2 {
+				rest = append(rest, a)
+				continue
+			}
+			b.end(a, OutcomeSucceeded, 100*time.Millisecond)
+			done[client[a.Task.Job]]++
+			b.Remove(b.now, a.Task.Job)
+		}
+		sent = append(rest, b.Decide(b.now).Assign...)
+	}
+	if done["light"] < steps*3*8/10 {
+		t.Fatalf("the light client got %d of %d tasks, the flooding one %d", done["light"], steps*3, done["flood"])
+	}
+}
+
+// A small job must not be refused for the queue of a large one that it passes.
+func TestAdmissionCountsOnlyWorkThatRanksBefore(t *testing.T) {
+	b := newBench(4, Options{})
+	b.train(5, func(TargetID) time.Duration { return 100 * time.Millisecond })
+	b.submit("c", 1300, nil)
+	if _, a := b.submit("c", 1, func(j *Job) { j.Deadline = b.now.Add(2 * time.Second) }); !a.Admitted {
+		t.Fatalf("small job refused: %+v", a)
+	}
+	if _, a := b.submit("c", 1300, func(j *Job) { j.Deadline = b.now.Add(2 * time.Second) }); a.Admitted || a.RetryAfter < 0 {
+		t.Fatalf("large job that cannot end in time: %+v", a)
+	}
+}
+
+// Jobs refused with one Retry-After would come back at the same time.
+func TestRetryAfterHasJitter(t *testing.T) {
+	b := newBench(1, Options{})
+	b.train(5, func(TargetID) time.Duration { return 100 * time.Millisecond })
+	seen := map[time.Duration]bool{}
+	for range 200 {
+		_, a := b.submit("c", 1, func(j *Job) { j.Deadline = b.now.Add(time.Second) })
+		if !a.Admitted {
+			seen[a.RetryAfter] = true
+		}
+	}
+	if len(seen) < 50 {
+		t.Fatalf("%d different retry times", len(seen))
+	}
+}
+
+// Tasks of a large job that are sent one by one cost two messages each.
+func TestLargeJobIsSentInChunks(t *testing.T) {
+	b := newBench(4, Options{})
+	b.train(5, func(TargetID) time.Duration { return 100 * time.Millisecond })
+	b.submit("c", 100, nil)
+	counts := map[TargetID]int{}
+	for _, a := range b.Decide(b.now).Assign {
+		if a.Report == ReportEach {
+			t.Fatalf("report mode %d", a.Report)
+		}
+		counts[a.Target]++
+	}
+	for id, n := range counts {
+		if n < 10 {
+			t.Errorf("%s got %d tasks", id, n)
+		}
+	}
+	if len(counts) == 0 {
+		t.Fatal("nothing sent")
+	}
+}
+
+// A gateway that never hears of a free slot must not keep its tasks for ever.
+func TestTaskQueuesAtAgentWhenNoSlotIsFree(t *testing.T) {
+	b := newBench(3, Options{})
+	b.train(5, func(TargetID) time.Duration { return 100 * time.Millisecond })
+	for i := range 3 {
+		b.Report(b.now, Load{Target: targetName(i), Slots: 2, Running: 2, Queued: 4 * i, Accepting: true})
+	}
+	b.submit("c", 1, nil)
+	list := b.Decide(b.now).Assign
+	if len(list) != 1 || list[0].Target != targetName(0) {
+		t.Fatalf("assigned %v, want the target with the shortest queue", list)
+	}
+}
+
+// A task must not start where it cannot end before its deadline.
+func TestNoStartBeyondDeadline(t *testing.T) {
+	b := newBench(1, Options{})
+	b.train(5, func(TargetID) time.Duration { return time.Second })
+	h, _ := b.submit("c", 1, func(j *Job) { j.Deadline = b.now.Add(1500 * time.Millisecond) })
+	b.advance(time.Second)
+	d := b.Decide(b.now)
+	if len(d.Assign) != 0 || len(d.Dropped) != 1 || d.Dropped[0] != (Drop{h, model.ReasonDeadline}) {
+		t.Fatalf("decisions %+v", d)
+	}
+}
+
+// A target that leaves, drains or lost its link must get no work.
+func TestUnusableTargetsGetNoWork(t *testing.T) {
+	cases := map[string]func(*bench){
+		"draining":     func(b *bench) { b.setTargets(2, func(i int, t *Target) { t.Draining = i == 0 }) },
+		"disconnected": func(b *bench) { b.setTargets(2, func(i int, t *Target) { t.Connected = i != 0 }) },
+		"leaving":      func(b *bench) { b.Report(b.now, Load{Target: targetName(0), Leaving: true, Accepting: true}) },
+		"rejecting":    func(b *bench) { b.Report(b.now, Load{Target: targetName(0)}) },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(2, Options{})
+			change(b)
+			b.submit("c", 50, nil)
+			for _, a := range b.Decide(b.now).Assign {
+				if a.Target == targetName(0) {
+					t.Fatal("work sent to a target that takes none")
+				}
+			}
+		})
+	}
+}
