--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -74,17 +74,16 @@
 // slots of their speed), in order of arrival.
 func (w Workload) Generate(capacity float64, seed uint64) []JobSpec {
 	rng := rand.New(rand.NewPCG(seed, 0x10ad))
-	rate := w.Load * capacity / (w.meanWork(capacity) * w.meanSize())
+	rate := w.Load * capacity / (w.meanWork() * w.meanSize())
 	var jobs []JobSpec
 	for at := 0.0; ; {
 		// Thinning of a Poisson process at the highest rate.
-		peak, here := w.rates(rate, at)
+		peak, _ := w.rates(rate, at)
 		at += rng.ExpFloat64() / peak
 		if at > w.Duration.Seconds() {
 			break
 		}
-		_, here = w.rates(rate, at)
-		if rng.Float64()*peak > here {
+		if _, here := w.rates(rate, at); rng.Float64()*peak > here {
 			continue
 		}
 		jobs = append(jobs, w.job(rng, at))
@@ -134,7 +133,7 @@
 }
 
 // meanWork estimates the mean run time with a fixed sample.
-func (w Workload) meanWork(float64) float64 {
+func (w Workload) meanWork() float64 {
 	rng := rand.New(rand.NewPCG(1, 1))
 	const sample = 50000
 	sum := 0.0
