--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
+)
+
+const (
+	// announceTimeout bounds one announcement, which waits for the log's read-back
+	// at the gateway.
+	announceTimeout = 2 * time.Second
+	// announceFirstRetry is the first wait after a failed announcement; it doubles
+	// up to Options.AnnounceRetry.
+	announceFirstRetry = 100 * time.Millisecond
+	gatewayDialTimeout = time.Second
+)
+
+func newGatewayClient() connect.HTTPClient {
+	t := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: gatewayDialTimeout}).DialContext,
+		Protocols:   new(http.Protocols),
+	}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: t}
+}
+
+// announceLoop announces the agent until ctx ends: at each change of the target,
+// often until the log shows the agent, then rarely. It takes a new incarnation if
+// the log took the present one as gone, which is final for an incarnation.
+func (a *Agent) announceLoop(ctx context.Context) {
+	retry := announceFirstRetry
+	next := 0
+	failing, joined := false, false
+	for ctx.Err() == nil {
+		req := a.announcement()
+		wait := a.opts.AnnounceInterval
+		if req != nil && len(a.opts.Gateways) > 0 {
+			recorded, err := a.announceTo(ctx, a.opts.Gateways[next], req)
+			switch {
+			case connect.CodeOf(err) == connect.CodeFailedPrecondition && a.rejoin():
+				wait = announceFirstRetry
+			case err != nil:
+				if !failing && ctx.Err() == nil {
+					events.AnnounceFailed.Log(a.log).Str("gateway", a.opts.Gateways[next]).Err(err).Send()
+				}
+				next = (next + 1) % len(a.opts.Gateways)
+				wait = retry
+				retry = min(2*retry, a.opts.AnnounceRetry)
+			case !recorded:
+				wait, retry = a.opts.AnnouncePending, announceFirstRetry
+			default:
+				if !joined {
+					events.AgentJoined.Log(a.log).Str("gateway", a.opts.Gateways[next]).Send()
+				}
+				retry, joined = announceFirstRetry, true
+			}
+			failing = err != nil
+		}
+		timer := time.NewTimer(jitter(wait))
+		select {
+		case <-timer.C:
+		case <-a.announceNow:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// announcement returns the announcement of the agent with its target, or nil
+// until a target was announced.
+func (a *Agent) announcement() *pb.AnnounceRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.target.name == "" {
+		return nil
+	}
+	return &pb.AnnounceRequest{
+		Agent:            a.opts.Agent,
+		Incarnation:      uint64(a.incarnation),
+		Address:          a.opts.Advertise,
+		Worker:           a.opts.Worker,
+		Rack:             a.opts.Rack,
+		AvailabilityZone: a.opts.AvailabilityZone,
+		Target:           a.target.name,
+		Service:          a.target.service,
+		Slots:            uint32(a.target.slots),
+		Connections:      uint32(a.target.connections),
+	}
+}
+
+// rejoin takes a new incarnation after a gateway answered that the log shows the
+// present one as departed, which happens when the agent was out of reach and had
+// lost its lease. The ledger stays. It returns false without a valid lease: the
+// worker may then belong to a newer agent of the same name.
+func (a *Agent) rejoin() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	if a.stopping || !a.lease.valid(a.since(now)) {
+		return false
+	}
+	old := a.incarnation
+	a.incarnation = max(model.Incarnation(now.UnixNano()), old+1)
+	a.ledger.SetIncarnation(a.incarnation)
+	a.giveBack(a.since(now), ledger.Leaving)
+	// Gateways hold their links with the old incarnation.
+	for _, s := range a.sessions {
+		s.abort()
+	}
+	events.AgentRejoined.Log(a.log).Uint64("old", uint64(old)).Uint64("incarnation", uint64(a.incarnation)).Send()
+	return true
+}
+
+func (a *Agent) announceTo(ctx context.Context, address string, req *pb.AnnounceRequest) (recorded bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	c := rhubarbsailv1connect.NewGatewayServiceClient(a.deps.GatewayClient, "http://"+address,
+		connect.WithAcceptCompression("gzip", nil, nil))
+	resp, err := c.Announce(ctx, connect.NewRequest(req))
+	if err != nil {
+		return false, errors.Wrapf(err, "announce to %s", address)
+	}
+	return resp.Msg.GetRecorded(), nil
+}
+
+// announceLeaving tells the first gateway that answers that the agent has left.
+// It is called when the outcomes are delivered: once the log shows the removal,
+// owners no longer wait for outcomes of this agent.
+func (a *Agent) announceLeaving() {
+	req := a.announcement()
+	if req == nil {
+		return
+	}
+	req.Leaving = true
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, address := range a.opts.Gateways {
+		_, err := a.announceTo(ctx, address, req)
+		if err == nil {
+			return
+		}
+		events.AnnounceFailed.Log(a.log).Str("gateway", address).Bool("leaving", true).Err(err).Send()
+	}
+}
--- a/agent/ledger/start.go
+++ b/agent/ledger/start.go
@@ -9,7 +9,9 @@
 
 // Issue returns a permit for starts sent after now.
 func (l *Ledger) Issue(now time.Duration) Permit {
-	return Permit{Incarnation: l.opts.Incarnation, Issued: now}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Permit{Incarnation: l.incarnation, Issued: now}
 }
 
 // Admit decides about a start. If it is accepted, the record is Queued and the
@@ -23,8 +25,8 @@
 	if rec, refused := l.refusal(s); refused {
 		return rec, false
 	}
-	cost := entryCost(s.Task) + int64(l.opts.ResultLimit) + errorLimit
-	if !l.room(l.entries[s.Task], cost) {
+	cost := entryCost(s.Task)
+	if !l.room(l.entries[s.Task], cost+l.reservation()) {
 		return l.bury(s.Attempt, s.Digest, LedgerFull), false
 	}
 	e := &entry{
@@ -84,15 +86,18 @@
 }
 
 func (l *Ledger) valid(p Permit) bool {
-	return p.Incarnation == l.opts.Incarnation &&
+	return p.Incarnation == l.incarnation &&
 		p.Issued > l.refuseIssued && p.Issued <= l.now &&
 		l.now-p.Issued <= l.opts.PermitLifetime
 }
 
-// Begin moves a queued attempt to Running. The caller gives the task to the
-// target only if it returns true. Otherwise the record says why the attempt
-// does not begin: Refusal is StaleEpoch, Deadline, or Revoked if the attempt is
-// no longer the queued one.
+// reservation is the memory for the outcome of a running task.
+func (l *Ledger) reservation() int64 { return int64(l.opts.ResultLimit) + errorLimit }
+
+// Begin moves a queued attempt to Running and reserves room for its outcome. The
+// caller gives the task to the target only if it returns true. Otherwise the
+// record says why the attempt does not begin: Refusal is StaleEpoch, Deadline,
+// LedgerFull, or Revoked if the attempt is no longer the queued one.
 func (l *Ledger) Begin(now time.Duration, a Attempt) (Record, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,6 +112,11 @@
 	if e.deadline != 0 && l.now >= e.deadline {
 		return l.bury(a, e.Digest, Deadline), false
 	}
+	if l.bytes+l.reservation() > l.opts.MaxBytes {
+		return l.bury(a, e.Digest, LedgerFull), false
+	}
+	e.cost += l.reservation()
+	l.bytes += l.reservation()
 	e.State = Running
 	e.begun = l.now
 	e.Wait = e.begun - e.admitted
--- /dev/null
+++ b/cmd/rhubarbsail-experiment/main.go
@@ -0,0 +1,22 @@
+// Command rhubarbsail-experiment measures scheduling policies in a small model
+// of targets, or running gateways over HTTP.
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type commands struct {
+	Policy   policyCommand   `command:"policy" description:"Compare policies in a discrete-event model of targets"`
+	Embedded embeddedCommand `command:"embedded" description:"Start a deployment in this process and send load to it"`
+	Live     liveCommand     `command:"live" description:"Send load to running gateways over HTTP"`
+}
+
+func main() {
+	var c commands
+	if _, err := flags.Parse(&c); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,148 @@
+// Package control keeps the control state of a gateway: one goroutine tails
+// the control stream, applies its records and publishes snapshots.
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+// ErrStopped means that the loop has ended.
+var ErrStopped = errors.New("control loop stopped")
+
+// Options configures a Loop. Zero durations and counts take the defaults.
+type Options struct {
+	// Log, Stream and Writer (the gateway's id) are required.
+	Log    platform.Log
+	Stream string
+	Writer string
+	// Retention is passed to the state machine; the same in all gateways.
+	Retention time.Duration
+	// LogRetention is the time for which the log keeps records.
+	LogRetention time.Duration
+	// PeerState returns the encoded snapshot of a peer gateway and its offset,
+	// for a process that cannot read the log. It may be nil. While the log
+	// stays unavailable it is called every few seconds; it may return offset 0
+	// if no peer is ahead of Loop.Snapshot, to save the transfer.
+	PeerState func(ctx context.Context) (offset uint64, snapshot []byte, err error)
+	// ShouldSnapshot reports whether this gateway writes the snapshots at the
+	// moment. It may be nil for never.
+	ShouldSnapshot func() bool
+	// SnapshotEvery is the number of records after which a snapshot is due.
+	SnapshotEvery int
+	// PollWait is the time that one long poll waits for records.
+	PollWait time.Duration
+	// AppendTimeout bounds one attempt to append.
+	AppendTimeout time.Duration
+	// BatchWait is the time for which agent announcements are collected.
+	BatchWait time.Duration
+	// Now is the clock; nil is time.Now.
+	Now func() time.Time
+	// Report receives notable events; it may be nil and must not block.
+	Report func(Event)
+}
+
+// The defaults of Options.
+const (
+	defaultPollWait      = 10 * time.Second
+	defaultAppendTimeout = 3 * time.Second
+	defaultBatchWait     = 200 * time.Millisecond
+	defaultSnapshotEvery = 1000
+	// defaultLogRetention is far below the retention of any log in use.
+	defaultLogRetention = time.Hour
+)
+
+func (o Options) withDefaults() Options {
+	orDuration := func(p *time.Duration, def time.Duration) {
+		if *p <= 0 {
+			*p = def
+		}
+	}
+	orDuration(&o.PollWait, defaultPollWait)
+	orDuration(&o.AppendTimeout, defaultAppendTimeout)
+	orDuration(&o.BatchWait, defaultBatchWait)
+	orDuration(&o.LogRetention, defaultLogRetention)
+	if o.SnapshotEvery <= 0 {
+		o.SnapshotEvery = defaultSnapshotEvery
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Report == nil {
+		o.Report = func(Event) {}
+	}
+	return o
+}
+
+// Loop owns the state machine and publishes its snapshots. One goroutine, that
+// of Run, owns the fields of tail; the others may be used by any.
+type Loop struct {
+	opts        Options
+	tail        tail
+	snap        atomic.Pointer[state.Snapshot]
+	status      atomic.Pointer[Status]
+	ready       chan struct{}
+	stopped     context.Context // ended when Run ends
+	stop        context.CancelFunc
+	waiters     waiters
+	subscribers subscribers
+	joins       *batcher[state.Agent]
+	leaves      *batcher[state.AgentLeft]
+	writing     atomic.Bool // a snapshot is being written
+	background  sync.WaitGroup
+}
+
+// New returns a loop; Run starts it.
+func New(opts Options) *Loop {
+	l := &Loop{
+		opts: opts.withDefaults(), ready: make(chan struct{}),
+		waiters: waiters{byID: map[string]chan state.Result{}},
+	}
+	l.stopped, l.stop = context.WithCancel(context.Background())
+	l.tail = tail{machine: state.NewMachine(state.Options{Retention: opts.Retention}), next: 1}
+	l.snap.Store(l.tail.machine.Snapshot())
+	l.status.Store(&Status{})
+	l.joins = newBatcher(l, state.KindAgentJoined, func(a []state.Agent) any { return state.AgentsJoined{Agents: a} })
+	l.leaves = newBatcher(l, state.KindAgentLeft, func(a []state.AgentLeft) any { return state.AgentsLeft{Agents: a} })
+	return l
+}
+
+// Run tails the stream until the context ends. It is called once.
+func (l *Loop) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer l.background.Wait()
+	defer l.stop()
+	defer cancel()
+	l.background.Go(func() { l.joins.run(ctx) })
+	l.background.Go(func() { l.leaves.run(ctx) })
+	b := newBackoff()
+	for ctx.Err() == nil {
+		if err := l.step(ctx); err != nil {
+			b.sleep(ctx, nil)
+			continue
+		}
+		b.reset()
+	}
+}
+
+// Snapshot returns the newest state. It is never nil.
+func (l *Loop) Snapshot() *state.Snapshot { return l.snap.Load() }
+
+// Subscribe returns a channel that receives a value after each change of the
+// snapshot; several changes may give one value. The function ends the
+// subscription.
+func (l *Loop) Subscribe() (<-chan struct{}, func()) { return l.subscribers.add() }
+
+// Ready is closed once the state was read to the end of the log, or loaded
+// from a peer.
+func (l *Loop) Ready() <-chan struct{} { return l.ready }
+
+// Status returns the state of the tail.
+func (l *Loop) Status() Status { return *l.status.Load() }
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/rhubarbsail/rhubarbsail/agent"
+	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/settings"
+	"github.com/rhubarbsail/rhubarbsail/httpapi"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+)
+
+// Agent runs an agent until ctx ends and its running tasks are delivered.
+func Agent(ctx context.Context, s *settings.Agent, env Env) error {
+	t, err := newTelemetry(ctx, "agent", s.ID, s.Telemetry, env)
+	if err != nil {
+		return err
+	}
+	defer t.close()
+	l, err := listenAgent(s, env)
+	if err != nil {
+		events.ListenFailed.Log(t.log).Err(err).Send()
+		return err
+	}
+	a, err := agent.New(agentOptions(s), agent.Dependencies{
+		Lease:          platform.NewHTTP(s.PlatformLeaseURL, &http.Client{}),
+		Log:            t.log,
+		Tracer:         t.tracer.Tracer("github.com/rhubarbsail/rhubarbsail/agent"),
+		Metrics:        newAgentMetrics(t.metrics.Scope),
+		LinkListener:   l.link,
+		TargetListener: l.target,
+	})
+	if err != nil {
+		return err
+	}
+	var leaving atomic.Bool
+	stopNotice := context.AfterFunc(ctx, func() { leaving.Store(true) })
+	defer stopNotice()
+	health := httpapi.NewServer(healthHandler(t.metrics.Handler, &leaving), httpapi.DefaultServerLimits())
+	served := make(chan error, 1)
+	go func() { served <- health.Serve(l.operators) }()
+	events.ProcessStarted.Log(t.log).Str("id", s.ID).Str("link", s.LinkAddress).Send()
+	err = a.Run(ctx)
+	_ = health.Close()
+	<-served
+	events.ProcessStopped.Log(t.log).Send()
+	return err
+}
+
+type agentListeners struct{ link, target, operators net.Listener }
+
+func listenAgent(s *settings.Agent, env Env) (l agentListeners, err error) {
+	if l.link, err = env.listen(s.LinkAddress); err != nil {
+		return l, err
+	}
+	if l.target, err = env.listen(s.AnnounceAddress); err != nil {
+		return l, err
+	}
+	l.operators, err = env.listen(s.OperatorsAddress)
+	return l, err
+}
+
+func agentOptions(s *settings.Agent) agent.Options {
+	return agent.Options{
+		Agent: s.ID, Listen: s.LinkAddress, Advertise: s.Advertised(), TargetListen: s.AnnounceAddress,
+		Gateways: s.Gateways, Worker: s.Worker, Rack: s.Rack, AvailabilityZone: s.AvailabilityZone,
+		Ledger: ledger.Options{
+			PermitLifetime: s.Timing.PermitLifetime.Duration(),
+			Retention:      s.Timing.Retention.Duration(),
+			MaxEntries:     int(s.Ledger.EntriesMax),
+			MaxBytes:       s.Ledger.BytesMax,
+			ResultLimit:    int(s.Ledger.ResultBytes),
+		},
+		QueueLimit:      int(s.Target.QueueTasks),
+		LeaseTTL:        s.Lease.TTL.Duration(),
+		HeartbeatExpiry: s.Target.HeartbeatTimeout.Duration(),
+		StopTimeout:     s.Shutdown.Timeout.Duration(),
+	}
+}
+
+// healthHandler serves metrics and health of a process without an operators'
+// API of its own.
+func healthHandler(metrics http.Handler, leaving *atomic.Bool) http.Handler {
+	e := echo.New()
+	e.GET("/metrics", echo.WrapHandler(metrics))
+	e.GET("/live", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/ready", func(c echo.Context) error {
+		if leaving.Load() {
+			return c.String(http.StatusServiceUnavailable, "the agent is leaving")
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
--- a/state/record.go
+++ b/state/record.go
@@ -53,8 +53,9 @@
 	// Address is the host:port on which the gateway serves gateways and agents.
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"availability_zone"`
-	// Left is set by a gateway_left record.
-	Left bool `json:"left,omitempty"`
+	// Left is set by a gateway_left record, LeftAt by its log time.
+	Left   bool      `json:"left,omitempty"`
+	LeftAt time.Time `json:"left_at,omitzero"`
 }
 
 // GatewayLeft marks an incarnation as gone.
@@ -75,6 +76,20 @@
 	Service          string            `json:"service"`
 	Slots            int               `json:"slots"`
 	Connections      int               `json:"connections"`
+	// Joined is the offset of the record that listed the incarnation. The state
+	// machine sets it; writers leave it 0.
+	Joined uint64 `json:"joined,omitempty"`
+}
+
+// AgentsJoined is the body of agent_joined. It lists several agents so that a
+// restart of a whole cell costs few appends.
+type AgentsJoined struct {
+	Agents []Agent `json:"agents"`
+}
+
+// AgentsLeft is the body of agent_left.
+type AgentsLeft struct {
+	Agents []AgentLeft `json:"agents"`
 }
 
 // AgentLeft removes an incarnation of an agent.
@@ -88,6 +103,10 @@
 type DepartedAgent struct {
 	ID          string            `json:"id"`
 	Incarnation model.Incarnation `json:"incarnation"`
+	// Joined and Left are the offsets of the records that listed and removed
+	// the incarnation.
+	Joined uint64 `json:"joined"`
+	Left   uint64 `json:"left"`
 	// LeftAt is the log's time of the record that removed the incarnation.
 	LeftAt time.Time `json:"left_at"`
 }
@@ -120,6 +139,11 @@
 	Gateway     string            `json:"gateway"`
 	Incarnation model.Incarnation `json:"incarnation"`
 	Epoch       model.Epoch       `json:"epoch"`
+	// Replaces is the epoch before the claim; 0 for the first claim.
+	Replaces model.Epoch `json:"replaces"`
+	// Base is the offset that every owner whose end is not proved has applied
+	// (ownership.NextBase).
+	Base uint64 `json:"base"`
 	// ClaimedAt is the log's time of the claim.
 	ClaimedAt time.Time `json:"claimed_at"`
 	Handover  bool      `json:"handover,omitempty"`
