Log overload and lost outcomes, and list only metrics that exist

Cause: docs/OPERATIONS.md tells operators to alert on events that nothing logged, and docs/metrics.md listed 14 metrics that no part reports. Ruled out: logging each refused or lost job at warn; the loss of a zone makes thousands at once, so lines are limited to 10/s and the omitted ones counted. Result: the callers' API logs 4005 and 4006 for overload, 4007 (debug) for each failed job and 4008 for lost outcomes. The metrics without a reporter are gone from the catalogue, as is event 1004, which no daemon can log before it has settings. go test -race passes for httpapi, common, command and local.

Still without an emitter in the gateway: events 2005, 3001, 3003, 3004, 3005; the gateway daemon does not run httpapi.Watch yet (1204, 2008, 4003, 4004).

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -16,10 +16,8 @@
 	ProcessStarted  = define(1001, "process_started", infoLevel, "process started", nothing)
 	ProcessStopping = define(1002, "process_stopping", infoLevel, "graceful shutdown started", nothing)
 	ProcessStopped  = define(1003, "process_stopped", infoLevel, "process stopped", nothing)
-	SettingsInvalid = define(1004, "settings_invalid", errorLevel, "the settings file is invalid",
-		"Correct the findings; the process ends with exit code 2.")
-	ListenStarted = define(1005, "listen_started", infoLevel, "listening", nothing)
-	ListenFailed  = define(1006, "listen_failed", errorLevel, "the address cannot be listened on",
+	ListenStarted   = define(1005, "listen_started", infoLevel, "listening", nothing)
+	ListenFailed    = define(1006, "listen_failed", errorLevel, "the address cannot be listened on",
 		"Check the address in the settings and that no other process uses it.")
 	ShutdownForced = define(1007, "shutdown_forced", warnLevel, "requests were still in progress when the shutdown time ran out",
 		"Raise shutdown_timeout_ms above the longest job timeout.")
--- a/httpapi/callers.go
+++ b/httpapi/callers.go
@@ -19,6 +19,7 @@
 		limits: limits,
 		o:      o.withDefaults(),
 		bodies: &bodyReader{each: limits.BodyBytes, total: limits.BodyBytesTotal},
+		log:    newAnswerLog(o.Log),
 	}
 	e := newEcho(h.o, "callers")
 	e.POST("/v1/jobs", h.submit)
@@ -33,6 +34,7 @@
 	limits Limits
 	o      Options
 	bodies *bodyReader
+	log    *answerLog
 }
 
 func (h *callers) submit(c echo.Context) error {
@@ -56,6 +58,7 @@
 		return writeAnswer(c, StatusCode(a), a, nil)
 	}
 	a := h.jobs.Submit(c.Request().Context(), d.job)
+	h.log.answered(h.o.Now(), d.job.Key, a)
 	return writeAnswer(c, StatusCode(a), a, d.refusalFindings(a))
 }
 
--- a/httpapi/options.go
+++ b/httpapi/options.go
@@ -19,7 +19,8 @@
 	// Tracer starts one span a request, which continues the caller's
 	// traceparent header.
 	Tracer trace.TracerProvider
-	// Log receives one event for each refused operators' change.
+	// Log receives events about operators' changes, overload, failed jobs and
+	// faults of the handlers.
 	Log zerolog.Logger
 	// Metrics serves /metrics on the operators' API; nil leaves it out. A
 	// telemetry.Handler also shows the gauges of the status.
