--- a/gateway/link.go
+++ b/gateway/link.go
@@ -132,6 +132,9 @@
 }
 
 func (l *link) write(ctx context.Context, stream *connect.BidiStreamForClient[rhubarbsailv1.GatewayFrame, rhubarbsailv1.AgentFrame], s *session) {
+	// While the HTTP/2 transport waits for more of the request's body, it does not
+	// notice the end of ctx, and a receiver would wait for the agent for ever.
+	defer func() { _ = stream.CloseRequest() }()
 	for {
 		select {
 		case <-ctx.Done():
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -42,8 +42,14 @@
 	return httpapi.ConfigView{Version: v.ConfigVersion, Inventory: parts.Inventory, Rules: parts.Rules}
 }
 
+// changeTimeout bounds an operator's change, so that it is refused clearly while
+// the log is down: one attempt to append (3 s) and the read-back.
+const changeTimeout = 5 * time.Second
+
 // ChangeConfig implements httpapi.Operations.
 func (g *Gateway) ChangeConfig(ctx context.Context, c httpapi.ConfigChange) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
 	// Parts that the change leaves out come from its base version: this gateway
 	// may lag behind, and its older parts would revert a newer change.
 	base, err := g.control.ConfigAt(ctx, c.Base)
@@ -95,6 +101,8 @@
 	if !known {
 		return httpapi.ErrUnknownTarget
 	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
 	return operationError(g.control.Drain(ctx, target, drain))
 }
 
