Use every setting, log takeovers and failed gateways, and share the telemetry start

Ruled out: a second check of result sizes at the gateway. Result: local waits until all 64 partitions are served, so that its first job does not wait for ownership; fixed ports are opened before anything is sent to them. Tests of local, common, command and httpapi pass.

--- a/cmd/standin-target/main.go
+++ b/cmd/standin-target/main.go
@@ -19,7 +19,7 @@
 }
 
 func run(ctx context.Context, s *settings.TargetStandin, env daemon.Env) error {
-	log, err := events.NewLogger(env.Log, s.Telemetry.LogLevel, "standin-target", s.ID)
+	log, err := events.NewLogger(env.Logs, s.Telemetry.LogLevel, "standin-target", s.ID)
 	if err != nil {
 		return err
 	}
--- a/common/settings/gateway.go
+++ b/common/settings/gateway.go
@@ -37,7 +37,6 @@
 	BodyBytes      int64        `json:"body_bytes" strict:"min=1024,max=67108864" doc:"Largest body of a submission."`
 	BodyTotalBytes int64        `json:"body_total_bytes" strict:"min=1024,max=17179869184" doc:"Bound of the bodies of all submissions in progress; further ones are refused as overload."`
 	PayloadBytes   int64        `json:"payload_bytes" strict:"min=1,max=16777216" doc:"Largest payload of a task."`
-	ResultBytes    int64        `json:"result_bytes" strict:"min=1,max=16777216" doc:"Largest result of a task."`
 	AnswerBytes    int64        `json:"answer_bytes" strict:"min=1,max=268435456" doc:"Largest sum of the results of a job."`
 	JobsMax        int64        `json:"jobs_max" strict:"min=1,max=100000000" doc:"Most jobs in the table of a gateway, with the retained answers."`
 	RetainedBytes  int64        `json:"retained_bytes" strict:"min=0,max=17179869184" doc:"Bound of the results of all retained answers."`
@@ -76,8 +75,8 @@
 		Probing:       Probing{PingInterval: 250, PingFailure: 1500, ProbeInterval: 500, RemoveAfter: 30_000, ZoneDelay: 1500},
 		Limits: Limits{
 			TasksPerJob: 1300, BodyBytes: 8 << 20, BodyTotalBytes: 256 << 20, PayloadBytes: defaultPayloadBytes,
-			ResultBytes: defaultResultBytes, AnswerBytes: 16 << 20,
-			JobsMax: 200_000, RetainedBytes: 64 << 20,
+			AnswerBytes: 16 << 20,
+			JobsMax:     200_000, RetainedBytes: 64 << 20,
 			TimeoutMin: 10, TimeoutDefault: 30_000, TimeoutMax: 120_000,
 		},
 		HTTP: HTTP{
@@ -120,8 +119,6 @@
 		"a body has to hold a payload of the largest size")
 	c.atMost(quantity{"limits.body_bytes", l.BodyBytes}, quantity{"limits.body_total_bytes", l.BodyTotalBytes},
 		"one body has to fit into the bound of all")
-	c.atMost(quantity{"limits.result_bytes", l.ResultBytes}, quantity{"limits.answer_bytes", l.AnswerBytes},
-		"an answer has to hold a result of the largest size")
 	c.atMost(quantity{"limits.job_timeout_min_ms", int64(l.TimeoutMin)}, quantity{"limits.job_timeout_default_ms", int64(l.TimeoutDefault)},
 		"the default has to be within the bounds")
 	c.atMost(quantity{"limits.job_timeout_default_ms", int64(l.TimeoutDefault)}, quantity{"limits.job_timeout_max_ms", int64(l.TimeoutMax)},
--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -36,6 +36,7 @@
 	PartitionsOwned   = define(KindGauge, "partitions_owned", "partitions", "Partitions that the log assigns to this gateway.")
 	PartitionsServing = define(KindGauge, "partitions_serving", "partitions", "Owned partitions whose takeover is complete.")
 	Takeovers         = define(KindCounter, "takeovers_total", "partitions", "Partitions taken over, by cause (first, crash, handover).", "cause")
+	TakeoverDuration  = define(KindHistogram, "takeover_duration_seconds", "seconds", "Time from the claim's record to serving.")
 	LogAppliedOffset  = define(KindGauge, "log_applied_offset", "offset", "Offset of the last record applied.")
 	LogReachable      = define(KindGauge, "log_reachable", "0 or 1", "1 while the platform's log answers.")
 	ConfigVersion     = define(KindGauge, "config_version", "offset", "Version of the configuration in force.")
--- a/common/telemetry/start.go
+++ b/common/telemetry/start.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
@@ -21,17 +22,30 @@
 	stop    func(context.Context) error
 }
 
-// Start returns the telemetry of a daemon. Log lines go to logs, spans of the
-// stdout exporter to spans.
-func Start(ctx context.Context, s settings.Telemetry, process, id string, logs, spans io.Writer) (*Process, error) {
-	log, err := events.NewLogger(logs, s.LogLevel, process, id)
+// Outputs are where log lines and spans go.
+type Outputs struct {
+	// Logs receives the log lines, Spans those of the stdout exporter.
+	Logs, Spans io.Writer
+	// Exporter receives every span in place of the exporter in the settings.
+	Exporter sdktrace.SpanExporter
+}
+
+// Start returns the telemetry of a daemon.
+func Start(ctx context.Context, s settings.Telemetry, process, id string, out Outputs) (*Process, error) {
+	log, err := events.NewLogger(out.Logs, s.LogLevel, process, id)
 	if err != nil {
 		return nil, err
 	}
-	tracer, stop, err := NewTracer(ctx, TraceConfig{
+	c := TraceConfig{
 		Exporter: Exporter(s.TraceExporter), Endpoint: s.TraceEndpointURL, Ratio: s.TraceRatio,
-		Process: process, ID: id, Out: spans,
-	})
+		Process: process, ID: id, Out: out.Spans,
+	}
+	if out.Exporter != nil {
+		c.Ratio = 1
+		p := NewSyncTracer(c, out.Exporter)
+		return &Process{Log: log, Metrics: NewMetrics(process, id, log), Tracer: p, stop: p.Shutdown}, nil
+	}
+	tracer, stop, err := NewTracer(ctx, c)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -12,27 +12,28 @@
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/settings"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 )
 
 // Agent runs an agent until ctx ends and its running tasks are delivered.
 func Agent(ctx context.Context, s *settings.Agent, env Env) error {
-	t, err := newTelemetry(ctx, "agent", s.ID, s.Telemetry, env)
+	t, err := telemetry.Start(ctx, s.Telemetry, "agent", s.ID, env.Outputs)
 	if err != nil {
 		return err
 	}
-	defer t.close()
+	defer stopTelemetry(t)
 	l, err := listenAgent(s, env)
 	if err != nil {
-		events.ListenFailed.Log(t.log).Err(err).Send()
+		events.ListenFailed.Log(t.Log).Err(err).Send()
 		return err
 	}
 	a, err := agent.New(agentOptions(s), agent.Dependencies{
 		Lease:          platform.NewHTTP(s.PlatformLeaseURL, &http.Client{}),
-		Log:            t.log,
-		Tracer:         t.tracer.Tracer("github.com/rhubarbsail/rhubarbsail/agent"),
-		Metrics:        newAgentMetrics(t.metrics.Scope),
+		Log:            t.Log,
+		Tracer:         t.Tracer.Tracer("github.com/rhubarbsail/rhubarbsail/agent"),
+		Metrics:        newAgentMetrics(t.Metrics.Scope),
 		LinkListener:   l.link,
 		TargetListener: l.target,
 	})
@@ -42,14 +43,14 @@
 	var leaving atomic.Bool
 	stopNotice := context.AfterFunc(ctx, func() { leaving.Store(true) })
 	defer stopNotice()
-	health := httpapi.NewServer(healthHandler(t.metrics.Handler, &leaving), httpapi.DefaultServerLimits())
+	health := httpapi.NewServer(healthHandler(t.Metrics.Handler, &leaving), httpapi.DefaultServerLimits())
 	served := make(chan error, 1)
 	go func() { served <- health.Serve(l.operators) }()
-	events.ProcessStarted.Log(t.log).Str("id", s.ID).Str("link", s.LinkAddress).Send()
+	events.ProcessStarted.Log(t.Log).Str("id", s.ID).Str("link", s.LinkAddress).Send()
 	err = a.Run(ctx)
 	_ = health.Close()
 	<-served
-	events.ProcessStopped.Log(t.log).Send()
+	events.ProcessStopped.Log(t.Log).Send()
 	return err
 }
 
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/rhubarbsail/rhubarbsail/common/settings"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 )
 
 // exitFailed is the exit code of a daemon that could not run.
@@ -21,7 +22,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, s, Env{Log: os.Stderr, Spans: os.Stdout}); err != nil {
+	if err := run(ctx, s, Env{Outputs: telemetry.Outputs{Logs: os.Stderr, Spans: os.Stdout}}); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return exitFailed
 	}
--- a/experiment/capacity/fleet.go
+++ b/experiment/capacity/fleet.go
@@ -104,7 +104,7 @@
 	var s settings.Gateway
 	settings.SetDefaults(&s)
 	s.ID, s.AvailabilityZone, s.PlatformLogURL = fmt.Sprintf("gateway-%d", i), "zone-0", f.logURL
-	s.Shutdown.Notice, s.Telemetry.LogLevel = 0, "error"
+	s.Shutdown.Notice, s.Telemetry.LogLevel, s.Peers = 0, "error", []string{}
 	if err := addresses(&s.CallersAddress, &s.OperatorsAddress, &s.InternalAddress); err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// successor is true while another gateway answers pings and is not leaving;
 	// membership writes it.
 	successor atomic.Bool
+	// alive holds the ids of the members that answer pings; membership writes it.
+	alive atomic.Pointer[map[string]bool]
 	// joined is set once the log shows this gateway as a member.
 	joined atomic.Bool
 	// ctx is the lifetime of links, control and engine.
@@ -57,12 +59,14 @@
 		return nil, err
 	}
 	g := &Gateway{opts: opts, deps: deps, started: time.Now(), log: eventLog{deps.Logger}}
+	g.alive.Store(&map[string]bool{})
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peers = newPeerClients(connect.WithInterceptors(interceptor))
 	g.control = control.New(control.Options{
 		Log: deps.Log, Stream: opts.Stream, Writer: opts.ID,
 		Retention:      opts.Ownership.Retention + stateRetentionMargin,
 		LogRetention:   opts.LogRetention,
+		AppendTimeout:  opts.AppendTimeout,
 		PeerState:      g.peerState,
 		ShouldSnapshot: g.writesSnapshots,
 		Report:         g.controlEvent,
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -124,6 +124,9 @@
 	}
 	if j.answered() {
 		out.Answer = answerProto(*j.answer)
+		if j.answer.State == model.RunComplete {
+			out.Started, out.Finished = out.Tasks, out.Tasks
+		}
 	}
 	return out
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
@@ -28,6 +29,8 @@
 	healthySince time.Duration
 	leaving      bool
 	pinging      bool
+	// failed is set once the failure was logged.
+	failed bool
 }
 
 // membership pings the other gateways, claims partitions and hands them over.
@@ -63,7 +66,7 @@
 			now := m.g.mono(time.Now())
 			m.syncPeers(now, v)
 			m.pingAll(ctx, now, v)
-			m.g.successor.Store(m.hasSuccessor(now))
+			m.publish(now)
 			if time.Now().After(start) {
 				m.act(ctx, now, v)
 			}
@@ -114,6 +117,21 @@
 	}
 }
 
+// publish tells the rest of the gateway which members answer.
+func (m *membership) publish(now time.Duration) {
+	alive := map[string]bool{m.g.opts.ID: true}
+	for _, p := range m.peers {
+		suspected := now-p.lastHeard >= m.g.opts.Ownership.SuspectAfter
+		alive[p.ref.ID] = !suspected
+		if suspected && !p.failed {
+			events.GatewayFailed.Log(m.g.deps.Logger).Str("gateway", p.ref.ID).Send()
+		}
+		p.failed = suspected
+	}
+	m.g.alive.Store(&alive)
+	m.g.successor.Store(m.hasSuccessor(now))
+}
+
 // hasSuccessor reports whether another gateway could take partitions over.
 func (m *membership) hasSuccessor(now time.Duration) bool {
 	for _, p := range m.peers {
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -138,7 +138,7 @@
 	}
 	for _, gw := range v.Gateways {
 		st.Gateways = append(st.Gateways, httpapi.GatewayStatus{
-			ID: gw.ID, Address: gw.Address, AvailabilityZone: gw.AvailabilityZone, Alive: !gw.Left, Partitions: owned[gw.ID],
+			ID: gw.ID, Address: gw.Address, AvailabilityZone: gw.AvailabilityZone, Alive: !gw.Left && (*g.alive.Load())[gw.ID], Partitions: owned[gw.ID],
 		})
 	}
 	sort.Slice(st.Gateways, func(i, j int) bool { return st.Gateways[i].ID < st.Gateways[j].ID })
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -48,6 +48,9 @@
 	// RemoveAfter is the time without a link after which a gateway asks for
 	// the lease of an agent's worker, to record the agent as gone.
 	RemoveAfter time.Duration
+	// AppendTimeout bounds one attempt to append to the log; 0 is the default of
+	// package control.
+	AppendTimeout time.Duration
 	// LogRetention is the time for which the platform's log keeps records.
 	LogRetention time.Duration
 }
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
@@ -48,6 +49,9 @@
 	// fenced lists the agents whose complete ledger arrived under this epoch.
 	fenced map[ownership.AgentRef]bool
 	held   []heldSubmission
+	// claimed is the time of the takeover's start, state its last logged state.
+	claimed time.Time
+	state   ownership.TakeoverState
 	// stopped is true while the partition is being handed over: nothing is
 	// started and new submissions wait for the next owner.
 	stopped bool
@@ -114,6 +118,7 @@
 	p.knownUntil = now.Add(e.opts.Ownership.Retention)
 	p.fenced = make(map[ownership.AgentRef]bool)
 	p.stopped = false
+	p.claimed = now
 	table := e.tables[p.id]
 	delete(e.tables, p.id)
 	switch {
@@ -154,6 +159,9 @@
 	for _, h := range p.held {
 		h.reply <- reply{moved: true}
 	}
+	if !p.stopped {
+		events.OwnershipLost.Log(e.log).Uint32("partition", uint32(p.id)).Uint64("epoch", uint64(p.epoch)).Send()
+	}
 	*p = partition{id: p.id}
 }
 
@@ -335,6 +343,7 @@
 		if p.epoch == 0 {
 			continue
 		}
+		e.noteTakeover(now, p)
 		if len(p.held) > 0 && p.takeover.State(e.mono(now)) == ownership.Ready {
 			held := p.held
 			p.held = nil
@@ -347,3 +356,25 @@
 		}
 	}
 }
+
+// noteTakeover logs the progress of a takeover.
+func (e *engine) noteTakeover(now time.Time, p *partition) {
+	s := p.takeover.State(e.mono(now))
+	if s == p.state {
+		return
+	}
+	p.state = s
+	switch s {
+	case ownership.Waiting:
+		missing := p.takeover.Missing()
+		ids := make([]string, len(missing))
+		for i, a := range missing {
+			ids[i] = a.ID
+		}
+		events.TakeoverWaiting.Log(e.log).Uint32("partition", uint32(p.id)).Strs("missing", ids).Send()
+	case ownership.Ready:
+		took := now.Sub(p.claimed)
+		telemetry.TakeoverDuration.Histogram(e.metrics.scope).RecordValue(took.Seconds())
+		events.TakeoverFinished.Log(e.log).Uint32("partition", uint32(p.id)).Uint64("epoch", uint64(p.epoch)).Dur("took_ms", took).Send()
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,6 +28,10 @@
 	Notice time.Duration
 }
 
+// peersGrace is the time for replies to gateways and agents after all own work
+// has ended.
+const peersGrace = time.Second
+
 // internalIdleTimeout closes connections of agents and gateways that are gone.
 const internalIdleTimeout = 2 * time.Minute
 
@@ -51,6 +55,7 @@
 	running.Go(func() error { return operators.Serve(l.Operators) })
 	running.Go(func() error { return ignoreClosed(peers.Serve(l.Internal)) })
 	g.Start()
+	g.goRun(func(ctx context.Context) { httpapi.Watch(ctx, g, g.deps.Logger) })
 	events.ProcessStarted.Log(g.deps.Logger).Str("id", g.opts.ID).Str("callers", l.Callers.Addr().String()).
 		Str("operators", l.Operators.Addr().String()).Str("internal", l.Internal.Addr().String()).Send()
 
@@ -65,7 +70,9 @@
 	}
 	g.Close(stopCtx)
 	_ = operators.Stop(stopCtx, 0)
-	_ = peers.Shutdown(stopCtx)
+	peersCtx, cancelPeers := context.WithTimeout(context.Background(), peersGrace)
+	defer cancelPeers()
+	_ = peers.Shutdown(peersCtx)
 	_ = peers.Close()
 	_ = callers.Close()
 	if err := running.Wait(); err != nil {
--- a/integration/answer_test.go
+++ b/integration/answer_test.go
@@ -21,7 +21,7 @@
 	t.Parallel()
 	c := harness.Start(t, harness.Options{Fast: true, AdjustGateway: func(s *settings.Gateway) {
 		// 1,300 results of about 70 bytes fit, those of tasks with long keys do not.
-		s.Limits.ResultBytes, s.Limits.AnswerBytes = 1024, 128<<10
+		s.Limits.AnswerBytes = 128 << 10
 	}})
 	for _, row := range []struct {
 		name   string
--- a/local/deployment.go
+++ b/local/deployment.go
@@ -19,6 +19,7 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"github.com/rhubarbsail/rhubarbsail/common/settings"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/daemon"
 	"github.com/rhubarbsail/rhubarbsail/inventory"
 	"github.com/rhubarbsail/rhubarbsail/standin/logserver"
@@ -191,7 +192,7 @@
 		settings.SetDefaults(&s)
 		s.ID = fmt.Sprintf("gateway-%d", i)
 		s.AvailabilityZone = zoneName(i)
-		s.PlatformLogURL = d.logURL
+		s.PlatformLogURL, s.PlatformLeaseURL = d.logURL, d.logURL
 		s.Shutdown.Notice = 0
 		s.Telemetry = d.telemetry()
 		for _, a := range []*string{&s.CallersAddress, &s.OperatorsAddress, &s.InternalAddress} {
@@ -202,7 +203,9 @@
 			*a = address
 		}
 		if i == 0 && d.opts.CallersAddress != "" {
-			s.CallersAddress, s.OperatorsAddress = d.opts.CallersAddress, d.opts.OperatorsAddress
+			if err := d.useFixed(&s); err != nil {
+				return err
+			}
 		}
 		internal = append(internal, s.InternalAddress)
 		d.Callers = append(d.Callers, "http://"+s.CallersAddress)
@@ -286,7 +289,7 @@
 }
 
 func (d *Deployment) env() daemon.Env {
-	return daemon.Env{Log: d.opts.Log, Exporter: d.opts.Spans, Listen: d.listen}
+	return daemon.Env{Outputs: telemetry.Outputs{Logs: d.opts.Log, Exporter: d.opts.Spans}, Listen: d.listen}
 }
 
 func targetName(i int) string { return fmt.Sprintf("target-%d", i) }
@@ -334,35 +337,42 @@
 }
 
 func (d *Deployment) awaitReady(ctx context.Context) error {
-	for _, base := range d.Operators {
-		if err := poll(ctx, "gateway ready", func() error { return d.checkReady(ctx, base) }); err != nil {
-			return err
+	return poll(ctx, "gateways ready", func() error {
+		served := 0
+		for _, base := range d.Operators {
+			n, err := d.checkReady(ctx, base)
+			if err != nil {
+				return err
+			}
+			served += n
 		}
-	}
-	return nil
+		if want := int(d.gateways[0].Partitions); served != want {
+			return errors.Errorf("%d of %d partitions are served", served, want)
+		}
+		return nil
+	})
 }
 
-// checkReady fails unless the gateway is ready, serves all its partitions and
-// is connected to all targets.
-func (d *Deployment) checkReady(ctx context.Context, base string) error {
+// checkReady returns the number of partitions that the gateway serves. It fails
+// unless the gateway is ready and is connected to all targets.
+func (d *Deployment) checkReady(ctx context.Context, base string) (int, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/status", nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer resp.Body.Close()
 	var st struct {
-		Ready      bool
-		NotReady   string `json:"not_ready"`
-		Partitions int
-		Serving    int
-		Targets    []struct{ Connected, Accepting bool }
+		Ready    bool
+		NotReady string `json:"not_ready"`
+		Serving  int
+		Targets  []struct{ Connected, Accepting bool }
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
-		return errors.Wrap(err, "decode status")
+		return 0, errors.Wrap(err, "decode status")
 	}
 	up := 0
 	for _, t := range st.Targets {
@@ -370,11 +380,10 @@
 			up++
 		}
 	}
-	if !st.Ready || st.Serving < st.Partitions || up < d.opts.Targets {
-		return errors.Errorf("ready %t %s, %d of %d partitions served, %d of %d targets connected",
-			st.Ready, st.NotReady, st.Serving, st.Partitions, up, d.opts.Targets)
+	if !st.Ready || up < d.opts.Targets {
+		return 0, errors.Errorf("ready %t %s, %d of %d targets connected", st.Ready, st.NotReady, up, d.opts.Targets)
 	}
-	return nil
+	return st.Serving, nil
 }
 
 func poll(ctx context.Context, what string, f func() error) error {
@@ -418,6 +427,20 @@
 	return l.Addr().String(), nil
 }
 
+// useFixed opens the fixed addresses of the first gateway before anything is
+// sent to them: another process may listen there.
+func (d *Deployment) useFixed(s *settings.Gateway) error {
+	s.CallersAddress, s.OperatorsAddress = d.opts.CallersAddress, d.opts.OperatorsAddress
+	for _, a := range []string{s.CallersAddress, s.OperatorsAddress} {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		d.listeners[a] = l
+	}
+	return nil
+}
+
 func (d *Deployment) listen(network, address string) (net.Listener, error) {
 	if l, ok := d.listeners[address]; ok {
 		return l, nil
