--- a/gateway/collect.go
+++ b/gateway/collect.go
@@ -224,6 +224,7 @@
 	j.trace.add(now, "answered", wholeJob, "", a.State.String()+" "+string(a.Reason))
 	e.metrics.jobAnswered(a, now.Sub(j.accepted))
 	j.finish(a, now)
+	e.inProgress--
 	e.retained.add(j)
 }
 
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -24,8 +24,11 @@
 	// engineBatch is the number of events handled between two calls of the
 	// policy, so that a burst is placed in one decision and sent in few frames.
 	engineBatch = 256
-	// engineTick bounds the time without deadline checks and probes.
+	// engineTick bounds the time without deadline checks and decisions while
+	// jobs are in progress, idleTick that without probes otherwise. Waking up
+	// costs an idle gateway more than anything else.
 	engineTick = 20 * time.Millisecond
+	idleTick   = 100 * time.Millisecond
 	// housekeepingInterval bounds the cost of the checks that go over all
 	// partitions and agents while events arrive at a high rate.
 	housekeepingInterval = 2 * time.Millisecond
@@ -67,7 +70,9 @@
 	byTarget    map[scheduler.TargetID]*agentState
 	cancels     map[*agentState][]*rhubarbsailv1.JobKey
 	quotas      quotas
-	draining    bool
+	// inProgress counts the jobs without an answer.
+	inProgress int
+	draining   bool
 	// lastHousekeeping is the time of the last run of housekeeping.
 	lastHousekeeping time.Time
 }
@@ -106,7 +111,7 @@
 
 // run handles events until ctx ends.
 func (e *engine) run(ctx context.Context) {
-	tick := time.NewTicker(engineTick)
+	tick := time.NewTimer(idleTick)
 	defer tick.Stop()
 	for {
 		select {
@@ -120,8 +125,13 @@
 		}
 		now := time.Now()
 		e.housekeeping(now)
-		e.dispatch(now)
+		wait := idleTick
+		if e.inProgress > 0 {
+			e.dispatch(now)
+			wait = engineTick
+		}
 		e.flushCancels()
+		tick.Reset(wait)
 	}
 }
 
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -183,6 +183,7 @@
 		e.retained.remove(j)
 		return
 	}
+	e.inProgress--
 	j.deliver(reply{moved: true})
 	j.span.end(model.Failed(j.runState(), model.ReasonOwnerChanged, ""))
 }
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -123,6 +123,7 @@
 	j.span = startJob(s.ctx, e.tracer, j)
 	j.traceID = j.span.traceID()
 	e.jobs[j.key] = j
+	e.inProgress++
 	e.deadlines.push(j)
 }
 
