Bound the payload of a start frame; send replies between gateways uncompressed

Cause: agents close the link on a frame above 16 MiB, and the gateway put any number of starts into one; gzip took a fifth of an agent's processor time in a profile, and replies between gateways were compressed too. Ruled out: a larger bound at the agent, which would cost its memory.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -25,6 +25,10 @@
 	e.sendRevokes(now, d.Revoke)
 }
 
+// maxFramePayload bounds the payloads of one frame in bytes. An agent closes the
+// link on a frame above 16 MiB, and the same frame would follow on the next link.
+const maxFramePayload = 4 << 20
+
 // batchKey groups the starts that one frame carries.
 type batchKey struct {
 	agent *agentState
@@ -34,16 +38,19 @@
 func (e *engine) sendStarts(now time.Time, assignments []scheduler.Assignment) {
 	var current batchKey
 	var starts []*rhubarbsailv1.Start
+	bytes := 0
 	for _, a := range assignments {
 		j, ag := e.byHandle[a.Task.Job], e.byTarget[a.Target]
 		if j == nil || ag == nil || !ag.usable() || e.partitions[j.partition].stopped {
 			e.policy.Finish(now, scheduler.Outcome{Task: a.Task, Target: a.Target, Kind: scheduler.OutcomeNotStarted})
 			continue
 		}
-		if k := (batchKey{ag, a.Report}); k != current {
+		size := len(j.spec.Tasks[a.Task.Index].Payload)
+		if k := (batchKey{ag, a.Report}); k != current || bytes+size > maxFramePayload {
 			e.sendBatch(now, current, starts)
-			current, starts = k, nil
+			current, starts, bytes = k, nil, 0
 		}
+		bytes += size
 		starts = append(starts, e.prepareStart(now, j, a, ag))
 	}
 	e.sendBatch(now, current, starts)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -37,7 +37,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(rhubarbsailv1connect.NewGatewayServiceHandler(service{g},
-		connect.WithReadMaxBytes(internalReadBytes), connect.WithInterceptors(interceptor)))
+		connect.WithReadMaxBytes(internalReadBytes), connect.WithInterceptors(interceptor),
+		// Compression costs more time within a cell than the bytes that it saves.
+		connect.WithCompression("gzip", nil, nil)))
 	return mux, nil
 }
 
