Test the engine's decisions under faults and hold submissions until ownership is confirmed

Cause: the gateway had no tests of its own. They showed that a new owner answered waiting submissions with no_owner when its ledgers arrived before its first probe replies. Ruled out: probing before fencing, which only moves the race. Result: submissions wait for up to L after a claim until a majority has confirmed.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -51,6 +51,8 @@
 	ctx     context.Context
 	http    *http.Client
 	links   sync.WaitGroup
+	// dial starts the link to an agent and returns the function that ends it.
+	dial func(agentAddr) func()
 	// reachable is true while a majority of the listed agents confirms this
 	// gateway; the engine writes it, membership reads it.
 	reachable atomic.Bool
@@ -97,6 +99,7 @@
 		quotas:   make(quotas),
 		cancels:  make(map[*agentState][]*rhubarbsailv1.JobKey),
 	}
+	e.dial = e.startLink
 	for i := range g.opts.Partitions {
 		e.partitions = append(e.partitions, &partition{id: model.Partition(i)})
 	}
@@ -201,8 +204,9 @@
 	return true
 }
 
-// dial starts the link to an agent and returns the function that ends it.
-func (e *engine) dial(addr agentAddr) func() {
+// startLink keeps a stream to the agent open until the returned function is
+// called.
+func (e *engine) startLink(addr agentAddr) func() {
 	ctx, cancel := context.WithCancel(e.ctx)
 	hello := &rhubarbsailv1.Hello{Gateway: e.opts.ID, GatewayIncarnation: uint64(e.opts.Incarnation)}
 	l := newLink(addr, e.http, hello, e)
--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/control"
+	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
+	"github.com/rhubarbsail/rhubarbsail/inventory"
+	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/state"
+)
+
+const (
+	self            = "gateway-a"
+	selfIncarnation = model.Incarnation(100)
+	other           = "gateway-b"
+)
+
+// fixture drives an engine without goroutines, network or real time.
+type fixture struct {
+	t        *testing.T
+	e        *engine
+	machine  *state.Machine
+	now      time.Time
+	offset   uint64
+	sessions map[string]*session
+	// started holds the starts that were read and not returned by starts.
+	started map[string][]*rhubarbsailv1.Start
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	opts := Options{ID: self, Incarnation: selfIncarnation, Address: "127.0.0.1:1", Partitions: 1}.withDefaults()
+	g := &Gateway{opts: opts, started: time.Unix(1_000_000, 0)}
+	g.deps = Deps{Log: platformtest.NewFake()}.withDefaults(opts)
+	g.ctx, g.cancel = context.WithCancel(t.Context())
+	g.control = control.New(control.Options{Log: g.deps.Log, Stream: "s", Writer: self})
+	f := &fixture{
+		t: t, e: newEngine(g), machine: state.NewMachine(state.Options{}),
+		now: g.started.Add(time.Minute), sessions: make(map[string]*session),
+		started: make(map[string][]*rhubarbsailv1.Start),
+	}
+	f.e.dial = func(agentAddr) func() { return func() {} }
+	cfg := inventory.New(
+		inventory.Inventory{Targets: []inventory.Target{{ID: "t1", Service: "work"}, {ID: "t2", Service: "work"}, {ID: "t3", Service: "work"}}},
+		inventory.Rules{Clients: []inventory.Client{{ID: "c", Share: 1}, {ID: "d", Share: 1}}, Services: []inventory.Service{{ID: "work"}}})
+	doc, err := cfg.JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.apply(state.KindConfigChange, state.ConfigChange{Operator: "test", Config: doc})
+	f.apply(state.KindGatewayJoined, state.Gateway{ID: self, Incarnation: selfIncarnation, Address: "a:1"})
+	f.apply(state.KindGatewayJoined, state.Gateway{ID: other, Incarnation: 7, Address: "b:1"})
+	return f
+}
+
+// apply appends a record and gives the engine the new view.
+func (f *fixture) apply(kind state.Kind, body any) {
+	f.t.Helper()
+	b, err := json.Marshal(body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.offset++
+	data, err := json.Marshal(state.Record{ID: fmt.Sprint(f.offset), Kind: kind, Writer: other, Body: b})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if r := f.machine.Apply(f.offset, f.now, data); r.Err() != nil {
+		f.t.Fatal(r.Err())
+	}
+	f.e.setView(f.now, f.machine.Snapshot())
+}
+
+func (f *fixture) claim(gateway string, inc model.Incarnation, handover bool) {
+	f.apply(state.KindClaim, state.Claim{
+		Gateway: gateway, Incarnation: inc, Handover: handover,
+		Partitions: []state.PartitionClaim{{Replaces: f.machine.Snapshot().Owners[0].Epoch}},
+	})
+}
+
+// agents lists agents a1 to an with targets t1 to tn.
+func (f *fixture) agents(n int) {
+	var list state.AgentsJoined
+	for i := 1; i <= n; i++ {
+		list.Agents = append(list.Agents, state.Agent{
+			ID: fmt.Sprint("a", i), Incarnation: 1, Address: fmt.Sprint("agent:", i),
+			Target: fmt.Sprint("t", i), Service: "work", Slots: 2, Connections: 8,
+		})
+	}
+	f.apply(state.KindAgentJoined, list)
+}
+
+// own lists n agents, makes this gateway the first owner and links all agents.
+func (f *fixture) own(n int) {
+	f.agents(n)
+	f.claim(self, selfIncarnation, false)
+	for i := 1; i <= n; i++ {
+		f.link(fmt.Sprint("a", i), 1)
+	}
+	f.confirm()
+}
+
+// link opens a session with an incarnation of the agent.
+func (f *fixture) link(agent string, inc model.Incarnation) {
+	s := &session{out: make(chan *rhubarbsailv1.GatewayFrame, 256), cancel: func() {}}
+	f.sessions[agent] = s
+	f.e.linkUp(f.e.agents[agent].addr, s, inc)
+	f.pump()
+	f.frame(agent, &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Welcome{Welcome: &rhubarbsailv1.Welcome{AgentIncarnation: uint64(inc)}}})
+}
+
+func (f *fixture) unlink(agent string) {
+	f.e.linkDown(f.e.agents[agent].addr, f.sessions[agent])
+	f.pump()
+}
+
+// pump runs the queued events and one round of the engine.
+func (f *fixture) pump() {
+	f.e.handleQueued(f.now)
+	f.e.lastHousekeeping = time.Time{}
+	f.e.housekeeping(f.now)
+	f.e.dispatch(f.now)
+	f.e.flushCancels()
+}
+
+func (f *fixture) advance(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.pump()
+}
+
+// frame delivers a frame of an agent with free slots.
+func (f *fixture) frame(agent string, m *rhubarbsailv1.AgentFrame) {
+	m.Permit = &rhubarbsailv1.Permit{AgentIncarnation: 1}
+	m.Load = &rhubarbsailv1.Load{Slots: 2, Accepting: true}
+	f.e.linkFrame(f.e.agents[agent].addr, f.sessions[agent], m)
+	f.pump()
+}
+
+func (f *fixture) report(agent string, r *rhubarbsailv1.TaskRecord) {
+	f.frame(agent, &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Report{Report: &rhubarbsailv1.TaskReport{
+		Records: []*rhubarbsailv1.TaskRecord{r},
+	}}})
+}
+
+// sent returns the frames sent to the agent since the last call.
+func (f *fixture) sent(agent string) []*rhubarbsailv1.GatewayFrame {
+	var out []*rhubarbsailv1.GatewayFrame
+	for {
+		select {
+		case m := <-f.sessions[agent].out:
+			out = append(out, m)
+			if s := m.GetStart(); s != nil {
+				f.started[agent] = append(f.started[agent], s.Starts...)
+			}
+		default:
+			return out
+		}
+	}
+}
+
+// starts returns the starts sent to all agents since the last call, by agent.
+func (f *fixture) starts() map[string][]*rhubarbsailv1.Start {
+	for agent := range f.sessions {
+		f.sent(agent)
+	}
+	out := f.started
+	f.started = make(map[string][]*rhubarbsailv1.Start)
+	return out
+}
+
+// confirm answers the open probes of all agents.
+func (f *fixture) confirm() {
+	for agent := range f.sessions {
+		for _, m := range f.sent(agent) {
+			if p := m.GetProbe(); p != nil {
+				f.frame(agent, &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Probed{Probed: &rhubarbsailv1.ProbeReply{Sequence: p.Sequence}}})
+			}
+		}
+	}
+}
+
+// fenced answers the fence of an agent with its ledger.
+func (f *fixture) fenced(agent string, records ...*rhubarbsailv1.TaskRecord) {
+	f.t.Helper()
+	for _, m := range f.sent(agent) {
+		if p := m.GetProbe(); p != nil {
+			f.frame(agent, &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Probed{Probed: &rhubarbsailv1.ProbeReply{Sequence: p.Sequence}}})
+		}
+		if q := m.GetFence(); q != nil {
+			f.frame(agent, &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Fenced{Fenced: &rhubarbsailv1.FenceReply{
+				Request: q.Request, Records: records, Last: true,
+			}}})
+		}
+	}
+}
+
+// job returns a job of n tasks that was submitted now.
+func (f *fixture) job(key string, n int) *model.Job {
+	return &model.Job{
+		Key: model.JobKey{Client: "c", Key: key}, Service: "work", SubmittedAt: f.now,
+		Deadline: f.now.Add(30 * time.Second), Tasks: make([]model.Task, n),
+	}
+}
+
+func (f *fixture) submit(j *model.Job) <-chan reply {
+	to := make(chan reply, 1)
+	f.e.submit(f.now, submission{job: j, digest: j.Digest(), ctx: f.t.Context()}, to)
+	f.pump()
+	return to
+}
+
+// want checks that the submission has exactly this answer now.
+func (f *fixture) want(to <-chan reply, s model.RunState, reason model.Reason) model.Answer {
+	f.t.Helper()
+	select {
+	case r := <-to:
+		if r.moved || r.answer.State != s || r.answer.Reason != reason {
+			f.t.Fatalf("reply %+v, want %v %q", r, s, reason)
+		}
+		return r.answer
+	default:
+		f.t.Fatalf("no reply, want %v %q", s, reason)
+	}
+	return model.Answer{}
+}
+
+func (f *fixture) wantNone(to <-chan reply) {
+	f.t.Helper()
+	select {
+	case r := <-to:
+		f.t.Fatalf("reply %+v, want none yet", r)
+	default:
+	}
+}
+
+// ended returns the record of a start's end.
+func ended(s *rhubarbsailv1.Start, st rhubarbsailv1.TaskState, result string) *rhubarbsailv1.TaskRecord {
+	return &rhubarbsailv1.TaskRecord{
+		Task: s.Task, Epoch: s.Epoch, Attempt: s.Attempt, State: st, Result: []byte(result), JobDigest: s.JobDigest, RunNanos: int64(time.Millisecond),
+	}
+}
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -345,12 +345,8 @@
 			continue
 		}
 		e.noteTakeover(now, p)
-		if len(p.held) > 0 && p.takeover.State(e.mono(now)) == ownership.Ready {
-			held := p.held
-			p.held = nil
-			for _, h := range held {
-				e.submit(now, h.submission, h.reply)
-			}
+		if len(p.held) > 0 {
+			e.releaseHeld(now, p)
 		}
 		if len(p.known) > 0 && now.After(p.knownUntil) {
 			p.known = nil
@@ -379,3 +375,20 @@
 		events.TakeoverFinished.Log(e.log).Uint32("partition", uint32(p.id)).Uint64("epoch", uint64(p.epoch)).Dur("took_ms", took).Send()
 	}
 }
+
+// releaseHeld decides about the submissions that waited for a takeover. Those
+// whose deadline has passed were answered by their handlers.
+func (e *engine) releaseHeld(now time.Time, p *partition) {
+	held := p.held
+	p.held = nil
+	ready := e.released(now, p)
+	for _, h := range held {
+		switch {
+		case h.submission.job.Deadline.Before(now):
+		case ready:
+			e.submit(now, h.submission, h.reply)
+		default:
+			p.held = append(p.held, h)
+		}
+	}
+}
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -31,7 +31,7 @@
 		e.join(now, j, s, to)
 		return
 	}
-	if p.takeover.State(e.mono(now)) != ownership.Ready {
+	if !e.released(now, p) {
 		p.held = append(p.held, heldSubmission{submission: s, reply: to})
 		return
 	}
@@ -57,6 +57,16 @@
 	e.accept(now, p, s, to)
 }
 
+// released reports whether a new owner may decide about submissions. Until its
+// first probes are answered, for L at most, they wait like those before the
+// ledgers are known.
+func (e *engine) released(now time.Time, p *partition) bool {
+	if p.takeover.State(e.mono(now)) != ownership.Ready {
+		return false
+	}
+	return e.validity.Valid(e.mono(now), p.id, p.epoch) || now.Sub(p.claimed) >= e.opts.Ownership.Validity
+}
+
 // ownershipUnconfirmed is the answer of an owner that cannot reach a majority
 // of the agents. Another owner may have run the job, so it cannot be not_run.
 func ownershipUnconfirmed(retry time.Duration) model.Answer {
