Prove that an agent has stopped before and after its lease was taken; renew epochs

Cause: the model found two owners that start the same task (): a gateway takes the lapsed lease of an agent and records it as departed, the agent gets its lease back under the same incarnation and confirms the old owner, which is cut off from the log. A departure record could also be appended late. Epochs were never renewed, so that old list versions would grow the state. Ruled out: a new incarnation after every lapse, since an outage of the lease service would make every agent count as missing; agents that read the log. Result: after a lapse an agent starts and confirms nothing until a gateway has read the log after the renewal and still finds it listed (announcement with verify); departure records carry the end of the lease that proves them and count only if appended before it; ready owners renew epochs after 64 list versions. go test -race of agent, control, state, gateway and local passes.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -46,6 +46,7 @@
 		req := a.announcement()
 		wait := a.opts.AnnounceInterval
 		if req != nil && len(a.opts.Gateways) > 0 {
+			began := a.now()
 			recorded, err := a.announceTo(ctx, a.opts.Gateways[next], req)
 			switch {
 			case connect.CodeOf(err) == connect.CodeFailedPrecondition && a.rejoin():
@@ -60,6 +61,9 @@
 			case !recorded:
 				wait, retry = a.opts.AnnouncePending, announceFirstRetry
 			default:
+				if req.Verify && a.lease.confirmListed(began) {
+					a.leaseChanged(true)
+				}
 				if !joined {
 					events.AgentJoined.Log(a.log).Str("gateway", a.opts.Gateways[next]).Send()
 				}
@@ -77,9 +81,26 @@
 	}
 }
 
+// announceSoon wakes the announce loop.
+func (a *Agent) announceSoon() {
+	select {
+	case a.announceNow <- struct{}{}:
+	default:
+	}
+}
+
 // announcement returns the announcement of the agent with its target, or nil
-// until a target was announced.
+// until a target was announced and while the lease is not held: an agent without
+// a lease can be recorded as departed at any time.
 func (a *Agent) announcement() *pb.AnnounceRequest {
+	if !a.lease.held(a.now()) {
+		return nil
+	}
+	return a.description()
+}
+
+// description returns an announcement without a check of the lease.
+func (a *Agent) description() *pb.AnnounceRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.target.name == "" {
@@ -96,6 +117,7 @@
 		Service:          a.target.service,
 		Slots:            uint32(a.target.slots),
 		Connections:      uint32(a.target.connections),
+		Verify:           a.lease.unlisted(),
 	}
 }
 
@@ -107,7 +129,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
-	if a.stopping || !a.lease.valid(a.since(now)) {
+	if a.stopping || !a.lease.held(a.since(now)) {
 		return false
 	}
 	old := a.incarnation
@@ -138,7 +160,7 @@
 // It is called when the outcomes are delivered: once the log shows the removal,
 // owners no longer wait for outcomes of this agent.
 func (a *Agent) announceLeaving() {
-	req := a.announcement()
+	req := a.description()
 	if req == nil {
 		return
 	}
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
@@ -30,9 +30,17 @@
 	ttl            time.Duration
 	// interval bounds the time between two renewals.
 	interval time.Duration
-	// until is the agent's monotonic time in nanoseconds up to which the lease is
-	// valid.
-	until atomic.Int64
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// until is the agent's monotonic time up to which the lease is held.
+	until time.Duration
+	// listed is set once the log, read after the last lapse, still lists the
+	// agent. While the lease had lapsed, a gateway may have taken it and recorded
+	// the agent as departed; owners then count its confirmations as ended.
+	listed bool
+	// regained is the time of the first renewal after the last lapse.
+	regained time.Duration
 }
 
 func newLeaseKeeper(service platform.Lease, o Options) *leaseKeeper {
@@ -44,9 +52,50 @@
 	}
 }
 
-// valid reports whether tasks may start. Without a lease service they always may.
+// valid reports whether tasks may start and ownership may be confirmed. Without
+// a lease service they always may.
 func (k *leaseKeeper) valid(now time.Duration) bool {
-	return k.service == nil || int64(now) < k.until.Load()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service == nil || now < k.until && k.listed
+}
+
+// held reports whether the worker's lease is held.
+func (k *leaseKeeper) held(now time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service == nil || now < k.until
+}
+
+// unlisted reports whether a check of the log is needed.
+func (k *leaseKeeper) unlisted() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service != nil && !k.listed
+}
+
+// confirmListed notes that a read of the log that began at the given time lists
+// the agent. It reports whether the lease became valid by that.
+func (k *leaseKeeper) confirmListed(began time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listed || k.until == 0 || began < k.regained {
+		return false
+	}
+	k.listed = true
+	return true
+}
+
+// renewed notes a grant that was asked for at sent and answered at answered. The
+// lease was held without a gap only if the answer came before its former end:
+// the service may have handled a late request after another holder's lease.
+func (k *leaseKeeper) renewed(sent, answered, granted time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if answered >= k.until {
+		k.listed, k.regained = false, answered
+	}
+	k.until = sent + granted - granted/driftMargin
 }
 
 // run renews the lease until ctx ends.
@@ -56,22 +105,25 @@
 	}
 	failing := false
 	for ctx.Err() == nil {
-		was := k.valid(a.now())
+		was := k.held(a.now())
 		wait, err := k.renew(ctx, a.now)
-		is := k.valid(a.now())
+		is := k.held(a.now())
 		if err != nil && !failing && ctx.Err() == nil {
 			events.LeaseRenewalFailed.Log(a.log).Str("worker", k.worker).Err(err).Send()
 		}
 		failing = err != nil
+		if is && k.unlisted() {
+			a.announceSoon()
+		}
 		if is != was {
 			a.leaseChanged(is)
 		}
-		if left := time.Duration(k.until.Load()) - a.now(); is && left < wait {
+		if left := k.remaining(a.now()); is && left < wait {
 			// Wakes up at the lapse to report it.
 			wait = left
 		}
 		sleep(ctx, wait)
-		if is && !k.valid(a.now()) {
+		if is && !k.held(a.now()) {
 			a.leaseChanged(false)
 		}
 	}
@@ -88,14 +140,30 @@
 	if err != nil {
 		return jitter(max(k.ttl/(4*renewals), leaseRetry)), err
 	}
-	k.until.Store(int64(sent + granted - granted/driftMargin))
+	k.renewed(sent, now(), granted)
 	return max(min(granted/renewals, k.interval), leaseRetry), nil
 }
 
+// remaining returns the time until the lease lapses.
+func (k *leaseKeeper) remaining(now time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.until - now
+}
+
+// end gives the lease up and reports whether it was ever held.
+func (k *leaseKeeper) end() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	had := k.until != 0
+	k.until, k.listed = 0, false
+	return had
+}
+
 // release lets the lease lapse at once, so that the next agent of this worker need
 // not wait for the rest of it. The loop of run must have ended.
 func (k *leaseKeeper) release() error {
-	if k.service == nil || k.until.Swap(0) == 0 {
+	if k.service == nil || !k.end() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/agent/lifecycle_test.go
+++ b/agent/lifecycle_test.go
@@ -223,7 +223,46 @@
 				}
 			}
 			clock.advance(c.pause)
+			if got := k.held(now()); got != c.want {
+				t.Fatalf("held is %v, want %v", got, c.want)
+			}
+			k.confirmListed(now())
 			if got := k.valid(now()); got != c.want {
+				t.Fatalf("valid is %v after the check of the log, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// While a lease had lapsed, a gateway may have taken it and recorded the agent as
+// departed. Starting work before the log was read again could start a task that
+// the new owner of its key starts too.
+func TestRegainedLeaseNeedsACheckOfTheLog(t *testing.T) {
+	const granted = 10 * time.Second
+	for _, c := range []struct {
+		name string
+		// sent and answered are those of the second renewal; the first is held up
+		// to 9 s and was checked.
+		sent, answered time.Duration
+		// checked is the time at which the read of the log began, or 0.
+		checked time.Duration
+		want    bool
+	}{
+		{"renewed in time", 3 * time.Second, 4 * time.Second, 0, true},
+		{"answered after the lapse", 8 * time.Second, 10 * time.Second, 0, false},
+		{"asked after the lapse", 12 * time.Second, 13 * time.Second, 0, false},
+		{"checked before the renewal", 12 * time.Second, 13 * time.Second, 12 * time.Second, false},
+		{"checked after the renewal", 12 * time.Second, 13 * time.Second, 14 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := newLeaseKeeper(&fakeLease{}, Options{Worker: "w"})
+			k.renewed(0, 0, granted)
+			k.confirmListed(0)
+			k.renewed(c.sent, c.answered, granted)
+			if c.checked != 0 {
+				k.confirmListed(c.checked)
+			}
+			if got := k.valid(c.answered + 2*time.Second); got != c.want {
 				t.Fatalf("valid is %v, want %v", got, c.want)
 			}
 		})
@@ -267,6 +306,10 @@
 		t.Fatalf("start without a lease: %v", rec)
 	}
 	granting <- 24 * time.Hour
+	for !h.agent.lease.confirmListed(h.agent.now()) {
+		time.Sleep(time.Millisecond)
+	}
+	h.agent.leaseChanged(true)
 	for !l.receive().GetLoad().GetAccepting() {
 	}
 	l.start(each, start(1, 1), start(2, 1), start(3, 1))
@@ -279,7 +322,8 @@
 	if _, load := h.agent.status(); load.GetAccepting() || load.GetQueued() != 1 || load.GetRunning() != 0 {
 		t.Fatalf("load after the lapse: %v", load)
 	}
-	h.agent.lease.until.Store(int64(48 * time.Hour))
+	h.agent.lease.renewed(h.agent.now(), h.agent.now(), 48*time.Hour)
+	h.agent.lease.confirmListed(h.agent.now())
 	h.agent.leaseChanged(true)
 	g.release <- struct{}{}
 	if rec := l.records(1)[0]; rec.GetState() != pb.TaskState_TASK_STATE_SUCCEEDED {
--- a/agent/targetapi.go
+++ b/agent/targetapi.go
@@ -115,10 +115,7 @@
 		Int("slots", n.Slots).Int("connections", n.Connections).Str("address", n.Address).Send()
 	a.dispatch(now)
 	a.notifyLoad()
-	select {
-	case a.announceNow <- struct{}{}:
-	default:
-	}
+	a.announceSoon()
 	return nil
 }
 
--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -74,8 +74,10 @@
 	OwnershipSuspended = define(3006, "ownership_suspended", warnLevel, "too few agents confirm the ownership; no task is started",
 		"Check the network between this gateway and the agents.")
 	OwnershipResumed = define(3007, "ownership_resumed", infoLevel, "a majority of the agents confirms the ownership again", nothing)
-	HandoverSent     = define(3008, "handover_sent", infoLevel, "partitions were handed over", nothing)
-	HandoverFailed   = define(3009, "handover_failed", warnLevel, "partitions could not be handed over; the successor takes them over", nothing)
+	AgentRemoved     = define(3010, "agent_removed", warnLevel, "an agent that is out of reach was recorded as gone, since its worker's lease could be taken",
+		"Nothing if its VM was replaced.")
+	HandoverSent   = define(3008, "handover_sent", infoLevel, "partitions were handed over", nothing)
+	HandoverFailed = define(3009, "handover_failed", warnLevel, "partitions could not be handed over; the successor takes them over", nothing)
 )
 
 // Events of the request path (4000 to 4099).
--- a/control/append_test.go
+++ b/control/append_test.go
@@ -115,7 +115,7 @@
 		announce := func(inc uint64) (errs [agents]error) {
 			var wg sync.WaitGroup
 			for i := range agents {
-				wg.Go(func() { errs[i] = g.AgentJoined(within(t, time.Minute), agent(i, inc)) })
+				wg.Go(func() { errs[i] = g.AgentJoined(within(t, time.Minute), agent(i, inc), false) })
 			}
 			wg.Wait()
 			return errs
--- a/control/changes.go
+++ b/control/changes.go
@@ -62,12 +62,13 @@
 }
 
 // AgentJoined records an agent. Calls at the same time share a record. It
-// returns at once if the state lists the same agent already, and fails with
+// returns at once if the state lists the same agent already, unless fresh asks
+// for an answer that the log gave after the call. It fails with
 // *state.RejectedError if a newer incarnation is listed or this one has left.
-func (l *Loop) AgentJoined(ctx context.Context, a state.Agent) error {
+func (l *Loop) AgentJoined(ctx context.Context, a state.Agent, fresh bool) error {
 	listed := l.Snapshot().Agents[a.ID]
 	listed.Joined = 0 // only the state machine sets it
-	if listed == a {
+	if listed == a && !fresh {
 		return nil
 	}
 	if err := l.joins.add(ctx, a); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,25 @@
 	return ok && o.Gateway == g.opts.ID && o.Incarnation == g.opts.Incarnation
 }
 
+// removeAgent records an agent as gone if its worker's lease can be taken. The
+// lease is held until the record is in the log: before that the agent could
+// hold it again and work under the incarnation that the record ends.
+func (g *Gateway) removeAgent(ctx context.Context, a state.Agent) {
+	holder := "gateway:" + g.opts.ID
+	sent := time.Now()
+	granted, err := g.deps.Lease.Renew(ctx, a.Worker, holder, claimTimeout)
+	if err != nil {
+		return
+	}
+	err = g.control.AgentLeft(ctx, state.AgentLeft{
+		ID: a.ID, Incarnation: a.Incarnation, LeaseUntil: sent.Add(granted - g.opts.Ownership.WallSkew),
+	})
+	if err == nil {
+		events.AgentRemoved.Log(g.deps.Logger).Str("agent", a.ID).Str("worker", a.Worker).Send()
+		_, _ = g.deps.Lease.Renew(ctx, a.Worker, holder, time.Millisecond)
+	}
+}
+
 // peerState returns the control state of the configured peer that is furthest
 // ahead, or offset 0 if none is ahead of this gateway. A ping tells the offset
 // first, since a snapshot has hundreds of kilobytes.
@@ -273,9 +292,7 @@
 	}
 	for _, a := range silent {
 		lctx, cancel := context.WithTimeout(ctx, claimTimeout)
-		if _, err := g.deps.Lease.Renew(lctx, a.Worker, "gateway:"+g.opts.ID, time.Second); err == nil {
-			_ = g.control.AgentLeft(lctx, state.AgentLeft{ID: a.ID, Incarnation: a.Incarnation})
-		}
+		g.removeAgent(lctx, a)
 		cancel()
 	}
 }
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -20,6 +20,9 @@
 	startupDelay = 500 * time.Millisecond
 	// claimTimeout bounds one attempt to claim or hand over.
 	claimTimeout = 10 * time.Second
+	// renewInterval is the time between two checks whether epochs are due for
+	// renewal; list versions grow by a few an hour in a cell.
+	renewInterval = 5 * time.Second
 )
 
 // peer is what this gateway knows of another member.
@@ -41,6 +44,8 @@
 	peers   map[ownership.GatewayRef]*peer
 	pending map[model.Partition]bool
 	results chan func()
+	// renewed is the time of the last check for renewals.
+	renewed time.Duration
 }
 
 func newMembership(g *Gateway) *membership {
@@ -166,6 +171,10 @@
 	if len(actions.Claims) > 0 && !m.g.leaving.Load() {
 		m.claim(ctx, actions.Claims)
 	}
+	if now-m.renewed >= renewInterval && !m.g.leaving.Load() {
+		m.renewed = now
+		m.renew(ctx, v)
+	}
 	for _, h := range actions.Handovers {
 		m.pending[h.Partition] = true
 		go m.handOver(ctx, h)
@@ -194,6 +203,27 @@
 	return view
 }
 
+// renew replaces the epochs of partitions whose list versions would grow the
+// state (ownership.ShouldRenew). Only partitions whose takeover is ready may be
+// renewed: a renewal states that all earlier owners have ended.
+func (m *membership) renew(ctx context.Context, v *state.Snapshot) {
+	ready, err := call(ctx, m.g.engine, func(e *engine, now time.Time) []state.PartitionClaim { return e.readyPartitions(now) })
+	if err != nil {
+		return
+	}
+	list := members(v)
+	var due []ownership.PlannedClaim
+	for _, p := range ready {
+		o := v.Owners[p.Partition]
+		if o.Epoch == p.Replaces && !m.pending[p.Partition] && ownership.ShouldRenew(o.Base, v.Applied, list) {
+			due = append(due, ownership.PlannedClaim{Partition: p.Partition, Replaces: p.Replaces})
+		}
+	}
+	if len(due) > 0 {
+		m.claim(ctx, due)
+	}
+}
+
 func (m *membership) claim(ctx context.Context, claims []ownership.PlannedClaim) {
 	c := state.Claim{Gateway: m.g.opts.ID, Incarnation: m.g.opts.Incarnation}
 	for _, p := range claims {
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -392,3 +392,14 @@
 		}
 	}
 }
+
+// readyPartitions returns the owned partitions whose takeover is complete.
+func (e *engine) readyPartitions(now time.Time) []state.PartitionClaim {
+	var out []state.PartitionClaim
+	for _, p := range e.partitions {
+		if p.epoch != 0 && !p.stopped && p.takeover.State(e.mono(now)) == ownership.Ready {
+			out = append(out, state.PartitionClaim{Partition: p.id, Replaces: p.epoch})
+		}
+	}
+	return out
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -102,7 +102,7 @@
 			ID: m.Agent, Incarnation: model.Incarnation(m.Incarnation), Address: m.Address,
 			Worker: m.Worker, Rack: m.Rack, AvailabilityZone: m.AvailabilityZone,
 			Target: m.Target, Service: m.Service, Slots: int(m.Slots), Connections: int(m.Connections),
-		})
+		}, m.Verify)
 	}
 	var rejected *state.RejectedError
 	if errors.As(err, &rejected) {
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -142,3 +142,24 @@
 func planned(f *fixture) ownership.PlannedHandover {
 	return ownership.PlannedHandover{Epoch: f.e.partitions[0].epoch, To: ownership.GatewayRef{ID: other, Incarnation: 7}}
 }
+
+// A renewal must keep the jobs, and the start of a task that an agent refuses
+// under the old epoch must go out again under the new one.
+func TestRenewalKeepsJobsInProgress(t *testing.T) {
+	f := newFixture(t)
+	f.own(1)
+	to := f.submit(f.job("k", 1))
+	agent, s := only(t, f.starts())
+	f.claim(self, selfIncarnation, false)
+	f.wantNone(to)
+	refused := ended(s, notStarted, "")
+	refused.Refusal = rhubarbsailv1.RefusalReason_REFUSAL_REASON_STALE_EPOCH
+	f.report(agent, refused)
+	f.wantNone(to)
+	_, again := only(t, f.starts())
+	if again.Epoch <= s.Epoch {
+		t.Errorf("epoch %d after %d", again.Epoch, s.Epoch)
+	}
+	f.report(agent, ended(again, succeeded, "x"))
+	f.want(to, model.RunComplete, "")
+}
--- a/state/members.go
+++ b/state/members.go
@@ -93,6 +93,9 @@
 	if !ok || a.Incarnation != l.Incarnation {
 		return ReasonNotMember
 	}
+	if !l.LeaseUntil.IsZero() && m.cur.LogTime.After(l.LeaseUntil) {
+		return ReasonLate
+	}
 	m.depart(a)
 	delete(own(&m.cur.Agents, &m.sharedAgents), l.ID)
 	return ""
--- a/state/record.go
+++ b/state/record.go
@@ -96,6 +96,11 @@
 type AgentLeft struct {
 	ID          string            `json:"id"`
 	Incarnation model.Incarnation `json:"incarnation"`
+	// LeaseUntil is the end of the worker's lease that the writer took as proof
+	// that the agent has stopped. The record has no effect if the log appended it
+	// later, since the agent may hold its lease again. It is zero when the agent
+	// itself announced that it leaves.
+	LeaseUntil time.Time `json:"lease_until,omitzero"`
 }
 
 // DepartedAgent is an incarnation whose ledger is gone. It counts as missing
--- a/state/result.go
+++ b/state/result.go
@@ -43,6 +43,8 @@
 	ReasonIncarnation Reason = "stale_incarnation"
 	// ReasonNotMember: the incarnation is not a current member.
 	ReasonNotMember Reason = "not_member"
+	// ReasonLate: the lease that proves a departure ended before the append.
+	ReasonLate Reason = "late"
 	// ReasonEpoch: the claim does not replace the current epoch.
 	ReasonEpoch Reason = "epoch_conflict"
 	// ReasonNotOwner: the writer of a handover is not the partition's owner.
