Keep the previous owner's sent tasks when another agent has a tombstone

Cause: during a planned handover, a tombstone at one agent (an attempt that was revoked there) replaced the table's note that the task had been sent to another agent. Ruled out: an agent that starts under an old epoch (the two starts were at different targets, 0.8 s apart, both recorded as done) and a partial table. Before: TestPlannedStopInterruptsNothing/rolling_restart, three tasks of a job of 400 started twice in one of two runs. After: passes; see docs/PROOFS-process.md.

--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -275,16 +275,17 @@
 		copy(k.digest[:], r.JobDigest)
 		p.known[id.Job] = k
 	}
-	if k.answer == nil && k.stronger(id.Index, r) {
+	if k.answer == nil && k.stronger(id.Index, ag.ref(), r) {
 		k.tasks[id.Index] = knownTask{agent: ag.ref(), record: r}
 	}
 }
 
-// stronger reports whether a record says more about the task than what is
-// known: a tombstone at one agent says nothing about a start at another.
-func (k *knownJob) stronger(index int, r *rhubarbsailv1.TaskRecord) bool {
+// stronger reports whether a record of an agent says more about the task than
+// what is known. A tombstone at one agent says nothing about a start at another,
+// also if that start is known only from the previous owner's table.
+func (k *knownJob) stronger(index int, agent ownership.AgentRef, r *rhubarbsailv1.TaskRecord) bool {
 	old, ok := k.tasks[index]
-	if !ok {
+	if !ok || old.agent == agent && old.record.State == rhubarbsailv1.TaskState_TASK_STATE_UNSPECIFIED {
 		return true
 	}
 	return rank(r.State) >= rank(old.record.State)
@@ -294,7 +295,8 @@
 	switch s {
 	case rhubarbsailv1.TaskState_TASK_STATE_SUCCEEDED, rhubarbsailv1.TaskState_TASK_STATE_FAILED:
 		return 3
-	case rhubarbsailv1.TaskState_TASK_STATE_RUNNING:
+	case rhubarbsailv1.TaskState_TASK_STATE_RUNNING, rhubarbsailv1.TaskState_TASK_STATE_UNSPECIFIED:
+		// Sent by the previous owner: it may be running.
 		return 2
 	case rhubarbsailv1.TaskState_TASK_STATE_QUEUED:
 		return 1
@@ -306,7 +308,7 @@
 func (e *engine) updateKnown(ag *agentState, r *rhubarbsailv1.TaskRecord) {
 	id := taskIDModel(r.Task)
 	p := e.partitions[model.PartitionOf(id.Job, len(e.partitions))]
-	if k := p.known[id.Job]; k != nil && k.answer == nil && k.stronger(id.Index, r) {
+	if k := p.known[id.Job]; k != nil && k.answer == nil && k.stronger(id.Index, ag.ref(), r) {
 		k.tasks[id.Index] = knownTask{agent: ag.ref(), record: r}
 	}
 }
