--- a/experiment/capacity/fleet.go
+++ b/experiment/capacity/fleet.go
@@ -46,6 +46,8 @@
 	internal  []string
 	cancel    context.CancelFunc
 	config    uint64
+	// port is the next one to try.
+	port int
 }
 
 // startFleet starts the processes from the binaries gateway and agent in bin.
@@ -105,7 +107,7 @@
 	settings.SetDefaults(&s)
 	s.ID, s.AvailabilityZone, s.PlatformLogURL = fmt.Sprintf("gateway-%d", i), "zone-0", f.logURL
 	s.Shutdown.Notice, s.Telemetry.LogLevel, s.Peers = 0, "error", []string{}
-	if err := addresses(&s.CallersAddress, &s.OperatorsAddress, &s.InternalAddress); err != nil {
+	if err := f.addresses(&s.CallersAddress, &s.OperatorsAddress, &s.InternalAddress); err != nil {
 		return err
 	}
 	f.callers = append(f.callers, "http://"+s.CallersAddress)
@@ -121,7 +123,7 @@
 	settings.SetDefaults(&s)
 	s.ID, s.Worker, s.Rack, s.AvailabilityZone = fmt.Sprintf("agent-%d", i), workerName(i), "rack-0", "zone-0"
 	s.PlatformLeaseURL, s.Gateways, s.Telemetry.LogLevel = f.logURL, f.internal, "error"
-	if err := addresses(&s.LinkAddress, &s.AnnounceAddress, &s.OperatorsAddress); err != nil {
+	if err := f.addresses(&s.LinkAddress, &s.AnnounceAddress, &s.OperatorsAddress); err != nil {
 		return err
 	}
 	cmd, err := f.launch(filepath.Join(bin, "agent"), s.ID, s)
@@ -275,15 +277,32 @@
 	return nil
 }
 
-// addresses fills in loopback addresses that are free now.
-func addresses(to ...*string) error {
+// firstPort and lastPort are below the range from which the kernel takes the
+// ports of outgoing connections, which could take an address that is free now.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// addresses fills in free loopback addresses; each port is used once.
+func (f *fleet) addresses(to ...*string) error {
 	for _, a := range to {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return errors.Wrap(err, "listen")
+		for *a == "" {
+			if f.port == 0 {
+				f.port = firstPort
+			}
+			if f.port > lastPort {
+				return errors.New("no free port is left")
+			}
+			address := fmt.Sprintf("127.0.0.1:%d", f.port)
+			f.port++
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				continue
+			}
+			_ = l.Close()
+			*a = address
 		}
-		*a = l.Addr().String()
-		defer func() { _ = l.Close() }()
 	}
 	return nil
 }
