Tell takeovers of agents that left after their claim

Cause: the gateway never called Takeover.Left. Ruled out: the links and the validity (all agents connected and confirmed).

--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -83,6 +83,7 @@
 // syncOwnership starts takeovers for partitions that the log now gives to this
 // gateway and drops those that it gave to another.
 func (e *engine) syncOwnership(now time.Time) {
+	e.noteDepartures(now)
 	var gained []*partition
 	for _, p := range e.partitions {
 		o, claimed := e.view.Owners[p.id]
@@ -111,6 +112,26 @@
 	}
 }
 
+// noteDepartures tells the takeovers in progress which agents left after their
+// claim. Such an agent never replies, and without the note a takeover whose
+// majority left would not end.
+func (e *engine) noteDepartures(now time.Time) {
+	var left []ownership.Member
+	for _, m := range members(e.view) {
+		if m.Left != 0 {
+			left = append(left, m)
+		}
+	}
+	for _, p := range e.partitions {
+		if p.epoch == 0 || p.takeover.State(e.mono(now)) == ownership.Ready {
+			continue
+		}
+		for _, m := range left {
+			p.takeover.Left(e.clock(now), m.Agent, m.Left, m.LeftAt)
+		}
+	}
+}
+
 // gain starts the takeover of a partition.
 func (e *engine) gain(now time.Time, p *partition, o state.Ownership) {
 	p.epoch = o.Epoch
