--- a/cmd/rhubarbsail-experiment/embedded.go
+++ b/cmd/rhubarbsail-experiment/embedded.go
@@ -17,18 +17,9 @@
 // embeddedCommand measures a whole deployment in this process: real gateways,
 // agents and stand-in targets on loopback.
 type embeddedCommand struct {
-	Gateways      int           `long:"gateways" default:"3" description:"Number of gateways"`
-	Targets       int           `long:"targets" default:"11" description:"Number of targets"`
-	Spread        float64       `long:"spread" default:"8" description:"Speed of the fastest target relative to the slowest"`
-	Load          float64       `long:"load" default:"0.8" description:"Offered work relative to the capacity of the targets"`
-	Length        time.Duration `long:"length" default:"1m" description:"Time during which jobs are sent"`
-	Clients       int           `long:"clients" default:"12" description:"Number of clients"`
-	Tasks         int           `long:"tasks" default:"1" description:"Tasks of a job"`
-	DeclaredError float64       `long:"declared-error" default:"10" description:"Largest factor between declared and real run time"`
-	Timeout       time.Duration `long:"timeout" default:"30s" description:"Timeout of a job"`
-	Seed          uint64        `long:"seed" default:"1" description:"Seed of the load"`
-	MaxInFlight   int           `long:"max-in-flight" default:"5000" description:"Open requests above which jobs are not sent"`
-	Output        output        `group:"Output"`
+	Gateways int         `long:"gateways" default:"3" description:"Number of gateways"`
+	Load     loadOptions `group:"Load"`
+	Output   output      `group:"Output"`
 }
 
 const (
@@ -40,7 +31,7 @@
 func (c *embeddedCommand) Execute([]string) (err error) {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	fleet := experiment.NewFleet(c.Targets, embeddedSlots, c.Spread)
+	fleet := experiment.NewFleet(c.Load.Targets, embeddedSlots, c.Load.Spread)
 	d, err := c.start(ctx, fleet)
 	if err != nil {
 		return err
@@ -56,11 +47,11 @@
 func (c *embeddedCommand) start(ctx context.Context, fleet experiment.Fleet) (*local.Deployment, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	opts := local.Options{Gateways: c.Gateways, Targets: c.Targets, Service: "work", LogLevel: "warn", Log: os.Stderr}
+	opts := local.Options{Gateways: c.Gateways, Targets: c.Load.Targets, Service: "work", LogLevel: "warn", Log: os.Stderr}
 	for _, n := range fleet {
 		opts.Speeds = append(opts.Speeds, n.Speed)
 	}
-	for i := range c.Clients {
+	for i := range c.Load.Clients {
 		opts.MoreClients = append(opts.MoreClients, fmt.Sprintf("client-%02d", i))
 	}
 	return local.Start(ctx, opts)
@@ -68,7 +59,7 @@
 
 func (c *embeddedCommand) measure(ctx context.Context, d *local.Deployment, fleet experiment.Fleet) error {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = c.MaxInFlight
+	transport.MaxIdleConnsPerHost = c.Load.MaxInFlight
 	client := &http.Client{Transport: transport}
 	before, err := experiment.ScrapeFrames(ctx, client, d.Operators)
 	if err != nil {
@@ -76,11 +67,8 @@
 	}
 	started := experiment.ProcessCPU()
 	result, err := experiment.RunLive(ctx, experiment.LiveOptions{
-		Gateways: d.Callers, Service: "work", Seed: c.Seed, MaxInFlight: c.MaxInFlight, Fleet: fleet,
-		Load: experiment.Workload{
-			Load: c.Load, Duration: c.Length, Clients: c.Clients, DeclaredError: c.DeclaredError,
-			Timeout: c.Timeout, Sizes: []experiment.Size{{Tasks: c.Tasks, Weight: 1}},
-		},
+		Gateways: d.Callers, Service: "work", Seed: c.Load.Seed, MaxInFlight: c.Load.MaxInFlight, Fleet: fleet,
+		Load:   c.Load.workload(),
 		Client: client,
 	})
 	if err != nil {
