Answer not_run only while ownership is confirmed; route only with a current state

Cause (read-through): a cancelled or expired job whose tasks had not been sent was called not_run also when the gateway had lost its majority, while another owner may have run it; a gateway that had just started routed by whatever part of the log it had read; a tombstone after a running record of the same agent was ignored in a takeover, so that the job waited until its deadline. Ruled out: refusing jobs until the state is read, which cuts callers during a rolling restart; they wait instead. Result: go test -race ./gateway passes, with a new case that fails without the check of the validity (not_run in place of may_have_run).

--- a/gateway/collect.go
+++ b/gateway/collect.go
@@ -204,8 +204,9 @@
 // fail gives a job its final failed answer and cancels what is still out.
 func (e *engine) fail(j *job, now time.Time, r model.Reason, msg string) {
 	s := j.runState()
-	if e.partitions[j.partition].stopped {
-		// The next owner may already continue the job.
+	p := e.partitions[j.partition]
+	if p.stopped || !e.validity.Valid(e.mono(now), p.id, p.epoch) {
+		// Another owner may already have run the job.
 		s = model.RunMayHaveRun
 	}
 	e.failWith(j, now, model.Failed(s, r, msg))
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -187,3 +187,16 @@
 		})
 	}
 }
+
+// G4: without confirmed ownership another owner may have run the job, so a job
+// whose tasks were never sent must not be called not_run.
+func TestNotRunNeedsConfirmedOwnership(t *testing.T) {
+	f := newFixture(t)
+	f.own(1)
+	f.unlink("a1")
+	to := f.submit(f.job("k", 1))
+	f.wantNone(to)
+	f.advance(3 * time.Second)
+	f.e.cancelJob(f.now, model.JobKey{Client: "c", Key: "k"})
+	f.want(to, model.RunMayHaveRun, model.ReasonCancelled)
+}
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -315,16 +315,23 @@
 // also if that start is known only from the previous owner's table.
 func (k *knownJob) stronger(index int, agent ownership.AgentRef, r *rhubarbsailv1.TaskRecord) bool {
 	old, ok := k.tasks[index]
-	if !ok || old.agent == agent && old.record.State == rhubarbsailv1.TaskState_TASK_STATE_UNSPECIFIED {
+	if !ok {
+		return true
+	}
+	if old.agent == agent && rank(old.record.State) < finalRank {
+		// Frames of one agent arrive in order: its newest record holds.
 		return true
 	}
 	return rank(r.State) >= rank(old.record.State)
 }
 
+// finalRank is the rank of the states that never change.
+const finalRank = 3
+
 func rank(s rhubarbsailv1.TaskState) int {
 	switch s {
 	case rhubarbsailv1.TaskState_TASK_STATE_SUCCEEDED, rhubarbsailv1.TaskState_TASK_STATE_FAILED:
-		return 3
+		return finalRank
 	case rhubarbsailv1.TaskState_TASK_STATE_RUNNING, rhubarbsailv1.TaskState_TASK_STATE_UNSPECIFIED:
 		// Sent by the previous owner: it may be running.
 		return 2
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -40,12 +40,22 @@
 type viewSource interface {
 	Snapshot() *state.Snapshot
 	Subscribe() (<-chan struct{}, func())
+	// Ready is closed once the state was read to the end of the log.
+	Ready() <-chan struct{}
 }
 
+var errNotReady = errors.New("the control state has not been read yet")
+
 // route returns the job's answer. It ends at the job's deadline.
 func (r *router) route(ctx context.Context, j *model.Job) model.Answer {
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(answerGrace))
 	defer cancel()
+	select {
+	case <-r.view.Ready():
+	case <-ctx.Done():
+		// The state may be older than a configuration that is in force.
+		return r.undecided(ctx, errNotReady)
+	}
 	changed, unsubscribe := r.view.Subscribe()
 	defer unsubscribe()
 	s := submission{job: j, digest: j.Digest(), ctx: ctx}
