Name the operator of the configuration in force

Cause: docs/API.md promises the operator of the change that won a conflict, and GET /v1/config has operator and time, but the state did not keep them. Ruled out: looking the record up in the log, which may have dropped it. Tests of state, gateway and local pass.

--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -39,7 +39,10 @@
 func (g *Gateway) Config(context.Context) httpapi.ConfigView {
 	v := g.control.Snapshot()
 	parts, _ := partsOf(v.Config)
-	return httpapi.ConfigView{Version: v.ConfigVersion, Inventory: parts.Inventory, Rules: parts.Rules}
+	return httpapi.ConfigView{
+		Version: v.ConfigVersion, Operator: v.ConfigOperator, ChangedAt: v.ConfigChangedAt,
+		Inventory: parts.Inventory, Rules: parts.Rules,
+	}
 }
 
 // changeTimeout bounds an operator's change, so that it is refused clearly while
@@ -54,7 +57,7 @@
 	// may lag behind, and its older parts would revert a newer change.
 	base, err := g.control.ConfigAt(ctx, c.Base)
 	if err != nil {
-		return 0, operationError(err)
+		return 0, g.operationError(err)
 	}
 	parts, err := partsOf(base)
 	if err != nil {
@@ -72,17 +75,17 @@
 		return 0, err
 	}
 	version, err := g.control.ChangeConfig(ctx, c.Base, c.Operator, cfg)
-	return version, operationError(err)
+	return version, g.operationError(err)
 }
 
 // operationError maps errors of the control loop to those of the API.
-func operationError(err error) error {
+func (g *Gateway) operationError(err error) error {
 	var conflict *control.VersionConflictError
 	switch {
 	case err == nil:
 		return nil
 	case errors.As(err, &conflict):
-		return &httpapi.VersionConflictError{Base: conflict.Base, Won: conflict.Current}
+		return &httpapi.VersionConflictError{Base: conflict.Base, Won: conflict.Current, Operator: g.operatorOf(conflict.Current)}
 	case errors.Is(err, platform.ErrUnavailable):
 		return httpapi.ErrUnavailable
 	case errors.Is(err, platform.ErrUnknownOutcome):
@@ -91,6 +94,14 @@
 	return err
 }
 
+// operatorOf returns who published the version, or "" if a newer one is in force.
+func (g *Gateway) operatorOf(version uint64) string {
+	if v := g.control.Snapshot(); v.ConfigVersion == version {
+		return v.ConfigOperator
+	}
+	return ""
+}
+
 // SetDrain implements httpapi.Operations.
 func (g *Gateway) SetDrain(ctx context.Context, target string, drain bool) error {
 	v := g.control.Snapshot()
@@ -103,7 +114,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	return operationError(g.control.Drain(ctx, target, drain))
+	return g.operationError(g.control.Drain(ctx, target, drain))
 }
 
 // Ready implements httpapi.Operations.
--- a/state/encode.go
+++ b/state/encode.go
@@ -23,6 +23,8 @@
 	LogTime       time.Time        `json:"log_time"`
 	ConfigVersion uint64           `json:"config_version"`
 	Config        json.RawMessage  `json:"config,omitempty"`
+	Operator      string           `json:"config_operator,omitempty"`
+	ChangedAt     time.Time        `json:"config_changed_at,omitzero"`
 	Gateways      []Gateway        `json:"gateways"`
 	Agents        []Agent          `json:"agents"`
 	Departed      []DepartedAgent  `json:"departed"`
@@ -40,7 +42,7 @@
 func (s *Snapshot) Encode() ([]byte, error) {
 	b := snapshotBody{
 		Format: snapshotFormat, Applied: s.Applied, LogTime: s.LogTime,
-		ConfigVersion: s.ConfigVersion, Config: s.config,
+		ConfigVersion: s.ConfigVersion, Config: s.config, Operator: s.ConfigOperator, ChangedAt: s.ConfigChangedAt,
 		Gateways: sortedValues(s.Gateways), Agents: sortedValues(s.Agents),
 		Departed: s.Departed, Drained: slices.Sorted(maps.Keys(s.Drained)), Recent: s.recent,
 	}
@@ -65,6 +67,7 @@
 	}
 	s := &Snapshot{
 		Applied: b.Applied, LogTime: b.LogTime, ConfigVersion: b.ConfigVersion, config: b.Config,
+		ConfigOperator: b.Operator, ConfigChangedAt: b.ChangedAt,
 		Gateways: make(map[string]Gateway, len(b.Gateways)), Agents: make(map[string]Agent, len(b.Agents)),
 		Departed: b.Departed, recent: b.Recent,
 		Owners: make(map[model.Partition]Ownership, len(b.Owners)), Drained: make(map[string]bool, len(b.Drained)),
--- a/state/machine.go
+++ b/state/machine.go
@@ -258,6 +258,7 @@
 		return rejected(ReasonMalformed)
 	}
 	m.cur.Config, m.cur.config, m.cur.ConfigVersion = cfg, c.Config, m.cur.Applied
+	m.cur.ConfigOperator, m.cur.ConfigChangedAt = c.Operator, m.cur.LogTime
 	return Result{}
 }
 
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -17,6 +17,9 @@
 	// ConfigVersion is the offset of the record that set Config; 0 before the
 	// first configuration.
 	ConfigVersion uint64
+	// ConfigOperator published it at ConfigChangedAt, by log time.
+	ConfigOperator  string
+	ConfigChangedAt time.Time
 	// Config is the configuration in force. It is never nil; before the first
 	// configuration it is empty.
 	Config *inventory.Config
