Stop within seconds while the log is down; give the log stand-in settings

Cause (walk through README.md): all processes stopped at once took 128 s, since a gateway waited up to its shutdown timeout for the log to record its departure, and planned handovers that the log could not take. standin-log took flags, while docs/settings.md and examples/ describe a settings file. Ruled out: dropping the departure record, which spares the others a ping timeout. The harness starts the stand-in with settings.

--- a/cmd/standin-log/main.go
+++ b/cmd/standin-log/main.go
@@ -4,17 +4,16 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jessevdk/go-flags"
 
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/settings"
+	"github.com/rhubarbsail/rhubarbsail/daemon"
 	"github.com/rhubarbsail/rhubarbsail/standin/logserver"
 	"github.com/rhubarbsail/rhubarbsail/standin/memlog"
 )
@@ -24,39 +23,23 @@
 	headerTimeout = 10 * time.Second
 )
 
-type options struct {
-	Listen           string        `long:"listen" default:"127.0.0.1:0" description:"host:port to serve on; port 0 takes a free one"`
-	RetainCount      int           `long:"retain-count" description:"number of records that a stream keeps; 0 is no bound"`
-	RetainFor        time.Duration `long:"retain-for" description:"time for which a stream keeps records; 0 is no bound"`
-	AppendsPerSecond float64       `long:"appends-per-second" default:"300" description:"bound of the append rate; 0 is no bound"`
-}
-
 func main() {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, opts); err != nil {
-		fmt.Fprintln(os.Stderr, "standin-log:", err)
-		os.Exit(1)
-	}
+	os.Exit(daemon.Main("standin-log", &settings.LogStandin{}, run))
 }
 
-// run serves until the context ends. It prints the address, so that a test can
-// use a free port.
-func run(ctx context.Context, opts options) error {
-	listener, err := net.Listen("tcp", opts.Listen)
+// run serves until the context ends.
+func run(ctx context.Context, s *settings.LogStandin, env daemon.Env) error {
+	log, err := events.NewLogger(env.Logs, s.Telemetry.LogLevel, "standin-log", s.ListenAddress)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.ListenAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	fmt.Println("listening on", listener.Addr())
+	events.ListenStarted.Log(log).Str("address", listener.Addr().String()).Send()
 	store := memlog.New(memlog.Options{
-		RetainCount: opts.RetainCount, RetainFor: opts.RetainFor, AppendsPerSecond: opts.AppendsPerSecond,
+		RetainCount: int(s.RetainCount), RetainFor: s.RetainFor.Duration(), AppendsPerSecond: s.AppendsPerSecond,
 	})
 	server := &http.Server{
 		Handler: logserver.New(store), ReadHeaderTimeout: headerTimeout,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// leaveTimeout bounds the record of a departure.
+const leaveTimeout = 3 * time.Second
+
 const joinRetry = 500 * time.Millisecond
 
 // BeginStop starts a planned stop: readiness goes false and the partitions are
@@ -145,11 +148,12 @@
 }
 
 // Drained waits until no partition is owned and no job is in progress, or ctx
-// ends. Without another gateway the jobs in progress are finished here.
+// ends. Without another gateway, or while the log takes no handover, the jobs in
+// progress are finished here.
 func (g *Gateway) Drained(ctx context.Context) error {
 	for {
 		idle, err := call(ctx, g.engine, func(e *engine, _ time.Time) bool {
-			e.draining = !g.successor.Load()
+			e.draining = !g.successor.Load() || !g.control.Status().LogAvailable
 			return e.idle()
 		})
 		if err == nil && idle {
@@ -166,7 +170,11 @@
 // Close ends all work. After a planned stop, the departure is recorded first.
 func (g *Gateway) Close(ctx context.Context) {
 	if g.leaving.Load() && g.joined.Load() {
-		_ = g.control.Leave(ctx, g.opts.ID, g.opts.Incarnation)
+		// While the log is down the departure is not recorded; the other gateways
+		// find out by their pings.
+		lctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+		_ = g.control.Leave(lctx, g.opts.ID, g.opts.Incarnation)
+		cancel()
 	}
 	g.cancel()
 	g.wg.Wait()
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -175,6 +175,9 @@
 		m.renewed = now
 		m.renew(ctx, v)
 	}
+	if !m.g.control.Status().LogAvailable {
+		return
+	}
 	for _, h := range actions.Handovers {
 		m.pending[h.Partition] = true
 		go m.handOver(ctx, h)
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -89,22 +89,23 @@
 // operators contradict each other and a gateway is replaced.
 func TestAcceptedConfigurationStaysInForce(t *testing.T) {
 	for _, row := range []struct {
-		name    string
-		logArgs []string
-		run     func(t *testing.T, c *harness.Cluster)
+		name string
+		// retain bounds the records that the log keeps; 0 is no bound.
+		retain int64
+		run    func(t *testing.T, c *harness.Cluster)
 	}{
-		{"lost replies and requests", nil, func(t *testing.T, c *harness.Cluster) {
+		{"lost replies and requests", 0, func(t *testing.T, c *harness.Cluster) {
 			for i := range 4 {
 				c.LogFaults(logserver.FaultsBody{LoseReplies: 1 + i%2, LoseRequests: i / 2})
 				change(t, c, i%3)
 			}
 		}},
-		{"two operators", nil, func(t *testing.T, c *harness.Cluster) {
+		{"two operators", 0, func(t *testing.T, c *harness.Cluster) {
 			for range 5 {
 				twoOperators(t, c)
 			}
 		}},
-		{"log outage", nil, func(t *testing.T, c *harness.Cluster) {
+		{"log outage", 0, func(t *testing.T, c *harness.Cluster) {
 			first := change(t, c, 0)
 			c.LogFaults(logserver.FaultsBody{Outage: true})
 			_, err := c.ChangeConfig(t.Context(), 1, first, "ben")
@@ -127,7 +128,7 @@
 				return err
 			})
 		}},
-		{"retention passed", []string{"--retain-count", "20"}, func(t *testing.T, c *harness.Cluster) {
+		{"retention passed", 20, func(t *testing.T, c *harness.Cluster) {
 			c.Gateways[2].Pause()
 			for range 25 {
 				change2(t, c)
@@ -138,7 +139,7 @@
 			check(t, c.AwaitReady())
 			change(t, c, 0)
 		}},
-		{"gateway replaced during an outage", nil, func(t *testing.T, c *harness.Cluster) {
+		{"gateway replaced during an outage", 0, func(t *testing.T, c *harness.Cluster) {
 			v := change(t, c, 0)
 			c.LogFaults(logserver.FaultsBody{Outage: true})
 			c.Gateways[1].Kill()
@@ -157,7 +158,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
-			c := harness.Start(t, harness.Options{LogArgs: row.logArgs, AdjustAgent: longLease, AdjustGateway: func(s *settings.Gateway) {
+			c := harness.Start(t, harness.Options{AdjustLog: func(s *settings.LogStandin) { s.RetainCount = row.retain }, AdjustAgent: longLease, AdjustGateway: func(s *settings.Gateway) {
 				s.Probing.PingFailure = 10_000
 			}})
 			unwatch := watch(t, c)
--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -44,8 +44,8 @@
 	// AdjustGateway and AdjustAgent may change settings before the start.
 	AdjustGateway func(*settings.Gateway)
 	AdjustAgent   func(*settings.Agent)
-	// LogArgs are arguments of the log stand-in.
-	LogArgs []string
+	// AdjustLog may change the settings of the log stand-in.
+	AdjustLog func(*settings.LogStandin)
 }
 
 // Cluster is a running deployment of separate processes.
@@ -151,8 +151,13 @@
 	if c.logAddress, err = freeAddress(); err != nil {
 		return err
 	}
-	args := append([]string{"--listen", c.logAddress}, c.opts.LogArgs...)
-	if c.Log, err = c.launch(&Process{Name: "log", program: "standin-log", args: args}); err != nil {
+	var s settings.LogStandin
+	settings.SetDefaults(&s)
+	s.ListenAddress = c.logAddress
+	if c.opts.AdjustLog != nil {
+		c.opts.AdjustLog(&s)
+	}
+	if c.Log, err = c.process("standin-log", "log", s); err != nil {
 		return err
 	}
 	c.logRelay, err = c.Net.relay("log", c.logAddress)
