--- a/gateway/agentstate.go
+++ b/gateway/agentstate.go
@@ -27,7 +27,6 @@
 type agentState struct {
 	addr   agentAddr
 	target scheduler.TargetID
-	zone   string
 	// stop ends the link's goroutine.
 	stop func()
 	// session is nil while the link is down.
@@ -83,7 +82,7 @@
 			e.dropAgent(now, old)
 		}
 		if e.agents[id] == nil {
-			e.addAgent(now, addr, scheduler.TargetID(a.Target), a.AvailabilityZone)
+			e.addAgent(now, addr, scheduler.TargetID(a.Target))
 		}
 	}
 	for id, ag := range e.agents {
@@ -96,11 +95,10 @@
 	e.validity.SetListed(listed)
 }
 
-func (e *engine) addAgent(now time.Time, addr agentAddr, target scheduler.TargetID, zone string) {
+func (e *engine) addAgent(now time.Time, addr agentAddr, target scheduler.TargetID) {
 	ag := &agentState{
 		addr:     addr,
 		target:   target,
-		zone:     zone,
 		linkLost: now,
 		flights:  make(map[model.TaskID]*flight),
 		fences:   make(map[uint64][]ownership.PartitionEpoch),
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -200,3 +200,29 @@
 	f.e.cancelJob(f.now, model.JobKey{Client: "c", Key: "k"})
 	f.want(to, model.RunMayHaveRun, model.ReasonCancelled)
 }
+
+// A job that was given up before any start told its caller to come back; the
+// resubmission must run. A cancelled job stays cancelled.
+func TestResubmissionAfterNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		reason model.Reason
+		runs   bool
+	}{{"given up", model.ReasonOverload, true}, {"cancelled", model.ReasonCancelled, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.own(1)
+			f.unlink("a1")
+			j := f.job("k", 1)
+			to := f.submit(j)
+			f.e.fail(f.e.jobs[j.Key], f.now, c.reason, "")
+			f.want(to, model.RunNotRun, c.reason)
+			again := f.submit(j)
+			if c.runs {
+				f.wantNone(again)
+				return
+			}
+			f.want(again, model.RunNotRun, c.reason)
+		})
+	}
+}
--- a/gateway/fence.go
+++ b/gateway/fence.go
@@ -77,7 +77,8 @@
 func (e *engine) learnRecord(now time.Time, ag *agentState, r *rhubarbsailv1.TaskRecord) {
 	id := taskIDModel(r.Task)
 	if f := ag.flights[id]; f != nil {
-		f.confirmed = true
+		// A tombstone of an earlier placement does not show that this one arrived.
+		f.confirmed = r.State != rhubarbsailv1.TaskState_TASK_STATE_NOT_STARTED
 		e.applyRecord(now, ag, r)
 		return
 	}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -16,13 +16,15 @@
 // handoverTable is the job table that a previous owner sent, kept until the
 // log shows the claim.
 type handoverTable struct {
-	epoch  model.Epoch
-	cutOff time.Time
-	known  map[model.JobKey]*knownJob
+	epoch model.Epoch
+	// sequence orders the tables that the owner of the epoch sent.
+	sequence uint64
+	cutOff   time.Time
+	known    map[model.JobKey]*knownJob
 }
 
 // errSuccessorLeaving is no fault: the next plan names another successor.
-var errSuccessorLeaving = errors.New("the successor is leaving")
+var errSuccessorLeaving = errors.New("the successor is leaving or holds a newer table")
 
 var errNotOwned = errors.New("partition is not owned, or its takeover is not ready")
 
@@ -94,15 +96,16 @@
 		held.reply <- reply{moved: true}
 	}
 	p.held = nil
+	e.nextRequest++
 	out := &rhubarbsailv1.HandoverRequest{
-		FromGateway: e.opts.ID, FromIncarnation: uint64(e.opts.Incarnation),
+		FromGateway: e.opts.ID, FromIncarnation: uint64(e.opts.Incarnation), Sequence: e.nextRequest,
 		Partitions: []*rhubarbsailv1.PartitionEpoch{{Partition: uint32(p.id), Epoch: uint64(p.epoch)}},
 	}
 	if c := p.takeover.CutOff(e.clock(now)); !c.IsZero() {
 		out.CutOffUnixNanos = c.UnixNano()
 	}
 	for _, j := range e.jobs {
-		if j.partition == p.id {
+		if j.partition == p.id && !j.mayRunAgain() {
 			e.withdraw(now, j)
 			out.Entries = append(out.Entries, e.tableEntry(j))
 		}
@@ -178,8 +181,15 @@
 }
 
 // storeTable keeps the job table of a partition that another gateway is about
-// to hand over.
-func (e *engine) storeTable(r *rhubarbsailv1.HandoverRequest) {
+// to hand over. It refuses a table that the owner sent before the one it holds.
+func (e *engine) storeTable(r *rhubarbsailv1.HandoverRequest) bool {
+	for _, pe := range r.Partitions {
+		old := e.tables[model.Partition(pe.Partition)]
+		if int(pe.Partition) >= len(e.partitions) ||
+			old != nil && old.epoch == model.Epoch(pe.Epoch) && old.sequence >= r.Sequence {
+			return false
+		}
+	}
 	known := make(map[model.JobKey]*knownJob, len(r.Entries))
 	for _, en := range r.Entries {
 		k := &knownJob{tasks: make(map[int]knownTask, len(en.Tasks))}
@@ -196,14 +206,13 @@
 		}
 		known[model.JobKey{Client: en.Client, Key: en.Key}] = k
 	}
-	table := &handoverTable{known: known}
+	table := &handoverTable{known: known, sequence: r.Sequence}
 	if r.CutOffUnixNanos != 0 {
 		table.cutOff = time.Unix(0, r.CutOffUnixNanos)
 	}
 	for _, pe := range r.Partitions {
-		if int(pe.Partition) < len(e.partitions) {
-			table.epoch = model.Epoch(pe.Epoch)
-			e.tables[model.Partition(pe.Partition)] = table
-		}
+		table.epoch = model.Epoch(pe.Epoch)
+		e.tables[model.Partition(pe.Partition)] = table
 	}
+	return true
 }
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -85,6 +85,13 @@
 // answered reports whether the job has its final answer.
 func (j *job) answered() bool { return j.answer != nil }
 
+// mayRunAgain reports whether a resubmission starts the job anew: it was given
+// up before any start, and the caller was told when to come back. A cancelled
+// job stays cancelled.
+func (j *job) mayRunAgain() bool {
+	return j.answered() && j.answer.State == model.RunNotRun && j.answer.Reason != model.ReasonCancelled
+}
+
 // runState returns the state of a failed answer given now: not run only if no
 // start of any task can have happened.
 func (j *job) runState() model.RunState {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -130,8 +130,7 @@
 		if s.g.leaving.Load() {
 			return false
 		}
-		e.storeTable(req.Msg)
-		return true
+		return e.storeTable(req.Msg)
 	})
 	if err != nil {
 		return nil, err
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -27,7 +27,7 @@
 		to <- reply{moved: true}
 		return
 	}
-	if j := e.jobs[key]; j != nil {
+	if j := e.jobs[key]; j != nil && !j.mayRunAgain() {
 		e.join(now, j, s, to)
 		return
 	}
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -163,3 +163,57 @@
 	f.report(agent, ended(again, succeeded, "x"))
 	f.want(to, model.RunComplete, "")
 }
+
+// G1: after a failed handover the old owner goes on. Its first table, delayed in
+// the network, must not replace the second, or the new owner would start again
+// what was started in between.
+func TestDelayedJobTableDoesNotReplaceANewerOne(t *testing.T) {
+	old := newFixture(t)
+	old.own(1)
+	first := old.e.stopPartition(old.now, planned(old))
+	old.e.resumePartition(old.now, planned(old))
+	old.submit(old.job("between", 1))
+	only(t, old.starts())
+	second := old.e.stopPartition(old.now, planned(old))
+
+	f := newFixture(t)
+	if !f.e.storeTable(second) || f.e.storeTable(first) {
+		t.Fatal("the older table was accepted after the newer one")
+	}
+	if n := len(f.e.tables[0].known); n != 1 {
+		t.Errorf("the table has %d jobs, want 1", n)
+	}
+}
+
+// A tombstone of an earlier placement says nothing about a later start on the
+// same agent. Taking it for one would leave the job waiting until its deadline.
+func TestAdoptedStartThatNeverArrivedIsPlacedAgain(t *testing.T) {
+	f := takeOver(t, 1, "a1")
+	j := f.job("k", 1)
+	sent := ledgerRecord(j, 0, rhubarbsailv1.TaskState_TASK_STATE_UNSPECIFIED, "")
+	sent.Attempt = 3
+	p := f.e.partitions[0]
+	p.takeover = ownership.NewHandover(f.e.opts.Ownership, time.Time{})
+	p.known[j.Key] = &knownJob{digest: j.Digest(), tasks: map[int]knownTask{
+		0: {agent: f.e.agents["a1"].ref(), record: sent},
+	}}
+	to := f.submit(j)
+	frames := f.sent("a1")
+	for _, m := range frames {
+		if q := m.GetProbe(); q != nil {
+			f.frame("a1", &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Probed{Probed: &rhubarbsailv1.ProbeReply{Sequence: q.Sequence}}})
+		}
+	}
+	if len(f.starts()) != 0 {
+		t.Fatal("the task was started before the ledger of its agent arrived")
+	}
+	for _, m := range frames {
+		if q := m.GetFence(); q != nil {
+			f.frame("a1", &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Fenced{Fenced: &rhubarbsailv1.FenceReply{
+				Request: q.Request, Records: []*rhubarbsailv1.TaskRecord{ledgerRecord(j, 0, notStarted, "")}, Last: true,
+			}}})
+		}
+	}
+	f.wantNone(to)
+	only(t, f.starts())
+}
