--- a/agent/lease.go
+++ b/agent/lease.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 )
 
 const (
@@ -25,7 +25,7 @@
 
 // leaseKeeper holds the worker's lease.
 type leaseKeeper struct {
-	service        platform.Lease
+	service        logservice.Lease
 	worker, holder string
 	ttl            time.Duration
 	// interval bounds the time between two renewals.
@@ -43,7 +43,7 @@
 	regained time.Duration
 }
 
-func newLeaseKeeper(service platform.Lease, o Options) *leaseKeeper {
+func newLeaseKeeper(service logservice.Lease, o Options) *leaseKeeper {
 	return &leaseKeeper{
 		service: service,
 		worker:  o.Worker,
--- a/agent/lifecycle_test.go
+++ b/agent/lifecycle_test.go
@@ -13,7 +13,7 @@
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 )
 
 // leaveBy are the two ways in which work has to leave: the target announces it,
@@ -189,7 +189,7 @@
 // Starting without a valid lease would let two workers run the same work. The
 // validity counts from the sending of the request, and no error extends it.
 func TestLeaseValidity(t *testing.T) {
-	lost := errors.Wrap(platform.ErrUnknownOutcome, "renew")
+	lost := errors.Wrap(logservice.ErrUnknownOutcome, "renew")
 	for _, c := range []struct {
 		name    string
 		replies []leaseReply
@@ -203,8 +203,8 @@
 		{"at the drift margin", []leaseReply{{granted: 10 * time.Second}}, 9 * time.Second, false},
 		{"slow reply counts from the request", []leaseReply{{delay: 8 * time.Second, granted: 10 * time.Second}}, time.Second, false},
 		{"reply after its own lapse", []leaseReply{{delay: 20 * time.Second, granted: 10 * time.Second}}, 0, false},
-		{"held by another", []leaseReply{{err: platform.ErrLeaseHeld}}, 0, false},
-		{"unavailable after a grant", []leaseReply{{granted: 10 * time.Second}, {delay: 5 * time.Second, err: platform.ErrUnavailable}}, 0, true},
+		{"held by another", []leaseReply{{err: logservice.ErrLeaseHeld}}, 0, false},
+		{"unavailable after a grant", []leaseReply{{granted: 10 * time.Second}, {delay: 5 * time.Second, err: logservice.ErrUnavailable}}, 0, true},
 		{"unknown outcome does not extend", []leaseReply{{granted: 10 * time.Second}, {delay: 5 * time.Second, err: lost}}, 4 * time.Second, false},
 		{"renewed after a lapse", []leaseReply{{granted: time.Second}, {delay: 9 * time.Second, err: lost}, {granted: time.Second}}, 0, true},
 		{"granted for no time", []leaseReply{{granted: 0}}, 0, false},
@@ -293,7 +293,7 @@
 		case d := <-granting:
 			return d, nil
 		case <-ctx.Done():
-			return 0, platform.ErrUnknownOutcome
+			return 0, logservice.ErrUnknownOutcome
 		}
 	})
 	// The time to live is long in real time, so that the test decides when a
--- a/agent/options.go
+++ b/agent/options.go
@@ -13,7 +13,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 )
 
 // Options are the settings of an agent. Zero values take the defaults.
@@ -104,7 +104,7 @@
 type Dependencies struct {
 	Clock Clock
 	// Lease grants the worker's lease; without it the lease is always valid.
-	Lease platform.Lease
+	Lease logservice.Lease
 	// Transport returns the transport to a target with the bound on connections.
 	// It must not follow redirects or repeat requests of which a byte was sent.
 	Transport func(connections int) http.RoundTripper
--- a/control/append.go
+++ b/control/append.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -64,11 +64,11 @@
 //
 // The result may be a rejection; Result.Err tells. It repeats failed attempts
 // with the same id until the context ends. An error that wraps
-// platform.ErrUnavailable means that the record is not in the log, one that
-// wraps platform.ErrUnknownOutcome that it may be or may yet arrive.
+// logservice.ErrUnavailable means that the record is not in the log, one that
+// wraps logservice.ErrUnknownOutcome that it may be or may yet arrive.
 func (l *Loop) Append(ctx context.Context, kind state.Kind, body any) (state.Result, error) {
 	if l.stopped.Err() != nil {
-		return state.Result{}, fmt.Errorf("append %s: %w: %w", kind, platform.ErrUnavailable, ErrStopped)
+		return state.Result{}, fmt.Errorf("append %s: %w: %w", kind, logservice.ErrUnavailable, ErrStopped)
 	}
 	id := newID()
 	data, err := l.encode(id, kind, body)
@@ -125,7 +125,7 @@
 			case <-ctx.Done():
 			}
 			a.last = errors.New("not read back")
-		case errors.Is(err, platform.ErrInvalid) && !a.taken:
+		case errors.Is(err, logservice.ErrInvalid) && !a.taken:
 			return state.Result{}, errors.Wrapf(err, "append %s", a.kind)
 		default:
 			a.last = err
@@ -146,7 +146,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.loop.opts.AppendTimeout)
 	defer cancel()
 	_, err := a.loop.opts.Log.Append(ctx, a.loop.opts.Stream, a.data)
-	if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrInvalid) {
+	if !errors.Is(err, logservice.ErrUnavailable) && !errors.Is(err, logservice.ErrInvalid) {
 		a.taken = true
 	}
 	return err
@@ -155,9 +155,9 @@
 // failure does not wrap the last error: it may be a refusal after an earlier
 // attempt that the log may have taken.
 func (a *attempt) failure(ctx context.Context) error {
-	kind := platform.ErrUnavailable
+	kind := logservice.ErrUnavailable
 	if a.taken {
-		kind = platform.ErrUnknownOutcome
+		kind = logservice.ErrUnknownOutcome
 	}
 	return fmt.Errorf("append %s record %s: %w: %w (last attempt: %v)", a.kind, a.id, kind, context.Cause(ctx), a.last)
 }
--- a/control/append_test.go
+++ b/control/append_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/control"
-	"github.com/rhubarbsail/rhubarbsail/platform"
-	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
+	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -19,34 +19,34 @@
 	const patience = 20 * time.Second
 	for _, tc := range []struct {
 		name   string
-		faults platformtest.Faults
+		faults logservicetest.Faults
 		// then changes the faults after some seconds.
-		then    func(*platformtest.Fake)
+		then    func(*logservicetest.Fake)
 		want    error
 		records int
 	}{
-		{"none", platformtest.Faults{}, nil, nil, 1},
+		{"none", logservicetest.Faults{}, nil, nil, 1},
 		// The read-back resolves the outcome before another attempt.
-		{"lost reply", platformtest.Faults{LoseReplies: 1}, nil, nil, 1},
-		{"lost requests", platformtest.Faults{LoseRequests: 3}, nil, nil, 1},
-		{"lost request, then lost reply", platformtest.Faults{LoseRequests: 1, LoseReplies: 1}, nil, nil, 1},
+		{"lost reply", logservicetest.Faults{LoseReplies: 1}, nil, nil, 1},
+		{"lost requests", logservicetest.Faults{LoseRequests: 3}, nil, nil, 1},
+		{"lost request, then lost reply", logservicetest.Faults{LoseRequests: 1, LoseReplies: 1}, nil, nil, 1},
 		// The attempt times out before the slow read-back; the second record
 		// has the id of the first and no effect.
-		{"slow beyond the attempt's timeout", platformtest.Faults{Slow: 5 * time.Second}, nil, nil, 2},
+		{"slow beyond the attempt's timeout", logservicetest.Faults{Slow: 5 * time.Second}, nil, nil, 2},
 		{
-			"outage that ends", platformtest.Faults{Outage: true},
-			func(s *platformtest.Fake) { s.SetFaults(platformtest.Faults{}) }, nil, 1,
+			"outage that ends", logservicetest.Faults{Outage: true},
+			func(s *logservicetest.Fake) { s.SetFaults(logservicetest.Faults{}) }, nil, 1,
 		},
-		{"outage that stays", platformtest.Faults{Outage: true}, nil, platform.ErrUnavailable, 0},
+		{"outage that stays", logservicetest.Faults{Outage: true}, nil, logservice.ErrUnavailable, 0},
 		{
-			"unknown, then outage", platformtest.Faults{LoseRequests: 1000},
-			func(s *platformtest.Fake) { s.SetFaults(platformtest.Faults{Outage: true}) }, platform.ErrUnknownOutcome, 0,
+			"unknown, then outage", logservicetest.Faults{LoseRequests: 1000},
+			func(s *logservicetest.Fake) { s.SetFaults(logservicetest.Faults{Outage: true}) }, logservice.ErrUnknownOutcome, 0,
 		},
 		// The first attempt arrives after the second one took effect.
-		{"late duplicate", platformtest.Faults{HoldAppends: 1}, func(s *platformtest.Fake) { s.Release() }, nil, 2},
+		{"late duplicate", logservicetest.Faults{HoldAppends: 1}, func(s *logservicetest.Fake) { s.Release() }, nil, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T, store *platformtest.Fake) {
+			bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 				g := start(t, store, "g1", nil)
 				<-g.Ready()
 				store.SetFaults(tc.faults)
@@ -58,13 +58,13 @@
 				}
 				if err := <-result; !errors.Is(err, tc.want) {
 					t.Errorf("got %v, want %v", err, tc.want)
-				} else if tc.want == platform.ErrUnavailable && errors.Is(err, platform.ErrUnknownOutcome) {
+				} else if tc.want == logservice.ErrUnavailable && errors.Is(err, logservice.ErrUnknownOutcome) {
 					t.Errorf("a refusal is also of unknown outcome: %v", err)
 				}
 				if done := g.Snapshot().Drained["t1"]; done != (tc.want == nil) {
 					t.Errorf("drained: %v", done)
 				}
-				store.SetFaults(platformtest.Faults{})
+				store.SetFaults(logservicetest.Faults{})
 				if n := len(records(t, store)); n != tc.records {
 					t.Errorf("%d records, want %d", n, tc.records)
 				}
@@ -76,7 +76,7 @@
 // Of two operators' changes on one version, one must win at every gateway, and
 // the other operator must learn the version that won.
 func TestTwoOperatorsAtOnce(t *testing.T) {
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		gateways := []*gateway{start(t, store, "g1", nil), start(t, store, "g2", nil)}
 		errs, versions := make([]error, 2), make([]uint64, 2)
 		var wg sync.WaitGroup
@@ -110,7 +110,7 @@
 // each agent must learn whether its own incarnation counts.
 func TestAgentAnnouncementsShareRecords(t *testing.T) {
 	const agents = 400
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		g := start(t, store, "g1", nil)
 		announce := func(inc uint64) (errs [agents]error) {
 			var wg sync.WaitGroup
@@ -146,7 +146,7 @@
 // A gateway must learn which partitions it won; a stopped loop must not leave a
 // writer waiting.
 func TestMembershipClaimsAndStop(t *testing.T) {
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		g := start(t, store, "g1", nil)
 		ctx := within(t, time.Hour)
 		if err := g.Join(ctx, state.Gateway{ID: "g1", Incarnation: 2, Address: "a:1"}); err != nil {
@@ -165,15 +165,15 @@
 				t.Errorf("leave: %v", err)
 			}
 		}
-		store.SetFaults(platformtest.Faults{LoseRequests: 1 << 20})
+		store.SetFaults(logservicetest.Faults{LoseRequests: 1 << 20})
 		result := make(chan error, 1)
 		go func() { result <- g.Drain(ctx, "t", true) }()
 		time.Sleep(time.Minute)
 		g.stop()
-		if err := <-result; !errors.Is(err, control.ErrStopped) || !errors.Is(err, platform.ErrUnknownOutcome) {
+		if err := <-result; !errors.Is(err, control.ErrStopped) || !errors.Is(err, logservice.ErrUnknownOutcome) {
 			t.Errorf("pending append: %v", err)
 		}
-		if err := g.Drain(ctx, "t", true); !errors.Is(err, control.ErrStopped) || errors.Is(err, platform.ErrUnknownOutcome) {
+		if err := g.Drain(ctx, "t", true); !errors.Is(err, control.ErrStopped) || errors.Is(err, logservice.ErrUnknownOutcome) {
 			t.Errorf("append after the stop: %v", err)
 		}
 	})
@@ -182,7 +182,7 @@
 // A gateway that lags must not build a change of the rules on the inventory of
 // an older version: the change would revert the newer inventory.
 func TestConfigAtWaitsForTheVersion(t *testing.T) {
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		a, late := start(t, store, "g1", nil), start(t, store, "g2", nil)
 		late.link.cut.Store(true)
 		time.Sleep(30 * time.Second) // beyond the long poll in progress
@@ -190,7 +190,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := late.ConfigAt(within(t, time.Second), version); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := late.ConfigAt(within(t, time.Second), version); !errors.Is(err, logservice.ErrUnavailable) {
 			t.Errorf("version that is not known yet: %v", err)
 		}
 		late.link.cut.Store(false)
--- a/control/changes.go
+++ b/control/changes.go
@@ -8,7 +8,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/inventory"
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -132,7 +132,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, fmt.Errorf("%w: version %d of the configuration is not known here yet: %w", platform.ErrUnavailable, version, ctx.Err())
+			return nil, fmt.Errorf("%w: version %d of the configuration is not known here yet: %w", logservice.ErrUnavailable, version, ctx.Err())
 		}
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -20,7 +20,7 @@
 // Options configures a Loop. Zero durations and counts take the defaults.
 type Options struct {
 	// Log, Stream and Writer (the gateway's id) are required.
-	Log    platform.Log
+	Log    logservice.Log
 	Stream string
 	Writer string
 	// Retention is passed to the state machine; the same in all gateways.
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/rhubarbsail/rhubarbsail/control"
 	"github.com/rhubarbsail/rhubarbsail/inventory"
-	"github.com/rhubarbsail/rhubarbsail/platform"
-	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
+	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -21,20 +21,20 @@
 
 // link is the way of one gateway to the log; cut, it refuses everything.
 type link struct {
-	log atomic.Pointer[platformtest.Fake]
+	log atomic.Pointer[logservicetest.Fake]
 	cut atomic.Bool
 }
 
 func (l *link) Append(ctx context.Context, s string, data []byte) (uint64, error) {
 	if l.cut.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	return l.log.Load().Append(ctx, s, data)
 }
 
-func (l *link) Read(ctx context.Context, s string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (l *link) Read(ctx context.Context, s string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
 	if l.cut.Load() {
-		return platform.Page{}, platform.ErrUnavailable
+		return logservice.Page{}, logservice.ErrUnavailable
 	}
 	return l.log.Load().Read(ctx, s, from, limit, wait)
 }
@@ -58,7 +58,7 @@
 func (g *gateway) saw(kind control.EventKind) int { return count(g.seen(), kind) }
 
 // start runs a loop until the end of the test or stop.
-func start(t *testing.T, store *platformtest.Fake, writer string, change func(*control.Options)) *gateway {
+func start(t *testing.T, store *logservicetest.Fake, writer string, change func(*control.Options)) *gateway {
 	t.Helper()
 	g := &gateway{link: &link{}}
 	g.link.log.Store(store)
@@ -87,9 +87,9 @@
 
 // bubble runs a test on virtual time, so that waits cost nothing and no result
 // depends on the machine's speed.
-func bubble(t *testing.T, test func(t *testing.T, store *platformtest.Fake)) {
+func bubble(t *testing.T, test func(t *testing.T, store *logservicetest.Fake)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { test(t, platformtest.NewFake()) })
+	synctest.Test(t, func(t *testing.T) { test(t, logservicetest.NewFake()) })
 }
 
 func within(t *testing.T, d time.Duration) context.Context {
@@ -108,7 +108,7 @@
 }
 
 // records returns the kinds of the records that the log keeps.
-func records(t *testing.T, store *platformtest.Fake) []state.Kind {
+func records(t *testing.T, store *logservicetest.Fake) []state.Kind {
 	t.Helper()
 	page, err := store.Read(t.Context(), stream, 1, 0, 0)
 	if err != nil {
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbsail/rhubarbsail/control"
-	"github.com/rhubarbsail/rhubarbsail/platform"
-	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
+	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
 	"github.com/rhubarbsail/rhubarbsail/standin/memlog"
 )
 
@@ -34,7 +34,7 @@
 // run is a random run with three gateways and a log that keeps few records.
 type run struct {
 	t        *testing.T
-	store    *platformtest.Fake
+	store    *logservicetest.Fake
 	gateways [3]*gateway
 	changes  sync.WaitGroup
 	mu       sync.Mutex // owns outcomes
@@ -64,17 +64,17 @@
 		g.stop()
 		r.start(m.Gateway)
 	case "outage":
-		r.store.SetFaults(platformtest.Faults{Outage: true})
+		r.store.SetFaults(logservicetest.Faults{Outage: true})
 	case "lose replies":
-		r.store.SetFaults(platformtest.Faults{LoseReplies: 2})
+		r.store.SetFaults(logservicetest.Faults{LoseReplies: 2})
 	case "lose requests":
-		r.store.SetFaults(platformtest.Faults{LoseRequests: 2})
+		r.store.SetFaults(logservicetest.Faults{LoseRequests: 2})
 	case "hold":
-		r.store.SetFaults(platformtest.Faults{HoldAppends: 2})
+		r.store.SetFaults(logservicetest.Faults{HoldAppends: 2})
 	case "slow":
-		r.store.SetFaults(platformtest.Faults{Slow: 4 * time.Second})
+		r.store.SetFaults(logservicetest.Faults{Slow: 4 * time.Second})
 	case "heal":
-		r.store.SetFaults(platformtest.Faults{})
+		r.store.SetFaults(logservicetest.Faults{})
 	case "release":
 		r.store.Release()
 	}
@@ -107,7 +107,7 @@
 	s := r.gateways[0].Snapshot()
 	versions := map[uint64]bool{}
 	for _, o := range r.outcomes {
-		refused := errors.Is(o.err, platform.ErrUnavailable) && !errors.Is(o.err, platform.ErrUnknownOutcome)
+		refused := errors.Is(o.err, logservice.ErrUnavailable) && !errors.Is(o.err, logservice.ErrUnknownOutcome)
 		switch {
 		case o.err == nil && o.target != "" && !s.Drained[o.target]:
 			return fmt.Errorf("the drain of %s was accepted and is lost", o.target)
@@ -149,7 +149,7 @@
 			for _, g := range r.gateways {
 				g.link.cut.Store(false)
 			}
-			r.store.SetFaults(platformtest.Faults{})
+			r.store.SetFaults(logservicetest.Faults{})
 			r.store.Release()
 			r.changes.Wait()
 			time.Sleep(2 * time.Minute)
--- a/control/snapshots.go
+++ b/control/snapshots.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -34,7 +34,7 @@
 // saw notes a snapshot record, or the oldest record. Of a record that was just
 // written it takes the own time: if the log's clock is behind, a snapshot would
 // else be due again at once.
-func (a *snapshotAge) saw(e platform.Entry, kind state.Kind, live bool, now time.Time) {
+func (a *snapshotAge) saw(e logservice.Entry, kind state.Kind, live bool, now time.Time) {
 	a.at = e.Appended
 	if live {
 		a.at = now
--- a/control/tail.go
+++ b/control/tail.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -58,7 +58,7 @@
 	readCtx, cancel := context.WithTimeout(ctx, wait+readMargin)
 	page, err := l.opts.Log.Read(readCtx, l.opts.Stream, t.next, pageRecords, wait)
 	cancel()
-	trimmed := errors.Is(err, platform.ErrTrimmed)
+	trimmed := errors.Is(err, logservice.ErrTrimmed)
 	if err != nil && !trimmed {
 		return l.readFailed(ctx, err)
 	}
@@ -86,7 +86,7 @@
 	return err
 }
 
-func (l *Loop) readSucceeded(page platform.Page) {
+func (l *Loop) readSucceeded(page logservice.Page) {
 	t := &l.tail
 	if t.down {
 		t.down = false
@@ -98,7 +98,7 @@
 
 // apply applies entries in order and publishes the new state before it tells
 // the writers, so that a writer finds its own change in the snapshot.
-func (l *Loop) apply(entries []platform.Entry) {
+func (l *Loop) apply(entries []logservice.Entry) {
 	t := &l.tail
 	results := make([]state.Result, 0, len(entries))
 	for _, e := range entries {
@@ -141,7 +141,7 @@
 }
 
 // checkEnd looks at where the read position stands relative to the log.
-func (l *Loop) checkEnd(ctx context.Context, page platform.Page) error {
+func (l *Loop) checkEnd(ctx context.Context, page logservice.Page) error {
 	t := &l.tail
 	defer l.publishStatus()
 	atEnd := t.next >= page.Next
--- a/control/tail_test.go
+++ b/control/tail_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/control"
-	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -21,7 +21,7 @@
 // An outage must keep the state, and changes made by others during a partial
 // outage must arrive afterwards.
 func TestOutageInTheMiddle(t *testing.T) {
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		a, b := start(t, store, "g1", nil), start(t, store, "g2", nil)
 		drain(t, a, "t1")
 		synctest.Wait()
@@ -70,7 +70,7 @@
 		{"all trimmed", 0, false, false, "", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T, store *platformtest.Fake) {
+			bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 				var writes atomic.Bool
 				writes.Store(true)
 				a := start(t, store, "g1", func(o *control.Options) {
@@ -121,14 +121,14 @@
 // A process that starts during an outage must serve with the state of a peer,
 // keep it if a peer offers an older one, and go on with the log.
 func TestProcessReplacedDuringOutage(t *testing.T) {
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		a, old := start(t, store, "g1", nil), start(t, store, "g2", nil)
 		drain(t, a, "t1")
 		synctest.Wait()
 		old.link.cut.Store(true)
 		time.Sleep(30 * time.Second)
 		drain(t, a, "t2")
-		store.SetFaults(platformtest.Faults{Outage: true})
+		store.SetFaults(logservicetest.Faults{Outage: true})
 		var source atomic.Pointer[gateway]
 		var calls atomic.Int32
 		source.Store(a)
@@ -149,7 +149,7 @@
 		if replaced.Snapshot().Applied != 2 || calls.Load() < 3 {
 			t.Errorf("after an older peer: offset %d, %d calls", replaced.Snapshot().Applied, calls.Load())
 		}
-		store.SetFaults(platformtest.Faults{})
+		store.SetFaults(logservicetest.Faults{})
 		drain(t, replaced, "t3")
 		time.Sleep(time.Minute) // beyond the pause of the other gateway
 		if encoded(t, replaced) != encoded(t, a) {
@@ -160,13 +160,13 @@
 
 // A writer whose record is only in a loaded state must still get its result.
 func TestResultFromLoadedState(t *testing.T) {
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		a := start(t, store, "g1", nil)
 		g := start(t, store, "g2", func(o *control.Options) { o.PeerState = peer(a) })
 		<-g.Ready()
 		// The append is on its way when the gateway loses the log.
 		result := make(chan error, 1)
-		store.SetFaults(platformtest.Faults{HoldAppends: 1})
+		store.SetFaults(logservicetest.Faults{HoldAppends: 1})
 		go func() { result <- g.Drain(within(t, time.Hour), "t1", true) }()
 		synctest.Wait()
 		g.link.cut.Store(true)
@@ -182,12 +182,12 @@
 
 // A log that lost its records must not be taken for the state.
 func TestLogThatWasResetIsReported(t *testing.T) {
-	bubble(t, func(t *testing.T, store *platformtest.Fake) {
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 		a := start(t, store, "g1", nil)
 		drain(t, a, "t1")
 		a.link.cut.Store(true)
 		time.Sleep(30 * time.Second)
-		a.link.log.Store(platformtest.NewFake())
+		a.link.log.Store(logservicetest.NewFake())
 		a.link.cut.Store(false)
 		time.Sleep(time.Minute)
 		if a.saw(control.EventLogBehind) != 1 || !a.Snapshot().Drained["t1"] {
@@ -214,7 +214,7 @@
 		{"not designated", false, 25, 2 * time.Hour, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T, store *platformtest.Fake) {
+			bubble(t, func(t *testing.T, store *logservicetest.Fake) {
 				g := start(t, store, "g1", func(o *control.Options) {
 					o.SnapshotEvery, o.LogRetention = 10, time.Hour
 					o.ShouldSnapshot = func() bool { return tc.designated }
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -14,7 +14,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/settings"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 )
 
 // Agent runs an agent until ctx ends and its running tasks are delivered.
@@ -30,7 +30,7 @@
 		return err
 	}
 	a, err := agent.New(agentOptions(s), agent.Dependencies{
-		Lease:          platform.NewHTTP(s.PlatformLeaseURL, &http.Client{}),
+		Lease:          logservice.NewHTTP(s.PlatformLeaseURL, &http.Client{}),
 		Log:            t.Log,
 		Tracer:         t.Tracer.Tracer("github.com/rhubarbsail/rhubarbsail/agent"),
 		Metrics:        newAgentMetrics(t.Metrics.Scope),
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -15,8 +15,8 @@
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/gateway"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
-	"github.com/rhubarbsail/rhubarbsail/platform"
 )
 
 // Env is the surroundings of a daemon.
@@ -51,7 +51,7 @@
 		return err
 	}
 	g, err := gateway.New(gatewayOptions(s), gateway.Deps{
-		Log: platform.NewHTTP(s.PlatformLogURL, &http.Client{}), Lease: leaseService(s),
+		Log: logservice.NewHTTP(s.PlatformLogURL, &http.Client{}), Lease: leaseService(s),
 		Logger: t.Log, Scope: t.Metrics.Scope, Tracer: t.Tracer,
 	})
 	if err != nil {
@@ -66,11 +66,11 @@
 }
 
 // leaseService returns the client of the lease service, or nil without one.
-func leaseService(s *settings.Gateway) platform.Lease {
+func leaseService(s *settings.Gateway) logservice.Lease {
 	if s.PlatformLeaseURL == "" {
 		return nil
 	}
-	return platform.NewHTTP(s.PlatformLeaseURL, &http.Client{})
+	return logservice.NewHTTP(s.PlatformLeaseURL, &http.Client{})
 }
 
 func gatewayOptions(s *settings.Gateway) gateway.Options {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -11,7 +11,7 @@
 	"github.com/rhubarbsail/rhubarbsail/control"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/inventory"
-	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
@@ -37,7 +37,7 @@
 	t.Helper()
 	opts := Options{ID: self, Incarnation: selfIncarnation, Address: "127.0.0.1:1", Partitions: 1}.withDefaults()
 	g := &Gateway{opts: opts, started: time.Unix(1_000_000, 0)}
-	g.deps = Deps{Log: platformtest.NewFake()}.withDefaults(opts)
+	g.deps = Deps{Log: logservicetest.NewFake()}.withDefaults(opts)
 	g.ctx, g.cancel = context.WithCancel(t.Context())
 	g.control = control.New(control.Options{Log: g.deps.Log, Stream: "s", Writer: self})
 	f := &fixture{
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -11,8 +11,8 @@
 	"github.com/rhubarbsail/rhubarbsail/control"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 	"github.com/rhubarbsail/rhubarbsail/inventory"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
-	"github.com/rhubarbsail/rhubarbsail/platform"
 )
 
 var _ httpapi.Operations = (*Gateway)(nil)
@@ -86,9 +86,9 @@
 		return nil
 	case errors.As(err, &conflict):
 		return &httpapi.VersionConflictError{Base: conflict.Base, Won: conflict.Current, Operator: g.operatorOf(conflict.Current)}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, logservice.ErrUnavailable):
 		return httpapi.ErrUnavailable
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, logservice.ErrUnknownOutcome):
 		return &httpapi.UnknownOutcomeError{Cause: err}
 	}
 	return err
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -9,8 +9,8 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
-	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/scheduler"
 )
 
@@ -57,9 +57,9 @@
 
 // Deps are the gateway's dependencies. Log is required.
 type Deps struct {
-	Log platform.Log
+	Log logservice.Log
 	// Lease proves that an unreachable worker is gone; nil never removes one.
-	Lease platform.Lease
+	Lease logservice.Lease
 	// Policy places tasks; nil takes scheduler.New.
 	Policy scheduler.Policy
 	Logger zerolog.Logger
--- a/platform/http_test.go
+++ b/logservice/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logservice_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 )
 
 // Taking an unknown outcome for a refusal would report a change as not made
@@ -27,25 +27,25 @@
 		handler http.HandlerFunc
 		want    error
 	}{
-		{"overloaded", status(429, ""), platform.ErrUnavailable},
-		{"unavailable", status(503, ""), platform.ErrUnavailable},
-		{"bad gateway", status(502, ""), platform.ErrUnknownOutcome},
-		{"server error", status(500, ""), platform.ErrUnknownOutcome},
-		{"not found", status(404, ""), platform.ErrInvalid},
-		{"too large", status(413, ""), platform.ErrInvalid},
-		{"cut reply", status(200, `{"offs`), platform.ErrUnknownOutcome},
-		{"empty reply", status(200, `{}`), platform.ErrUnknownOutcome},
-		{"hang up", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrUnknownOutcome},
+		{"overloaded", status(429, ""), logservice.ErrUnavailable},
+		{"unavailable", status(503, ""), logservice.ErrUnavailable},
+		{"bad gateway", status(502, ""), logservice.ErrUnknownOutcome},
+		{"server error", status(500, ""), logservice.ErrUnknownOutcome},
+		{"not found", status(404, ""), logservice.ErrInvalid},
+		{"too large", status(413, ""), logservice.ErrInvalid},
+		{"cut reply", status(200, `{"offs`), logservice.ErrUnknownOutcome},
+		{"empty reply", status(200, `{}`), logservice.ErrUnknownOutcome},
+		{"hang up", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, logservice.ErrUnknownOutcome},
 		{"no reply", func(_ http.ResponseWriter, r *http.Request) {
 			// The server notices that the caller left only after it read the body.
 			_ = r.Body.Close()
 			<-r.Context().Done()
-		}, platform.ErrUnknownOutcome},
+		}, logservice.ErrUnknownOutcome},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := httptest.NewServer(tc.handler)
 			defer s.Close()
-			client := platform.NewHTTP(s.URL, s.Client())
+			client := logservice.NewHTTP(s.URL, s.Client())
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
 			if _, err := client.Append(ctx, "s", nil); !errors.Is(err, tc.want) {
@@ -54,7 +54,7 @@
 			if _, err := client.Renew(ctx, "w", "h", time.Second); tc.name != "empty reply" && !errors.Is(err, tc.want) && ctx.Err() == nil {
 				t.Errorf("renew: %v, want %v", err, tc.want)
 			}
-			if _, err := client.Read(ctx, "s", 1, 1, 0); tc.name != "empty reply" && !errors.Is(err, platform.ErrUnavailable) {
+			if _, err := client.Read(ctx, "s", 1, 1, 0); tc.name != "empty reply" && !errors.Is(err, logservice.ErrUnavailable) {
 				t.Errorf("read: %v", err)
 			}
 		})
@@ -64,9 +64,9 @@
 // Without a connection nothing was sent, so that the caller may say "not made".
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	s := httptest.NewServer(http.NotFoundHandler())
-	client := platform.NewHTTP(s.URL, s.Client())
+	client := logservice.NewHTTP(s.URL, s.Client())
 	s.Close()
-	if _, err := client.Append(t.Context(), "s", nil); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) {
+	if _, err := client.Append(t.Context(), "s", nil); !errors.Is(err, logservice.ErrUnavailable) || errors.Is(err, logservice.ErrUnknownOutcome) {
 		t.Error(err)
 	}
 }
@@ -87,7 +87,7 @@
 	}
 	s.Start()
 	defer s.Close()
-	client := platform.NewHTTP(s.URL, s.Client())
+	client := logservice.NewHTTP(s.URL, s.Client())
 	for range 5 {
 		if _, err := client.Append(t.Context(), "s", nil); err != nil {
 			t.Fatal(err)
--- a/platform/platform.go
+++ b/logservice/logservice.go
@@ -1,6 +1,6 @@
-// Package platform is the interface to the platform's services: the
+// Package logservice is the interface to the platform's services: the
 // append-only log and the workers' leases.
-package platform
+package logservice
 
 import (
 	"context"
--- a/platform/platformtest/contract.go
+++ b/logservice/logservicetest/contract.go
@@ -1,6 +1,6 @@
-// Package platformtest has the contract tests of the platform's interfaces and
+// Package logservicetest has the contract tests of the platform's interfaces and
 // a fake of them.
-package platformtest
+package logservicetest
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/standin/memlog"
 )
 
@@ -24,8 +24,8 @@
 
 // Subject is an implementation under test with control of its faults.
 type Subject struct {
-	Log   platform.Log
-	Lease platform.Lease
+	Log   logservice.Log
+	Lease logservice.Lease
 	Store *memlog.Store
 }
 
@@ -66,7 +66,7 @@
 		defer cancel()
 		fixed := time.Unix(1_800_000_000, 0)
 		s := open(t, memlog.Options{AppendsPerSecond: 2, Now: func() time.Time { return fixed }})
-		for i, want := range []error{nil, nil, platform.ErrUnavailable} {
+		for i, want := range []error{nil, nil, logservice.ErrUnavailable} {
 			if _, err := s.Log.Append(ctx, stream, []byte("x")); !errors.Is(err, want) {
 				t.Errorf("append %d: %v, want %v", i, err, want)
 			}
@@ -83,7 +83,7 @@
 	return offset
 }
 
-func mustRead(t *testing.T, ctx context.Context, s Subject, name string, from uint64, limit int, wait time.Duration) platform.Page {
+func mustRead(t *testing.T, ctx context.Context, s Subject, name string, from uint64, limit int, wait time.Duration) logservice.Page {
 	t.Helper()
 	page, err := s.Log.Read(ctx, name, from, limit, wait)
 	if err != nil {
@@ -124,7 +124,7 @@
 
 func waitingReadReturns(t *testing.T, ctx context.Context, s Subject) {
 	type result struct {
-		page platform.Page
+		page logservice.Page
 		err  error
 	}
 	done := make(chan result, 1)
@@ -154,7 +154,7 @@
 	}
 	s.Store.Trim(stream, 3)
 	page, err := s.Log.Read(ctx, stream, 2, 10, 0)
-	if !errors.Is(err, platform.ErrTrimmed) || page.First != 3 || page.Next != 5 {
+	if !errors.Is(err, logservice.ErrTrimmed) || page.First != 3 || page.Next != 5 {
 		t.Errorf("page %+v, error %v", page, err)
 	}
 	if page := mustRead(t, ctx, s, stream, 3, 10, 0); len(page.Entries) != 2 {
@@ -169,11 +169,11 @@
 		want   error
 		stored int
 	}{
-		{"outage", Faults{Outage: true}, platform.ErrUnavailable, 0},
-		{"lost reply", Faults{LoseReplies: 1}, platform.ErrUnknownOutcome, 1},
-		{"lost request", Faults{LoseRequests: 1}, platform.ErrUnknownOutcome, 0},
+		{"outage", Faults{Outage: true}, logservice.ErrUnavailable, 0},
+		{"lost reply", Faults{LoseReplies: 1}, logservice.ErrUnknownOutcome, 1},
+		{"lost request", Faults{LoseRequests: 1}, logservice.ErrUnknownOutcome, 0},
 		{"slow", Faults{Slow: time.Millisecond}, nil, 1},
-		{"held", Faults{HoldAppends: 1}, platform.ErrUnknownOutcome, 0},
+		{"held", Faults{HoldAppends: 1}, logservice.ErrUnknownOutcome, 0},
 		{"none", Faults{}, nil, 1},
 	} {
 		s.Store.SetFaults(tc.faults)
@@ -199,7 +199,7 @@
 		done <- err
 	}()
 	s.Store.SetFaults(Faults{Outage: true})
-	if err := <-done; !errors.Is(err, platform.ErrUnavailable) {
+	if err := <-done; !errors.Is(err, logservice.ErrUnavailable) {
 		t.Error(err)
 	}
 }
@@ -212,7 +212,7 @@
 		done <- err
 	}()
 	cancel()
-	if err := <-done; !errors.Is(err, platform.ErrUnavailable) || !errors.Is(err, context.Canceled) {
+	if err := <-done; !errors.Is(err, logservice.ErrUnavailable) || !errors.Is(err, context.Canceled) {
 		t.Error(err)
 	}
 }
@@ -230,7 +230,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	cancel()
-	if err := <-done; !errors.Is(err, platform.ErrUnknownOutcome) || !errors.Is(err, context.Canceled) {
+	if err := <-done; !errors.Is(err, logservice.ErrUnknownOutcome) || !errors.Is(err, context.Canceled) {
 		t.Error(err)
 	}
 	s.Store.SetFaults(Faults{})
@@ -245,7 +245,7 @@
 		want           error
 	}{
 		{"w1", "a", nil},
-		{"w1", "b", platform.ErrLeaseHeld},
+		{"w1", "b", logservice.ErrLeaseHeld},
 		{"w1", "a", nil},
 		{"w2", "b", nil},
 	} {
@@ -263,9 +263,9 @@
 		want    error
 		renewed bool
 	}{
-		{"outage", Faults{Outage: true}, platform.ErrUnavailable, false},
-		{"lost reply", Faults{LoseReplies: 1}, platform.ErrUnknownOutcome, true},
-		{"lost request", Faults{LoseRequests: 1}, platform.ErrUnknownOutcome, false},
+		{"outage", Faults{Outage: true}, logservice.ErrUnavailable, false},
+		{"lost reply", Faults{LoseReplies: 1}, logservice.ErrUnknownOutcome, true},
+		{"lost request", Faults{LoseRequests: 1}, logservice.ErrUnknownOutcome, false},
 	} {
 		s.Store.SetFaults(tc.faults)
 		if _, err := s.Lease.Renew(ctx, tc.name, "a", longWait); !errors.Is(err, tc.want) {
@@ -273,14 +273,14 @@
 		}
 		s.Store.SetFaults(Faults{})
 		_, err := s.Lease.Renew(ctx, tc.name, "b", longWait)
-		if errors.Is(err, platform.ErrLeaseHeld) != tc.renewed {
+		if errors.Is(err, logservice.ErrLeaseHeld) != tc.renewed {
 			t.Errorf("%s: other holder got %v", tc.name, err)
 		}
 	}
 }
 
 func invalidRenewal(t *testing.T, ctx context.Context, s Subject) {
-	if _, err := s.Lease.Renew(ctx, "w", "", longWait); !errors.Is(err, platform.ErrInvalid) {
+	if _, err := s.Lease.Renew(ctx, "w", "", longWait); !errors.Is(err, logservice.ErrInvalid) {
 		t.Error(err)
 	}
 }
--- a/platform/platformtest/fake_test.go
+++ b/logservice/logservicetest/fake_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package logservicetest_test
 
 import (
 	"context"
@@ -6,16 +6,16 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
-	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
+	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
 	"github.com/rhubarbsail/rhubarbsail/standin/memlog"
 )
 
 // A fake that differs from the service would hide faults of its users.
 func TestFakeMeetsContract(t *testing.T) {
-	platformtest.Run(t, func(_ *testing.T, opts memlog.Options) platformtest.Subject {
+	logservicetest.Run(t, func(_ *testing.T, opts memlog.Options) logservicetest.Subject {
 		s := memlog.New(opts)
-		return platformtest.Subject{Log: s, Lease: s, Store: s}
+		return logservicetest.Subject{Log: s, Lease: s, Store: s}
 	})
 }
 
@@ -53,4 +53,4 @@
 	})
 }
 
-var _ platform.Log = platformtest.NewFake()
+var _ logservice.Log = logservicetest.NewFake()
--- a/platform/wire.go
+++ b/logservice/wire.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import "time"
 
--- a/standin/logserver/logserver.go
+++ b/standin/logserver/logserver.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 	"github.com/rhubarbsail/rhubarbsail/standin/memlog"
 )
 
@@ -44,7 +44,7 @@
 }
 
 func (s *server) append(c echo.Context) error {
-	var body platform.AppendRequest
+	var body logservice.AppendRequest
 	stream, err := bind(c, "stream", &body)
 	if err != nil {
 		return badRequest(c, err)
@@ -53,7 +53,7 @@
 	if err != nil {
 		return fail(c, err)
 	}
-	return c.JSON(http.StatusOK, platform.AppendReply{Offset: offset})
+	return c.JSON(http.StatusOK, logservice.AppendReply{Offset: offset})
 }
 
 func (s *server) read(c echo.Context) error {
@@ -65,21 +65,21 @@
 		return badRequest(c, err)
 	}
 	page, err := s.store.Read(c.Request().Context(), stream, from, limit, min(wait, maxWait))
-	reply := platform.RecordsReply{Entries: make([]platform.RecordEntry, 0, len(page.Entries)), First: page.First, Next: page.Next}
-	if errors.Is(err, platform.ErrTrimmed) {
+	reply := logservice.RecordsReply{Entries: make([]logservice.RecordEntry, 0, len(page.Entries)), First: page.First, Next: page.Next}
+	if errors.Is(err, logservice.ErrTrimmed) {
 		return c.JSON(http.StatusGone, reply)
 	}
 	if err != nil {
 		return fail(c, err)
 	}
 	for _, e := range page.Entries {
-		reply.Entries = append(reply.Entries, platform.RecordEntry(e))
+		reply.Entries = append(reply.Entries, logservice.RecordEntry(e))
 	}
 	return c.JSON(http.StatusOK, reply)
 }
 
 func (s *server) renew(c echo.Context) error {
-	var body platform.LeaseRequest
+	var body logservice.LeaseRequest
 	worker, err := bind(c, "worker", &body)
 	if err != nil {
 		return badRequest(c, err)
@@ -88,7 +88,7 @@
 	if err != nil {
 		return fail(c, err)
 	}
-	return c.JSON(http.StatusOK, platform.LeaseReply{TTLMS: ttl.Milliseconds()})
+	return c.JSON(http.StatusOK, logservice.LeaseReply{TTLMS: ttl.Milliseconds()})
 }
 
 func (s *server) setFaults(c echo.Context) error {
@@ -127,21 +127,21 @@
 }
 
 func badRequest(c echo.Context, err error) error {
-	return c.JSON(http.StatusBadRequest, platform.ErrorReply{Error: err.Error()})
+	return c.JSON(http.StatusBadRequest, logservice.ErrorReply{Error: err.Error()})
 }
 
 // fail answers with the status of the error. A lost reply closes the
 // connection without one.
 func fail(c echo.Context, err error) error {
-	reply := platform.ErrorReply{Error: err.Error()}
+	reply := logservice.ErrorReply{Error: err.Error()}
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, logservice.ErrUnknownOutcome):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrLeaseHeld):
+	case errors.Is(err, logservice.ErrLeaseHeld):
 		return c.JSON(http.StatusConflict, reply)
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, logservice.ErrInvalid):
 		return badRequest(c, err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, logservice.ErrUnavailable):
 		return c.JSON(http.StatusServiceUnavailable, reply)
 	}
 	return fmt.Errorf("log stand-in: %w", err)
--- a/standin/logserver/logserver_test.go
+++ b/standin/logserver/logserver_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
-	"github.com/rhubarbsail/rhubarbsail/platform/platformtest"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
+	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
 	"github.com/rhubarbsail/rhubarbsail/standin/logserver"
 	"github.com/rhubarbsail/rhubarbsail/standin/memlog"
 )
@@ -23,10 +23,10 @@
 // The client over the stand-in must tell the same errors apart as the fake,
 // since all other tests use the fake.
 func TestClientAndServerMeetContract(t *testing.T) {
-	platformtest.Run(t, func(t *testing.T, opts memlog.Options) platformtest.Subject {
+	logservicetest.Run(t, func(t *testing.T, opts memlog.Options) logservicetest.Subject {
 		store, s := open(t, opts)
-		client := platform.NewHTTP(s.URL, s.Client())
-		return platformtest.Subject{Log: client, Lease: client, Store: store}
+		client := logservice.NewHTTP(s.URL, s.Client())
+		return logservicetest.Subject{Log: client, Lease: client, Store: store}
 	})
 }
 
--- a/standin/memlog/memlog.go
+++ b/standin/memlog/memlog.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/logservice"
 )
 
 const defaultLimit = 1000
@@ -44,7 +44,7 @@
 	HoldAppends int
 }
 
-// Store implements platform.Log and platform.Lease.
+// Store implements logservice.Log and logservice.Lease.
 type Store struct {
 	opts    Options
 	limiter *rate.Limiter
@@ -60,7 +60,7 @@
 
 type stream struct {
 	first   uint64
-	entries []platform.Entry
+	entries []logservice.Entry
 }
 
 type lease struct {
@@ -69,8 +69,8 @@
 }
 
 var (
-	_ platform.Log   = (*Store)(nil)
-	_ platform.Lease = (*Store)(nil)
+	_ logservice.Log   = (*Store)(nil)
+	_ logservice.Lease = (*Store)(nil)
 )
 
 // New returns an empty store.
@@ -118,7 +118,7 @@
 	s.wake()
 }
 
-// Append implements platform.Log.
+// Append implements logservice.Log.
 func (s *Store) Append(ctx context.Context, name string, data []byte) (uint64, error) {
 	offset, fate, err := s.append(ctx, name, data)
 	if err != nil {
@@ -137,7 +137,7 @@
 		return 0, fate{}, err
 	}
 	if s.limiter != nil && !s.limiter.AllowN(s.opts.Now(), 1) {
-		return 0, fate{}, fmt.Errorf("%w: append rate exceeded", platform.ErrUnavailable)
+		return 0, fate{}, fmt.Errorf("%w: append rate exceeded", logservice.ErrUnavailable)
 	}
 	if s.faults.HoldAppends > 0 {
 		s.faults.HoldAppends--
@@ -155,14 +155,14 @@
 func (s *Store) add(name string, data []byte) uint64 {
 	st := s.stream(name)
 	offset := st.next()
-	st.entries = append(st.entries, platform.Entry{Offset: offset, Appended: s.opts.Now(), Data: append([]byte(nil), data...)})
+	st.entries = append(st.entries, logservice.Entry{Offset: offset, Appended: s.opts.Now(), Data: append([]byte(nil), data...)})
 	s.retain(st)
 	s.wake()
 	return offset
 }
 
-// Read implements platform.Log.
-func (s *Store) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements logservice.Log.
+func (s *Store) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (logservice.Page, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
@@ -176,22 +176,22 @@
 		case <-timeout.C:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+			return logservice.Page{}, fmt.Errorf("%w: %w", logservice.ErrUnavailable, ctx.Err())
 		}
 	}
 }
 
-func (s *Store) read(ctx context.Context, name string, from uint64, limit int) (platform.Page, <-chan struct{}, time.Duration, error) {
+func (s *Store) read(ctx context.Context, name string, from uint64, limit int) (logservice.Page, <-chan struct{}, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refuse(ctx); err != nil {
-		return platform.Page{}, nil, 0, err
+		return logservice.Page{}, nil, 0, err
 	}
 	st := s.stream(name)
 	s.retain(st)
-	page := platform.Page{First: st.first, Next: st.next()}
+	page := logservice.Page{First: st.first, Next: st.next()}
 	if from < st.first {
-		return page, nil, s.faults.Slow, fmt.Errorf("%w: offset %d, first is %d", platform.ErrTrimmed, from, st.first)
+		return page, nil, s.faults.Slow, fmt.Errorf("%w: offset %d, first is %d", logservice.ErrTrimmed, from, st.first)
 	}
 	if limit <= 0 {
 		limit = defaultLimit
@@ -203,7 +203,7 @@
 	return page, s.changed, s.faults.Slow, nil
 }
 
-// Renew implements platform.Lease.
+// Renew implements logservice.Lease.
 func (s *Store) Renew(ctx context.Context, worker, holder string, ttl time.Duration) (time.Duration, error) {
 	f, err := s.renew(ctx, worker, holder, ttl)
 	if err != nil {
@@ -222,11 +222,11 @@
 		return fate{}, err
 	}
 	if ttl <= 0 || holder == "" {
-		return fate{}, fmt.Errorf("%w: a lease needs a holder and a time to live", platform.ErrInvalid)
+		return fate{}, fmt.Errorf("%w: a lease needs a holder and a time to live", logservice.ErrInvalid)
 	}
 	now := s.opts.Now()
 	if l, ok := s.leases[worker]; ok && l.holder != holder && now.Before(l.until) {
-		return fate{}, fmt.Errorf("%w: %s", platform.ErrLeaseHeld, l.holder)
+		return fate{}, fmt.Errorf("%w: %s", logservice.ErrLeaseHeld, l.holder)
 	}
 	f := s.fate()
 	if !f.noEffect {
@@ -239,10 +239,10 @@
 // the lock.
 func (s *Store) refuse(ctx context.Context) error {
 	if s.faults.Outage {
-		return fmt.Errorf("%w: outage", platform.ErrUnavailable)
+		return fmt.Errorf("%w: outage", logservice.ErrUnavailable)
 	}
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", logservice.ErrUnavailable, err)
 	}
 	return nil
 }
@@ -273,11 +273,11 @@
 		select {
 		case <-time.After(f.slow):
 		case <-ctx.Done():
-			return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, ctx.Err())
+			return fmt.Errorf("%w: %w", logservice.ErrUnknownOutcome, ctx.Err())
 		}
 	}
 	if f.lost {
-		return fmt.Errorf("%w: reply lost", platform.ErrUnknownOutcome)
+		return fmt.Errorf("%w: reply lost", logservice.ErrUnknownOutcome)
 	}
 	return nil
 }
