--- /dev/null
+++ b/common/boottime/boottime.go
@@ -0,0 +1,23 @@
+// Package boottime reads a clock that also counts the time for which the
+// machine was suspended. Leases and the age of messages are measured with it:
+// Go's monotonic clock stands still during a suspension, so that a resumed
+// process would take an old promise for a fresh one.
+package boottime
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock returns the time since the machine's boot.
+type Clock func() time.Duration
+
+// Now reads CLOCK_BOOTTIME. It does not fail on Linux.
+func Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("CLOCK_BOOTTIME cannot be read: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -127,6 +127,35 @@
 		"Nothing after a network interruption; otherwise look for a second agent with the same id.")
 )
 
+// Events of restartable jobs (6000 to 6099).
+var (
+	GatewayLeaseLapsed = define(6001, "gateway_lease_lapsed", warnLevel, "a gateway has not returned a recent stamp; its tasks are stopped",
+		"Check the network between the gateway and this agent.")
+	RunNotAccepted = define(6002, "run_not_accepted", warnLevel, "the target did not accept a start",
+		"Nothing if it is rare; otherwise check the target.")
+	FencingTokenRaised = define(6003, "fencing_token_raised", warnLevel, "the target had seen a higher fencing token", nothing)
+	TargetUnanswering  = define(6004, "target_unanswering", warnLevel, "the target does not answer; no task is started",
+		"Check the target on this VM.")
+	TargetDraining = define(6005, "target_draining", infoLevel, "the target is leaving; no task is started", nothing)
+	AgentAttached  = define(6006, "agent_attached", infoLevel, "an agent attached to this gateway", nothing)
+	AgentDetached  = define(6007, "agent_detached", warnLevel, "the link of an agent ended; its started tasks count as lost",
+		"Nothing if the agent restarts; otherwise check its VM.")
+	RestartableEnded = define(6008, "restartable_ended", infoLevel, "a job was answered", "See state and reason; docs/OPERATIONS.md leads from them to the cause.")
+	QueuesApplied    = define(6009, "queues_applied", infoLevel, "a configuration of queues is in force", nothing)
+	QueuesFromPeer   = define(6010, "queues_from_peer", infoLevel, "a configuration was taken from another gateway, since the store does not answer", nothing)
+	StoreFailed      = define(6011, "store_failed", warnLevel, "the platform's store does not answer",
+		"Running work continues; the configuration is asked of other gateways.")
+	StoreAnswers        = define(6012, "store_answers", infoLevel, "the platform's store answers again", nothing)
+	QueuesMalformed     = define(6013, "queues_malformed", errorLevel, "a configuration cannot be read and is not applied", "Correct the record in the store.")
+	GatewayAttached     = define(6014, "gateway_attached", infoLevel, "this agent attached to a gateway", nothing)
+	GatewayDetached     = define(6015, "gateway_detached", warnLevel, "the link to a gateway ended; its tasks are stopped", "Nothing if the gateway restarts; otherwise check its VM.")
+	GatewayRecordFailed = define(6016, "gateway_record_failed", warnLevel, "the list of gateways could not be read from or written to the store", "Nothing while the store is down.")
+	LinesDropped        = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", nothing)
+	TargetAvoided       = define(6018, "target_avoided", warnLevel, "a target gets no work but probes, since its tasks fail or its agent is silent", nothing)
+	TargetTrusted       = define(6019, "target_trusted", infoLevel, "a target gets work again", nothing)
+	Suspended           = define(6020, "suspended", warnLevel, "the process did not run for a while", "Look for a suspension or overload of the VM.")
+)
+
 // Events of the stand-ins (9000 to 9099).
 var (
 	StandinFault = define(9001, "standin_fault", warnLevel, "the stand-in injects a fault", "Only for tests.")
--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -47,3 +47,11 @@
 	AgentStarts   = define(KindCounter, "agent_starts_total", "tasks", "Tasks started at the target.")
 	AgentRefusals = define(KindCounter, "agent_refusals_total", "tasks", "Starts refused, by reason.", "reason")
 )
+
+// Metrics of restartable jobs.
+var (
+	RestartableJobs = define(KindCounter, "restartable_jobs_total", "jobs",
+		"Restartable jobs answered, by state and cause.", "state", "cause")
+	RestartableDuration = define(KindHistogram, "restartable_job_duration_seconds", "seconds",
+		"Time from the arrival of a restartable job to its answer, by state.", "state")
+)
--- /dev/null
+++ b/daemon/observer.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+)
+
+// jobObserver logs and counts answered jobs. The dispatcher's lock owns it.
+type jobObserver struct {
+	log   zerolog.Logger
+	scope tally.Scope
+	made  map[[2]string]jobMetrics
+}
+
+type jobMetrics struct {
+	count    tally.Counter
+	duration tally.Histogram
+}
+
+func newJobObserver(log zerolog.Logger, scope tally.Scope) *jobObserver {
+	return &jobObserver{log: log, scope: scope, made: map[[2]string]jobMetrics{}}
+}
+
+// JobEnded implements dispatch.Observer.
+func (o *jobObserver) JobEnded(e dispatch.Ended) {
+	a := e.Answer
+	events.RestartableEnded.Log(o.log).Str("job", e.ID).Str("queue", e.Queue).Stringer("state", a.State).
+		Str("cause", string(a.Cause)).Int("attempts", a.Attempts).Int("targets", a.Targets).Dur("elapsed_ms", a.Elapsed).Send()
+	key := [2]string{a.State.String(), string(a.Cause)}
+	m, ok := o.made[key]
+	if !ok {
+		m = jobMetrics{
+			count:    telemetry.RestartableJobs.Counter(o.scope, key[0], key[1]),
+			duration: telemetry.RestartableDuration.Histogram(o.scope, key[0]),
+		}
+		o.made[key] = m
+	}
+	m.count.Inc(1)
+	m.duration.RecordDuration(a.Elapsed)
+}
--- /dev/null
+++ b/daemon/platformagent.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/restartable/link"
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+)
+
+// directoryEvery is the time between two looks into the list of gateways while
+// the agent is linked to none.
+const directoryEvery = time.Second
+
+// PlatformAgent is an agent beside a target of the users' platform.
+type PlatformAgent struct {
+	node      *platform.Node
+	log       zerolog.Logger
+	metrics   *telemetry.Metrics
+	runner    *runner.Runner
+	gateways  *link.Gateways
+	links     *link.Client
+	directory *platform.Directory
+}
+
+// NewPlatformAgent returns an agent with the platform's settings.
+func NewPlatformAgent(n *platform.Node, log zerolog.Logger) *PlatformAgent {
+	// A later process of this VM starts at a later time; should the clock have
+	// gone back, the token is raised when the target refuses it.
+	token := time.Now().UnixMilli()
+	a := &PlatformAgent{
+		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(n.Seeds...),
+		directory: platform.NewDirectory(platform.NewStore(n.Store)),
+	}
+	a.runner = runner.New(runner.NewCore(runner.DefaultOptions()), platform.NewTargetClient(n.Target), token,
+		boottime.Now, log, runner.DefaultDriveOptions())
+	a.links = link.NewClient(n.Name, n.Zone, a.runner, a.gateways, log)
+	return a
+}
+
+// Run serves until ctx ends and what runs on the target has ended.
+func (a *PlatformAgent) Run(ctx context.Context, env Env) error {
+	set := &serverSet{env: env}
+	set.add(a.node.Internal, platform.HeartbeatHandler(a.runner), false)
+	set.add(a.node.Metrics, a.metrics.Handler, false)
+	if set.err != nil {
+		events.ListenFailed.Log(a.log).Err(set.err).Send()
+		return set.err
+	}
+	background, end := context.WithCancel(context.Background())
+	defer end()
+	var wg sync.WaitGroup
+	wg.Go(func() { a.runner.Run(background) })
+	wg.Go(func() { a.links.Run(background) })
+	wg.Go(func() { a.readDirectory(background) })
+	set.start(&wg)
+	events.ProcessStarted.Log(a.log).Str("link", a.node.Internal).Str("target", a.node.Target).Send()
+	<-ctx.Done()
+	events.ProcessStopping.Log(a.log).Send()
+	limit, cancel := context.WithTimeout(context.Background(), a.node.Bounds.Grace-stopReserve)
+	defer cancel()
+	a.runner.Stop(limit)
+	events.ProcessStopped.Log(a.log).Err(limit.Err()).Send()
+	return nil
+}
+
+// readDirectory looks gateways up in the store while no link is up.
+func (a *PlatformAgent) readDirectory(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, directoryEvery)
+		if a.links.Up() > 0 {
+			continue
+		}
+		all, err := a.directory.List(ctx)
+		if err != nil {
+			events.GatewayRecordFailed.Log(a.log).Err(err).Send()
+			continue
+		}
+		for _, g := range all {
+			a.gateways.Add(g)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/platformgateway.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
+	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+	"github.com/rhubarbsail/rhubarbsail/restartable/link"
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+)
+
+const (
+	// stopNotice is how long a stopping gateway still accepts connections: the
+	// platform needs two failed readiness checks, one a second.
+	stopNotice = 2500 * time.Millisecond
+	// stopReserve is kept of the grace for the end of the process.
+	stopReserve = 300 * time.Millisecond
+	// introduceEvery is the time between two introductions to other gateways.
+	introduceEvery = 2 * time.Second
+	// registerRetry is the pause after a failed write of the gateway's record.
+	registerRetry = time.Second
+	// peerTimeout bounds a call to another gateway.
+	peerTimeout = 500 * time.Millisecond
+)
+
+// PlatformGateway is a gateway of restartable jobs on the users' platform.
+type PlatformGateway struct {
+	node       *platform.Node
+	log        zerolog.Logger
+	metrics    *telemetry.Metrics
+	config     *queues.Current
+	dispatcher *dispatch.Dispatcher
+	gateways   *link.Gateways
+	client     *http.Client
+	directory  *platform.Directory
+	syncer     *configsync.Syncer
+	stopping   atomic.Bool
+}
+
+// NewPlatformGateway returns a gateway with the platform's settings.
+func NewPlatformGateway(n *platform.Node, log zerolog.Logger) *PlatformGateway {
+	g := &PlatformGateway{
+		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log),
+		config: &queues.Current{}, gateways: link.NewGateways(n.Link), client: link.NewHTTPClient(),
+	}
+	for _, seed := range n.Seeds {
+		g.gateways.Add(seed)
+	}
+	opts := dispatch.DefaultOptions(n.Zone)
+	if n.Bounds.RemoteFactor > 0 {
+		opts.RemoteFactor = n.Bounds.RemoteFactor
+	}
+	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
+	store := platform.NewStore(n.Store)
+	g.directory = platform.NewDirectory(store)
+	g.syncer = configsync.New(platform.NewConfigSource(store), g, g.config, log, configsync.DefaultOptions())
+	return g
+}
+
+// Run serves until ctx ends and the planned stop is complete.
+func (g *PlatformGateway) Run(ctx context.Context, env Env) error {
+	servers, err := g.listen(env)
+	if err != nil {
+		events.ListenFailed.Log(g.log).Err(err).Send()
+		return err
+	}
+	background, end := context.WithCancel(context.Background())
+	defer end()
+	var wg sync.WaitGroup
+	wg.Go(func() { g.dispatcher.Run(background) })
+	wg.Go(func() { g.syncer.Run(background) })
+	wg.Go(func() { g.introduce(background) })
+	wg.Go(func() { g.register(background) })
+	servers.start(&wg)
+	events.ProcessStarted.Log(g.log).Str("callers", g.node.Callers).Str("link", g.node.Link).Send()
+	<-ctx.Done()
+	events.ProcessStopping.Log(g.log).Send()
+	g.stopping.Store(true)
+	err = servers.stop(g.node.Bounds.Grace - stopReserve)
+	events.ProcessStopped.Log(g.log).Err(err).Send()
+	return nil
+}
+
+func (g *PlatformGateway) listen(env Env) (*serverSet, error) {
+	set := &serverSet{env: env}
+	set.add(g.node.Callers, platform.CallersHandler(g.config, g), true)
+	set.add(g.node.Readiness, platform.ReadyHandler(g.ready), false)
+	set.add(g.node.Link, link.NewServer(g.dispatcher, g.config, g.gateways).Handler(), false)
+	set.add(g.node.Metrics, g.metrics.Handler, false)
+	return set, set.err
+}
+
+func (g *PlatformGateway) ready() bool {
+	return !g.stopping.Load() && g.config.Get() != nil && g.dispatcher.CanPlace()
+}
+
+// Submit implements platform.Jobs.
+func (g *PlatformGateway) Submit(ctx context.Context, s dispatch.Submission) dispatch.Answer {
+	return g.dispatcher.Submit(ctx, s)
+}
+
+// Cancel implements platform.Jobs.
+func (g *PlatformGateway) Cancel(id string) bool { return g.dispatcher.Cancel(id) }
+
+// Stopping implements platform.Jobs.
+func (g *PlatformGateway) Stopping() bool { return g.stopping.Load() }
+
+// others returns the clients of the other gateways.
+func (g *PlatformGateway) others() []restartv1connect.DispatchServiceClient {
+	var out []restartv1connect.DispatchServiceClient
+	for _, a := range g.gateways.All() {
+		if a != g.node.Link {
+			out = append(out, restartv1connect.NewDispatchServiceClient(g.client, "http://"+a,
+				connect.WithAcceptCompression("gzip", nil, nil)))
+		}
+	}
+	return out
+}
+
+// Newer implements configsync.Peers.
+func (g *PlatformGateway) Newer(ctx context.Context, version uint64) []byte {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	others := g.others()
+	replies := make(chan *pb.ConfigurationReply, len(others))
+	for _, o := range others {
+		go func() {
+			r, err := o.Configuration(ctx, connect.NewRequest(&pb.ConfigurationRequest{NewerThan: version}))
+			if err != nil {
+				replies <- nil
+				return
+			}
+			replies <- r.Msg
+		}()
+	}
+	var newest *pb.ConfigurationReply
+	for range others {
+		r := <-replies
+		if r != nil && len(r.Document) > 0 && (newest == nil || r.Version > newest.Version) {
+			newest = r
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+	return newest.Document
+}
+
+// introduce makes this gateway known to the agents of the others. Another
+// gateway may have been replaced since, so that it does not end.
+func (g *PlatformGateway) introduce(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, o := range g.others() {
+			call, cancel := context.WithTimeout(ctx, peerTimeout)
+			r, err := o.Introduce(call, connect.NewRequest(&pb.IntroduceRequest{Gateway: g.node.Link}))
+			cancel()
+			if err == nil {
+				for _, a := range r.Msg.Gateways {
+					g.gateways.Add(a)
+				}
+			}
+		}
+		pause(ctx, introduceEvery)
+	}
+}
+
+// register writes the gateway's address to the store, from which agents read it
+// that know no gateway that works.
+func (g *PlatformGateway) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := g.directory.Register(ctx, g.node.Name, g.node.Link)
+		if err == nil {
+			return
+		}
+		events.GatewayRecordFailed.Log(g.log).Err(err).Send()
+		pause(ctx, registerRetry)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/daemon/platformmain.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/settings"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+)
+
+// PlatformMain runs a daemon with the platform's settings until SIGTERM or
+// SIGINT and returns the exit code. SIGHUP tells of changed settings; none of
+// those that are used changes during the life of a process.
+func PlatformMain(process string, run func(context.Context, *platform.Node, zerolog.Logger) error) int {
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	node, err := platform.LoadNode()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", process, err)
+		return exitFailed
+	}
+	log, err := events.NewLogger(os.Stdout, "info", process, node.Name)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", process, err)
+		return exitFailed
+	}
+	if err := run(ctx, node, log); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", process, err)
+		return exitFailed
+	}
+	return settings.ExitOK
+}
+
+// RunPlatformGateway runs a gateway until ctx ends.
+func RunPlatformGateway(ctx context.Context, n *platform.Node, log zerolog.Logger) error {
+	return NewPlatformGateway(n, log).Run(ctx, Env{})
+}
+
+// RunPlatformAgent runs an agent until ctx ends.
+func RunPlatformAgent(ctx context.Context, n *platform.Node, log zerolog.Logger) error {
+	return NewPlatformAgent(n, log).Run(ctx, Env{})
+}
--- /dev/null
+++ b/daemon/servers.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/httpapi"
+)
+
+// serverSet is the HTTP servers of one process.
+type serverSet struct {
+	env     Env
+	servers []*boundServer
+	err     error
+}
+
+type boundServer struct {
+	listener net.Listener
+	http     *http.Server
+	// drained servers answer what is in progress when the process stops.
+	drained bool
+}
+
+// headerTimeout and idleTimeout bound connections without a request.
+const (
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+)
+
+func (s *serverSet) add(address string, h http.Handler, drained bool) {
+	if s.err != nil {
+		return
+	}
+	l, err := s.env.listen(address)
+	if err != nil {
+		s.err = err
+		return
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.servers = append(s.servers, &boundServer{listener: l, drained: drained, http: &http.Server{
+		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: httpapi.DefaultServerLimits().HeaderBytes,
+	}})
+}
+
+func (s *serverSet) start(wg *sync.WaitGroup) {
+	for _, b := range s.servers {
+		wg.Go(func() { _ = b.http.Serve(b.listener) })
+	}
+}
+
+// stop ends the drained servers without cutting a request, and then the
+// others. The whole takes no longer than the limit.
+func (s *serverSet) stop(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	pause(ctx, stopNotice)
+	var first error
+	for _, b := range s.servers {
+		if b.drained {
+			if err := b.http.Shutdown(ctx); err != nil && first == nil {
+				first = err
+			}
+		}
+	}
+	for _, b := range s.servers {
+		_ = b.http.Close()
+	}
+	return first
+}
--- /dev/null
+++ b/restartable/dispatch/core.go
@@ -0,0 +1,527 @@
+// Package dispatch is the gateway's side of restartable jobs: it decides which
+// jobs are taken, on which agents their tasks run, and when a job is given up.
+//
+// Core holds the decisions and does no I/O; Dispatcher drives it.
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// Options are the settings of a Core.
+type Options struct {
+	// Zone is the availability zone of this gateway.
+	Zone string
+	// NearHop and FarHop are one-way network delays within and between zones.
+	NearHop, FarHop time.Duration
+	// ReturnTrip is how long before its deadline a job is answered.
+	ReturnTrip time.Duration
+	// SuspectAfter is the silence after which an agent gets no new work.
+	SuspectAfter time.Duration
+	// ProbeEvery is the time between two tasks for an avoided target.
+	ProbeEvery time.Duration
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+	// RetryAfter is what a refused caller is told to wait at least.
+	RetryAfter time.Duration
+}
+
+// DefaultOptions suit the deployments of docs/design.md section 1.6.
+func DefaultOptions(zone string) Options {
+	return Options{
+		Zone: zone, NearHop: 300 * time.Microsecond, FarHop: 1500 * time.Microsecond,
+		ReturnTrip: 10 * time.Millisecond, SuspectAfter: 350 * time.Millisecond,
+		ProbeEvery: 500 * time.Millisecond, RemoteFactor: 1.5, RetryAfter: time.Second,
+	}
+}
+
+// Order is what one agent is to do with tasks of one step.
+type Order struct {
+	Link string
+	// Number counts the orders of a link.
+	Number   uint64
+	Step     task.StepID
+	Tasks    []Attempt
+	Spec     string
+	Needs    task.Resources
+	Expected time.Duration
+	// StartWithin and DueWithin are times in the agent's queue.
+	StartWithin, DueWithin time.Duration
+	Priority               int
+	MaxPerTarget           int
+}
+
+// Attempt is one attempt of one task of an order.
+type Attempt struct{ Index, Number int }
+
+// Stop ends what an agent has of a job, or one attempt of it.
+type Stop struct {
+	Link string
+	Job  string
+	// Task and Attempt are set to stop one attempt only.
+	Task    task.ID
+	Attempt int
+}
+
+// Ended is an answered job, for logs and metrics.
+type Ended struct {
+	ID, Queue string
+	Answer    Answer
+}
+
+// Change is a changed belief about an agent, for logs.
+type Change struct {
+	Agent   string
+	Avoided bool
+	Failed  float64
+}
+
+// Actions is what the driver has to do after a call of a Core.
+type Actions struct {
+	Orders  []Order
+	Stops   []Stop
+	Ended   []Ended
+	Changes []Change
+}
+
+// Event is the end of an attempt as an agent reports it.
+type Event struct {
+	Task    task.ID
+	Attempt int
+	Outcome task.Outcome
+	Reason  task.Reason
+}
+
+// Core decides for one gateway. It is not safe for concurrent use; all times
+// are of one clock that also counts suspensions.
+type Core struct {
+	opts   Options
+	agents []*agent
+	byLink map[string]*agent
+	jobs   map[string]*job
+	out    Actions
+}
+
+// NewCore returns a core without agents.
+func NewCore(opts Options) *Core {
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}}
+}
+
+// Take returns the actions since the last call.
+func (c *Core) Take() Actions {
+	out := c.out
+	c.out = Actions{}
+	return out
+}
+
+// Jobs returns the number of jobs in progress.
+func (c *Core) Jobs() int { return len(c.jobs) }
+
+// CanPlace tells whether any agent takes work.
+func (c *Core) CanPlace(now time.Duration) bool {
+	return slices.ContainsFunc(c.agents, func(a *agent) bool {
+		return a.load.Accepting && now-a.heard <= c.opts.SuspectAfter
+	})
+}
+
+func (c *Core) hop(a *agent) time.Duration {
+	if a.Zone == c.opts.Zone {
+		return c.opts.NearHop
+	}
+	return c.opts.FarHop
+}
+
+// AgentUp adds an agent's link.
+func (c *Core) AgentUp(now time.Duration, info AgentInfo) {
+	a := &agent{AgentInfo: info, heard: now, placed: map[task.ID]*taskRecord{}, jobs: map[string]*job{}}
+	c.agents = append(c.agents, a)
+	c.byLink[info.Link] = a
+}
+
+// AgentTarget takes in what an agent says of its target.
+func (c *Core) AgentTarget(link string, t TargetInfo) {
+	if a := c.byLink[link]; a != nil {
+		a.target = t
+	}
+}
+
+// AgentDown removes a link. What was placed there runs on for no longer than
+// the gateway's lease at the agent; a caller that submits the job again is told
+// to do so only by a broken answer, which it follows up after that time.
+func (c *Core) AgentDown(now time.Duration, link string) {
+	a := c.byLink[link]
+	if a == nil {
+		return
+	}
+	delete(c.byLink, link)
+	c.agents = slices.DeleteFunc(c.agents, func(o *agent) bool { return o == a })
+	for _, j := range sortedJobs(a.jobs) {
+		if j.hasPlacedOn(a) {
+			c.giveUp(now, j, CauseAgentLost)
+		}
+	}
+}
+
+func (j *job) hasPlacedOn(a *agent) bool {
+	for _, t := range a.placed {
+		if t.id.Job == j.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Report takes in an agent's load and the ends of attempts.
+func (c *Core) Report(now time.Duration, link string, load *Load, ends []Event) {
+	a := c.byLink[link]
+	if a == nil {
+		return
+	}
+	a.heard = now
+	if load != nil {
+		a.report(now, *load)
+		c.judge(a)
+	}
+	touched := map[string]*job{}
+	for _, e := range ends {
+		if j := c.end(now, a, e); j != nil {
+			touched[j.ID] = j
+		}
+	}
+	for _, j := range sortedJobs(touched) {
+		c.proceed(now, j)
+	}
+}
+
+// failedShareAvoid and failedShareTrust are the shares of failed runs at which
+// an agent's target is avoided and trusted again.
+const (
+	failedShareAvoid = 0.5
+	failedShareTrust = 0.25
+)
+
+func (c *Core) judge(a *agent) {
+	switch {
+	case !a.avoided && a.load.Failed > failedShareAvoid:
+		a.avoided = true
+	case a.avoided && a.load.Failed < failedShareTrust:
+		a.avoided = false
+	default:
+		return
+	}
+	c.out.Changes = append(c.out.Changes, Change{Agent: a.Name, Avoided: a.avoided, Failed: a.load.Failed})
+}
+
+func (c *Core) mayProbe(now time.Duration, a *agent) bool {
+	return now-a.probedAt >= c.opts.ProbeEvery
+}
+
+// Submit takes a job in. The answer function is called once, from within this
+// or a later call. A job that is in progress here is joined.
+func (c *Core) Submit(now time.Duration, s Submission, answer func(Answer)) {
+	if j := c.jobs[s.ID]; j != nil {
+		j.callers = append(j.callers, answer)
+		return
+	}
+	j := newJob(now, s)
+	j.callers = append(j.callers, answer)
+	c.jobs[s.ID] = j
+	c.proceed(now, j)
+}
+
+// Leave notes that the job's only caller has gone. Its tasks are stopped: the
+// caller may submit the job to another gateway.
+func (c *Core) Leave(now time.Duration, id string) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	if len(j.callers) > 1 {
+		j.callers = j.callers[1:]
+		return
+	}
+	c.giveUp(now, j, CauseCallerLeft)
+}
+
+// Cancel stops a job at a caller's request. It returns whether it was in
+// progress here.
+func (c *Core) Cancel(now time.Duration, id string) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	c.giveUp(now, j, CauseCancelled)
+	return true
+}
+
+// end applies one end of an attempt and returns the job to proceed with.
+func (c *Core) end(now time.Duration, a *agent, e Event) *job {
+	t := a.placed[e.Task]
+	if t == nil || t.attempt != e.Attempt {
+		return nil
+	}
+	j := c.jobs[e.Task.Job]
+	delete(a.placed, e.Task)
+	t.agent = nil
+	if j == nil {
+		return nil
+	}
+	if e.Outcome != task.NotStarted {
+		j.begun = true
+	}
+	t.state = waiting
+	switch e.Outcome {
+	case task.Done:
+		t.state = done
+		j.left[e.Task.Step]--
+	case task.Failed:
+		t.failed++
+		t.failedOn = a.Name
+	case task.NotStarted:
+		switch e.Reason {
+		case task.ReasonSuperseded:
+			t.attempt += supersededSkip
+		case task.ReasonDuplicate:
+			// An earlier submission's run has not ended yet. Nothing may start beside
+			// it; the caller tries again when it has.
+			j.begun = true
+			c.giveUp(now, j, CauseEarlierRun)
+			return nil
+		}
+	}
+	return j
+}
+
+// supersededSkip is added to the number of an attempt when the target has seen
+// a later one: an earlier submission of the job has run there.
+const supersededSkip = 16
+
+// proceed answers a job that has ended and places what can be placed.
+func (c *Core) proceed(now time.Duration, j *job) {
+	if c.jobs[j.ID] != j {
+		return
+	}
+	if j.complete() {
+		c.finish(now, j, Answer{State: Completed})
+		return
+	}
+	for step := range j.Steps {
+		for _, t := range j.tasks[step] {
+			if t.failed >= j.Queue.MaxAttempts {
+				c.stopAll(j)
+				c.finish(now, j, Answer{State: Failed, Cause: CauseAttempts})
+				return
+			}
+		}
+	}
+	for step := range j.Steps {
+		if !c.placeStep(now, j, step) {
+			return
+		}
+	}
+}
+
+// placeStep places the waiting tasks of a step. It returns false if the job has
+// been given up.
+func (c *Core) placeStep(now time.Duration, j *job, step int) bool {
+	tasks := j.waitingTasks(step)
+	if len(tasks) == 0 {
+		return true
+	}
+	p := c.newPlan(now, j, step)
+	choices := p.placeAll(tasks)
+	if cause := c.refusal(now, j, step, tasks, choices); cause != CauseNone {
+		c.giveUp(now, j, cause)
+		return false
+	}
+	c.send(now, j, step, choices)
+	return true
+}
+
+// refusal tells why a job ought to be given up, given the best places for its
+// waiting tasks.
+func (c *Core) refusal(now time.Duration, j *job, step int, tasks []*taskRecord, choices []choice) Cause {
+	if len(choices) < len(tasks) {
+		if j.begun && len(choices) == 0 && c.CanPlace(now) {
+			// Something may come free for the rest.
+			return CauseNone
+		}
+		return c.causeOfNoPlace(j, step)
+	}
+	for _, ch := range choices {
+		end := now + ch.finish
+		if end > j.deadline {
+			return CauseOverload
+		}
+		if !j.begun && ch.wait > 0 && end > j.objective {
+			return CauseOverload
+		}
+	}
+	return CauseNone
+}
+
+func (c *Core) causeOfNoPlace(j *job, step int) Cause {
+	serves := false
+	for _, a := range c.agents {
+		if a.target.Service != j.Queue.Service {
+			continue
+		}
+		serves = true
+		if j.Steps[step].Needs.Within(a.target.Capacity) && a.hasLabel(j.Steps[step].RequiredLabel) {
+			return CauseNoTarget
+		}
+	}
+	if serves {
+		return CauseTooLarge
+	}
+	return CauseNoTarget
+}
+
+// startGrace is the least time that a task may stay in an agent's queue.
+const startGrace = 20 * time.Millisecond
+
+func (c *Core) send(now time.Duration, j *job, step int, choices []choice) {
+	byAgent := map[*agent]*Order{}
+	var order []*agent
+	st := &j.Steps[step]
+	for _, ch := range choices {
+		a, t := ch.agent, ch.task
+		o := byAgent[a]
+		if o == nil {
+			due := max(j.objective-now-ch.run-c.hop(a), startGrace)
+			within := due
+			if j.begun {
+				due = startGrace
+				within = max(j.deadline-now-ch.run-c.hop(a), startGrace)
+			}
+			o = &Order{
+				Link: a.Link, Step: task.StepID{Job: j.ID, Step: step}, Spec: j.Spec, Needs: st.Needs, Expected: st.Estimate,
+				StartWithin: within, DueWithin: due, Priority: j.Queue.Priority, MaxPerTarget: st.MaxPerTarget,
+			}
+			byAgent[a] = o
+			order = append(order, a)
+			a.orders++
+			o.Number = a.orders
+		}
+		t.state, t.agent, t.sentAt = placed, a, now
+		t.attempt++
+		t.overdueAt = now + ch.wait + time.Duration(overdueFactor*float64(ch.run)) + overdueSlack
+		j.attempts++
+		j.agents[a] = true
+		a.placed[t.id] = t
+		a.jobs[j.ID] = j
+		a.probedAt = now
+		a.unseen = append(a.unseen, sentOrder{a.orders, st.Needs, float64(st.Needs.CPUMillis) * float64(ch.run.Milliseconds())})
+		o.Tasks = append(o.Tasks, Attempt{t.id.Index, t.attempt})
+	}
+	for _, a := range order {
+		c.out.Orders = append(c.out.Orders, *byAgent[a])
+	}
+}
+
+const (
+	// overdueFactor and overdueSlack tell from the predicted run time when a run
+	// is taken to hang. Estimates are off by about 40%.
+	overdueFactor = 2.5
+	overdueSlack  = 50 * time.Millisecond
+)
+
+// Tick gives up what is past its deadline, and recalls runs that hang.
+func (c *Core) Tick(now time.Duration) {
+	for _, j := range sortedJobs(c.jobs) {
+		if now >= j.deadline-c.opts.ReturnTrip {
+			c.giveUp(now, j, CauseDeadline)
+			continue
+		}
+		c.recallOverdue(now, j)
+		c.proceed(now, j)
+	}
+}
+
+// recallOverdue stops runs that take far longer than predicted if another
+// target would still end them in time. They are placed again once the agent has
+// reported their end.
+func (c *Core) recallOverdue(now time.Duration, j *job) {
+	for step := range j.Steps {
+		for _, t := range j.tasks[step] {
+			if t.state != placed || now < t.overdueAt {
+				continue
+			}
+			p := c.newPlan(now, j, step)
+			p.slots = slices.DeleteFunc(p.slots, func(s *slot) bool { return s.agent == t.agent })
+			_, pr := p.choose(t)
+			if pr.agent == nil || now+pr.finish+recallTime > j.deadline {
+				continue
+			}
+			t.state = recalled
+			t.failedOn = t.agent.Name
+			c.out.Stops = append(c.out.Stops, Stop{Link: t.agent.Link, Job: j.ID, Task: t.id, Attempt: t.attempt})
+		}
+	}
+}
+
+// recallTime is about how long it takes until a stopped run has ended.
+const recallTime = 60 * time.Millisecond
+
+// giveUp answers a job that cannot be completed and stops what is left of it.
+func (c *Core) giveUp(now time.Duration, j *job, cause Cause) {
+	state := NotRun
+	if j.begun || c.stopAll(j) {
+		state = Unfinished
+		c.stopAll(j)
+	}
+	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter})
+}
+
+// stopAll asks the agents to stop what they have of a job. It returns whether
+// any has something.
+func (c *Core) stopAll(j *job) bool {
+	stopped := false
+	for a := range j.agents {
+		if !j.hasPlacedOn(a) {
+			continue
+		}
+		stopped = true
+		for id := range a.placed {
+			if id.Job == j.ID {
+				delete(a.placed, id)
+			}
+		}
+		if c.byLink[a.Link] == a {
+			c.out.Stops = append(c.out.Stops, Stop{Link: a.Link, Job: j.ID})
+		}
+	}
+	return stopped
+}
+
+func (c *Core) finish(now time.Duration, j *job, a Answer) {
+	delete(c.jobs, j.ID)
+	for ag := range j.agents {
+		delete(ag.jobs, j.ID)
+	}
+	a.Attempts, a.Targets, a.Elapsed = j.attempts, len(j.agents), now-j.arrived
+	j.answer(a)
+	c.out.Ended = append(c.out.Ended, Ended{ID: j.ID, Queue: j.Queue.Name, Answer: a})
+}
+
+// sortedJobs returns the jobs in a fixed order, so that the same events lead to
+// the same actions.
+func sortedJobs(jobs map[string]*job) []*job {
+	all := make([]*job, 0, len(jobs))
+	for _, j := range jobs {
+		all = append(all, j)
+	}
+	slices.SortFunc(all, func(a, b *job) int {
+		if a.arrived != b.arrived {
+			return int(a.arrived - b.arrived)
+		}
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- /dev/null
+++ b/restartable/dispatch/job.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Tasks int
+	Needs task.Resources
+	// Estimate is the caller's rough estimate of a task's run time.
+	Estimate time.Duration
+	// After lists earlier steps that have to be done first.
+	After []int
+	// RequiredLabel is a label that the target must have.
+	RequiredLabel string
+	// DataRack is the rack on which the tasks run at full speed.
+	DataRack string
+	// MaxPerTarget bounds the tasks of the step on one target; 0 for no limit.
+	MaxPerTarget int
+}
+
+// Submission is a job as a caller hands it in.
+type Submission struct {
+	ID    string
+	Queue queues.Queue
+	Spec  string
+	Steps []Step
+	// Wait is how long the caller waits for the answer.
+	Wait time.Duration
+}
+
+// State is the kind of an answer.
+type State int
+
+const (
+	// Completed means that every task has ended as done.
+	Completed State = iota + 1
+	// Failed means that a task has failed as often as its queue allows.
+	Failed
+	// NotRun means that no task has started and none will.
+	NotRun
+	// Unfinished means that the job was given up after a task may have started;
+	// whatever still runs is being stopped.
+	Unfinished
+)
+
+var stateNames = map[State]string{Completed: "completed", Failed: "failed", NotRun: "not_run", Unfinished: "unfinished"}
+
+// String returns the name used in logs and metrics.
+func (s State) String() string { return stateNames[s] }
+
+// Cause tells why a job was not completed.
+type Cause string
+
+// Causes of answers.
+const (
+	CauseNone       Cause = ""
+	CauseAttempts   Cause = "attempts"    // a task has failed too often
+	CauseOverload   Cause = "overload"    // it could not be done in time
+	CauseNoTarget   Cause = "no_target"   // no suitable target takes work
+	CauseTooLarge   Cause = "too_large"   // no target has room for a task
+	CauseDeadline   Cause = "deadline"    // its time ran out
+	CauseAgentLost  Cause = "agent_lost"  // the link to an agent that ran a task ended
+	CauseCallerLeft Cause = "caller_left" // nobody waits for the answer
+	CauseCancelled  Cause = "cancelled"   // a caller has cancelled it
+	CauseEarlierRun Cause = "earlier_run" // a run of an earlier submission of the job has not ended
+	CauseSuspended  Cause = "suspended"   // this gateway did not run for a while
+)
+
+// Answer is the final answer to a submission.
+type Answer struct {
+	State State
+	Cause Cause
+	// RetryAfter is when the caller may submit a job that has not run again.
+	RetryAfter time.Duration
+	// Attempts, Targets and Elapsed describe the way to the answer.
+	Attempts int
+	Targets  int
+	Elapsed  time.Duration
+}
+
+// taskState is what is known of one task.
+type taskState int
+
+const (
+	// waiting tasks are on no target.
+	waiting taskState = iota
+	// placed tasks have been sent to an agent and have not ended.
+	placed
+	// recalled tasks have been sent and are being stopped, to run elsewhere.
+	recalled
+	done
+)
+
+type taskRecord struct {
+	id      task.ID
+	state   taskState
+	attempt int
+	failed  int
+	agent   *agent
+	sentAt  time.Duration
+	// overdueAt is when the run is taken to hang.
+	overdueAt time.Duration
+	// failedOn is the agent of the last failed run; the next one goes elsewhere.
+	failedOn string
+}
+
+type job struct {
+	Submission
+	arrived time.Duration
+	// objective and deadline are times of the core's clock.
+	objective time.Duration
+	deadline  time.Duration
+	tasks     [][]*taskRecord
+	left      []int // tasks of each step that are not done
+	begun     bool  // a task may have started
+	attempts  int
+	agents    map[*agent]bool
+	callers   []func(Answer)
+}
+
+func newJob(now time.Duration, s Submission) *job {
+	j := &job{Submission: s, arrived: now, deadline: now + min(s.Wait, s.Queue.Timeout), agents: map[*agent]bool{}}
+	for step, st := range s.Steps {
+		records := make([]*taskRecord, st.Tasks)
+		for i := range records {
+			records[i] = &taskRecord{id: task.ID{StepID: task.StepID{Job: s.ID, Step: step}, Index: i}}
+		}
+		j.tasks = append(j.tasks, records)
+		j.left = append(j.left, st.Tasks)
+	}
+	j.objective = now + s.Queue.TargetLatency + time.Duration(s.Queue.Stretch*float64(j.chain()))
+	return j
+}
+
+// chain returns the longest sum of estimates along the steps' order.
+func (j *job) chain() time.Duration {
+	longest := make([]time.Duration, len(j.Steps))
+	var all time.Duration
+	for i, s := range j.Steps {
+		for _, before := range s.After {
+			longest[i] = max(longest[i], longest[before])
+		}
+		longest[i] += s.Estimate
+		all = max(all, longest[i])
+	}
+	return all
+}
+
+// ready tells whether all steps before step are done.
+func (j *job) ready(step int) bool {
+	for _, before := range j.Steps[step].After {
+		if j.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// waitingTasks returns the tasks of ready steps that are on no target.
+func (j *job) waitingTasks(step int) []*taskRecord {
+	var out []*taskRecord
+	if !j.ready(step) {
+		return nil
+	}
+	for _, t := range j.tasks[step] {
+		if t.state == waiting {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func (j *job) complete() bool {
+	for _, n := range j.left {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) answer(a Answer) {
+	for _, c := range j.callers {
+		c(a)
+	}
+}
--- /dev/null
+++ b/restartable/link/client.go
@@ -0,0 +1,281 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
+	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+const (
+	// redialMin and redialMax bound the wait between two dials of a gateway.
+	redialMin = 50 * time.Millisecond
+	redialMax = time.Second
+)
+
+// Client is the agent's end of the links: it keeps one to each known gateway.
+type Client struct {
+	hello    *pb.AttachHello
+	runner   *runner.Runner
+	gateways *Gateways
+	http     *http.Client
+	log      zerolog.Logger
+	links    atomic.Uint64
+	up       atomic.Int64
+}
+
+// NewClient returns the links of an agent.
+func NewClient(name, zone string, r *runner.Runner, g *Gateways, log zerolog.Logger) *Client {
+	return &Client{
+		hello: &pb.AttachHello{Agent: name, Zone: zone}, runner: r, gateways: g, http: NewHTTPClient(), log: log,
+	}
+}
+
+// Up returns the number of links that are up.
+func (c *Client) Up() int { return int(c.up.Load()) }
+
+// Run keeps the links until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	dialled := map[string]bool{}
+	for {
+		for _, address := range c.gateways.All() {
+			if !dialled[address] {
+				dialled[address] = true
+				wg.Go(func() { c.keep(ctx, address) })
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.gateways.Changed():
+		}
+	}
+}
+
+// keep dials one gateway again and again.
+func (c *Client) keep(ctx context.Context, address string) {
+	wait := redialMin
+	for ctx.Err() == nil {
+		served, err := c.serve(ctx, address)
+		if served {
+			wait = redialMin
+			events.GatewayDetached.Log(c.log).Str("gateway", address).Err(err).Send()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, redialMax)
+	}
+}
+
+type agentStream = connect.BidiStreamForClient[pb.RunReport, pb.RunOrder]
+
+// serve runs one link until it breaks. It returns whether the gateway answered.
+func (c *Client) serve(parent context.Context, address string) (bool, error) {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	service := restartv1connect.NewDispatchServiceClient(c.http, "http://"+address,
+		connect.WithReadMaxBytes(frameBytes), connect.WithAcceptCompression("gzip", nil, nil))
+	stream := service.Attach(ctx)
+	defer func() { _ = stream.CloseResponse() }()
+	l := newAgentLink(c, address+"#"+strconv.FormatUint(c.links.Add(1), 10), cancel)
+	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		cancel(l.write(ctx, stream))
+	}()
+	attached := false
+	err := func() error {
+		for {
+			f, err := stream.Receive()
+			if err != nil {
+				return err
+			}
+			watchdog.Reset(silence)
+			if !attached {
+				attached = true
+				c.up.Add(1)
+				c.runner.Attach(l.name, l)
+				events.GatewayAttached.Log(c.log).Str("gateway", address).Str("link", l.name).Send()
+			}
+			c.take(ctx, l, f)
+		}
+	}()
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	cancel(err)
+	if attached {
+		c.up.Add(-1)
+		// The end of the link must reach the runner even while the agent stops.
+		c.runner.Detach(context.WithoutCancel(ctx), l.name)
+	}
+	<-written
+	return attached, err
+}
+
+func (c *Client) take(ctx context.Context, l *agentLink, f *pb.RunOrder) {
+	for _, g := range f.Gateways {
+		c.gateways.Add(g)
+	}
+	var starts []runner.Start
+	for _, s := range f.Starts {
+		starts = append(starts, startsOf(s)...)
+	}
+	var stops []runner.Attempt
+	for _, s := range f.StopTasks {
+		id := task.ID{StepID: task.StepID{Job: s.Job, Occurrence: int(s.Occurrence), Step: int(s.Step)}, Index: int(s.Index)}
+		stops = append(stops, runner.Attempt{Task: id, Number: int(s.Attempt)})
+	}
+	// Calls to the target outlive the link.
+	c.runner.Order(context.WithoutCancel(ctx), l.name, time.Duration(f.Stamp), starts, f.StopJobs, stops)
+	// A load that is read from here on includes the starts.
+	for _, s := range f.Starts {
+		l.seen(s.Number)
+	}
+	if len(starts) > 0 {
+		l.LoadChanged()
+	}
+}
+
+func startsOf(s *pb.StartTasks) []runner.Start {
+	step := task.StepID{Job: s.Job, Occurrence: int(s.Occurrence), Step: int(s.Step)}
+	out := make([]runner.Start, 0, len(s.Tasks))
+	for _, t := range s.Tasks {
+		out = append(out, runner.Start{
+			Task: task.ID{StepID: step, Index: int(t.Index)}, Attempt: int(t.Attempt), Spec: s.Spec,
+			Needs: resourcesOf(s.Requirement), Expected: duration(s.ExpectedMs),
+			StartWithin: duration(s.StartWithinMs), DueWithin: duration(s.DueWithinMs),
+			Priority: int(s.Priority), MaxPerTarget: int(s.MaxPerTarget),
+		})
+	}
+	return out
+}
+
+// agentLink is one gateway's stream at the agent.
+type agentLink struct {
+	client *Client
+	name   string
+	close  context.CancelCauseFunc
+	// events wakes the writer at once, load after loadGap.
+	events, load chan struct{}
+
+	mu         sync.Mutex // owns the fields below
+	ends       []*pb.RunEvent
+	ordersSeen uint64
+}
+
+func newAgentLink(c *Client, name string, cancel context.CancelCauseFunc) *agentLink {
+	return &agentLink{client: c, name: name, close: cancel, events: make(chan struct{}, 1), load: make(chan struct{}, 1)}
+}
+
+var errLeaseLapsed = errors.New("the gateway's lease lapsed")
+
+// Close ends the link.
+func (l *agentLink) Close() { l.close(errLeaseLapsed) }
+
+// Report queues the end of an attempt.
+func (l *agentLink) Report(r runner.Report) {
+	l.mu.Lock()
+	l.ends = append(l.ends, &pb.RunEvent{
+		Job: r.Task.Job, Occurrence: uint32(r.Task.Occurrence), Step: uint32(r.Task.Step), Index: uint32(r.Task.Index),
+		Attempt: uint32(r.Attempt), Outcome: outcomes[r.Outcome], Reason: string(r.Reason), RunMs: millis(r.RunTime),
+	})
+	l.mu.Unlock()
+	signal(l.events)
+}
+
+// LoadChanged makes the writer send the load soon.
+func (l *agentLink) LoadChanged() { signal(l.load) }
+
+func (l *agentLink) seen(order uint64) {
+	l.mu.Lock()
+	l.ordersSeen = max(l.ordersSeen, order)
+	l.mu.Unlock()
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// write sends frames until ctx ends: ends at once, a changed load after
+// loadGap, and otherwise one each reportEvery.
+func (l *agentLink) write(ctx context.Context, stream *agentStream) error {
+	// While the HTTP/2 transport waits for more of the request's body, it does
+	// not notice the end of ctx, and a receiver would wait for ever.
+	defer func() { _ = stream.CloseRequest() }()
+	var sent sentState
+	var sentAt time.Time
+	due := time.NewTimer(0)
+	defer due.Stop()
+	load := l.load
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.events:
+		case <-load:
+			// A later signal waits until this one has been answered.
+			load = nil
+			due.Reset(max(0, loadGap-time.Since(sentAt)))
+			continue
+		case <-due.C:
+		}
+		if err := stream.Send(l.frame(&sent)); err != nil {
+			return err
+		}
+		sentAt, load = time.Now(), l.load
+		due.Reset(reportEvery)
+	}
+}
+
+// sentState is what the gateway has been told on a link.
+type sentState struct {
+	hello    bool
+	target   runner.Target
+	gateways uint64
+}
+
+func (l *agentLink) frame(sent *sentState) *pb.RunReport {
+	target, load, now := l.client.runner.Load()
+	l.mu.Lock()
+	ends, seen := l.ends, l.ordersSeen
+	l.ends = nil
+	l.mu.Unlock()
+	f := &pb.RunReport{Stamp: int64(now), Events: ends, Load: &pb.TargetLoad{
+		Accepting: load.Accepting, Reason: string(load.Reason), Committed: requirementOf(load.Committed),
+		BacklogMs: millis(load.Backlog), SlownessPermille: uint32(load.Slowness * 1000),
+		Running: uint32(load.Running), Queued: uint32(load.Queued), FailedPermille: uint32(load.Failed * 1000), OrdersSeen: seen,
+	}}
+	if !sent.hello {
+		f.Hello, sent.hello = l.client.hello, true
+	}
+	if target.ID != sent.target.ID || target.Born != sent.target.Born {
+		sent.target = target
+		f.Target = &pb.TargetInfo{Target: target.ID, Service: target.Service, Labels: target.Labels, Capacity: requirementOf(target.Capacity)}
+	}
+	if version, all := l.client.gateways.Since(sent.gateways); version != sent.gateways {
+		sent.gateways, f.Gateways = version, all
+	}
+	return f
+}
--- /dev/null
+++ b/restartable/link/server.go
@@ -0,0 +1,233 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
+	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+var errSilent = errors.New("no frame arrived in time")
+
+// Server is the gateway's end of the links.
+type Server struct {
+	dispatcher *dispatch.Dispatcher
+	config     *queues.Current
+	gateways   *Gateways
+	links      atomic.Uint64
+}
+
+// NewServer returns the service of a gateway.
+func NewServer(d *dispatch.Dispatcher, config *queues.Current, gateways *Gateways) *Server {
+	return &Server{dispatcher: d, config: config, gateways: gateways}
+}
+
+// Handler returns the HTTP handler of the service.
+func (s *Server) Handler() http.Handler {
+	_, h := restartv1connect.NewDispatchServiceHandler(s, connect.WithReadMaxBytes(frameBytes),
+		connect.WithCompression("gzip", nil, nil))
+	return h
+}
+
+// Configuration returns the configuration in force if the caller's is older.
+func (s *Server) Configuration(_ context.Context, r *connect.Request[pb.ConfigurationRequest]) (*connect.Response[pb.ConfigurationReply], error) {
+	reply := &pb.ConfigurationReply{}
+	if c := s.config.Get(); c != nil {
+		reply.Version = c.Version
+		if c.Version > r.Msg.NewerThan {
+			reply.Document = c.Document
+		}
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// Introduce adds a gateway to the list that agents are sent.
+func (s *Server) Introduce(_ context.Context, r *connect.Request[pb.IntroduceRequest]) (*connect.Response[pb.IntroduceReply], error) {
+	s.gateways.Add(r.Msg.Gateway)
+	return connect.NewResponse(&pb.IntroduceReply{Gateways: s.gateways.All()}), nil
+}
+
+// gatewayLink is one agent's stream at the gateway. The handler's goroutine
+// receives, a second one sends.
+type gatewayLink struct {
+	wake chan struct{}
+
+	mu    sync.Mutex // owns the fields below
+	next  *pb.RunOrder
+	stamp int64
+	// changed is set if next has something to send.
+	changed bool
+}
+
+func newGatewayLink() *gatewayLink {
+	return &gatewayLink{wake: make(chan struct{}, 1), next: &pb.RunOrder{}}
+}
+
+func (l *gatewayLink) add(change func(next *pb.RunOrder)) {
+	l.mu.Lock()
+	change(l.next)
+	l.changed = true
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Order queues an order for the agent.
+func (l *gatewayLink) Order(o dispatch.Order) {
+	m := &pb.StartTasks{
+		Number: o.Number,
+		Job:    o.Step.Job, Occurrence: uint32(o.Step.Occurrence), Step: uint32(o.Step.Step), Spec: o.Spec,
+		Requirement: requirementOf(o.Needs), ExpectedMs: millis(o.Expected), StartWithinMs: millis(o.StartWithin),
+		DueWithinMs: millis(o.DueWithin), Priority: uint32(o.Priority), MaxPerTarget: uint32(o.MaxPerTarget),
+	}
+	for _, t := range o.Tasks {
+		m.Tasks = append(m.Tasks, &pb.TaskAttempt{Index: uint32(t.Index), Attempt: uint32(t.Number)})
+	}
+	l.add(func(next *pb.RunOrder) { next.Starts = append(next.Starts, m) })
+}
+
+// Stop queues a stop for the agent. Starts of the job that were queued before
+// it leave in the same frame, in which stops go first; they are dropped here.
+func (l *gatewayLink) Stop(s dispatch.Stop) {
+	l.add(func(next *pb.RunOrder) {
+		if s.Attempt == 0 {
+			next.StopJobs = append(next.StopJobs, s.Job)
+			dropStarts(next, s.Job)
+			return
+		}
+		id := s.Task
+		next.StopTasks = append(next.StopTasks, &pb.StopTask{
+			Job: id.Job, Occurrence: uint32(id.Occurrence), Step: uint32(id.Step), Index: uint32(id.Index), Attempt: uint32(s.Attempt),
+		})
+	})
+}
+
+func dropStarts(next *pb.RunOrder, job string) {
+	kept := next.Starts[:0]
+	for _, st := range next.Starts {
+		if st.Job != job {
+			kept = append(kept, st)
+		}
+	}
+	next.Starts = kept
+}
+
+// take returns the next frame with the newest stamp.
+func (l *gatewayLink) take() *pb.RunOrder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.next
+	out.Stamp = l.stamp
+	l.next, l.changed = &pb.RunOrder{}, false
+	return out
+}
+
+func (l *gatewayLink) setStamp(stamp int64) {
+	l.mu.Lock()
+	l.stamp = stamp
+	l.mu.Unlock()
+}
+
+type attachStream = connect.BidiStream[pb.RunReport, pb.RunOrder]
+
+// Attach serves one agent until either side ends the link.
+func (s *Server) Attach(ctx context.Context, stream *attachStream) error {
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello.GetAgent() == "" {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New("the first frame has no hello"))
+	}
+	info := dispatch.AgentInfo{
+		Link: hello.Agent + "#" + strconv.FormatUint(s.links.Add(1), 10), Name: hello.Agent, Zone: hello.Zone,
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	l := newGatewayLink()
+	l.setStamp(first.Stamp)
+	s.dispatcher.AgentUp(info, l)
+	s.take(info.Link, first)
+	go func() { cancel(s.write(ctx, stream, l)) }()
+	go func() { cancel(s.read(stream, l, info.Link, cancel)) }()
+	<-ctx.Done()
+	s.dispatcher.AgentDown(info, context.Cause(ctx))
+	return connect.NewError(connect.CodeUnavailable, context.Cause(ctx))
+}
+
+func (s *Server) read(stream *attachStream, l *gatewayLink, link string, cancel context.CancelCauseFunc) error {
+	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	for {
+		f, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		watchdog.Reset(silence)
+		l.setStamp(f.Stamp)
+		s.take(link, f)
+	}
+}
+
+// take passes the content of a frame on.
+func (s *Server) take(link string, f *pb.RunReport) {
+	if t := f.Target; t != nil {
+		s.dispatcher.AgentTarget(link, dispatch.TargetInfo{
+			Target: t.Target, Service: t.Service, Labels: t.Labels, Capacity: resourcesOf(t.Capacity),
+		})
+	}
+	for _, g := range f.Gateways {
+		s.gateways.Add(g)
+	}
+	var load *dispatch.Load
+	if m := f.Load; m != nil {
+		load = &dispatch.Load{
+			Accepting: m.Accepting, Committed: resourcesOf(m.Committed), Backlog: duration(m.BacklogMs),
+			Slowness: float64(m.SlownessPermille) / 1000, Failed: float64(m.FailedPermille) / 1000, OrdersSeen: m.OrdersSeen,
+		}
+	}
+	ends := make([]dispatch.Event, 0, len(f.Events))
+	for _, e := range f.Events {
+		ends = append(ends, dispatch.Event{
+			Task:    task.ID{StepID: task.StepID{Job: e.Job, Occurrence: int(e.Occurrence), Step: int(e.Step)}, Index: int(e.Index)},
+			Attempt: int(e.Attempt), Outcome: outcomeOf(e.Outcome), Reason: task.Reason(e.Reason),
+		})
+	}
+	s.dispatcher.Report(link, load, ends)
+}
+
+func (s *Server) write(ctx context.Context, stream *attachStream, l *gatewayLink) error {
+	echo := time.NewTimer(0)
+	defer echo.Stop()
+	var listed uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.wake:
+		case <-echo.C:
+		}
+		f := l.take()
+		if version, all := s.gateways.Since(listed); version != listed {
+			listed, f.Gateways = version, all
+		}
+		if err := stream.Send(f); err != nil {
+			return err
+		}
+		echo.Reset(echoEvery)
+	}
+}
--- /dev/null
+++ b/restartable/runner/runner.go
@@ -0,0 +1,402 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/common/events"
+)
+
+// ErrFenced means that the target has seen a higher fencing token.
+var ErrFenced = errors.New("the target has seen a higher fencing token")
+
+// TargetClient calls a target. All durations in deadlines are on the target's
+// own clock, in milliseconds.
+type TargetClient interface {
+	// Start begins a task. It returns StartUnanswered for every failure after
+	// which the task may still start, and ErrFenced for a low token.
+	Start(ctx context.Context, t Target, s Start, token, deadline int64) (StartResult, int64, error)
+	// Stop ends a task. An error means that it may not have been carried out.
+	Stop(ctx context.Context, t Target, a Attempt, token int64) (clock int64, err error)
+	// Look lists what runs and ends, and extends the lease of all that runs.
+	Look(ctx context.Context, t Target, q LookQuery) (LookReply, error)
+}
+
+// LookQuery is the question for a look at a target.
+type LookQuery struct {
+	Token int64
+	// Deadline extends the lease to this time of the target's clock; 0 does not.
+	Deadline int64
+	// LastEnd is the highest number of an end that was taken in.
+	LastEnd int64
+	// Wait is how long the target may wait for an end.
+	Wait time.Duration
+}
+
+// LookReply is the target's answer.
+type LookReply struct {
+	Clock   int64
+	Born    int64
+	LastEnd int64
+	Running []Attempt
+	Ended   []End
+}
+
+// DriveOptions are the times of a Runner.
+type DriveOptions struct {
+	// Lease is how long the target keeps runs without a renewal.
+	Lease time.Duration
+	// LeaseMax is the target's own bound of a lease, with the error of its clock.
+	LeaseMax time.Duration
+	// LookWait is the time between two renewals while nothing ends.
+	LookWait time.Duration
+	// CallTimeout bounds a start or a stop; a look has LookWait more.
+	CallTimeout time.Duration
+	// RetryAfter is the pause after a failed call.
+	RetryAfter time.Duration
+	// TickEvery is the time between two checks of leases and the queue.
+	TickEvery time.Duration
+}
+
+// DefaultDriveOptions suit targets whose leases last at most one second. A
+// lease outlives two lost renewals.
+func DefaultDriveOptions() DriveOptions {
+	return DriveOptions{
+		Lease: 900 * time.Millisecond, LeaseMax: 1050 * time.Millisecond,
+		LookWait: 200 * time.Millisecond, CallTimeout: 100 * time.Millisecond,
+		RetryAfter: 20 * time.Millisecond, TickEvery: 25 * time.Millisecond,
+	}
+}
+
+// Sink carries reports to one gateway. Its methods do not block.
+type Sink interface {
+	Report(r Report)
+	// LoadChanged tells that the load differs from the one last sent.
+	LoadChanged()
+	// Close ends the link.
+	Close()
+}
+
+// Runner drives a Core: it calls the target and passes reports on.
+type Runner struct {
+	opts   DriveOptions
+	client TargetClient
+	now    boottime.Clock
+	log    zerolog.Logger
+	// announced wakes the look loop after a heartbeat.
+	announced chan struct{}
+
+	mu    sync.Mutex // owns the fields below
+	core  *Core
+	sinks map[string]Sink
+	token int64
+	// clockAt and clock map the core's clock to the target's.
+	clockAt time.Duration
+	clock   int64
+	lastEnd int64
+	// leasedAt is when the last call that extends the lease was sent.
+	leasedAt time.Duration
+}
+
+// New returns a runner whose first fencing token is token.
+func New(core *Core, client TargetClient, token int64, now boottime.Clock, log zerolog.Logger, opts DriveOptions) *Runner {
+	return &Runner{
+		opts: opts, client: client, now: now, log: log, core: core, token: token,
+		sinks: map[string]Sink{}, announced: make(chan struct{}, 1),
+	}
+}
+
+// Run looks at the target and applies what is due until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { r.tick(ctx) })
+	for ctx.Err() == nil {
+		t, known := r.Target()
+		if !known {
+			r.awaitHeartbeat(ctx)
+			continue
+		}
+		if err := r.look(ctx, t); err != nil {
+			r.unreachable(err)
+			sleep(ctx, r.opts.RetryAfter)
+		}
+	}
+}
+
+func (r *Runner) tick(ctx context.Context) {
+	t := time.NewTicker(r.opts.TickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.do(ctx, func(c *Core, now time.Duration) { c.Tick(now) })
+		}
+	}
+}
+
+func (r *Runner) awaitHeartbeat(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-r.announced:
+	case <-time.After(time.Second):
+	}
+}
+
+// do applies a change to the core and carries out what follows from it.
+func (r *Runner) do(ctx context.Context, change func(c *Core, now time.Duration)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r.core, r.now())
+	r.perform(ctx, r.core.Take())
+}
+
+// perform runs with r.mu held.
+func (r *Runner) perform(ctx context.Context, a Actions) {
+	for _, s := range a.Starts {
+		go r.start(ctx, r.core.target, s)
+	}
+	for _, s := range a.Stops {
+		go r.stop(ctx, r.core.target, s)
+	}
+	for _, rep := range a.Reports {
+		if s := r.sinks[rep.Gateway]; s != nil {
+			s.Report(rep)
+		}
+	}
+	for _, g := range a.Disconnect {
+		if s := r.sinks[g]; s != nil {
+			events.GatewayLeaseLapsed.Log(r.log).Str("gateway", g).Send()
+			s.Close()
+		}
+	}
+	if len(a.Starts)+len(a.Reports) > 0 {
+		r.loadChanged()
+	}
+}
+
+func (r *Runner) loadChanged() {
+	for _, s := range r.sinks {
+		s.LoadChanged()
+	}
+}
+
+// deadline returns the end of a lease on the target's clock. It runs with r.mu
+// held. The target's clock is read at the end of a call, so that the result is
+// late by no more than that call took; the target shortens it to its own bound.
+func (r *Runner) deadline() int64 {
+	if r.clock == 0 {
+		return 0
+	}
+	r.leasedAt = r.now()
+	return r.clock + (r.leasedAt - r.clockAt + r.opts.Lease).Milliseconds()
+}
+
+// readClock notes the target's clock. It runs with r.mu held.
+func (r *Runner) readClock(clock int64) {
+	if clock != 0 {
+		r.clock, r.clockAt = clock, r.now()
+	}
+}
+
+func (r *Runner) start(ctx context.Context, t Target, s Start) {
+	r.mu.Lock()
+	token, deadline := r.token, r.deadline()
+	r.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
+	defer cancel()
+	result, clock, err := r.client.Start(call, t, s, token, deadline)
+	a := Attempt{s.Task, s.Attempt}
+	if result != StartAccepted {
+		events.RunNotAccepted.Log(r.log).Stringer("task", s.Task).Int("attempt", s.Attempt).Int("result", int(result)).Err(err).Send()
+	}
+	r.do(ctx, func(c *Core, now time.Duration) {
+		r.readClock(clock)
+		r.raiseToken(err)
+		c.Started(now, a, result)
+	})
+}
+
+func (r *Runner) stop(ctx context.Context, t Target, a Attempt) {
+	r.mu.Lock()
+	token := r.token
+	r.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
+	defer cancel()
+	clock, err := r.client.Stop(call, t, a, token)
+	if err != nil {
+		sleep(ctx, r.opts.RetryAfter)
+	}
+	r.do(ctx, func(c *Core, now time.Duration) {
+		r.readClock(clock)
+		r.raiseToken(err)
+		c.StopAnswered(now, a, err == nil)
+	})
+}
+
+// tokenStep is added to a fencing token that the target refuses. An earlier
+// agent of this VM took its token from a clock that was ahead of this one.
+const tokenStep = 10_000
+
+// raiseToken runs with r.mu held.
+func (r *Runner) raiseToken(err error) {
+	if errors.Is(err, ErrFenced) {
+		r.token += tokenStep
+		events.FencingTokenRaised.Log(r.log).Int64("token", r.token).Send()
+	}
+}
+
+func (r *Runner) look(ctx context.Context, t Target) error {
+	r.mu.Lock()
+	q := LookQuery{Token: r.token, Deadline: r.deadline(), LastEnd: r.lastEnd, Wait: r.opts.LookWait}
+	if r.clock == 0 || !r.core.surveyed || len(r.core.runs) == 0 {
+		q.Wait = 0
+	}
+	idle := r.core.surveyed && len(r.core.runs) == 0 && len(r.core.strangers) == 0
+	r.mu.Unlock()
+	if idle {
+		q.Wait = r.opts.LookWait
+	}
+	call, cancel := context.WithTimeout(ctx, q.Wait+r.opts.CallTimeout)
+	defer cancel()
+	began := r.now()
+	reply, err := r.client.Look(call, t, q)
+	if err != nil {
+		r.mu.Lock()
+		r.raiseToken(err)
+		r.mu.Unlock()
+		return err
+	}
+	r.do(ctx, func(c *Core, now time.Duration) {
+		r.readClock(reply.Clock)
+		known := c.Looked(now, Look{Began: began, Born: reply.Born, Running: reply.Running, Ended: reply.Ended})
+		if known {
+			r.lastEnd = max(r.lastEnd, reply.LastEnd)
+		} else {
+			err = errors.Errorf("the target answers as born at %d", reply.Born)
+		}
+	})
+	return err
+}
+
+func (r *Runner) unreachable(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	was := r.core.reachable
+	r.core.Unreachable(now, now-r.leasedAt > r.opts.LeaseMax)
+	if was {
+		events.TargetUnanswering.Log(r.log).Err(err).Send()
+	}
+	r.perform(context.Background(), r.core.Take())
+	if was {
+		r.loadChanged()
+	}
+}
+
+// Heartbeat takes in what the target says of itself.
+func (r *Runner) Heartbeat(ctx context.Context, t Target) {
+	r.do(ctx, func(c *Core, now time.Duration) {
+		old, known := c.Target()
+		c.Heartbeat(now, t)
+		if newer, _ := c.Target(); !known || !newer.sameLife(old) {
+			r.lastEnd, r.clock = 0, 0
+			events.TargetAnnounced.Log(r.log).Str("target", t.ID).Int64("born", t.Born).Int64("cpu_millis", t.Capacity.CPUMillis).Strs("labels", t.Labels).Send()
+		}
+		if t.Draining && !old.Draining {
+			events.TargetDraining.Log(r.log).Str("target", t.ID).Send()
+		}
+		r.loadChanged()
+	})
+	select {
+	case r.announced <- struct{}{}:
+	default:
+	}
+}
+
+// TargetLeft notes that the target has said goodbye.
+func (r *Runner) TargetLeft(ctx context.Context, id string) {
+	r.do(ctx, func(c *Core, now time.Duration) { c.TargetLeft(now, id) })
+	events.TargetLeft.Log(r.log).Str("target", id).Send()
+}
+
+// Target returns the newest target.
+func (r *Runner) Target() (Target, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Target()
+}
+
+// Load returns the target, its load and the time of both.
+func (r *Runner) Load() (Target, Load, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	return r.core.target, r.core.Load(now), now
+}
+
+// Attach adds the link of a gateway.
+func (r *Runner) Attach(gateway string, s Sink) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sinks[gateway] = s
+	r.core.Echo(gateway, r.now())
+}
+
+// Detach removes a link; the gateway's tasks end.
+func (r *Runner) Detach(ctx context.Context, gateway string) {
+	r.do(ctx, func(c *Core, now time.Duration) {
+		delete(r.sinks, gateway)
+		c.GatewayGone(now, gateway)
+	})
+}
+
+// Order passes the content of a gateway's frame on.
+func (r *Runner) Order(ctx context.Context, gateway string, stamp time.Duration, starts []Start, stopJobs []string, stops []Attempt) {
+	r.do(ctx, func(c *Core, now time.Duration) {
+		c.Echo(gateway, stamp)
+		if len(stopJobs) > 0 {
+			c.StopJobs(now, gateway, stopJobs)
+		}
+		for _, a := range stops {
+			c.StopAttempt(now, gateway, a)
+		}
+		if len(starts) > 0 {
+			c.Order(now, gateway, stamp, starts)
+		}
+	})
+}
+
+// Stop makes the runner start nothing more, and returns when all that ran has
+// ended or ctx ends.
+func (r *Runner) Stop(ctx context.Context) {
+	r.do(ctx, func(c *Core, now time.Duration) { c.Stop(now) })
+	r.mu.Lock()
+	r.loadChanged()
+	r.mu.Unlock()
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		idle := r.core.Idle()
+		r.mu.Unlock()
+		if idle {
+			return
+		}
+		sleep(ctx, r.opts.TickEvery)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
