End the goroutines of a link before its handler returns

Ruled out: a closed outbox. The functions that end a waiting Receive and Send move from agent to common/streamend, and the handler waits for both goroutines. Refusals now log the prediction that decided them; an agent logs its target's load each 5 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/streamend"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
 )
 
@@ -225,7 +226,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(rhubarbsailv1connect.NewAgentServiceHandler(linkService{a}, a.handlerOptions()...))
 	s := &http.Server{
-		Handler:           withController(mux),
+		Handler:           streamend.Handler(mux),
 		ReadHeaderTimeout: headerTimeout,
 		Protocols:         new(http.Protocols),
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
--- a/agent/session.go
+++ b/agent/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,6 +11,7 @@
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/streamend"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 )
 
@@ -36,8 +36,6 @@
 	s.endSend()
 }
 
-type controllerKey struct{}
-
 func (a *Agent) handlerOptions() []connect.HandlerOption {
 	return []connect.HandlerOption{
 		connect.WithReadMaxBytes(a.opts.FrameLimit),
@@ -47,25 +45,6 @@
 	}
 }
 
-// withController passes the response's controller to the Link handler, which
-// connect does not expose. Its deadlines are the only way to end a Receive.
-func withController(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
-		next.ServeHTTP(w, r.WithContext(ctx))
-	})
-}
-
-// deadlines returns functions that end a waiting Receive and a waiting Send.
-func deadlines(ctx context.Context) (endReceive, endSend func()) {
-	rc, ok := ctx.Value(controllerKey{}).(*http.ResponseController)
-	if !ok {
-		return func() {}, func() {}
-	}
-	past := time.Unix(1, 0)
-	return func() { _ = rc.SetReadDeadline(past) }, func() { _ = rc.SetWriteDeadline(past) }
-}
-
 // linkService serves AgentService.
 type linkService struct{ a *Agent }
 
@@ -85,7 +64,7 @@
 		incarnation: model.Incarnation(hello.GetGatewayIncarnation()),
 		out:         newOutbox(a.opts.OutboxLimit),
 	}
-	s.endReceive, s.endSend = deadlines(ctx)
+	s.endReceive, s.endSend = streamend.Functions(ctx)
 	if err := a.open(s); err != nil {
 		return connect.NewError(connect.CodeFailedPrecondition, err)
 	}
--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -153,6 +153,7 @@
 	LinesDropped        = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", nothing)
 	TargetAvoided       = define(6018, "target_avoided", warnLevel, "a target gets no work but probes, since its tasks fail or its agent is silent", nothing)
 	TargetTrusted       = define(6019, "target_trusted", infoLevel, "a target gets work again", nothing)
+	TargetState         = define(6021, "target_state", infoLevel, "the load of the target, regularly", nothing)
 	Suspended           = define(6020, "suspended", warnLevel, "the process did not run for a while", "Look for a suspension or overload of the VM.")
 )
 
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -28,8 +28,14 @@
 // JobEnded implements dispatch.Observer.
 func (o *jobObserver) JobEnded(e dispatch.Ended) {
 	a := e.Answer
-	events.RestartableEnded.Log(o.log).Str("job", e.ID).Str("queue", e.Queue).Stringer("state", a.State).
-		Str("cause", string(a.Cause)).Int("attempts", a.Attempts).Int("targets", a.Targets).Dur("elapsed_ms", a.Elapsed).Send()
+	line := events.RestartableEnded.Log(o.log).Str("job", e.ID).Str("queue", e.Queue).Stringer("state", a.State).
+		Str("cause", string(a.Cause)).Int("attempts", a.Attempts).Int("targets", a.Targets).Int64("elapsed_ms", a.Elapsed.Milliseconds())
+	if b := a.Basis; b != nil {
+		line = line.Str("agent", b.Agent).Int64("heard_ms", b.Heard.Milliseconds()).Int64("estimate_ms", b.Estimate.Milliseconds()).
+			Int64("wait_ms", b.Wait.Milliseconds()).Int64("run_ms", b.Run.Milliseconds()).
+			Int64("objective_ms", b.Objective.Milliseconds()).Int64("deadline_ms", b.Deadline.Milliseconds())
+	}
+	line.Send()
 	key := [2]string{a.State.String(), string(a.Cause)}
 	m, ok := o.made[key]
 	if !ok {
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -60,6 +60,7 @@
 	wg.Go(func() { a.runner.Run(background) })
 	wg.Go(func() { a.links.Run(background) })
 	wg.Go(func() { a.readDirectory(background) })
+	wg.Go(func() { a.logState(background) })
 	set.start(&wg)
 	events.ProcessStarted.Log(a.log).Str("link", a.node.Internal).Str("target", a.node.Target).Send()
 	<-ctx.Done()
@@ -88,3 +89,17 @@
 		}
 	}
 }
+
+// stateEvery is the time between two log lines on the target's load.
+const stateEvery = 5 * time.Second
+
+func (a *PlatformAgent) logState(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, stateEvery)
+		t, l, _ := a.runner.Load()
+		events.TargetState.Log(a.log).Str("target", t.ID).Bool("accepting", l.Accepting).Str("reason", string(l.Reason)).
+			Int("running", l.Running).Int("queued", l.Queued).Int64("committed_cpu_millis", l.Committed.CPUMillis).
+			Int64("backlog_ms", l.Backlog.Milliseconds()).Float64("slowness", l.Slowness).Float64("failed_share", l.Failed).
+			Int("gateways", a.links.Up()).Send()
+	}
+}
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -333,7 +333,8 @@
 	}
 	p := c.newPlan(now, j, step)
 	choices := p.placeAll(tasks)
-	if cause := c.refusal(now, j, step, tasks, choices); cause != CauseNone {
+	if cause, last := c.refusal(now, j, step, tasks, choices); cause != CauseNone {
+		j.basis = c.basis(now, j, step, last)
 		c.giveUp(now, j, cause)
 		return false
 	}
@@ -342,25 +343,34 @@
 }
 
 // refusal tells why a job ought to be given up, given the best places for its
-// waiting tasks.
-func (c *Core) refusal(now time.Duration, j *job, step int, tasks []*taskRecord, choices []choice) Cause {
+// waiting tasks, and which of the choices decided it.
+func (c *Core) refusal(now time.Duration, j *job, step int, tasks []*taskRecord, choices []choice) (Cause, *choice) {
 	if len(choices) < len(tasks) {
 		if j.begun && len(choices) == 0 && c.CanPlace(now) {
 			// Something may come free for the rest.
-			return CauseNone
+			return CauseNone, nil
 		}
-		return c.causeOfNoPlace(j, step)
+		return c.causeOfNoPlace(j, step), nil
 	}
-	for _, ch := range choices {
+	for i := range choices {
+		ch := &choices[i]
 		end := now + ch.finish
 		if end > j.deadline {
-			return CauseOverload
+			return CauseOverload, ch
 		}
 		if !j.begun && ch.wait > 0 && end > j.objective {
-			return CauseOverload
+			return CauseOverload, ch
 		}
 	}
-	return CauseNone
+	return CauseNone, nil
+}
+
+func (c *Core) basis(now time.Duration, j *job, step int, last *choice) *Basis {
+	b := &Basis{Estimate: j.Steps[step].Estimate, Objective: j.objective - now, Deadline: j.deadline - now}
+	if last != nil {
+		b.Agent, b.Heard, b.Wait, b.Run = last.agent.Name, now-last.agent.heard, last.wait, last.run
+	}
+	return b
 }
 
 func (c *Core) causeOfNoPlace(j *job, step int) Cause {
@@ -502,7 +512,7 @@
 	for ag := range j.agents {
 		delete(ag.jobs, j.ID)
 	}
-	a.Attempts, a.Targets, a.Elapsed = j.attempts, len(j.agents), now-j.arrived
+	a.Attempts, a.Targets, a.Elapsed, a.Basis = j.attempts, len(j.agents), now-j.arrived, j.basis
 	j.answer(a)
 	c.out.Ended = append(c.out.Ended, Ended{ID: j.ID, Queue: j.Queue.Name, Answer: a})
 }
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -81,6 +81,20 @@
 	Attempts int
 	Targets  int
 	Elapsed  time.Duration
+	// Basis is the prediction that decided a refusal.
+	Basis *Basis
+}
+
+// Basis is the prediction for the task of a job that would end last.
+type Basis struct {
+	// Agent is the best agent for the task, empty if there is none; Heard is the
+	// age of its last report.
+	Agent string
+	Heard time.Duration
+	// Estimate is the caller's, Wait and Run are what was predicted from it.
+	Estimate, Wait, Run time.Duration
+	// Objective and Deadline are the times that were left.
+	Objective, Deadline time.Duration
 }
 
 // taskState is what is known of one task.
@@ -121,6 +135,8 @@
 	attempts  int
 	agents    map[*agent]bool
 	callers   []func(Answer)
+	// basis is the prediction that decided a refusal.
+	basis *Basis
 }
 
 func newJob(now time.Duration, s Submission) *job {
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/common/streamend"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
@@ -37,7 +38,7 @@
 func (s *Server) Handler() http.Handler {
 	_, h := restartv1connect.NewDispatchServiceHandler(s, connect.WithReadMaxBytes(frameBytes),
 		connect.WithCompression("gzip", nil, nil))
-	return h
+	return streamend.Handler(h)
 }
 
 // Configuration returns the configuration in force if the caller's is older.
@@ -162,10 +163,16 @@
 	l.setStamp(first.Stamp)
 	s.dispatcher.AgentUp(info, l)
 	s.take(info.Link, first)
-	go func() { cancel(s.write(ctx, stream, l)) }()
-	go func() { cancel(s.read(stream, l, info.Link, cancel)) }()
+	endReceive, endSend := streamend.Functions(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { cancel(s.write(ctx, stream, l)) })
+	wg.Go(func() { cancel(s.read(stream, l, info.Link, cancel)) })
 	<-ctx.Done()
 	s.dispatcher.AgentDown(info, context.Cause(ctx))
+	// The stream must not be used after the handler has returned.
+	endReceive()
+	endSend()
+	wg.Wait()
 	return connect.NewError(connect.CodeUnavailable, context.Cause(ctx))
 }
 
