Predict run times by kind, queue and regression; place by expected worth

Ruled out: lack of capacity (fast targets held 60% of their processors). Change: targets average logarithms and report samples and anomalies apart; gateways mix a target's value with its kind's; a queue's estimator learns how much of an estimate to believe; a slot's cost is the expected loss of worth.

--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 type TargetInfo struct {
 	Target   string
 	Service  string
+	Kind     string
 	Labels   []string
 	Capacity task.Resources
 }
@@ -28,8 +30,11 @@
 	Accepting bool
 	Committed task.Resources
 	Backlog   time.Duration
-	Slowness  float64
-	Failed    float64
+	// Slowness is the usual ratio of measured to expected run times, learned
+	// from Samples runs, and Anomaly the present ratio to the usual one.
+	Slowness, Anomaly float64
+	Samples           int
+	Failed            float64
 	// OrdersSeen is the highest number of an order that the load includes.
 	OrdersSeen uint64
 }
@@ -76,15 +81,31 @@
 	return label == "" || slices.Contains(a.target.Labels, label)
 }
 
-// runTime predicts how long a task runs on the agent's target.
-func (a *agent) runTime(s *Step, remoteFactor float64) time.Duration {
-	run := float64(s.Estimate) * max(a.load.Slowness, slownessMin)
-	if !a.hasLabel(s.DataRack) {
-		run *= remoteFactor
+// slowness returns the ratio of measured to expected run times that is to be
+// expected of the agent's target. What its own runs show is mixed with what
+// those of other targets of its kind show.
+func (c *Core) slowness(a *agent) float64 {
+	var sum, n float64
+	for _, o := range c.agents {
+		if o != a && o.target.Kind == a.target.Kind && o.target.Service == a.target.Service && o.load.Samples > 0 {
+			w := math.Min(float64(o.load.Samples), kindSamples)
+			sum += w * math.Log(max(o.load.Slowness, slownessMin))
+			n += w
+		}
 	}
-	return time.Duration(run)
+	own := float64(a.load.Samples)
+	mean := math.Log(max(a.load.Slowness, slownessMin))
+	if n > 0 {
+		mean = (own*mean + kindSamples*sum/n) / (own + kindSamples)
+	}
+	return math.Exp(mean) * max(a.load.Anomaly, slownessMin)
 }
 
-// slownessMin keeps a target that ended a few short runs from looking as if it
-// needed no time.
-const slownessMin = 0.05
+const (
+	// kindSamples is the number of a target's own runs that count as much as
+	// what is known of its kind.
+	kindSamples = 60
+	// slownessMin keeps a target that ended a few short runs from looking as if
+	// it needed no time.
+	slownessMin = 0.05
+)
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -93,6 +93,8 @@
 	Attempt int
 	Outcome task.Outcome
 	Reason  task.Reason
+	// RunTime is the time between start and end.
+	RunTime time.Duration
 }
 
 // Core decides for one gateway. It is not safe for concurrent use; all times
@@ -102,12 +104,14 @@
 	agents []*agent
 	byLink map[string]*agent
 	jobs   map[string]*job
-	out    Actions
+	// estimators are those of the queues by name.
+	estimators map[string]*estimator
+	out        Actions
 }
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}}
 }
 
 // Take returns the actions since the last call.
@@ -226,12 +230,21 @@
 		j.callers = append(j.callers, answer)
 		return
 	}
-	j := newJob(now, s)
+	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
 	j.callers = append(j.callers, answer)
 	c.jobs[s.ID] = j
 	c.proceed(now, j)
 }
 
+func (c *Core) estimator(queue string) *estimator {
+	e := c.estimators[queue]
+	if e == nil {
+		e = &estimator{}
+		c.estimators[queue] = e
+	}
+	return e
+}
+
 // Leave notes that the job's only caller has gone. Its tasks are stopped: the
 // caller may submit the job to another gateway.
 func (c *Core) Leave(now time.Duration, id string) {
@@ -277,6 +290,9 @@
 	case task.Done:
 		t.state = done
 		j.left[e.Task.Step]--
+		st := &j.Steps[e.Task.Step]
+		run := time.Duration(float64(e.RunTime) / c.slowness(a))
+		c.estimator(j.Queue.Name).observe(st.Estimate, run, 1/float64(st.Tasks))
 	case task.Failed:
 		t.failed++
 		t.failedOn = a.Name
@@ -354,17 +370,25 @@
 	}
 	for i := range choices {
 		ch := &choices[i]
-		end := now + ch.finish
-		if end > j.deadline {
+		if onTime(ch.finish, j.deadline-now) < hopeless {
 			return CauseOverload, ch
 		}
-		if !j.begun && ch.wait > 0 && end > j.objective {
+		if !j.begun && ch.wait > 0 && onTime(ch.finish, j.objective-now) < crowded {
 			return CauseOverload, ch
 		}
 	}
 	return CauseNone, nil
 }
 
+const (
+	// hopeless is the probability to meet its deadline below which a job is
+	// refused.
+	hopeless = 0.08
+	// crowded is the probability to meet its objective below which a job that
+	// would have to wait for a target is refused: others could use its place.
+	crowded = 0.4
+)
+
 func (c *Core) basis(now time.Duration, j *job, step int, last *choice) *Basis {
 	b := &Basis{Estimate: j.Steps[step].Estimate, Objective: j.objective - now, Deadline: j.deadline - now}
 	if last != nil {
@@ -408,7 +432,7 @@
 				within = max(j.deadline-now-ch.run-c.hop(a), startGrace)
 			}
 			o = &Order{
-				Link: a.Link, Step: task.StepID{Job: j.ID, Step: step}, Spec: j.Spec, Needs: st.Needs, Expected: st.Estimate,
+				Link: a.Link, Step: task.StepID{Job: j.ID, Step: step}, Spec: j.Spec, Needs: st.Needs, Expected: j.expected[step],
 				StartWithin: within, DueWithin: due, Priority: j.Queue.Priority, MaxPerTarget: st.MaxPerTarget,
 			}
 			byAgent[a] = o
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -131,15 +131,17 @@
 	deadline  time.Duration
 	tasks     [][]*taskRecord
 	left      []int // tasks of each step that are not done
-	begun     bool  // a task may have started
-	attempts  int
-	agents    map[*agent]bool
-	callers   []func(Answer)
+	// expected are the run times of each step's tasks at slowness one.
+	expected []time.Duration
+	begun    bool // a task may have started
+	attempts int
+	agents   map[*agent]bool
+	callers  []func(Answer)
 	// basis is the prediction that decided a refusal.
 	basis *Basis
 }
 
-func newJob(now time.Duration, s Submission) *job {
+func newJob(now time.Duration, s Submission, predict func(time.Duration) time.Duration) *job {
 	j := &job{Submission: s, arrived: now, deadline: now + min(s.Wait, s.Queue.Timeout), agents: map[*agent]bool{}}
 	for step, st := range s.Steps {
 		records := make([]*taskRecord, st.Tasks)
@@ -148,12 +150,13 @@
 		}
 		j.tasks = append(j.tasks, records)
 		j.left = append(j.left, st.Tasks)
+		j.expected = append(j.expected, predict(st.Estimate))
 	}
 	j.objective = now + s.Queue.TargetLatency + time.Duration(s.Queue.Stretch*float64(j.chain()))
 	return j
 }
 
-// chain returns the longest sum of estimates along the steps' order.
+// chain returns the longest sum of expected run times along the steps' order.
 func (j *job) chain() time.Duration {
 	longest := make([]time.Duration, len(j.Steps))
 	var all time.Duration
@@ -161,7 +164,7 @@
 		for _, before := range s.After {
 			longest[i] = max(longest[i], longest[before])
 		}
-		longest[i] += s.Estimate
+		longest[i] += j.expected[i]
 		all = max(all, longest[i])
 	}
 	return all
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -17,6 +17,8 @@
 // slot is an agent with what a plan has already put on it.
 type slot struct {
 	agent *agent
+	// run is how long a task of the step is expected to run there.
+	run   time.Duration
 	needs task.Resources
 	work  float64
 	tasks int
@@ -45,17 +47,25 @@
 			continue
 		}
 		needs, work := a.committed()
-		p.slots = append(p.slots, &slot{agent: a, needs: needs, work: work})
+		p.slots = append(p.slots, &slot{agent: a, run: p.runTime(a), needs: needs, work: work})
 	}
 	return p
 }
 
+func (p *plan) runTime(a *agent) time.Duration {
+	run := float64(p.job.expected[p.step]) * p.core.slowness(a)
+	if !a.hasLabel(p.job.Steps[p.step].DataRack) {
+		run *= p.core.opts.RemoteFactor
+	}
+	return time.Duration(run)
+}
+
 // predict estimates when a task would end on a slot. Runs that are in the way
 // are taken to end evenly over the time that they still need on average.
 func (p *plan) predict(s *slot) prediction {
 	step := &p.job.Steps[p.step]
 	capacity := float64(s.agent.target.Capacity.CPUMillis)
-	pr := prediction{agent: s.agent, run: s.agent.runTime(step, p.core.opts.RemoteFactor)}
+	pr := prediction{agent: s.agent, run: s.run}
 	over := float64(s.needs.CPUMillis+step.Needs.CPUMillis) - capacity
 	if over > 0 && s.needs.CPUMillis > 0 {
 		meanLeft := s.work / float64(s.needs.CPUMillis)
@@ -101,32 +111,43 @@
 	return n
 }
 
-// cost orders the slots of a task, in seconds. The end of the run counts most;
-// among targets that end it well before the objective, the one that costs least
-// of the fast capacity and of the network is taken.
+// cost orders the slots of a task: the expected loss of the job's worth, and
+// a little for the time, the capacity and the bytes that it takes.
 func (p *plan) cost(s *slot, t *taskRecord, pr prediction) float64 {
-	cost := pr.finish.Seconds()
+	cost := 1 - p.worth(pr.finish)
+	cost += timeWeight * pr.finish.Seconds()
 	if t.failedOn == s.agent.Name {
-		cost += failedPenalty.Seconds()
+		cost += failedPenalty
 	}
 	if s.agent.avoided {
-		cost += avoidedPenalty.Seconds()
+		cost += avoidedPenalty
 	}
 	if s.agent.Zone != p.core.opts.Zone && s.tasks == 0 {
-		cost += newAgentPenalty.Seconds()
+		cost += newAgentPenalty
 	}
 	return cost
 }
 
+// worth is the expected share of a job's worth if its last task ends after a
+// time from now.
+func (p *plan) worth(finish time.Duration) float64 {
+	objective := onTime(finish, p.job.objective-p.now)
+	deadline := onTime(finish, p.job.deadline-p.now)
+	return (1-lateShare)*min(objective, deadline) + lateShare*deadline
+}
+
 const (
-	// failedPenalty sends a task that has failed to another target, unless that
-	// would cost more than this.
-	failedPenalty = 300 * time.Millisecond
+	// lateShare is the worth of an answer after the objective.
+	lateShare = 0.2
+	// timeWeight is the cost of a second.
+	timeWeight = 0.3
+	// failedPenalty sends a task that has failed to another target.
+	failedPenalty = 0.4
 	// avoidedPenalty lets an avoided target be probed only when the others are
 	// loaded.
-	avoidedPenalty = 20 * time.Millisecond
+	avoidedPenalty = 0.05
 	// newAgentPenalty weighs the bytes of one more copy of the job's spec.
-	newAgentPenalty = time.Millisecond
+	newAgentPenalty = 0.0005
 )
 
 func (p *plan) take(s *slot, pr prediction) {
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -265,6 +265,7 @@
 	f := &pb.RunReport{Stamp: int64(now), Events: ends, Load: &pb.TargetLoad{
 		Accepting: load.Accepting, Reason: string(load.Reason), Committed: requirementOf(load.Committed),
 		BacklogMs: millis(load.Backlog), SlownessPermille: uint32(load.Slowness * 1000),
+		AnomalyPermille: uint32(load.Anomaly * 1000), Samples: uint32(load.Samples),
 		Running: uint32(load.Running), Queued: uint32(load.Queued), FailedPermille: uint32(load.Failed * 1000), OrdersSeen: seen,
 	}}
 	if !sent.hello {
@@ -272,7 +273,7 @@
 	}
 	if target.ID != sent.target.ID || target.Born != sent.target.Born {
 		sent.target = target
-		f.Target = &pb.TargetInfo{Target: target.ID, Service: target.Service, Labels: target.Labels, Capacity: requirementOf(target.Capacity)}
+		f.Target = &pb.TargetInfo{Target: target.ID, Service: target.Service, Kind: target.Kind, Labels: target.Labels, Capacity: requirementOf(target.Capacity)}
 	}
 	if version, all := l.client.gateways.Since(sent.gateways); version != sent.gateways {
 		sent.gateways, f.Gateways = version, all
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -194,7 +194,7 @@
 func (s *Server) take(link string, f *pb.RunReport) {
 	if t := f.Target; t != nil {
 		s.dispatcher.AgentTarget(link, dispatch.TargetInfo{
-			Target: t.Target, Service: t.Service, Labels: t.Labels, Capacity: resourcesOf(t.Capacity),
+			Target: t.Target, Service: t.Service, Kind: t.Kind, Labels: t.Labels, Capacity: resourcesOf(t.Capacity),
 		})
 	}
 	for _, g := range f.Gateways {
@@ -204,14 +204,15 @@
 	if m := f.Load; m != nil {
 		load = &dispatch.Load{
 			Accepting: m.Accepting, Committed: resourcesOf(m.Committed), Backlog: duration(m.BacklogMs),
-			Slowness: float64(m.SlownessPermille) / 1000, Failed: float64(m.FailedPermille) / 1000, OrdersSeen: m.OrdersSeen,
+			Slowness: float64(m.SlownessPermille) / 1000,
+			Anomaly:  float64(m.AnomalyPermille) / 1000, Samples: int(m.Samples), Failed: float64(m.FailedPermille) / 1000, OrdersSeen: m.OrdersSeen,
 		}
 	}
 	ends := make([]dispatch.Event, 0, len(f.Events))
 	for _, e := range f.Events {
 		ends = append(ends, dispatch.Event{
 			Task:    task.ID{StepID: task.StepID{Job: e.Job, Occurrence: int(e.Occurrence), Step: int(e.Step)}, Index: int(e.Index)},
-			Attempt: int(e.Attempt), Outcome: outcomeOf(e.Outcome), Reason: task.Reason(e.Reason),
+			Attempt: int(e.Attempt), Outcome: outcomeOf(e.Outcome), Reason: task.Reason(e.Reason), RunTime: duration(e.RunMs),
 		})
 	}
 	s.dispatcher.Report(link, load, ends)
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -39,8 +39,10 @@
 type Target struct {
 	ID string
 	// Born distinguishes the lives of a target that keeps its id.
-	Born     int64
-	Service  string
+	Born    int64
+	Service string
+	// Kind names the model of the machine; targets of one kind are about as fast.
+	Kind     string
 	Labels   []string
 	Capacity task.Resources
 	Draining bool
@@ -402,7 +404,7 @@
 		took = now - r.startedAt
 	}
 	delete(c.runs, r.Task)
-	c.stats.ended(outcome, took, r.Expected)
+	c.stats.ended(now, outcome, took, r.Expected)
 	c.out.Reports = append(c.out.Reports, Report{
 		Gateway: r.gateway, Task: r.Task, Attempt: r.Attempt, Outcome: outcome, Reason: reason, RunTime: took,
 	})
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -165,19 +165,24 @@
 	Committed task.Resources
 	// Backlog is the time that a whole target would need for all that is
 	// committed.
-	Backlog  time.Duration
-	Slowness float64
-	Failed   float64
-	Running  int
-	Queued   int
+	Backlog time.Duration
+	// Slowness is the usual ratio of measured to expected run times, learned
+	// from Samples runs. Anomaly is the present ratio to the usual one.
+	Slowness, Anomaly float64
+	Samples           int
+	// Failed is the share of recent runs that have failed.
+	Failed  float64
+	Running int
+	Queued  int
 }
 
 // Load returns the present load.
 func (c *Core) Load(now time.Duration) Load {
 	l := Load{Committed: c.used.Plus(c.waiting), Queued: len(c.queue), Running: len(c.runs) - len(c.queue)}
 	l.Accepting, l.Reason = c.Accepting()
-	slowness := c.stats.slownessWith(c.elapsed(now))
-	l.Slowness, l.Failed = slowness, c.stats.failed
+	sp := c.stats.speed(now, c.elapsed(now))
+	l.Slowness, l.Anomaly, l.Samples, l.Failed = sp.slowness, sp.anomaly, sp.samples, sp.failed
+	slowness := sp.slowness * sp.anomaly
 	var work float64
 	for _, r := range c.runs {
 		left := time.Duration(float64(r.Expected) * slowness)
