--- /dev/null
+++ b/restartable/dispatch/load_test.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// The tests of this file answer patterns of load, each named in its comment.
+
+// A fast and a slow kind of targets: the tasks of long jobs, which only a fast
+// target can end in time, go to fast ones, also when these are half full.
+func TestLongTasksGoToFastTargets(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.agent(fmt.Sprintf("fast%d", i), 32_000)
+		r.agent(fmt.Sprintf("slow%d", i), 32_000)
+	}
+	for i := range 4 {
+		r.report(fmt.Sprintf("fast%d", i), func(l *Load) {
+			l.Slowness, l.Committed, l.Backlog = 0.7, task.Resources{CPUMillis: 16_000}, 40*ms
+		})
+		slow := fmt.Sprintf("slow%d", i)
+		r.core.AgentTarget(slow, TargetInfo{Target: slow, Service: "s", Kind: "b", Capacity: task.Resources{CPUMillis: 32_000, MemoryMB: 60_000}})
+		r.report(slow, func(l *Load) { l.Slowness = 1.9 })
+	}
+	r.submit(jobOf("long", 4, 900*ms))
+	for link, n := range r.placed() {
+		if link[:4] != "fast" {
+			t.Errorf("%d long tasks on %s", n, link)
+		}
+	}
+}
+
+// Burst of one kind of job: what could only end late is refused at once, and
+// what was taken is not more than the targets can do in time.
+func TestBurstIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t)
+	for i := range 3 {
+		r.agent(fmt.Sprintf("t%d", i), 30_000)
+	}
+	for i := range 60 {
+		r.submit(jobOf(fmt.Sprintf("j%d", i), 2, 200*ms))
+	}
+	refused := 0
+	for _, a := range r.answers {
+		if a.State != NotRun || a.Cause != CauseOverload || a.RetryAfter <= 0 {
+			t.Fatalf("answer %+v", a)
+		}
+		refused++
+	}
+	// 30 tasks fit at a time; within the objective of 380 ms each target can
+	// take about one more round.
+	taken := 60 - refused
+	if taken < 15 || taken > 35 {
+		t.Fatalf("%d of 60 jobs taken", taken)
+	}
+}
+
+// Rough estimates: a job whose estimate is far above the others of its queue is
+// tried on a free target, since most such estimates are wrong.
+func TestImplausibleEstimateIsTried(t *testing.T) {
+	r := newRig(t)
+	r.agent("a", 32_000)
+	rng := rand.New(rand.NewPCG(3, 4))
+	e := r.core.estimator("q")
+	for range 400 {
+		run := 0.9 * math.Exp(0.3*rng.NormFloat64())
+		estimate := run * math.Exp(0.4*rng.NormFloat64())
+		e.observe(time.Duration(estimate*float64(time.Second)), time.Duration(run*float64(time.Second)), 1)
+	}
+	if got := e.predict(2500 * ms); got < 1000*ms || got > 1700*ms {
+		t.Fatalf("an estimate of 2.5 s is predicted as %v", got)
+	}
+	r.submit(jobOf("j", 2, 2500*ms))
+	if len(r.orders) == 0 {
+		t.Fatalf("answer %+v with a free target", r.answers["j"])
+	}
+}
+
+// A target that turns slow gets no work while others are free.
+func TestTargetThatTurnsSlowIsPassedOver(t *testing.T) {
+	r := newRig(t)
+	r.agent("ok", 32_000)
+	r.agent("slow", 32_000)
+	r.report("slow", func(l *Load) { l.Anomaly = 6 })
+	for i := range 3 {
+		r.submit(jobOf(fmt.Sprintf("j%d", i), 2, 100*ms))
+	}
+	if got := r.placed(); got["slow"] != 0 {
+		t.Fatalf("placed %v", got)
+	}
+}
+
+// A target that fails all it starts ends runs fastest and looks free; it gets
+// single probes only.
+func TestFailingTargetIsOnlyProbed(t *testing.T) {
+	r := newRig(t)
+	r.agent("ok", 32_000)
+	r.agent("bad", 32_000)
+	r.report("ok", func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 31_000}, 200*ms })
+	r.report("bad", func(l *Load) { l.Failed = 0.8 })
+	for i := range 6 {
+		r.submit(jobOf(fmt.Sprintf("j%d", i), 1, 100*ms))
+	}
+	if got := r.placed(); got["bad"] > 1 {
+		t.Fatalf("placed %v", got)
+	}
+}
+
+// Half of the agents vanish: the jobs that they had are answered at once, and
+// new ones go to the rest.
+func TestLossOfHalfTheAgents(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.agent(fmt.Sprintf("t%d", i), 4_000)
+	}
+	for i := range 4 {
+		r.submit(jobOf(fmt.Sprintf("j%d", i), 1, 100*ms))
+	}
+	r.core.AgentDown(r.now, "t0")
+	r.core.AgentDown(r.now, "t1")
+	r.collect()
+	if len(r.answers) != 2 {
+		t.Fatalf("%d answers for two jobs on lost agents", len(r.answers))
+	}
+	r.submit(jobOf("new", 1, 100*ms))
+	last := r.orders[len(r.orders)-1]
+	if last.Step.Job != "new" || (last.Link != "t2" && last.Link != "t3") {
+		t.Fatalf("order %+v", last)
+	}
+}
--- /dev/null
+++ b/restartable/runner/core_test.go
@@ -0,0 +1,371 @@
+package runner
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+const ms = time.Millisecond
+
+// rig drives a core by hand.
+type rig struct {
+	t    *testing.T
+	core *Core
+	now  time.Duration
+	// actions holds what the core asked for since the last call of reset.
+	actions Actions
+}
+
+var smallTarget = Target{ID: "t1", Born: 1, Service: "s", Kind: "a", Capacity: task.Resources{CPUMillis: 10_000, MemoryMB: 1000}}
+
+// newRig returns a core with a target that runs nothing, and a gateway g.
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, core: NewCore(DefaultOptions()), now: 10 * time.Second}
+	r.core.Heartbeat(r.now, smallTarget)
+	r.look()
+	r.core.Echo("g", r.now)
+	r.collect()
+	return r
+}
+
+func (r *rig) collect() {
+	a := r.core.Take()
+	r.actions.Starts = append(r.actions.Starts, a.Starts...)
+	r.actions.Stops = append(r.actions.Stops, a.Stops...)
+	r.actions.Reports = append(r.actions.Reports, a.Reports...)
+	r.actions.Disconnect = append(r.actions.Disconnect, a.Disconnect...)
+}
+
+// after moves the clock.
+func (r *rig) after(d time.Duration) { r.now += d }
+
+// look gives the core a list that the target made just now.
+func (r *rig) look(running ...Attempt) {
+	r.after(ms)
+	r.core.Looked(r.now, Look{Began: r.now, Born: smallTarget.Born, Running: running})
+	r.collect()
+}
+
+// ended gives the core a list with one end.
+func (r *rig) ended(a Attempt, o task.Outcome) {
+	r.after(ms)
+	r.core.Looked(r.now, Look{Began: r.now, Born: smallTarget.Born, Ended: []End{{a, o}}})
+	r.collect()
+}
+
+func taskOf(job string, index int) task.ID {
+	return task.ID{StepID: task.StepID{Job: job}, Index: index}
+}
+
+func first(job string, index int) Attempt { return Attempt{taskOf(job, index), 1} }
+
+func start(job string, index int, cpu int64) Start {
+	return Start{
+		Task: taskOf(job, index), Attempt: 1, Needs: task.Resources{CPUMillis: cpu, MemoryMB: 10},
+		Expected: 100 * ms, StartWithin: time.Second, DueWithin: 100 * ms,
+	}
+}
+
+func (r *rig) order(starts ...Start) {
+	r.core.Order(r.now, "g", r.now, starts)
+	r.collect()
+}
+
+func (r *rig) answer(a Attempt, result StartResult) {
+	r.after(ms)
+	r.core.Started(r.now, a, result)
+	r.collect()
+}
+
+func (r *rig) started() []string {
+	var out []string
+	for _, s := range r.actions.Starts {
+		out = append(out, s.Task.Job)
+	}
+	return out
+}
+
+func (r *rig) report(job string) Report {
+	r.t.Helper()
+	for _, rep := range r.actions.Reports {
+		if rep.Task.Job == job {
+			return rep
+		}
+	}
+	r.t.Fatalf("no report on job %s in %+v", job, r.actions.Reports)
+	return Report{}
+}
+
+func (r *rig) wantStarted(jobs ...string) {
+	r.t.Helper()
+	if got := r.started(); !slices.Equal(got, jobs) {
+		r.t.Fatalf("started %v, want %v", got, jobs)
+	}
+}
+
+func (r *rig) wantReport(job string, o task.Outcome, reason task.Reason) {
+	r.t.Helper()
+	if rep := r.report(job); rep.Outcome != o || rep.Reason != reason {
+		r.t.Fatalf("job %s: %v (%s), want %v (%s)", job, rep.Outcome, rep.Reason, o, reason)
+	}
+}
+
+// Guards against a target that is brought over its capacity: everything that
+// may be at work counts until the target has listed its end.
+func TestCapacityCountsUntilTheEndIsListed(t *testing.T) {
+	cases := map[string]func(r *rig){
+		"start without an answer yet": func(*rig) {},
+		"running":                     func(r *rig) { r.answer(first("a", 0), StartAccepted) },
+		"start that stays unanswered": func(r *rig) { r.answer(first("a", 0), StartUnanswered) },
+		"being stopped": func(r *rig) {
+			r.answer(first("a", 0), StartAccepted)
+			r.core.StopJobs(r.now, "g", []string{"a"})
+		},
+		"stop acknowledged": func(r *rig) {
+			r.answer(first("a", 0), StartAccepted)
+			r.core.StopJobs(r.now, "g", []string{"a"})
+			r.core.StopAnswered(r.now, first("a", 0), true)
+		},
+	}
+	for name, state := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.order(start("a", 0, 6000))
+			state(r)
+			r.order(start("b", 0, 6000))
+			r.wantStarted("a")
+			r.ended(first("a", 0), task.Stopped)
+			r.wantStarted("a", "b")
+		})
+	}
+}
+
+// Guards against a second run beside one that an answer was lost for: the
+// attempt counts as not started only after the target has acknowledged a stop
+// and a later list does not have it.
+func TestUnansweredStartIsResolvedByStopAndLook(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 6000))
+	r.answer(first("a", 0), StartUnanswered)
+	if len(r.actions.Stops) != 1 {
+		t.Fatalf("stops %v, want one", r.actions.Stops)
+	}
+	r.look()
+	r.core.StopAnswered(r.now, first("a", 0), false)
+	r.collect()
+	if len(r.actions.Reports) != 0 || len(r.actions.Stops) != 2 {
+		t.Fatalf("reports %v, stops %v; want none and a repeated stop", r.actions.Reports, r.actions.Stops)
+	}
+	began := r.now
+	r.after(ms)
+	r.core.StopAnswered(r.now, first("a", 0), true)
+	r.core.Looked(r.now+ms, Look{Began: began, Born: smallTarget.Born})
+	r.collect()
+	if len(r.actions.Reports) != 0 {
+		t.Fatal("a list from before the stop resolved the attempt")
+	}
+	r.after(2 * ms)
+	r.look()
+	r.wantReport("a", task.NotStarted, task.ReasonUnanswered)
+}
+
+// Guards against a stop that is lost because the start that it follows had not
+// been answered.
+func TestRevokeDuringStartStopsOnceStarted(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 6000))
+	r.core.StopJobs(r.now, "g", []string{"a"})
+	r.answer(first("a", 0), StartAccepted)
+	if !slices.Equal(r.actions.Stops, []Attempt{first("a", 0)}) {
+		t.Fatalf("stops %v", r.actions.Stops)
+	}
+}
+
+// Guards against work beside what a predecessor of this agent left on the
+// target: its size is not known.
+func TestNothingStartsBesideRunsOfAPredecessor(t *testing.T) {
+	r := &rig{t: t, core: NewCore(DefaultOptions()), now: time.Second}
+	r.core.Heartbeat(r.now, smallTarget)
+	r.core.Echo("g", r.now)
+	r.order(start("early", 0, 1000))
+	r.wantReport("early", task.NotStarted, task.ReasonNoTarget)
+	old := Attempt{taskOf("old", 3), 2}
+	r.look(old)
+	r.order(start("a", 0, 1000))
+	r.wantStarted()
+	if !slices.Equal(r.actions.Stops, []Attempt{old}) {
+		t.Fatalf("stops %v, want the predecessor's run", r.actions.Stops)
+	}
+	r.ended(old, task.Stopped)
+	r.wantStarted("a")
+}
+
+// Guards against orders that were held up on their way, by a cut or by a
+// suspension of either side, and that their gateway has given up since.
+func TestStaleOrderIsRefused(t *testing.T) {
+	r := newRig(t)
+	stamp := r.now
+	r.after(DefaultOptions().OrderLifetime + ms)
+	r.core.Order(r.now, "g", stamp, []Start{start("a", 0, 1000)})
+	r.collect()
+	r.wantReport("a", task.NotStarted, task.ReasonStale)
+	r.wantStarted()
+}
+
+// Guards against runs that go on after their gateway can no longer be heard:
+// its callers submit their jobs elsewhere.
+func TestLapsedGatewayLeaseStopsItsRuns(t *testing.T) {
+	r := newRig(t)
+	r.core.Echo("h", r.now)
+	r.order(start("a", 0, 6000))
+	r.answer(first("a", 0), StartAccepted)
+	r.order(start("queued", 0, 6000))
+	r.core.Order(r.now, "h", r.now, []Start{start("other", 0, 1000)})
+	r.after(DefaultOptions().GatewayLease - 10*ms)
+	r.core.Echo("h", r.now)
+	r.after(20 * ms)
+	r.core.Tick(r.now)
+	r.collect()
+	if !slices.Equal(r.actions.Disconnect, []string{"g"}) || !slices.Equal(r.actions.Stops, []Attempt{first("a", 0)}) {
+		t.Fatalf("disconnected %v, stopped %v", r.actions.Disconnect, r.actions.Stops)
+	}
+	r.wantReport("queued", task.NotStarted, task.ReasonRevoked)
+}
+
+// Guards against a queued task that starts after a suspension of this VM, when
+// its gateway has long given it up.
+func TestQueuedTaskDoesNotStartAfterASuspension(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 6000))
+	r.answer(first("a", 0), StartAccepted)
+	r.order(start("b", 0, 6000))
+	r.after(5 * time.Second)
+	r.ended(first("a", 0), task.Lost)
+	r.wantStarted("a")
+	r.wantReport("b", task.NotStarted, task.ReasonGatewayLost)
+}
+
+// Guards against work for a target that is leaving; what runs goes on.
+func TestDrainingTargetGetsNoWork(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 6000))
+	r.answer(first("a", 0), StartAccepted)
+	r.order(start("queued", 0, 6000))
+	leaving := smallTarget
+	leaving.Draining = true
+	r.core.Heartbeat(r.now, leaving)
+	r.collect()
+	r.order(start("late", 0, 1000))
+	r.wantReport("queued", task.NotStarted, task.ReasonDraining)
+	r.wantReport("late", task.NotStarted, task.ReasonDraining)
+	r.ended(first("a", 0), task.Done)
+	r.wantReport("a", task.Done, "")
+}
+
+// Guards against heartbeats of an earlier life that arrive after the target has
+// come back, and against runs of an earlier life that are waited for.
+func TestLivesOfATarget(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 6000))
+	r.answer(first("a", 0), StartAccepted)
+	reborn := smallTarget
+	reborn.Born, reborn.Capacity.CPUMillis = 2, 4000
+	r.core.Heartbeat(r.now, reborn)
+	r.collect()
+	r.wantReport("a", task.Lost, "")
+	old := smallTarget
+	old.Draining = true
+	r.core.Heartbeat(r.now, old)
+	if got, _ := r.core.Target(); got.Born != 2 || got.Draining {
+		t.Fatalf("target %+v after a late heartbeat of an earlier life", got)
+	}
+	if r.core.Looked(r.now, Look{Began: r.now, Born: 1}) {
+		t.Fatal("a list of an earlier life was taken")
+	}
+}
+
+// Guards against runs that are reported as lost while their lease may hold.
+func TestUnreachableTargetKeepsItsRunsUntilTheLeaseLapses(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 6000))
+	r.answer(first("a", 0), StartAccepted)
+	r.core.Unreachable(r.now, false)
+	r.collect()
+	if len(r.actions.Reports) != 0 {
+		t.Fatalf("reports %v before the lapse", r.actions.Reports)
+	}
+	r.core.Unreachable(r.now, true)
+	r.collect()
+	r.wantReport("a", task.Lost, "")
+}
+
+// Guards against a second run of a task beside one that has not ended here.
+func TestSecondOrderOfARunningTaskIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 1000))
+	again := start("a", 0, 1000)
+	again.Attempt = 2
+	r.order(again)
+	r.wantReport("a", task.NotStarted, task.ReasonDuplicate)
+}
+
+// Guards against long tasks that hold up short ones which are due earlier, and
+// against a full queue that delays what still fits.
+func TestQueueGoesByDueTime(t *testing.T) {
+	r := newRig(t)
+	r.order(start("running", 0, 9000))
+	relaxed, urgent, small := start("relaxed", 0, 9000), start("urgent", 0, 9000), start("small", 0, 1000)
+	relaxed.DueWithin, urgent.DueWithin, small.DueWithin = 500*ms, 50*ms, 900*ms
+	r.order(relaxed, urgent, small)
+	r.wantStarted("running", "small")
+	r.answer(first("running", 0), StartAccepted)
+	r.ended(first("running", 0), task.Done)
+	r.wantStarted("running", "small", "urgent")
+}
+
+// Guards against tasks that wait in the queue although their job has been given
+// up by then.
+func TestExpiredQueueEntryIsReported(t *testing.T) {
+	r := newRig(t)
+	r.order(start("running", 0, 9000))
+	short := start("short", 0, 9000)
+	short.StartWithin = 30 * ms
+	r.order(short)
+	r.after(31 * ms)
+	r.core.Tick(r.now)
+	r.collect()
+	r.wantReport("short", task.NotStarted, task.ReasonExpired)
+}
+
+// Guards against more tasks of a step on one target than it allows.
+func TestMaxPerTarget(t *testing.T) {
+	r := newRig(t)
+	one, two := start("a", 0, 1000), start("a", 1, 1000)
+	one.MaxPerTarget, two.MaxPerTarget = 1, 1
+	r.order(one, two)
+	r.wantStarted("a")
+	r.answer(first("a", 0), StartAccepted)
+	r.ended(first("a", 0), task.Done)
+	r.wantStarted("a", "a")
+}
+
+// Guards against a planned stop that cuts what runs, and one that begins work.
+func TestStopLetsRunsEnd(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 9000))
+	r.answer(first("a", 0), StartAccepted)
+	r.order(start("queued", 0, 9000))
+	r.core.Stop(r.now)
+	r.collect()
+	r.wantReport("queued", task.NotStarted, task.ReasonStopping)
+	if r.core.Idle() || len(r.actions.Stops) != 0 {
+		t.Fatal("the running task was not left to end")
+	}
+	r.ended(first("a", 0), task.Done)
+	if !r.core.Idle() {
+		t.Fatal("not idle after the last run ended")
+	}
+}
