Recall a task that looks hung at most once

Cause: TestPlatformGatewayStops got 504 from a gateway that stopped: a task of 700 ms with an estimate of 20 ms was stopped and started again about each 100 ms until its deadline. Ruled out: the planned stop, which let the request go on. Change: one recall a task; overdue on a second target means long.

--- /dev/null
+++ b/integration/platform_test.go
@@ -0,0 +1,288 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/daemon"
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/platform/standin"
+)
+
+// platformSite is a deployment of restartable jobs in this process, with
+// stand-ins of the platform.
+type platformSite struct {
+	t         *testing.T
+	store     *standin.Store
+	storeAddr string
+	gateways  []*platformProcess
+	executors []*standin.Executor
+}
+
+// platformProcess is one gateway or agent that can be stopped and started.
+type platformProcess struct {
+	node *platform.Node
+	run  func(ctx context.Context, n *platform.Node, log zerolog.Logger) error
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func (p *platformProcess) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop, p.done = cancel, make(chan struct{})
+	go func() {
+		defer close(p.done)
+		if err := p.run(ctx, p.node, zerolog.Nop()); err != nil {
+			t.Errorf("%s: %v", p.node.Name, err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-p.done
+	})
+}
+
+const platformQueues = `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/p/","timeout_ms":3000,"target_latency_ms":500,
+"service":"s","max_attempts":3,"stretch_factor":2}]}`
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func serveOn(t *testing.T, h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+func newPlatformSite(t *testing.T, gateways, targets int, adjust ...func(x *standin.Executor)) *platformSite {
+	s := &platformSite{t: t, store: standin.NewStore()}
+	s.storeAddr = serveOn(t, s.store.Handler())
+	s.store.Put("keyed.op", "config", []byte(platformQueues))
+	bounds := platform.Bounds{Grace: 4 * time.Second, LeaseMax: time.Second, RemoteFactor: 1.5}
+	var seeds []string
+	for i := range gateways {
+		n := &platform.Node{
+			Name: fmt.Sprintf("gateway-%d", i), Zone: "z", Callers: freeAddress(t), Readiness: freeAddress(t),
+			Link: freeAddress(t), Internal: "x", Metrics: freeAddress(t), Store: s.storeAddr, Bounds: bounds,
+		}
+		seeds = append(seeds, n.Link)
+		n.Seeds = seeds
+		p := &platformProcess{node: n, run: daemon.RunPlatformGateway}
+		s.gateways = append(s.gateways, p)
+		p.start(t)
+	}
+	for i := range targets {
+		x := standin.NewExecutor(fmt.Sprintf("i-%d", i), 4000)
+		for _, a := range adjust {
+			a(x)
+		}
+		s.executors = append(s.executors, x)
+		n := &platform.Node{
+			Name: fmt.Sprintf("agent-%d", i), Zone: "z", Internal: freeAddress(t), Metrics: freeAddress(t),
+			Store: s.storeAddr, Seeds: seeds[:1], Target: serveOn(t, x.Handler()), Bounds: bounds,
+		}
+		p := &platformProcess{node: n, run: daemon.RunPlatformAgent}
+		p.start(t)
+		s.heartbeats(n.Internal, x)
+	}
+	for _, g := range s.gateways {
+		s.awaitReady(g)
+	}
+	return s
+}
+
+// heartbeats sends the executor's heartbeats until the test ends.
+func (s *platformSite) heartbeats(agent string, x *standin.Executor) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for seq := 1; ctx.Err() == nil; seq++ {
+			body, _ := json.Marshal(map[string]any{
+				"service": "s", "state": "ready", "seq": seq, "born": x.Born, "labels": []string{"a"},
+				"capacity": map[string]any{"cpu": x.CPU, "mem_mb": 1000},
+			})
+			r, err := http.Post("http://"+agent+"/api/instances/"+x.ID+"/heartbeat", "application/json", bytes.NewReader(body))
+			if err == nil {
+				_ = r.Body.Close()
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	})
+	s.t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+func (s *platformSite) awaitReady(p *platformProcess) {
+	s.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		r, err := http.Get("http://" + p.node.Readiness + "/api/readyz")
+		if err != nil {
+			continue
+		}
+		_ = r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	s.t.Fatalf("%s is not ready", p.node.Name)
+}
+
+// submit hands a job of tasks to a gateway and returns the status and the body.
+func (s *platformSite) submit(gateway int, id, spec string, tasks int) (int, string) {
+	body := fmt.Sprintf(`{"spec":%q,"best_effort":true,"job_steps":[{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":20}]}`, spec, tasks)
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.gateways[gateway].node.Callers+"/p/"+id, strings.NewReader(body))
+	if err != nil {
+		s.t.Error(err)
+		return 0, ""
+	}
+	r.Host = "h"
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data)
+}
+
+func (s *platformSite) wantNoBreach() {
+	s.t.Helper()
+	for _, x := range s.executors {
+		for _, b := range x.Breaches() {
+			s.t.Errorf("%s: %s", x.ID, b)
+		}
+	}
+}
+
+// Guards against a path that does not run a job whole, and against failures
+// that are answered as successes.
+func TestPlatformPath(t *testing.T) {
+	s := newPlatformSite(t, 2, 3)
+	for g := range s.gateways {
+		if status, body := s.submit(g, fmt.Sprintf("00%d", g), "ms=20", 6); status != 200 || !strings.Contains(body, "completed") {
+			t.Fatalf("gateway %d: %d %s", g, status, body)
+		}
+	}
+	if status, body := s.submit(0, "0f", "fail", 1); status != 200 || !strings.Contains(body, "failed") {
+		t.Fatalf("%d %s", status, body)
+	}
+	if status, _ := s.submit(0, "0e", "ms=20", 9000); status != 503 {
+		t.Fatalf("status %d for more than all targets can do", status)
+	}
+	s.wantNoBreach()
+}
+
+// Guards against executors that are brought over their capacity or run a task
+// twice while calls to them are lost, late or refused.
+func TestPlatformCallsFail(t *testing.T) {
+	faults := map[string]standin.Fault{"answer lost": standin.FaultAnswerLost, "late": standin.FaultLate, "busy": standin.FaultBusy}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			s := newPlatformSite(t, 1, 2, func(x *standin.Executor) {
+				var calls atomic.Int64
+				x.Fault = func(path string) standin.Fault {
+					if path != "/api/hold" && calls.Add(1)%4 == 0 {
+						return fault
+					}
+					return standin.FaultNone
+				}
+			})
+			var wg sync.WaitGroup
+			var served atomic.Int64
+			for i := range 40 {
+				wg.Go(func() {
+					time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+					if status, _ := s.submit(0, fmt.Sprintf("%04x", i), "ms=20", 2); status == 200 {
+						served.Add(1)
+					}
+				})
+			}
+			wg.Wait()
+			if served.Load() < 20 {
+				t.Errorf("%d of 40 jobs served", served.Load())
+			}
+			s.wantNoBreach()
+		})
+	}
+}
+
+// Guards against a planned stop that cuts a request, and against a job of the
+// stopped gateway that runs on when its caller is told to send it again.
+func TestPlatformGatewayStops(t *testing.T) {
+	s := newPlatformSite(t, 2, 2)
+	answered := make(chan int)
+	go func() {
+		status, _ := s.submit(0, "aa", "ms=700", 1)
+		answered <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	s.gateways[0].stop()
+	if status := <-answered; status != 200 {
+		t.Fatalf("status %d from a gateway that stops", status)
+	}
+	<-s.gateways[0].done
+	if status, _ := s.submit(1, "ab", "ms=20", 2); status != 200 {
+		t.Fatalf("status %d from the other gateway", status)
+	}
+	s.wantNoBreach()
+}
+
+// Guards against work that stops with the store.
+func TestPlatformStoreOutage(t *testing.T) {
+	s := newPlatformSite(t, 1, 2)
+	s.store.SetDown(true)
+	if status, _ := s.submit(0, "aa", "ms=20", 2); status != 200 {
+		t.Fatalf("status %d while the store is down", status)
+	}
+	s.wantNoBreach()
+}
+
+// Guards against runs that go on after their caller has left.
+func TestPlatformCallerLeaves(t *testing.T) {
+	s := newPlatformSite(t, 1, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	body := `{"spec":"ms=2500","best_effort":true,"job_steps":[{"count":2,"cpu":1000,"estimate_ms":20}]}`
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.gateways[0].node.Callers+"/p/cc", strings.NewReader(body))
+	r.Host = "h"
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		_ = resp.Body.Close()
+		t.Fatalf("status %d before the tasks ended", resp.StatusCode)
+	}
+	for end := time.Now().Add(20 * time.Second); s.executors[0].Running() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the tasks run on")
+		}
+	}
+	if got := len(s.executors[0].Starts()); got != 2 {
+		t.Fatalf("%d tasks started", got)
+	}
+}
--- /dev/null
+++ b/restartable/configsync/configsync_test.go
@@ -0,0 +1,150 @@
+package configsync
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+)
+
+var errDown = errors.New("down")
+
+// fakeSource is a store whose failures the test sets. Documents are versions
+// in decimal.
+type fakeSource struct {
+	mu        sync.Mutex
+	documents []string
+	down      bool
+	trimmed   bool
+	newest    int
+}
+
+func (f *fakeSource) set(change func(f *fakeSource)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fakeSource) Newest(context.Context) ([]byte, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.newest++
+	if f.down {
+		return nil, 0, errDown
+	}
+	f.trimmed = false
+	n := len(f.documents)
+	if n == 0 {
+		return nil, 0, nil
+	}
+	return []byte(f.documents[n-1]), uint64(n), nil
+}
+
+func (f *fakeSource) Next(ctx context.Context, from uint64, wait time.Duration) ([]byte, uint64, error) {
+	end := time.Now().Add(wait)
+	for ctx.Err() == nil && time.Now().Before(end) {
+		f.mu.Lock()
+		down, n := f.down || f.trimmed, len(f.documents)
+		var d string
+		if uint64(n) > from {
+			d = f.documents[n-1]
+		}
+		f.mu.Unlock()
+		if down {
+			return nil, 0, errDown
+		}
+		if d != "" {
+			return []byte(d), uint64(n), nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil, from, ctx.Err()
+}
+
+func (f *fakeSource) Parse(document []byte) (*queues.Config, error) {
+	v, err := strconv.ParseUint(string(document), 10, 64)
+	return queues.New(v, nil, queues.Limits{}, document), err
+}
+
+// fakePeers answers with one document.
+type fakePeers struct{ document string }
+
+func (f fakePeers) Newer(_ context.Context, version uint64) []byte {
+	if v, err := strconv.ParseUint(f.document, 10, 64); err != nil || v <= version {
+		return nil
+	}
+	return []byte(f.document)
+}
+
+func run(t *testing.T, s *fakeSource, p Peers) *queues.Current {
+	t.Helper()
+	current := &queues.Current{}
+	opts := Options{Wait: 20 * time.Millisecond, RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond, PeersEvery: 5 * time.Millisecond}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		New(s, p, current, zerolog.Nop(), opts).Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return current
+}
+
+// await waits until the version is in force. The limit only ends a failed test.
+func await(t *testing.T, c *queues.Current, version uint64) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if got := c.Get(); got != nil && got.Version == version {
+			return
+		}
+	}
+	t.Fatalf("version %d is not in force; in force is %+v", version, c.Get())
+}
+
+// Guards against changes that are missed: published while waiting, while the
+// store was down, and after its history was dropped.
+func TestChangesComeIntoForce(t *testing.T) {
+	s := &fakeSource{documents: []string{"1"}}
+	c := run(t, s, fakePeers{})
+	await(t, c, 1)
+	s.set(func(f *fakeSource) { f.documents = append(f.documents, "2") })
+	await(t, c, 2)
+	s.set(func(f *fakeSource) { f.down = true })
+	s.set(func(f *fakeSource) { f.documents = append(f.documents, "3"); f.down = false })
+	await(t, c, 3)
+	s.set(func(f *fakeSource) { f.documents = []string{"4"}; f.trimmed = true })
+	await(t, c, 4)
+}
+
+// Guards against a gateway that keeps an old configuration, or has none, while
+// the store turns only this gateway away.
+func TestConfigurationOfAnotherGatewayWhileTheStoreFails(t *testing.T) {
+	s := &fakeSource{documents: []string{"1"}, down: true}
+	c := run(t, s, fakePeers{"7"})
+	await(t, c, 7)
+	s.set(func(f *fakeSource) { f.down = false })
+	time.Sleep(10 * time.Millisecond)
+	if got := c.Get().Version; got != 7 {
+		t.Fatalf("version %d in force after 7", got)
+	}
+}
+
+// Guards against a record that cannot be read and ends the updates.
+func TestMalformedDocumentIsSkipped(t *testing.T) {
+	s := &fakeSource{documents: []string{"1"}}
+	c := run(t, s, fakePeers{})
+	await(t, c, 1)
+	s.set(func(f *fakeSource) { f.documents = append(f.documents, "no number") })
+	time.Sleep(5 * time.Millisecond)
+	s.set(func(f *fakeSource) { f.documents = append(f.documents, "2") })
+	await(t, c, 2)
+}
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -481,7 +481,7 @@
 func (c *Core) recallOverdue(now time.Duration, j *job) {
 	for step := range j.Steps {
 		for _, t := range j.tasks[step] {
-			if t.state != placed || now < t.overdueAt {
+			if t.state != placed || t.recalls >= recallsMax || now < t.overdueAt {
 				continue
 			}
 			p := c.newPlan(now, j, step)
@@ -491,12 +491,17 @@
 				continue
 			}
 			t.state = recalled
+			t.recalls++
 			t.failedOn = t.agent.Name
 			c.out.Stops = append(c.out.Stops, Stop{Link: t.agent.Link, Job: j.ID, Task: t.id, Attempt: t.attempt})
 		}
 	}
 }
 
+// recallsMax bounds the recalls of a task: one that is overdue on a second
+// target is long.
+const recallsMax = 1
+
 // recallTime is about how long it takes until a stopped run has ended.
 const recallTime = 60 * time.Millisecond
 
--- a/restartable/dispatch/core_test.go
+++ b/restartable/dispatch/core_test.go
@@ -305,3 +305,26 @@
 		t.Fatalf("placed %v", got)
 	}
 }
+
+// Guards against a task that is far longer than its estimate and is stopped and
+// started again until its deadline.
+func TestLongTaskIsRecalledOnlyOnce(t *testing.T) {
+	r := newRig(t)
+	r.agent("a", 32_000)
+	r.agent("b", 32_000)
+	r.submit(jobOf("j", 1, 20*ms))
+	for range 60 {
+		r.after(20 * ms)
+		r.report("a", func(*Load) {})
+		r.report("b", func(*Load) {})
+		r.core.Tick(r.now)
+		r.collect()
+		if n := len(r.stops); n > 0 && n == len(r.orders) {
+			last := r.orders[n-1]
+			r.end(last.Link, eventOf("j", 0, last.Tasks[0].Number, task.Stopped, ""))
+		}
+	}
+	if len(r.orders) != 2 || len(r.answers) != 0 {
+		t.Fatalf("%d orders within 1.2 s, answers %v", len(r.orders), r.answers)
+	}
+}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -115,6 +115,7 @@
 	state   taskState
 	attempt int
 	failed  int
+	recalls int
 	agent   *agent
 	sentAt  time.Duration
 	// overdueAt is when the run is taken to hang.
