--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -282,6 +282,7 @@
 	if j == nil {
 		return nil
 	}
+	j.onTargets--
 	if e.Outcome != task.NotStarted {
 		j.begun = true
 	}
@@ -362,7 +363,7 @@
 // waiting tasks, and which of the choices decided it.
 func (c *Core) refusal(now time.Duration, j *job, step int, tasks []*taskRecord, choices []choice) (Cause, *choice) {
 	if len(choices) < len(tasks) {
-		if j.begun && len(choices) == 0 && c.CanPlace(now) {
+		if j.atWork() && len(choices) == 0 && c.CanPlace(now) {
 			// Something may come free for the rest.
 			return CauseNone, nil
 		}
@@ -373,7 +374,7 @@
 		if onTime(ch.finish, j.deadline-now) < hopeless {
 			return CauseOverload, ch
 		}
-		if !j.begun && ch.wait > 0 && onTime(ch.finish, j.objective-now) < crowded {
+		if !j.atWork() && ch.wait > 0 && onTime(ch.finish, j.objective-now) < crowded {
 			return CauseOverload, ch
 		}
 	}
@@ -421,15 +422,19 @@
 	byAgent := map[*agent]*Order{}
 	var order []*agent
 	st := &j.Steps[step]
+	atWork := j.atWork()
 	for _, ch := range choices {
 		a, t := ch.agent, ch.task
 		o := byAgent[a]
 		if o == nil {
 			due := max(j.objective-now-ch.run-c.hop(a), startGrace)
 			within := due
-			if j.begun {
-				due = startGrace
+			if atWork {
+				// What is late already must not delay what can still be in time.
 				within = max(j.deadline-now-ch.run-c.hop(a), startGrace)
+				if now+ch.finish > j.objective {
+					due = within
+				}
 			}
 			o = &Order{
 				Link: a.Link, Step: task.StepID{Job: j.ID, Step: step}, Spec: j.Spec, Needs: st.Needs, Expected: j.expected[step],
@@ -446,6 +451,7 @@
 		j.attempts++
 		j.agents[a] = true
 		a.placed[t.id] = t
+		j.onTargets++
 		a.jobs[j.ID] = j
 		a.probedAt = now
 		a.unseen = append(a.unseen, sentOrder{a.orders, st.Needs, float64(st.Needs.CPUMillis) * float64(ch.run.Milliseconds())})
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -134,10 +134,13 @@
 	left      []int // tasks of each step that are not done
 	// expected are the run times of each step's tasks at slowness one.
 	expected []time.Duration
-	begun    bool // a task may have started
-	attempts int
-	agents   map[*agent]bool
-	callers  []func(Answer)
+	// begun is set once a task has run; onTargets counts the tasks that have been
+	// sent and have not ended.
+	begun     bool
+	onTargets int
+	attempts  int
+	agents    map[*agent]bool
+	callers   []func(Answer)
 	// basis is the prediction that decided a refusal.
 	basis *Basis
 }
@@ -195,6 +198,9 @@
 	return out
 }
 
+// atWork tells whether a task of the job has run or may be running.
+func (j *job) atWork() bool { return j.begun || j.onTargets > 0 }
+
 func (j *job) complete() bool {
 	for _, n := range j.left {
 		if n > 0 {
--- a/restartable/dispatch/load_test.go
+++ b/restartable/dispatch/load_test.go
@@ -134,3 +134,26 @@
 		t.Fatalf("order %+v", last)
 	}
 }
+
+// Overload with a wrong prediction: one task of a job waited too long at its
+// agent while another is at work. The job goes on; giving it up would throw
+// away what has been done, and its caller could not be told that nothing ran.
+func TestJobAtWorkIsNotGivenUpForOneLateTask(t *testing.T) {
+	r := newRig(t)
+	r.agent("a", 4_000)
+	r.agent("b", 4_000)
+	r.submit(jobOf("j", 2, 100*ms))
+	if got := r.placed(); got["a"] != 1 || got["b"] != 1 {
+		t.Fatalf("placed %v", got)
+	}
+	r.after(100 * ms)
+	busy := func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 6_000}, 150*ms }
+	r.report("a", busy)
+	r.report("b", busy, eventOf("j", r.orders[1].Tasks[0].Index, 1, task.NotStarted, task.ReasonExpired))
+	if len(r.answers) != 0 {
+		t.Fatalf("answers %v", r.answers)
+	}
+	if len(r.orders) != 3 || r.orders[2].StartWithin < 500*ms {
+		t.Fatalf("orders %+v", r.orders)
+	}
+}
