Look at a target twice at a time, and take single silences for no outage

Ruled out: overload (the burst had ended), starts without an answer (146, each resolved within 0.2 s). Change: two looks at a time of 0.1 s; unreachable after 0.35 s without any answer; a look at once after an acknowledged stop; lists that arrive late are compared with the ends taken in since.

--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -138,6 +138,9 @@
 	// agent's fencing token.
 	surveyed bool
 	runs     map[task.ID]*run
+	// finished has the times at which attempts ended; lists that were asked for
+	// before may still show them at work.
+	finished map[Attempt]time.Duration
 	queue    []*run
 	used     task.Resources
 	waiting  task.Resources
@@ -149,7 +152,7 @@
 // NewCore returns a core that knows no target yet.
 func NewCore(opts Options) *Core {
 	return &Core{
-		opts: opts, strangers: map[Attempt]bool{}, runs: map[task.ID]*run{},
+		opts: opts, strangers: map[Attempt]bool{}, runs: map[task.ID]*run{}, finished: map[Attempt]time.Duration{},
 		leases: map[string]time.Duration{}, stats: newStatistics(opts.SlownessMax),
 	}
 }
@@ -329,9 +332,17 @@
 		}
 	}
 	c.resolve(now)
+	for a, at := range c.finished {
+		if now-at > finishedKept {
+			delete(c.finished, a)
+		}
+	}
 	c.pump(now)
 }
 
+// finishedKept is longer than any call to the target takes.
+const finishedKept = 3 * time.Second
+
 // resolve ends attempts without an answer that can no longer begin, since the
 // deadline that they carried has passed on the target's clock.
 func (c *Core) resolve(now time.Duration) {
@@ -404,6 +415,9 @@
 		took = now - r.startedAt
 	}
 	delete(c.runs, r.Task)
+	if r.state != queued {
+		c.finished[Attempt{r.Task, r.Attempt}] = now
+	}
 	c.stats.ended(now, outcome, took, r.Expected)
 	c.out.Reports = append(c.out.Reports, Report{
 		Gateway: r.gateway, Task: r.Task, Attempt: r.Attempt, Outcome: outcome, Reason: reason, RunTime: took,
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -369,3 +369,21 @@
 		t.Fatal("not idle after the last run ended")
 	}
 }
+
+// Guards against a run that is taken for a predecessor's since a list that was
+// asked for earlier arrives after the one with its end.
+func TestOlderListArrivesLate(t *testing.T) {
+	r := newRig(t)
+	r.order(start("a", 0, 6000))
+	r.answer(first("a", 0), StartAccepted)
+	began := r.now + ms
+	r.after(2 * ms)
+	r.ended(first("a", 0), task.Done)
+	r.core.Looked(r.now, Look{Began: began, Born: smallTarget.Born, Running: []Attempt{first("a", 0)}})
+	r.collect()
+	r.order(start("b", 0, 6000))
+	r.wantStarted("a", "b")
+	if len(r.actions.Stops) != 0 {
+		t.Fatalf("stops %v", r.actions.Stops)
+	}
+}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -53,10 +53,16 @@
 	Lease time.Duration
 	// LeaseMax is the target's own bound of a lease, with the error of its clock.
 	LeaseMax time.Duration
+	// Lookers is the number of looks at a time, so that one without an answer
+	// holds nothing up.
+	Lookers int
 	// LookWait is the time between two renewals while nothing ends.
 	LookWait time.Duration
 	// CallTimeout bounds a start or a stop; a look has LookWait more.
 	CallTimeout time.Duration
+	// SilentAfter is the time without any answer to a look after which the
+	// target counts as unreachable.
+	SilentAfter time.Duration
 	// RetryAfter is the pause after a failed call.
 	RetryAfter time.Duration
 	// TickEvery is the time between two checks of leases and the queue.
@@ -68,8 +74,9 @@
 func DefaultDriveOptions() DriveOptions {
 	return DriveOptions{
 		Lease: 900 * time.Millisecond, LeaseMax: 1050 * time.Millisecond,
-		LookWait: 200 * time.Millisecond, CallTimeout: 100 * time.Millisecond,
-		RetryAfter: 20 * time.Millisecond, TickEvery: 25 * time.Millisecond,
+		Lookers: 2, LookWait: 100 * time.Millisecond, CallTimeout: 60 * time.Millisecond,
+		SilentAfter: 350 * time.Millisecond,
+		RetryAfter:  20 * time.Millisecond, TickEvery: 25 * time.Millisecond,
 	}
 }
 
@@ -101,6 +108,8 @@
 	lastEnd int64
 	// leasedAt is when the last call that extends the lease was sent.
 	leasedAt time.Duration
+	// answeredAt is when the last look was answered.
+	answeredAt time.Duration
 }
 
 // New returns a runner whose first fencing token is token.
@@ -116,19 +125,36 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { r.tick(ctx) })
+	for range r.opts.Lookers {
+		wg.Go(func() { r.keepLooking(ctx) })
+	}
+}
+
+func (r *Runner) keepLooking(ctx context.Context) {
 	for ctx.Err() == nil {
 		t, known := r.Target()
 		if !known {
 			r.awaitHeartbeat(ctx)
 			continue
 		}
-		if err := r.look(ctx, t); err != nil {
-			r.unreachable(err)
+		if err := r.look(ctx, t, r.wait()); err != nil {
+			r.lookFailed(err)
 			sleep(ctx, r.opts.RetryAfter)
 		}
 	}
 }
 
+// wait returns how long the target may wait for an end. The first look of a
+// life does not wait.
+func (r *Runner) wait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clock == 0 || !r.core.surveyed {
+		return 0
+	}
+	return r.opts.LookWait
+}
+
 func (r *Runner) tick(ctx context.Context) {
 	t := time.NewTicker(r.opts.TickEvery)
 	defer t.Stop()
@@ -239,6 +265,10 @@
 		r.raiseToken(err)
 		c.StopAnswered(now, a, err == nil)
 	})
+	if err == nil {
+		// A stopped run that had not begun leaves no end that a look waits for.
+		_ = r.look(ctx, t, 0)
+	}
 }
 
 // tokenStep is added to a fencing token that the target refuses. An earlier
@@ -253,17 +283,10 @@
 	}
 }
 
-func (r *Runner) look(ctx context.Context, t Target) error {
+func (r *Runner) look(ctx context.Context, t Target, wait time.Duration) error {
 	r.mu.Lock()
-	q := LookQuery{Token: r.token, Deadline: r.deadline(), LastEnd: r.lastEnd, Wait: r.opts.LookWait}
-	if r.clock == 0 || !r.core.surveyed || len(r.core.runs) == 0 {
-		q.Wait = 0
-	}
-	idle := r.core.surveyed && len(r.core.runs) == 0 && len(r.core.strangers) == 0
+	q := LookQuery{Token: r.token, Deadline: r.deadline(), LastEnd: r.lastEnd, Wait: wait}
 	r.mu.Unlock()
-	if idle {
-		q.Wait = r.opts.LookWait
-	}
 	call, cancel := context.WithTimeout(ctx, q.Wait+r.opts.CallTimeout)
 	defer cancel()
 	began := r.now()
@@ -278,6 +301,7 @@
 		r.readClock(reply.Clock)
 		known := c.Looked(now, Look{Began: began, Born: reply.Born, Running: reply.Running, Ended: reply.Ended})
 		if known {
+			r.answeredAt = now
 			r.lastEnd = max(r.lastEnd, reply.LastEnd)
 		} else {
 			err = errors.Errorf("the target answers as born at %d", reply.Born)
@@ -286,10 +310,15 @@
 	return err
 }
 
-func (r *Runner) unreachable(err error) {
+// lookFailed counts the target as unreachable if no look has been answered for
+// a while. A single one may have lost its answer.
+func (r *Runner) lookFailed(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	if now-r.answeredAt < r.opts.SilentAfter {
+		return
+	}
 	was := r.core.reachable
 	r.core.Unreachable(now, now-r.leasedAt > r.opts.LeaseMax)
 	if was {
@@ -307,7 +336,7 @@
 		old, known := c.Target()
 		c.Heartbeat(now, t)
 		if newer, _ := c.Target(); !known || !newer.sameLife(old) {
-			r.lastEnd, r.clock = 0, 0
+			r.lastEnd, r.clock, r.answeredAt = 0, 0, now
 			events.TargetAnnounced.Log(r.log).Str("target", t.ID).Int64("born", t.Born).Int64("cpu_millis", t.Capacity.CPUMillis).Strs("labels", t.Labels).Send()
 		}
 		if t.Draining && !old.Draining {
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -118,6 +118,9 @@
 	listed := make(map[Attempt]bool, len(l.Running))
 	for _, a := range l.Running {
 		listed[a] = true
+		if at, ended := c.finished[a]; ended && l.Began <= at {
+			continue
+		}
 		if c.attempt(a) == nil && !c.strangers[a] {
 			c.strangers[a] = true
 			c.out.Stops = append(c.out.Stops, a)
