Avoid, empty and probe targets on which runs stand still

Change: a recalled overdue run is a sample; a target with an anomaly over 2.5 is avoided like a failing one, its long runs are recalled, single short tasks probe it each second, and one of them has to be done before it is trusted. At most half of a service's targets are avoided.

--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -35,6 +35,9 @@
 			Int64("wait_ms", b.Wait.Milliseconds()).Int64("run_ms", b.Run.Milliseconds()).
 			Int64("objective_ms", b.Objective.Milliseconds()).Int64("deadline_ms", b.Deadline.Milliseconds())
 	}
+	if a.State == dispatch.Unfinished && len(a.Open) > 0 {
+		line = line.Array("open", openTasks(a.Open))
+	}
 	line.Send()
 	key := [2]string{a.State.String(), string(a.Cause)}
 	m, ok := o.made[key]
@@ -48,3 +51,14 @@
 	m.count.Inc(1)
 	m.duration.RecordDuration(a.Elapsed)
 }
+
+// openTasks writes the open tasks of an answer to the log.
+type openTasks []dispatch.OpenTask
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (o openTasks) MarshalZerologArray(a *zerolog.Array) {
+	for _, t := range o {
+		a.Dict(zerolog.Dict().Int("index", t.Index).Int("attempt", t.Attempt).Str("agent", t.Agent).
+			Int64("age_ms", t.Age.Milliseconds()).Int64("expected_ms", t.Expected.Milliseconds()))
+	}
+}
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -59,6 +59,8 @@
 	jobs     map[string]*job
 	probedAt time.Duration
 	avoided  bool
+	// probesDone counts the runs that were done since the target is avoided.
+	probesDone int
 }
 
 func (a *agent) report(now time.Duration, l Load) {
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -34,7 +34,7 @@
 	return Options{
 		Zone: zone, NearHop: 300 * time.Microsecond, FarHop: 1500 * time.Microsecond,
 		ReturnTrip: 10 * time.Millisecond, SuspectAfter: 350 * time.Millisecond,
-		ProbeEvery: 500 * time.Millisecond, RemoteFactor: 1.5, RetryAfter: time.Second,
+		ProbeEvery: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second,
 	}
 }
 
@@ -76,7 +76,8 @@
 type Change struct {
 	Agent   string
 	Avoided bool
-	Failed  float64
+	// Failed and Anomaly are the values that decided it.
+	Failed, Anomaly float64
 }
 
 // Actions is what the driver has to do after a call of a Core.
@@ -200,23 +201,47 @@
 	}
 }
 
-// failedShareAvoid and failedShareTrust are the shares of failed runs at which
-// an agent's target is avoided and trusted again.
 const (
+	// failedShareAvoid and failedShareTrust are the shares of failed runs at
+	// which a target is avoided and may be trusted again.
 	failedShareAvoid = 0.5
 	failedShareTrust = 0.25
+	// anomalyAvoid and anomalyTrust are the ratios of the present to the usual
+	// run times at which a target is avoided and may be trusted again.
+	anomalyAvoid = 2.5
+	anomalyTrust = 1.5
+	// avoidedShareMax is the share of a service's targets that may be avoided at
+	// a time. If more look bad, the cause is not a single target.
+	avoidedShareMax = 0.5
 )
 
+// judge decides whether an agent's target is avoided. An avoided target gets
+// single probes, and is trusted again after one of them is done.
 func (c *Core) judge(a *agent) {
+	bad := a.load.Failed > failedShareAvoid || a.load.Anomaly > anomalyAvoid
+	good := a.load.Failed < failedShareTrust && a.load.Anomaly < anomalyTrust
 	switch {
-	case !a.avoided && a.load.Failed > failedShareAvoid:
-		a.avoided = true
-	case a.avoided && a.load.Failed < failedShareTrust:
+	case !a.avoided && bad && c.mayAvoid(a.target.Service):
+		a.avoided, a.probesDone = true, 0
+	case a.avoided && good && a.probesDone > 0:
 		a.avoided = false
 	default:
 		return
 	}
-	c.out.Changes = append(c.out.Changes, Change{Agent: a.Name, Avoided: a.avoided, Failed: a.load.Failed})
+	c.out.Changes = append(c.out.Changes, Change{Agent: a.Name, Avoided: a.avoided, Failed: a.load.Failed, Anomaly: a.load.Anomaly})
+}
+
+func (c *Core) mayAvoid(service string) bool {
+	all, avoided := 0, 0
+	for _, a := range c.agents {
+		if a.target.Service == service {
+			all++
+			if a.avoided {
+				avoided++
+			}
+		}
+	}
+	return float64(avoided+1) <= avoidedShareMax*float64(all)
 }
 
 func (c *Core) mayProbe(now time.Duration, a *agent) bool {
@@ -290,6 +315,7 @@
 	switch e.Outcome {
 	case task.Done:
 		t.state = done
+		a.probesDone++
 		j.left[e.Task.Step]--
 		st := &j.Steps[e.Task.Step]
 		run := time.Duration(float64(e.RunTime) / c.slowness(a))
@@ -445,7 +471,7 @@
 			a.orders++
 			o.Number = a.orders
 		}
-		t.state, t.agent, t.sentAt = placed, a, now
+		t.state, t.agent, t.sentAt, t.expected = placed, a, now, ch.run
 		t.attempt++
 		t.overdueAt = now + ch.wait + time.Duration(overdueFactor*float64(ch.run)) + overdueSlack
 		j.attempts++
@@ -487,7 +513,7 @@
 func (c *Core) recallOverdue(now time.Duration, j *job) {
 	for step := range j.Steps {
 		for _, t := range j.tasks[step] {
-			if t.state != placed || t.recalls >= recallsMax || now < t.overdueAt {
+			if t.state != placed || t.recalls >= recallsMax || !c.overdue(now, j, t) {
 				continue
 			}
 			p := c.newPlan(now, j, step)
@@ -504,6 +530,19 @@
 	}
 }
 
+// overdue tells whether a run is taken to hang: it takes far longer than
+// predicted, or its target has become so slow that it will miss the deadline.
+func (c *Core) overdue(now time.Duration, j *job, t *taskRecord) bool {
+	if now >= t.overdueAt {
+		return true
+	}
+	if !t.agent.avoided || t.agent.load.Anomaly < anomalyAvoid {
+		return false
+	}
+	end := t.sentAt + time.Duration(float64(t.expected)*t.agent.load.Anomaly)
+	return end > j.deadline
+}
+
 // recallsMax bounds the recalls of a task: one that is overdue on a second
 // target is long.
 const recallsMax = 1
@@ -513,12 +552,13 @@
 
 // giveUp answers a job that cannot be completed and stops what is left of it.
 func (c *Core) giveUp(now time.Duration, j *job, cause Cause) {
+	open := j.openTasks(now)
 	state := NotRun
 	if j.begun || c.stopAll(j) {
 		state = Unfinished
 		c.stopAll(j)
 	}
-	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter})
+	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter, Open: open})
 }
 
 // stopAll asks the agents to stop what they have of a job. It returns whether
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -79,7 +79,7 @@
 		if ch.Avoided {
 			event = events.TargetAvoided
 		}
-		event.Log(d.log).Str("agent", ch.Agent).Float64("failed_share", ch.Failed).Send()
+		event.Log(d.log).Str("agent", ch.Agent).Float64("failed_share", ch.Failed).Float64("anomaly", ch.Anomaly).Send()
 	}
 }
 
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -83,6 +83,39 @@
 	Elapsed  time.Duration
 	// Basis is the prediction that decided a refusal.
 	Basis *Basis
+	// Open lists some tasks that had not ended.
+	Open []OpenTask
+}
+
+// OpenTask is a task that has not ended when its job is answered.
+type OpenTask struct {
+	Index, Attempt int
+	// Agent is where the task was sent Age ago; empty if it was on no target.
+	Agent string
+	Age   time.Duration
+	// Expected is the predicted run time there.
+	Expected time.Duration
+}
+
+// openTasksMax bounds the open tasks that an answer lists.
+const openTasksMax = 4
+
+// openTasks lists the first tasks that have not ended.
+func (j *job) openTasks(now time.Duration) []OpenTask {
+	var out []OpenTask
+	for _, step := range j.tasks {
+		for _, t := range step {
+			if t.state == done || len(out) == openTasksMax {
+				continue
+			}
+			o := OpenTask{Index: t.id.Index, Attempt: t.attempt}
+			if t.agent != nil {
+				o.Agent, o.Age, o.Expected = t.agent.Name, now-t.sentAt, t.expected
+			}
+			out = append(out, o)
+		}
+	}
+	return out
 }
 
 // Basis is the prediction for the task of a job that would end last.
@@ -118,6 +151,8 @@
 	recalls int
 	agent   *agent
 	sentAt  time.Duration
+	// expected is the predicted run time on its target.
+	expected time.Duration
 	// overdueAt is when the run is taken to hang.
 	overdueAt time.Duration
 	// failedOn is the agent of the last failed run; the next one goes elsewhere.
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -94,13 +94,21 @@
 }
 
 func (p *plan) admits(s *slot, t *taskRecord) bool {
-	if s.agent.avoided && (s.tasks > 0 || len(s.agent.placed) > 0) {
+	if s.agent.avoided && (s.tasks > 0 || len(s.agent.placed) > 0 || !p.affordsProbe(s)) {
 		return false
 	}
 	limit := p.job.Steps[p.step].MaxPerTarget
 	return limit == 0 || s.tasks+p.onAgent(s.agent, t.id.StepID) < limit
 }
 
+// affordsProbe tells whether a task that hangs on the slot could still be
+// recalled and run elsewhere in time.
+func (p *plan) affordsProbe(s *slot) bool {
+	usual := time.Duration(float64(s.run) / max(s.agent.load.Anomaly, 1))
+	hung := time.Duration(overdueFactor*float64(usual)) + overdueSlack + recallTime
+	return p.now+hung+2*usual < p.job.deadline
+}
+
 func (p *plan) onAgent(a *agent, step task.StepID) int {
 	n := 0
 	for id := range a.placed {
@@ -120,7 +128,8 @@
 		cost += failedPenalty
 	}
 	if s.agent.avoided {
-		cost += avoidedPenalty
+		// Admitted only when a probe is due.
+		cost -= probePreference
 	}
 	if s.agent.Zone != p.core.opts.Zone && s.tasks == 0 {
 		cost += newAgentPenalty
@@ -143,9 +152,9 @@
 	timeWeight = 0.3
 	// failedPenalty sends a task that has failed to another target.
 	failedPenalty = 0.4
-	// avoidedPenalty lets an avoided target be probed only when the others are
-	// loaded.
-	avoidedPenalty = 0.05
+	// probePreference makes sure that an avoided target is probed even while the
+	// others are free.
+	probePreference = 2.0
 	// newAgentPenalty weighs the bytes of one more copy of the job's spec.
 	newAgentPenalty = 0.0005
 )
--- a/restartable/runner/statistics.go
+++ b/restartable/runner/statistics.go
@@ -55,6 +55,13 @@
 	case task.Failed:
 		s.settle(now)
 		s.failed += failedWeight * (1 - s.failed)
+	case task.Stopped:
+		// A run that was recalled since it was overdue would have taken at least as
+		// long as it has.
+		if ratio := float64(took) / float64(max(expected, 1)); ratio > overdueRatio*math.Exp(s.baseline) {
+			s.settle(now)
+			s.observe(s.logRatio(ratio))
+		}
 	}
 }
 
--- a/restartable/runner/statistics_test.go
+++ b/restartable/runner/statistics_test.go
@@ -79,3 +79,29 @@
 		t.Fatalf("share %.2f after four idle seconds", got)
 	}
 }
+
+// Guards against a target on which everything stands still and whose overdue
+// runs are recalled one by one, so that none of them ends: on bondline-th scale-2
+// it got work for 5.8 s and 40 jobs were lost.
+func TestRecalledOverdueRunsCount(t *testing.T) {
+	s := newStatistics(50)
+	now := time.Duration(0)
+	for range 200 {
+		now += 20 * ms
+		sample(&s, now, 1)
+	}
+	for range 12 {
+		now += 20 * ms
+		s.ended(now, task.Stopped, 320*ms, 100*ms)
+	}
+	if got := s.speed(now, nil); got.anomaly < 2 {
+		t.Fatalf("speed %+v after twelve recalled runs", got)
+	}
+	calm := newStatistics(50)
+	for range 12 {
+		calm.ended(now, task.Stopped, 60*ms, 100*ms)
+	}
+	if got := calm.speed(now, nil); got.anomaly != 1 || got.samples != 0 {
+		t.Fatalf("speed %+v after cancelled runs", got)
+	}
+}
