Read all gateways' addresses at the start of gateways and agents

Ruled out: the configuration and the dials (all others attached within 0.5 s). Change: gateways read the store's list before they register, agents read it at their start, and introductions are repeated each 0.2 s until one is answered. Addresses that have not answered for 20 s are dialled each 2 s only. The new test fails without the change.

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -75,21 +75,22 @@
 	return nil
 }
 
-// readDirectory looks gateways up in the store while no link is up.
+// readDirectory looks gateways up in the store at the start, since the seeds
+// are only some of them, and again while no link is up.
 func (a *PlatformAgent) readDirectory(ctx context.Context) {
+	read := false
 	for ctx.Err() == nil {
-		pause(ctx, directoryEvery)
-		if a.links.Up() > 0 {
-			continue
-		}
-		all, err := a.directory.List(ctx)
-		if err != nil {
-			events.GatewayRecordFailed.Log(a.log).Err(err).Send()
-			continue
-		}
-		for _, g := range all {
-			a.gateways.Add(g)
+		if !read || a.links.Up() == 0 {
+			all, err := a.directory.List(ctx)
+			if err != nil {
+				events.GatewayRecordFailed.Log(a.log).Err(err).Send()
+			}
+			read = read || err == nil
+			for _, g := range all {
+				a.gateways.Add(g)
+			}
 		}
+		pause(ctx, directoryEvery)
 	}
 }
 
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -28,7 +28,9 @@
 	stopNotice = 2500 * time.Millisecond
 	// stopReserve is kept of the grace for the end of the process.
 	stopReserve = 300 * time.Millisecond
-	// introduceEvery is the time between two introductions to other gateways.
+	// introduceRetry is the time between two introductions to other gateways
+	// until one of them has answered, introduceEvery that afterwards.
+	introduceRetry = 200 * time.Millisecond
 	introduceEvery = 2 * time.Second
 	// registerRetry is the pause after a failed write of the gateway's record.
 	registerRetry = time.Second
@@ -162,26 +164,54 @@
 // introduce makes this gateway known to the agents of the others. Another
 // gateway may have been replaced since, so that it does not end.
 func (g *PlatformGateway) introduce(ctx context.Context) {
+	wait := introduceRetry
 	for ctx.Err() == nil {
-		for _, o := range g.others() {
-			call, cancel := context.WithTimeout(ctx, peerTimeout)
+		if g.introduceOnce(ctx) {
+			wait = introduceEvery
+		}
+		pause(ctx, wait)
+	}
+}
+
+// introduceOnce returns whether any other gateway has answered.
+func (g *PlatformGateway) introduceOnce(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	others := g.others()
+	answers := make(chan []string, len(others))
+	for _, o := range others {
+		go func() {
 			r, err := o.Introduce(call, connect.NewRequest(&pb.IntroduceRequest{Gateway: g.node.Link}))
-			cancel()
-			if err == nil {
-				for _, a := range r.Msg.Gateways {
-					g.gateways.Add(a)
-				}
+			if err != nil {
+				answers <- nil
+				return
 			}
+			answers <- r.Msg.Gateways
+		}()
+	}
+	answered := false
+	for range others {
+		all := <-answers
+		answered = answered || len(all) > 0
+		for _, a := range all {
+			g.gateways.Add(a)
 		}
-		pause(ctx, introduceEvery)
 	}
+	return answered
 }
 
-// register writes the gateway's address to the store, from which agents read it
-// that know no gateway that works.
+// register reads the other gateways' addresses from the store and writes this
+// one's. Of two gateways that start together each is told of the other by the
+// store or by an introduction.
 func (g *PlatformGateway) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := g.directory.Register(ctx, g.node.Name, g.node.Link)
+		known, err := g.directory.List(ctx)
+		for _, a := range known {
+			g.gateways.Add(a)
+		}
+		if err == nil {
+			err = g.directory.Register(ctx, g.node.Name, g.node.Link)
+		}
 		if err == nil {
 			return
 		}
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -286,3 +286,16 @@
 		t.Fatalf("%d tasks started", got)
 	}
 }
+
+// Guards against a gateway that agents do not find since it is none of their
+// seeds: on ljuska-split trouble-2 one that had started before the others got no
+// agent for 2.4 s after all machines had lost power.
+func TestPlatformGatewayOutsideTheSeedsIsFound(t *testing.T) {
+	s := newPlatformSite(t, 1, 1)
+	n := *s.gateways[0].node
+	n.Name, n.Callers, n.Readiness, n.Link, n.Metrics = "gateway-new", freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	n.Seeds = []string{freeAddress(t)}
+	p := &platformProcess{node: &n, run: daemon.RunPlatformGateway}
+	p.start(t)
+	s.awaitReady(p)
+}
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -23,6 +23,10 @@
 	// redialMin and redialMax bound the wait between two dials of a gateway.
 	redialMin = 30 * time.Millisecond
 	redialMax = 400 * time.Millisecond
+	// goneAfter is the time without an answer after which a gateway may have been
+	// replaced; it is then dialled each redialGone.
+	goneAfter  = 20 * time.Second
+	redialGone = 2 * time.Second
 )
 
 // Client is the agent's end of the links: it keeps one to each known gateway.
@@ -69,10 +73,11 @@
 // keep dials one gateway again and again.
 func (c *Client) keep(ctx context.Context, address string) {
 	wait := redialMin
+	answered := time.Now()
 	for ctx.Err() == nil {
 		served, err := c.serve(ctx, address)
 		if served {
-			wait = redialMin
+			wait, answered = redialMin, time.Now()
 			events.GatewayDetached.Log(c.log).Str("gateway", address).Err(err).Send()
 		}
 		select {
@@ -80,6 +85,9 @@
 		case <-time.After(wait):
 		}
 		wait = min(2*wait, redialMax)
+		if time.Since(answered) > goneAfter {
+			wait = redialGone
+		}
 	}
 }
 
