Log each retry and end with its inputs, bounded; export the state that decides

Cause: on-call engineers have only logs and metrics. A job's end named neither the tasks that were open nor why attempts were repeated, and a blocked output would have stopped the process. Change: lines for attempts that did not do their work, recalls and open tasks, at the gateway and at the agent with the same job id; a writer that drops lines above 200 a second, the less important first, never waits and reports the number; gauges for capacity, agents, queues and the age of the configuration.

--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -54,4 +54,24 @@
 		"Restartable jobs answered, by state and cause.", "state", "cause")
 	RestartableDuration = define(KindHistogram, "restartable_job_duration_seconds", "seconds",
 		"Time from the arrival of a restartable job to its answer, by state.", "state")
+	RestartableInProgress = define(KindGauge, "restartable_jobs_in_progress", "jobs", "Restartable jobs without an answer.")
+	AgentsAttached        = define(KindGauge, "agents_attached", "agents", "Agents with a link to this gateway.")
+	AgentsAccepting       = define(KindGauge, "agents_accepting", "agents", "Attached agents that take work.")
+	AgentsAvoided         = define(KindGauge, "agents_avoided", "agents", "Attached agents that get probes only.")
+	CapacityCPU           = define(KindGauge, "capacity_cpu_millis", "thousandths of a core", "Processors of all attached targets.")
+	CommittedCPU          = define(KindGauge, "committed_cpu_millis", "thousandths of a core", "Processors taken by running and queued tasks.")
+	QueuesVersion         = define(KindGauge, "queues_version", "version", "Version of the configuration of queues in force.")
+	QueuesConfirmed       = define(KindGauge, "queues_confirmed_seconds", "seconds", "Time since the store or another gateway last answered about the configuration.")
+)
+
+// Metrics of the agent of restartable jobs.
+var (
+	Attempts        = define(KindCounter, "attempts_total", "attempts", "Attempts ended, by outcome and reason.", "outcome", "reason")
+	AttemptDuration = define(KindHistogram, "attempt_duration_seconds", "seconds", "Time of a run on the target, by outcome.", "outcome")
+	RunsAtWork      = define(KindGauge, "runs_at_work", "runs", "Runs on the target.")
+	RunsQueued      = define(KindGauge, "runs_queued", "runs", "Tasks that wait for room on the target.")
+	TargetSlowness  = define(KindGauge, "target_slowness_ratio", "ratio", "Measured to expected run times, with the present anomaly.")
+	TargetFailed    = define(KindGauge, "target_failed_ratio", "ratio", "Share of recent runs that have failed.")
+	TargetAccepting = define(KindGauge, "target_accepting", "0 or 1", "1 while tasks would be started.")
+	GatewaysLinked  = define(KindGauge, "gateways_linked", "gateways", "Links to gateways that are up.")
 )
--- /dev/null
+++ b/daemon/gauges.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+)
+
+// gaugesEvery is the time between two updates of gauges.
+const gaugesEvery = time.Second
+
+// updateGauges keeps the gauges of a gateway up to date until ctx ends.
+func (g *PlatformGateway) updateGauges(ctx context.Context) {
+	scope := g.metrics.Scope
+	jobs, agents := telemetry.RestartableInProgress.Gauge(scope), telemetry.AgentsAttached.Gauge(scope)
+	accepting, avoided := telemetry.AgentsAccepting.Gauge(scope), telemetry.AgentsAvoided.Gauge(scope)
+	capacity, committed := telemetry.CapacityCPU.Gauge(scope), telemetry.CommittedCPU.Gauge(scope)
+	version, confirmed := telemetry.QueuesVersion.Gauge(scope), telemetry.QueuesConfirmed.Gauge(scope)
+	for ctx.Err() == nil {
+		s := g.dispatcher.Status()
+		jobs.Update(float64(s.Jobs))
+		agents.Update(float64(s.Agents))
+		accepting.Update(float64(s.Accepting))
+		avoided.Update(float64(s.Avoided))
+		capacity.Update(float64(s.Capacity))
+		committed.Update(float64(s.Committed))
+		if c := g.config.Get(); c != nil {
+			version.Update(float64(c.Version))
+		}
+		confirmed.Update(g.syncer.Age().Seconds())
+		pause(ctx, gaugesEvery)
+	}
+}
+
+// updateGauges keeps the gauges of an agent up to date until ctx ends.
+func (a *PlatformAgent) updateGauges(ctx context.Context) {
+	scope := a.metrics.Scope
+	running, queued := telemetry.RunsAtWork.Gauge(scope), telemetry.RunsQueued.Gauge(scope)
+	slowness, failed := telemetry.TargetSlowness.Gauge(scope), telemetry.TargetFailed.Gauge(scope)
+	accepting, linked := telemetry.TargetAccepting.Gauge(scope), telemetry.GatewaysLinked.Gauge(scope)
+	for ctx.Err() == nil {
+		_, l, _ := a.runner.Load()
+		running.Update(float64(l.Running))
+		queued.Update(float64(l.Queued))
+		slowness.Update(l.Slowness * l.Anomaly)
+		failed.Update(l.Failed)
+		value := 0.0
+		if l.Accepting {
+			value = 1
+		}
+		accepting.Update(value)
+		linked.Update(float64(a.links.Up()))
+		pause(ctx, gaugesEvery)
+	}
+}
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -7,6 +7,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
 )
 
 // jobObserver logs and counts answered jobs. The dispatcher's lock owns it.
@@ -52,6 +53,36 @@
 	m.duration.RecordDuration(a.Elapsed)
 }
 
+// attemptObserver counts ended attempts. The runner's lock owns it.
+type attemptObserver struct {
+	scope tally.Scope
+	made  map[[2]string]attemptMetrics
+}
+
+type attemptMetrics struct {
+	count    tally.Counter
+	duration tally.Histogram
+}
+
+func newAttemptObserver(scope tally.Scope) *attemptObserver {
+	return &attemptObserver{scope: scope, made: map[[2]string]attemptMetrics{}}
+}
+
+// AttemptEnded implements runner.Observer.
+func (o *attemptObserver) AttemptEnded(r runner.Report) {
+	key := [2]string{r.Outcome.String(), string(r.Reason)}
+	m, ok := o.made[key]
+	if !ok {
+		m = attemptMetrics{
+			count:    telemetry.Attempts.Counter(o.scope, key[0], key[1]),
+			duration: telemetry.AttemptDuration.Histogram(o.scope, key[0]),
+		}
+		o.made[key] = m
+	}
+	m.count.Inc(1)
+	m.duration.RecordDuration(r.RunTime)
+}
+
 // openTasks writes the open tasks of an answer to the log.
 type openTasks []dispatch.OpenTask
 
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -42,7 +42,7 @@
 		directory: platform.NewDirectory(store), records: platform.NewTargetRecords(store, n.Name),
 	}
 	a.runner = runner.New(runner.NewCore(runner.DefaultOptions()), platform.NewTargetClient(n.Target), token,
-		boottime.Now, log, runner.DefaultDriveOptions())
+		boottime.Now, log, newAttemptObserver(a.metrics.Scope), runner.DefaultDriveOptions())
 	a.links = link.NewClient(n.Name, n.Zone, a.runner, a.gateways, log)
 	return a
 }
@@ -64,6 +64,7 @@
 	wg.Go(func() { a.readDirectory(background) })
 	wg.Go(func() { a.logState(background) })
 	wg.Go(func() { a.keepRecord(background) })
+	wg.Go(func() { a.updateGauges(background) })
 	set.start(&wg)
 	events.ProcessStarted.Log(a.log).Str("link", a.node.Internal).Str("target", a.node.Target).Send()
 	<-ctx.Done()
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -86,6 +86,7 @@
 	wg.Go(func() { g.syncer.Run(background) })
 	wg.Go(func() { g.introduce(background) })
 	wg.Go(func() { g.register(background) })
+	wg.Go(func() { g.updateGauges(background) })
 	servers.start(&wg)
 	events.ProcessStarted.Log(g.log).Str("callers", g.node.Callers).Str("link", g.node.Link).Send()
 	<-ctx.Done()
--- a/daemon/platformmain.go
+++ b/daemon/platformmain.go
@@ -26,11 +26,14 @@
 		fmt.Fprintf(os.Stderr, "%s: %v\n", process, err)
 		return exitFailed
 	}
-	log, err := events.NewLogger(os.Stdout, "info", process, node.Name)
+	out, closeLog := events.NewBoundedWriter(os.Stdout)
+	defer func() { _ = closeLog() }()
+	log, err := events.NewLogger(out, "info", process, node.Name)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", process, err)
 		return exitFailed
 	}
+	out.ReportTo(log)
 	if err := run(ctx, node, log); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", process, err)
 		return exitFailed
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,6 +58,9 @@
 	peers   Peers
 	current *queues.Current
 	log     zerolog.Logger
+	// confirmed is when the store or another gateway last answered, in Unix
+	// nanoseconds; 0 before the first answer.
+	confirmed atomic.Int64
 	// failing is set while the store does not answer; owned by the goroutine of
 	// Run.
 	failing bool
@@ -67,6 +71,16 @@
 	return &Syncer{opts: opts, source: source, peers: peers, current: current, log: log}
 }
 
+// Age returns the time since the store or another gateway last answered about
+// the configuration; zero before the first answer.
+func (s *Syncer) Age() time.Duration {
+	at := s.confirmed.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, at))
+}
+
 // Run follows the store until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
 	answered := make(chan struct{}, 1)
@@ -107,6 +121,7 @@
 }
 
 func (s *Syncer) storeAnswers() {
+	s.confirmed.Store(time.Now().UnixNano())
 	if s.failing {
 		s.failing = false
 		events.StoreAnswers.Log(s.log).Send()
@@ -139,7 +154,10 @@
 		if c := s.current.Get(); c != nil {
 			version = c.Version
 		}
-		s.install(s.peers.Newer(ctx, version), "gateway")
+		if document := s.peers.Newer(ctx, version); document != nil {
+			s.confirmed.Store(time.Now().UnixNano())
+			s.install(document, "gateway")
+		}
 		wait.Reset(s.opts.PeersEvery)
 	}
 }
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -80,12 +80,28 @@
 	Failed, Anomaly float64
 }
 
+// Retry is an attempt that did not do its task's work, for logs.
+type Retry struct {
+	Agent   string
+	Task    task.ID
+	Attempt int
+	Outcome task.Outcome
+	Reason  task.Reason
+	// Ran is the time of the run, or since the order for a recall.
+	Ran time.Duration
+	// Expected is the prediction that the attempt was placed with.
+	Expected time.Duration
+	// Recall is set if the attempt is being stopped since it is overdue.
+	Recall bool
+}
+
 // Actions is what the driver has to do after a call of a Core.
 type Actions struct {
 	Orders  []Order
 	Stops   []Stop
 	Ended   []Ended
 	Changes []Change
+	Retries []Retry
 }
 
 // Event is the end of an attempt as an agent reports it.
@@ -122,8 +138,29 @@
 	return out
 }
 
-// Jobs returns the number of jobs in progress.
-func (c *Core) Jobs() int { return len(c.jobs) }
+// Status is the state that decides about new jobs, for metrics.
+type Status struct {
+	Jobs, Agents, Accepting, Avoided int
+	// Capacity and Committed are thousandths of a core of all targets.
+	Capacity, Committed int64
+}
+
+// Status returns the present state.
+func (c *Core) Status(now time.Duration) Status {
+	s := Status{Jobs: len(c.jobs), Agents: len(c.agents)}
+	for _, a := range c.agents {
+		if a.load.Accepting && now-a.heard <= c.opts.SuspectAfter {
+			s.Accepting++
+		}
+		if a.avoided {
+			s.Avoided++
+		}
+		needs, _ := a.committed()
+		s.Capacity += a.target.Capacity.CPUMillis
+		s.Committed += needs.CPUMillis
+	}
+	return s
+}
 
 // CanPlace tells whether any agent takes work.
 func (c *Core) CanPlace(now time.Duration) bool {
@@ -312,6 +349,11 @@
 		j.begun = true
 	}
 	t.state = waiting
+	if e.Outcome != task.Done {
+		c.out.Retries = append(c.out.Retries, Retry{
+			Agent: a.Name, Task: t.id, Attempt: e.Attempt, Outcome: e.Outcome, Reason: e.Reason, Ran: e.RunTime, Expected: t.expected,
+		})
+	}
 	switch e.Outcome {
 	case task.Done:
 		t.state = done
@@ -526,6 +568,9 @@
 			t.recalls++
 			t.failedOn = t.agent.Name
 			c.out.Stops = append(c.out.Stops, Stop{Link: t.agent.Link, Job: j.ID, Task: t.id, Attempt: t.attempt})
+			c.out.Retries = append(c.out.Retries, Retry{
+				Agent: t.agent.Name, Task: t.id, Attempt: t.attempt, Ran: now - t.sentAt, Expected: t.expected, Recall: true,
+			})
 		}
 	}
 }
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -74,6 +74,9 @@
 	for _, e := range a.Ended {
 		d.observer.JobEnded(e)
 	}
+	for _, r := range a.Retries {
+		d.logRetry(r)
+	}
 	for _, ch := range a.Changes {
 		event := events.TargetTrusted
 		if ch.Avoided {
@@ -83,6 +86,17 @@
 	}
 }
 
+func (d *Dispatcher) logRetry(r Retry) {
+	if r.Recall {
+		events.TaskRecalled.Log(d.log).Str("job", r.Task.Job).Stringer("task", r.Task).Int("attempt", r.Attempt).Str("agent", r.Agent).
+			Int64("age_ms", r.Ran.Milliseconds()).Int64("expected_ms", r.Expected.Milliseconds()).Send()
+		return
+	}
+	events.TaskTriedAgain.Log(d.log).Str("job", r.Task.Job).Stringer("task", r.Task).Int("attempt", r.Attempt).Str("agent", r.Agent).
+		Stringer("outcome", r.Outcome).Str("reason", string(r.Reason)).Int64("ran_ms", r.Ran.Milliseconds()).
+		Int64("expected_ms", r.Expected.Milliseconds()).Send()
+}
+
 // Submit runs a job and waits for its answer. If ctx ends first, the job's
 // tasks are stopped and the answer is Unfinished.
 func (d *Dispatcher) Submit(ctx context.Context, s Submission) Answer {
@@ -140,3 +154,10 @@
 	defer d.mu.Unlock()
 	return d.core.CanPlace(d.now())
 }
+
+// Status returns the state that decides about new jobs.
+func (d *Dispatcher) Status() Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Status(d.now())
+}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
 // ErrFenced means that the target has seen a higher fencing token.
@@ -91,10 +92,11 @@
 
 // Runner drives a Core: it calls the target and passes reports on.
 type Runner struct {
-	opts   DriveOptions
-	client TargetClient
-	now    boottime.Clock
-	log    zerolog.Logger
+	opts     DriveOptions
+	client   TargetClient
+	now      boottime.Clock
+	log      zerolog.Logger
+	observer Observer
 	// announced wakes the look loop after a heartbeat.
 	announced chan struct{}
 
@@ -113,9 +115,9 @@
 }
 
 // New returns a runner whose first fencing token is token.
-func New(core *Core, client TargetClient, token int64, now boottime.Clock, log zerolog.Logger, opts DriveOptions) *Runner {
+func New(core *Core, client TargetClient, token int64, now boottime.Clock, log zerolog.Logger, observer Observer, opts DriveOptions) *Runner {
 	return &Runner{
-		opts: opts, client: client, now: now, log: log, core: core, token: token,
+		opts: opts, client: client, now: now, log: log, observer: observer, core: core, token: token,
 		sinks: map[string]Sink{}, announced: make(chan struct{}, 1),
 	}
 }
@@ -193,6 +195,7 @@
 		go r.stop(ctx, r.core.target, s)
 	}
 	for _, rep := range a.Reports {
+		r.observe(rep)
 		if s := r.sinks[rep.Gateway]; s != nil {
 			s.Report(rep)
 		}
@@ -208,6 +211,22 @@
 	}
 }
 
+// Observer is told of ended attempts. It is called with the runner's lock held
+// and must not block.
+type Observer interface {
+	AttemptEnded(r Report)
+}
+
+func (r *Runner) observe(rep Report) {
+	r.observer.AttemptEnded(rep)
+	if rep.Outcome == task.Done || rep.Reason == task.ReasonRevoked {
+		return
+	}
+	events.RunEnded.Log(r.log).Str("job", rep.Task.Job).Stringer("task", rep.Task).Int("attempt", rep.Attempt).
+		Stringer("outcome", rep.Outcome).Str("reason", string(rep.Reason)).Int64("ran_ms", rep.RunTime.Milliseconds()).
+		Str("gateway", rep.Gateway).Send()
+}
+
 func (r *Runner) loadChanged() {
 	for _, s := range r.sinks {
 		s.LoadChanged()
--- a/restartable/runner/runner_test.go
+++ b/restartable/runner/runner_test.go
@@ -12,6 +12,10 @@
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 )
 
+type ignoreAttempts struct{}
+
+func (ignoreAttempts) AttemptEnded(Report) {}
+
 // fakeTarget answers looks at once, but for those that the test lets fail.
 type fakeTarget struct {
 	mu    sync.Mutex
@@ -50,7 +54,7 @@
 // of them had none, and three quarters of the jobs were late or refused.
 func TestSingleUnansweredLooksAreNoOutage(t *testing.T) {
 	f := &fakeTarget{began: time.Now(), fails: func(n int) bool { return n%10 == 0 }}
-	r := New(NewCore(DefaultOptions()), f, 1, boottime.Now, zerolog.Nop(), DefaultDriveOptions())
+	r := New(NewCore(DefaultOptions()), f, 1, boottime.Now, zerolog.Nop(), ignoreAttempts{}, DefaultDriveOptions())
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Run(ctx) })
