--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -25,6 +25,10 @@
 	ProbeEvery time.Duration
 	// RemoteFactor is how much longer a task takes away from its data.
 	RemoteFactor float64
+	// SuspendedAfter is the time without a tick after which this process counts
+	// as having been suspended, SettleAfter how long it then takes no job: requests
+	// that had waited in its connections may have been sent again elsewhere.
+	SuspendedAfter, SettleAfter time.Duration
 	// RetryAfter is what a refused caller is told to wait at least.
 	RetryAfter time.Duration
 }
@@ -34,6 +38,7 @@
 	return Options{
 		Zone: zone, NearHop: 300 * time.Microsecond, FarHop: 1500 * time.Microsecond,
 		ReturnTrip: 10 * time.Millisecond, SuspectAfter: 350 * time.Millisecond,
+		SuspendedAfter: 400 * time.Millisecond, SettleAfter: 250 * time.Millisecond,
 		ProbeEvery: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second,
 	}
 }
@@ -102,6 +107,8 @@
 	Ended   []Ended
 	Changes []Change
 	Retries []Retry
+	// Suspended is the length of a suspension of this process that was noticed.
+	Suspended time.Duration
 }
 
 // Event is the end of an attempt as an agent reports it.
@@ -123,7 +130,10 @@
 	jobs   map[string]*job
 	// estimators are those of the queues by name.
 	estimators map[string]*estimator
-	out        Actions
+	// tickedAt is the time of the last tick; jobs are taken again from settledAt
+	// on.
+	tickedAt, settledAt time.Duration
+	out                 Actions
 }
 
 // NewCore returns a core without agents.
@@ -294,6 +304,11 @@
 	}
 	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
 	j.callers = append(j.callers, answer)
+	c.checkSuspension(now)
+	if now < c.settledAt {
+		c.finish(now, j, Answer{State: NotRun, Cause: CauseSuspended, RetryAfter: c.opts.RetryAfter})
+		return
+	}
 	c.jobs[s.ID] = j
 	c.proceed(now, j)
 }
@@ -537,8 +552,19 @@
 	overdueSlack  = 50 * time.Millisecond
 )
 
+// checkSuspension notes a suspension of this process. The clock goes on during
+// one, ticks do not.
+func (c *Core) checkSuspension(now time.Duration) {
+	if c.tickedAt > 0 && now-c.tickedAt > c.opts.SuspendedAfter {
+		c.out.Suspended = now - c.tickedAt
+		c.tickedAt, c.settledAt = now, now+c.opts.SettleAfter
+	}
+}
+
 // Tick gives up what is past its deadline, and recalls runs that hang.
 func (c *Core) Tick(now time.Duration) {
+	c.checkSuspension(now)
+	c.tickedAt = now
 	for _, j := range sortedJobs(c.jobs) {
 		if now >= j.deadline-c.opts.ReturnTrip {
 			c.giveUp(now, j, CauseDeadline)
--- a/restartable/dispatch/core_test.go
+++ b/restartable/dispatch/core_test.go
@@ -328,3 +328,24 @@
 		t.Fatalf("%d orders within 1.2 s, answers %v", len(r.orders), r.answers)
 	}
 }
+
+// Guards against requests that waited in the connections of a suspended gateway
+// and run there although their callers have sent them to another one.
+func TestNoJobIsTakenRightAfterASuspension(t *testing.T) {
+	r := newRig(t)
+	r.agent("a", 32_000)
+	r.core.Tick(r.now)
+	r.after(3 * time.Second)
+	r.report("a", func(*Load) {})
+	r.submit(jobOf("old", 1, 100*ms))
+	r.wantAnswer("old", NotRun, CauseSuspended)
+	for range 20 {
+		r.after(20 * ms)
+		r.report("a", func(*Load) {})
+		r.core.Tick(r.now)
+	}
+	r.submit(jobOf("new", 1, 100*ms))
+	if len(r.orders) != 1 {
+		t.Fatalf("orders %v, answers %v after the gateway had settled", r.orders, r.answers)
+	}
+}
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -74,6 +74,9 @@
 	for _, e := range a.Ended {
 		d.observer.JobEnded(e)
 	}
+	if a.Suspended > 0 {
+		events.Suspended.Log(d.log).Int64("gap_ms", a.Suspended.Milliseconds()).Send()
+	}
 	for _, r := range a.Retries {
 		d.logRetry(r)
 	}
