Withdraw jobs that have not begun before they are refused

Change: agents report starts with the next load; a job that has not begun when it can no longer be in time is taken back, and its caller is told so once all agents have confirmed it. Overdue runs are taken to need a third of their time yet.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -354,6 +354,12 @@
 		return nil
 	}
 	j := c.jobs[e.Task.Job]
+	if e.Outcome == task.Started {
+		if j != nil {
+			j.begun = true
+		}
+		return j
+	}
 	delete(a.placed, e.Task)
 	t.agent = nil
 	if j == nil {
@@ -404,6 +410,10 @@
 	if c.jobs[j.ID] != j {
 		return
 	}
+	if j.withdrawn != CauseNone {
+		c.awaitWithdrawal(now, j)
+		return
+	}
 	if j.complete() {
 		c.finish(now, j, Answer{State: Completed})
 		return
@@ -435,7 +445,7 @@
 	choices := p.placeAll(tasks)
 	if cause, last := c.refusal(now, j, step, tasks, choices); cause != CauseNone {
 		j.basis = c.basis(now, j, step, last)
-		c.giveUp(now, j, cause)
+		c.withdraw(now, j, cause)
 		return false
 	}
 	c.send(now, j, step, choices)
@@ -446,7 +456,7 @@
 // waiting tasks, and which of the choices decided it.
 func (c *Core) refusal(now time.Duration, j *job, step int, tasks []*taskRecord, choices []choice) (Cause, *choice) {
 	if len(choices) < len(tasks) {
-		if j.atWork() && len(choices) == 0 && c.CanPlace(now) {
+		if j.begun && len(choices) == 0 && c.CanPlace(now) {
 			// Something may come free for the rest.
 			return CauseNone, nil
 		}
@@ -457,7 +467,7 @@
 		if onTime(ch.finish, j.deadline-now) < hopeless {
 			return CauseOverload, ch
 		}
-		if !j.atWork() && ch.wait > 0 && onTime(ch.finish, j.objective-now) < crowded {
+		if !j.begun && ch.wait > 0 && onTime(ch.finish, j.objective-now) < crowded {
 			return CauseOverload, ch
 		}
 	}
@@ -505,14 +515,13 @@
 	byAgent := map[*agent]*Order{}
 	var order []*agent
 	st := &j.Steps[step]
-	atWork := j.atWork()
 	for _, ch := range choices {
 		a, t := ch.agent, ch.task
 		o := byAgent[a]
 		if o == nil {
 			due := max(j.objective-now-ch.run-c.hop(a), startGrace)
 			within := due
-			if atWork {
+			if j.begun {
 				// What is late already must not delay what can still be in time.
 				within = max(j.deadline-now-ch.run-c.hop(a), startGrace)
 				if now+ch.finish > j.objective {
@@ -570,7 +579,9 @@
 			c.giveUp(now, j, CauseDeadline)
 			continue
 		}
-		c.recallOverdue(now, j)
+		if j.withdrawn == CauseNone {
+			c.recallOverdue(now, j)
+		}
 		c.proceed(now, j)
 	}
 }
@@ -621,6 +632,33 @@
 // recallTime is about how long it takes until a stopped run has ended.
 const recallTime = 60 * time.Millisecond
 
+// withdraw gives a job up. If nothing of it has begun as far as is known, the
+// agents are asked to drop it first: only then can the caller be told that it
+// has not run.
+func (c *Core) withdraw(now time.Duration, j *job, cause Cause) {
+	if j.begun || j.onTargets == 0 {
+		c.giveUp(now, j, cause)
+		return
+	}
+	j.withdrawn, j.withdrawnAt = cause, now
+	for a := range j.agents {
+		if j.hasPlacedOn(a) {
+			c.out.Stops = append(c.out.Stops, Stop{Link: a.Link, Job: j.ID})
+		}
+	}
+}
+
+// withdrawWait bounds the time until all agents have confirmed a withdrawal.
+const withdrawWait = 40 * time.Millisecond
+
+// awaitWithdrawal answers a withdrawn job as soon as it is known whether
+// anything of it has begun.
+func (c *Core) awaitWithdrawal(now time.Duration, j *job) {
+	if j.begun || j.onTargets == 0 || now-j.withdrawnAt > withdrawWait {
+		c.giveUp(now, j, j.withdrawn)
+	}
+}
+
 // giveUp answers a job that cannot be completed and stops what is left of it.
 func (c *Core) giveUp(now time.Duration, j *job, cause Cause) {
 	open := j.openTasks(now)
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -178,6 +178,9 @@
 	callers   []func(Answer)
 	// basis is the prediction that decided a refusal.
 	basis *Basis
+	// withdrawn is why the job is being taken back from the agents.
+	withdrawn   Cause
+	withdrawnAt time.Duration
 }
 
 func newJob(now time.Duration, s Submission, predict func(time.Duration) time.Duration) *job {
@@ -233,9 +236,6 @@
 	return out
 }
 
-// atWork tells whether a task of the job has run or may be running.
-func (j *job) atWork() bool { return j.begun || j.onTargets > 0 }
-
 func (j *job) complete() bool {
 	for _, n := range j.left {
 		if n > 0 {
--- a/restartable/dispatch/load_test.go
+++ b/restartable/dispatch/load_test.go
@@ -156,6 +156,7 @@
 	if got := r.placed(); got["a"] != 1 || got["b"] != 1 {
 		t.Fatalf("placed %v", got)
 	}
+	r.end("a", eventOf("j", r.orders[0].Tasks[0].Index, 1, task.Started, ""))
 	r.after(100 * ms)
 	busy := func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 6_000}, 150*ms }
 	r.report("a", busy)
@@ -230,3 +231,29 @@
 		t.Fatalf("%d of 6 targets avoided", avoided)
 	}
 }
+
+// Overload with a wrong prediction: nothing of a job has begun when its first
+// task has waited too long. The agents drop the rest before the caller is told
+// that the job has not run; if something has begun after all, the caller is not
+// told so.
+func TestJobThatHasNotBegunIsWithdrawn(t *testing.T) {
+	for _, late := range []task.Outcome{task.NotStarted, task.Stopped} {
+		r := newRig(t)
+		r.agent("a", 4_000)
+		r.agent("b", 4_000)
+		r.submit(jobOf("j", 2, 100*ms))
+		r.after(100 * ms)
+		busy := func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 40_000}, 900*ms }
+		r.report("a", busy)
+		r.report("b", busy, eventOf("j", r.orders[1].Tasks[0].Index, 1, task.NotStarted, task.ReasonExpired))
+		if len(r.answers) != 0 || len(r.stops) != 1 || r.stops[0].Link != "a" {
+			t.Fatalf("answers %v, stops %v before the withdrawal is confirmed", r.answers, r.stops)
+		}
+		r.end("a", eventOf("j", r.orders[0].Tasks[0].Index, 1, late, task.ReasonRevoked))
+		if late == task.NotStarted {
+			r.wantAnswer("j", NotRun, CauseOverload)
+		} else {
+			r.wantAnswer("j", Unfinished, CauseOverload)
+		}
+	}
+}
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -199,7 +199,7 @@
 // Close ends the link.
 func (l *agentLink) Close() { l.close(errLeaseLapsed) }
 
-// Report queues the end of an attempt.
+// Report queues an event of an attempt. A start goes out with the next load.
 func (l *agentLink) Report(r runner.Report) {
 	l.mu.Lock()
 	l.ends = append(l.ends, &pb.RunEvent{
@@ -207,7 +207,9 @@
 		Attempt: uint32(r.Attempt), Outcome: outcomes[r.Outcome], Reason: string(r.Reason), RunMs: millis(r.RunTime),
 	})
 	l.mu.Unlock()
-	signal(l.events)
+	if r.Outcome != task.Started {
+		signal(l.events)
+	}
 }
 
 // LoadChanged makes the writer send the load soon.
--- a/restartable/link/wire.go
+++ b/restartable/link/wire.go
@@ -61,7 +61,7 @@
 var outcomes = map[task.Outcome]pb.RunOutcome{
 	task.Done: pb.RunOutcome_RUN_OUTCOME_DONE, task.Failed: pb.RunOutcome_RUN_OUTCOME_FAILED,
 	task.NotStarted: pb.RunOutcome_RUN_OUTCOME_NOT_STARTED, task.Stopped: pb.RunOutcome_RUN_OUTCOME_STOPPED,
-	task.Lost: pb.RunOutcome_RUN_OUTCOME_LOST,
+	task.Lost: pb.RunOutcome_RUN_OUTCOME_LOST, task.Started: pb.RunOutcome_RUN_OUTCOME_STARTED,
 }
 
 func outcomeOf(o pb.RunOutcome) task.Outcome {
--- a/restartable/runner/property_test.go
+++ b/restartable/runner/property_test.go
@@ -96,6 +96,9 @@
 	}
 	w.stops = append(w.stops, a.Stops...)
 	for _, r := range a.Reports {
+		if r.Outcome == task.Started {
+			continue
+		}
 		w.reports[Attempt{r.Task, r.Attempt}] = r.Outcome
 	}
 }
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -218,6 +218,9 @@
 }
 
 func (r *Runner) observe(rep Report) {
+	if rep.Outcome == task.Started {
+		return
+	}
 	r.observer.AttemptEnded(rep)
 	if rep.Outcome == task.Done || rep.Reason == task.ReasonRevoked {
 		return
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -30,6 +30,7 @@
 	switch result {
 	case StartAccepted:
 		r.state = running
+		c.out.Reports = append(c.out.Reports, Report{Gateway: r.gateway, Task: r.Task, Attempt: r.Attempt, Outcome: task.Started})
 		if r.revoked {
 			c.stopRun(r)
 		}
@@ -190,8 +191,8 @@
 	for _, r := range c.runs {
 		left := time.Duration(float64(r.Expected) * slowness)
 		if r.state != queued {
-			// A run that is overdue is taken to need a tenth of its time yet.
-			left = max(left-(now-r.startedAt), left/10)
+			// A run that is overdue is taken to need a third of its time yet.
+			left = max(left-(now-r.startedAt), left/3)
 		}
 		work += float64(r.Needs.CPUMillis) * left.Seconds()
 	}
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -68,9 +68,11 @@
 	Stopped
 	// Lost is the end of a run whose lease lapsed or whose target went down.
 	Lost
+	// Started is no end: the target has accepted the attempt.
+	Started
 )
 
-var outcomeNames = map[Outcome]string{Done: "done", Failed: "failed", NotStarted: "not_started", Stopped: "stopped", Lost: "lost"}
+var outcomeNames = map[Outcome]string{Done: "done", Failed: "failed", NotStarted: "not_started", Stopped: "stopped", Lost: "lost", Started: "started"}
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
