Sum the speeds of kinds ten times a second in place of for each slot

Cause: BenchmarkJob: 2261 us for a job of four tasks with 300 agents, growing with the square, since each slot's speed looked at all agents.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -50,6 +50,9 @@
 	agents []*agent
 	byLink map[string]*agent
 	jobs   map[string]*job
+	// kinds has the speeds of kinds as of kindsAt.
+	kinds   map[kindKey]kindSpeed
+	kindsAt time.Duration
 	// estimators are those of the queues by name.
 	estimators map[string]*estimator
 	// tickedAt is the time of the last tick; jobs are taken again from settledAt
@@ -187,7 +190,7 @@
 		a.probesDone++
 		j.left[e.Task.Step]--
 		st := &j.Steps[e.Task.Step]
-		run := time.Duration(float64(e.RunTime) / c.slowness(a))
+		run := time.Duration(float64(e.RunTime) / c.slowness(now, a))
 		c.estimator(j.Queue.Name).observe(st.Estimate, run, 1/float64(st.Tasks))
 	case task.Failed:
 		t.failed++
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -53,7 +53,7 @@
 }
 
 func (p *plan) runTime(a *agent) time.Duration {
-	run := float64(p.job.expected[p.step]) * p.core.slowness(a)
+	run := float64(p.job.expected[p.step]) * p.core.slowness(p.now, a)
 	if !a.hasLabel(p.job.Steps[p.step].DataRack) {
 		run *= p.core.opts.RemoteFactor
 	}
