Give each link a connection of its own

Cause (reading, then TestLinkRecoversFromASilentConnection, which failed): an agent that attached anew shared the HTTP/2 connection of the ended stream. Gone silent without a reset, it stayed so for each later stream, and the pair never worked again. Calls between gateways had the same fault. Ruled out: TCP_USER_TIMEOUT, since the peer's kernel acknowledges.

--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -121,7 +121,8 @@
 // Stopping implements platform.Jobs.
 func (g *PlatformGateway) Stopping() bool { return g.stopping.Load() }
 
-// others returns the clients of the other gateways.
+// others returns the clients of the other gateways. Their calls are rare, and a
+// connection kept in between may have gone silent: it is closed after each.
 func (g *PlatformGateway) others() []restartv1connect.DispatchServiceClient {
 	var out []restartv1connect.DispatchServiceClient
 	for _, a := range g.gateways.All() {
@@ -137,6 +138,7 @@
 func (g *PlatformGateway) Newer(ctx context.Context, version uint64) []byte {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	defer g.client.CloseIdleConnections()
 	others := g.others()
 	replies := make(chan *pb.ConfigurationReply, len(others))
 	for _, o := range others {
@@ -178,6 +180,7 @@
 func (g *PlatformGateway) introduceOnce(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	defer g.client.CloseIdleConnections()
 	others := g.others()
 	answers := make(chan []string, len(others))
 	for _, o := range others {
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -34,7 +33,6 @@
 	hello    *pb.AttachHello
 	runner   *runner.Runner
 	gateways *Gateways
-	http     *http.Client
 	log      zerolog.Logger
 	links    atomic.Uint64
 	up       atomic.Int64
@@ -43,7 +41,7 @@
 // NewClient returns the links of an agent.
 func NewClient(name, zone string, r *runner.Runner, g *Gateways, log zerolog.Logger) *Client {
 	return &Client{
-		hello: &pb.AttachHello{Agent: name, Zone: zone}, runner: r, gateways: g, http: NewHTTPClient(), log: log,
+		hello: &pb.AttachHello{Agent: name, Zone: zone}, runner: r, gateways: g, log: log,
 	}
 }
 
@@ -97,7 +95,11 @@
 func (c *Client) serve(parent context.Context, address string) (bool, error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	service := restartv1connect.NewDispatchServiceClient(c.http, "http://"+address,
+	// Each link has a connection of its own: on a shared one that has gone silent
+	// without a reset, every later stream would be silent as well.
+	hc := NewHTTPClient()
+	defer hc.CloseIdleConnections()
+	service := restartv1connect.NewDispatchServiceClient(hc, "http://"+address,
 		connect.WithReadMaxBytes(frameBytes), connect.WithAcceptCompression("gzip", nil, nil))
 	stream := service.Attach(ctx)
 	defer func() { _ = stream.CloseResponse() }()
