--- a/command/explainlogs.go
+++ b/command/explainlogs.go
@@ -27,6 +27,9 @@
 
 // Execute prints the lines of the job in the order of their time.
 func (c *explainLogsCommand) Execute([]string) error {
+	if c.Args.Job == "" {
+		return exitf(ExitInvalid, "the id of the job is empty")
+	}
 	var found []logLine
 	for _, name := range c.Args.Files {
 		f, err := os.Open(name)
--- a/command/explainlogs_test.go
+++ b/command/explainlogs_test.go
@@ -47,4 +47,8 @@
 	if code := a.Run(context.Background(), []string{"explain-logs", "99"}); code != ExitNotFound {
 		t.Fatalf("exit code %d for an unknown job", code)
 	}
+	a = &App{Stdin: strings.NewReader(jobLogs), Stdout: &fromInput, Stderr: &errs}
+	if code := a.Run(context.Background(), []string{"explain-logs", ""}); code != ExitInvalid {
+		t.Fatalf("exit code %d for an empty id", code)
+	}
 }
