--- a/agent/lease.go
+++ b/agent/lease.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/logservice"
 )
 
 const (
 	// renewals is the number of renewals tried during one time to live.
 	renewals = 3
-	// leaseRetry is the shortest wait after a failed renewal.
+	// leaseRetry is the shortest pause after a failed renewal.
 	leaseRetry = 100 * time.Millisecond
 	// releaseTTL is the shortest time to live that the lease service takes.
 	releaseTTL = time.Millisecond
@@ -106,7 +107,7 @@
 	failing := false
 	for ctx.Err() == nil {
 		was := k.held(a.now())
-		wait, err := k.renew(ctx, a.now)
+		pause, err := k.renew(ctx, a.now)
 		is := k.held(a.now())
 		if err != nil && !failing && ctx.Err() == nil {
 			events.LeaseRenewalFailed.Log(a.log).Str("worker", k.worker).Err(err).Send()
@@ -118,18 +119,18 @@
 		if is != was {
 			a.leaseChanged(is)
 		}
-		if left := k.remaining(a.now()); is && left < wait {
+		if left := k.remaining(a.now()); is && left < pause {
 			// Wakes up at the lapse to report it.
-			wait = left
+			pause = left
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, pause)
 		if is && !k.held(a.now()) {
 			a.leaseChanged(false)
 		}
 	}
 }
 
-// renew asks for the lease once and returns the wait until the next renewal. An
+// renew asks for the lease once and returns the pause until the next renewal. An
 // error leaves the validity as it is: the platform may have renewed the lease,
 // but the agent counts only on a reply.
 func (k *leaseKeeper) renew(ctx context.Context, now func() time.Duration) (time.Duration, error) {
@@ -189,13 +190,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/agent/targetapi.go
+++ b/agent/targetapi.go
@@ -12,6 +12,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 )
 
 // Limits of an announcement.
@@ -150,7 +151,7 @@
 // watchTarget checks the heartbeat until ctx ends.
 func (a *Agent) watchTarget(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, a.opts.HeartbeatExpiry/heartbeatsPerExpiry)
+		wait.For(ctx, a.opts.HeartbeatExpiry/heartbeatsPerExpiry)
 		a.expireTarget()
 	}
 	a.mu.Lock()
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 )
 
 // gaugesEvery is the time between two updates of gauges.
@@ -29,7 +30,7 @@
 			version.Update(float64(c.Version))
 		}
 		confirmed.Update(g.syncer.Age().Seconds())
-		pause(ctx, gaugesEvery)
+		wait.For(ctx, gaugesEvery)
 	}
 }
 
@@ -51,6 +52,6 @@
 		}
 		accepting.Update(value)
 		linked.Update(float64(a.links.Up()))
-		pause(ctx, gaugesEvery)
+		wait.For(ctx, gaugesEvery)
 	}
 }
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
@@ -91,7 +92,7 @@
 				a.gateways.Add(g)
 			}
 		}
-		pause(ctx, directoryEvery)
+		wait.For(ctx, directoryEvery)
 	}
 }
 
@@ -108,7 +109,7 @@
 		a.runner.Recall(ctx, saved)
 	}
 	for ctx.Err() == nil {
-		pause(ctx, recordEvery)
+		wait.For(ctx, recordEvery)
 		t, known := a.runner.Target()
 		// A target that leaves is recorded as such only by its heartbeats.
 		t.Draining = false
@@ -117,7 +118,7 @@
 		}
 		if err := a.records.Save(ctx, t); err != nil {
 			events.TargetRecordFailed.Log(a.log).Err(err).Send()
-			pause(ctx, registerRetry)
+			wait.For(ctx, registerRetry)
 			continue
 		}
 		saved = t
@@ -129,7 +130,7 @@
 
 func (a *PlatformAgent) logState(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, stateEvery)
+		wait.For(ctx, stateEvery)
 		t, l, _ := a.runner.Load()
 		events.TargetState.Log(a.log).Str("target", t.ID).Bool("accepting", l.Accepting).Str("reason", string(l.Reason)).
 			Int("running", l.Running).Int("queued", l.Queued).Int64("committed_cpu_millis", l.Committed.CPUMillis).
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
 	"github.com/rhubarbsail/rhubarbsail/platform"
@@ -167,12 +168,12 @@
 // introduce makes this gateway known to the agents of the others. Another
 // gateway may have been replaced since, so that it does not end.
 func (g *PlatformGateway) introduce(ctx context.Context) {
-	wait := introduceRetry
+	gap := introduceRetry
 	for ctx.Err() == nil {
 		if g.introduceOnce(ctx) {
-			wait = introduceEvery
+			gap = introduceEvery
 		}
-		pause(ctx, wait)
+		wait.For(ctx, gap)
 	}
 }
 
@@ -220,15 +221,6 @@
 			return
 		}
 		events.GatewayRecordFailed.Log(g.log).Err(err).Send()
-		pause(ctx, registerRetry)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(ctx, registerRetry)
 	}
 }
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 )
 
@@ -59,7 +60,7 @@
 func (s *serverSet) stop(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	pause(ctx, stopNotice)
+	wait.For(ctx, stopNotice)
 	var first error
 	for _, b := range s.servers {
 		if b.drained {
--- a/restartable/queues/queues.go
+++ b/restartable/queues/queues.go
@@ -31,7 +31,8 @@
 
 // Limits bound requests.
 type Limits struct {
-	HeaderBytes, BodyBytes int64
+	// BodyBytes is the largest body of a submission.
+	BodyBytes int64
 }
 
 // Config is one version of the configuration. It does not change.
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -141,7 +142,7 @@
 		}
 		if err := r.look(ctx, t, r.wait()); err != nil {
 			r.lookFailed(err)
-			sleep(ctx, r.opts.RetryAfter)
+			wait.For(ctx, r.opts.RetryAfter)
 		}
 	}
 }
@@ -280,7 +281,7 @@
 	defer cancel()
 	clock, err := r.client.Stop(call, t, a, token)
 	if err != nil {
-		sleep(ctx, r.opts.RetryAfter)
+		wait.For(ctx, r.opts.RetryAfter)
 	}
 	r.do(ctx, func(c *Core, now time.Duration) {
 		r.readClock(clock)
@@ -448,15 +449,6 @@
 		if idle {
 			return
 		}
-		sleep(ctx, r.opts.TickEvery)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(ctx, r.opts.TickEvery)
 	}
 }
