Answer the caller who stays when another one of the job leaves

Cause (reading): Leave dropped the first caller of a job, whoever left. When the one who had joined left, the first one was never answered. Ruled out: a later answer by other ways; the dispatcher waits for this one only. Result: callers are told apart. TestCallerWhoStaysIsAnswered fails with the former line ('caller 1 left; answers [0 1]') and passes now.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -104,15 +104,18 @@
 	})
 }
 
-// Submit takes a job in. The answer function is called once, from within this
-// or a later call. A job that is in progress here is joined.
-func (c *Core) Submit(now time.Duration, s Submission, answer func(Answer)) {
+// Caller waits for the answer to a job. Answer is called once at most.
+type Caller struct{ Answer func(Answer) }
+
+// Submit takes a job in. The caller is answered from within this or a later
+// call. A job that is in progress here is joined.
+func (c *Core) Submit(now time.Duration, s Submission, caller *Caller) {
 	if j := c.jobs[s.ID]; j != nil {
-		j.callers = append(j.callers, answer)
+		j.callers = append(j.callers, caller)
 		return
 	}
 	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
-	j.callers = append(j.callers, answer)
+	j.callers = append(j.callers, caller)
 	c.checkSuspension(now)
 	if now < c.settledAt {
 		c.finish(now, j, Answer{State: NotRun, Cause: CauseSuspended, RetryAfter: c.opts.RetryAfter})
@@ -131,18 +134,17 @@
 	return e
 }
 
-// Leave notes that the job's only caller has gone. Its tasks are stopped: the
-// caller may submit the job to another gateway.
-func (c *Core) Leave(now time.Duration, id string) {
+// Leave notes that a caller has gone. With the last one the job is given up:
+// its callers may submit it to another gateway.
+func (c *Core) Leave(now time.Duration, id string, caller *Caller) {
 	j := c.jobs[id]
 	if j == nil {
 		return
 	}
-	if len(j.callers) > 1 {
-		j.callers = j.callers[1:]
-		return
+	j.callers = slices.DeleteFunc(j.callers, func(o *Caller) bool { return o == caller })
+	if len(j.callers) == 0 {
+		c.giveUp(now, j, CauseCallerLeft)
 	}
-	c.giveUp(now, j, CauseCallerLeft)
 }
 
 // Cancel stops a job at a caller's request. It returns whether it was in
--- a/restartable/dispatch/core_test.go
+++ b/restartable/dispatch/core_test.go
@@ -67,7 +67,7 @@
 }
 
 func (r *rig) submit(s Submission) {
-	r.core.Submit(r.now, s, func(a Answer) { r.answers[s.ID] = a })
+	r.core.Submit(r.now, s, &Caller{Answer: func(a Answer) { r.answers[s.ID] = a }})
 	r.collect()
 }
 
@@ -184,7 +184,7 @@
 // may submit it again to another gateway.
 func TestGivenUpJobIsStoppedEverywhere(t *testing.T) {
 	causes := map[string]func(r *rig){
-		"caller left": func(r *rig) { r.core.Leave(r.now, "j") },
+		"caller left": func(r *rig) { r.core.Leave(r.now, "j", r.core.jobs["j"].callers[0]) },
 		"cancelled":   func(r *rig) { r.core.Cancel(r.now, "j") },
 		"deadline": func(r *rig) {
 			r.after(1500 * ms)
@@ -226,15 +226,35 @@
 	r.agent("a", 32_000)
 	r.submit(jobOf("j", 1, 100*ms))
 	joined := false
-	r.core.Submit(r.now, jobOf("j", 1, 100*ms), func(Answer) { joined = true })
+	r.core.Submit(r.now, jobOf("j", 1, 100*ms), &Caller{Answer: func(Answer) { joined = true }})
 	r.collect()
 	if len(r.orders) != 1 {
 		t.Fatalf("%d orders for one job", len(r.orders))
 	}
-	r.core.Leave(r.now, "j")
 	r.end("a", eventOf("j", 0, 1, task.Done, ""))
-	if !joined {
-		t.Fatal("the joined caller got no answer")
+	if !joined || len(r.answers) != 1 {
+		t.Fatal("a caller got no answer")
+	}
+}
+
+// Guards against an answer that is withheld from a caller who waits, since
+// another caller of the same job has left.
+func TestCallerWhoStaysIsAnswered(t *testing.T) {
+	for _, leaves := range []int{0, 1} {
+		r := newRig(t)
+		r.agent("a", 32_000)
+		var answered [2]int
+		callers := [2]*Caller{}
+		for i := range callers {
+			callers[i] = &Caller{Answer: func(Answer) { answered[i]++ }}
+			r.core.Submit(r.now, jobOf("j", 1, 100*ms), callers[i])
+		}
+		r.core.Leave(r.now, "j", callers[leaves])
+		r.collect()
+		r.end("a", eventOf("j", 0, 1, task.Done, ""))
+		if answered[leaves] != 0 || answered[1-leaves] != 1 {
+			t.Errorf("caller %d left; answers %v", leaves, answered)
+		}
 	}
 }
 
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -104,15 +104,14 @@
 // tasks are stopped and the answer is Unfinished.
 func (d *Dispatcher) Submit(ctx context.Context, s Submission) Answer {
 	answers := make(chan Answer, 1)
-	d.do(func(c *Core, now time.Duration) {
-		c.Submit(now, s, func(a Answer) { answers <- a })
-	})
+	caller := &Caller{Answer: func(a Answer) { answers <- a }}
+	d.do(func(c *Core, now time.Duration) { c.Submit(now, s, caller) })
 	select {
 	case a := <-answers:
 		return a
 	case <-ctx.Done():
 	}
-	d.do(func(c *Core, now time.Duration) { c.Leave(now, s.ID) })
+	d.do(func(c *Core, now time.Duration) { c.Leave(now, s.ID, caller) })
 	return Answer{State: Unfinished, Cause: CauseCallerLeft}
 }
 
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -175,7 +175,7 @@
 	onTargets int
 	attempts  int
 	agents    map[*agent]bool
-	callers   []func(Answer)
+	callers   []*Caller
 	// basis is the prediction that decided a refusal.
 	basis *Basis
 	// withdrawn is why the job is being taken back from the agents.
@@ -247,6 +247,6 @@
 
 func (j *job) answer(a Answer) {
 	for _, c := range j.callers {
-		c(a)
+		c.Answer(a)
 	}
 }
