Read a load after the orders that it has to include; fix the order of runs

Cause (reading): a frame's load was read before the number of the orders that it claims to include, so that a gateway could drop an order that the load lacked and take a target for emptier than it is. Runs that were queued together had the order of a map. Ruled out: harm to capacity, which the agent keeps. Result: the number is read first; ties go by the task's name. An unused field of a link is gone. Tests pass; no test shows the race of the two reads.

--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -269,9 +269,13 @@
 }
 
 func (l *agentLink) frame(sent *sentState) *pb.RunReport {
+	// The load is read after the number of the orders that it has to include.
+	l.mu.Lock()
+	seen := l.ordersSeen
+	l.mu.Unlock()
 	target, load, now := l.client.runner.Load()
 	l.mu.Lock()
-	ends, seen := l.ends, l.ordersSeen
+	ends := l.ends
 	l.ends = nil
 	l.mu.Unlock()
 	f := &pb.RunReport{Stamp: int64(now), Events: ends, Load: &pb.TargetLoad{
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -67,8 +67,6 @@
 	mu    sync.Mutex // owns the fields below
 	next  *pb.RunOrder
 	stamp int64
-	// changed is set if next has something to send.
-	changed bool
 }
 
 func newGatewayLink() *gatewayLink {
@@ -78,7 +76,6 @@
 func (l *gatewayLink) add(change func(next *pb.RunOrder)) {
 	l.mu.Lock()
 	change(l.next)
-	l.changed = true
 	l.mu.Unlock()
 	select {
 	case l.wake <- struct{}{}:
@@ -132,7 +129,7 @@
 	defer l.mu.Unlock()
 	out := l.next
 	out.Stamp = l.stamp
-	l.next, l.changed = &pb.RunOrder{}, false
+	l.next = &pb.RunOrder{}
 	return out
 }
 
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -5,7 +5,9 @@
 package runner
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
@@ -437,6 +439,8 @@
 	for _, r := range c.runs {
 		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b *run) int { return int(a.queuedAt - b.queuedAt) })
+	slices.SortFunc(all, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.queuedAt, b.queuedAt), strings.Compare(a.Task.String(), b.Task.String()))
+	})
 	return all
 }
