End all calls with the runner; let leases of an unreachable target lapse

Cause (reading): a look without an answer counted as a renewal and was repeated for ever, so that the lease of a target that had gone never lapsed for its agent: its runs kept capacity and jobs until the deadline. Stops that are not answered were repeated without an end, also after the agent had stopped. Ruled out: a second run by it; the agent erred on the safe side. Change: an unreachable target is looked at without a renewal; calls belong to the runner, which waits for them. Old lists no longer set the clock of a new life. Result: TestRunsOfATargetThatHasGoneAreLost fails without the first change, TestNoCallOutlivesTheRunner without the second; both pass with them, three times with the race detector.

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		events.TargetRecordFailed.Log(a.log).Err(err).Send()
 	} else if ok {
-		a.runner.Recall(ctx, saved)
+		a.runner.Recall(saved)
 	}
 	for ctx.Err() == nil {
 		wait.For(ctx, recordEvery)
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -125,7 +125,7 @@
 				c.runner.Attach(l.name, l)
 				events.GatewayAttached.Log(c.log).Str("gateway", address).Str("link", l.name).Send()
 			}
-			c.take(ctx, l, f)
+			c.take(l, f)
 		}
 	}()
 	if cause := context.Cause(ctx); cause != nil {
@@ -134,14 +134,13 @@
 	cancel(err)
 	if attached {
 		c.up.Add(-1)
-		// The end of the link must reach the runner even while the agent stops.
-		c.runner.Detach(context.WithoutCancel(ctx), l.name)
+		c.runner.Detach(l.name)
 	}
 	<-written
 	return attached, err
 }
 
-func (c *Client) take(ctx context.Context, l *agentLink, f *pb.RunOrder) {
+func (c *Client) take(l *agentLink, f *pb.RunOrder) {
 	for _, g := range f.Gateways {
 		c.gateways.Add(g)
 	}
@@ -154,8 +153,7 @@
 		id := task.ID{StepID: task.StepID{Job: s.Job, Occurrence: int(s.Occurrence), Step: int(s.Step)}, Index: int(s.Index)}
 		stops = append(stops, runner.Attempt{Task: id, Number: int(s.Attempt)})
 	}
-	// Calls to the target outlive the link.
-	c.runner.Order(context.WithoutCancel(ctx), l.name, time.Duration(f.Stamp), starts, f.StopJobs, stops)
+	c.runner.Order(l.name, time.Duration(f.Stamp), starts, f.StopJobs, stops)
 	// A load that is read from here on includes the starts.
 	for _, s := range f.Starts {
 		l.seen(s.Number)
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -133,7 +133,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Run(ctx) })
 	wg.Go(func() { c.Run(ctx) })
-	r.Heartbeat(ctx, runner.Target{ID: "t", Born: 1, Service: "s", Capacity: task.Resources{CPUMillis: 4000, MemoryMB: 100}})
+	r.Heartbeat(runner.Target{ID: "t", Born: 1, Service: "s", Capacity: task.Resources{CPUMillis: 4000, MemoryMB: 100}})
 	t.Cleanup(func() {
 		cancel()
 		wg.Wait()
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -440,7 +440,10 @@
 		all = append(all, r)
 	}
 	slices.SortFunc(all, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.queuedAt, b.queuedAt), strings.Compare(a.Task.String(), b.Task.String()))
+		if a.queuedAt != b.queuedAt {
+			return cmp.Compare(a.queuedAt, b.queuedAt)
+		}
+		return strings.Compare(a.Task.String(), b.Task.String())
 	})
 	return all
 }
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -100,6 +100,11 @@
 	observer Observer
 	// announced wakes the look loop after a heartbeat.
 	announced chan struct{}
+	// calls ends all calls to the target when Run ends.
+	calls context.Context
+	end   context.CancelFunc
+	// inCall counts the goroutines of calls; owned by mu, but for Wait.
+	inCall sync.WaitGroup
 
 	mu    sync.Mutex // owns the fields below
 	core  *Core
@@ -109,7 +114,7 @@
 	clockAt time.Duration
 	clock   int64
 	lastEnd int64
-	// leasedAt is when the last call that extends the lease was sent.
+	// leasedAt is when the last call that may have extended the lease was sent.
 	leasedAt time.Duration
 	// answeredAt is when the last look was answered.
 	answeredAt time.Duration
@@ -117,20 +122,28 @@
 
 // New returns a runner whose first fencing token is token.
 func New(core *Core, client TargetClient, token int64, now boottime.Clock, log zerolog.Logger, observer Observer, opts DriveOptions) *Runner {
+	calls, end := context.WithCancel(context.Background())
 	return &Runner{
+		calls: calls, end: end,
 		opts: opts, client: client, now: now, log: log, observer: observer, core: core, token: token,
 		sinks: map[string]Sink{}, announced: make(chan struct{}, 1),
 	}
 }
 
-// Run looks at the target and applies what is due until ctx ends.
+// Run looks at the target and applies what is due until ctx ends. It returns
+// once no call to the target is under way; none follows.
 func (r *Runner) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	defer wg.Wait()
 	wg.Go(func() { r.tick(ctx) })
 	for range r.opts.Lookers {
 		wg.Go(func() { r.keepLooking(ctx) })
 	}
+	<-ctx.Done()
+	r.mu.Lock()
+	r.end()
+	r.mu.Unlock()
+	wg.Wait()
+	r.inCall.Wait()
 }
 
 func (r *Runner) keepLooking(ctx context.Context) {
@@ -166,7 +179,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			r.do(ctx, func(c *Core, now time.Duration) { c.Tick(now) })
+			r.do(func(c *Core, now time.Duration) { c.Tick(now) })
 		}
 	}
 }
@@ -180,20 +193,21 @@
 }
 
 // do applies a change to the core and carries out what follows from it.
-func (r *Runner) do(ctx context.Context, change func(c *Core, now time.Duration)) {
+func (r *Runner) do(change func(c *Core, now time.Duration)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	change(r.core, r.now())
-	r.perform(ctx, r.core.Take())
+	r.perform(r.core.Take())
 }
 
 // perform runs with r.mu held.
-func (r *Runner) perform(ctx context.Context, a Actions) {
+func (r *Runner) perform(a Actions) {
+	target := r.core.target
 	for _, s := range a.Starts {
-		go r.start(ctx, r.core.target, s)
+		r.call(func() { r.start(r.calls, target, s) })
 	}
 	for _, s := range a.Stops {
-		go r.stop(ctx, r.core.target, s)
+		r.call(func() { r.stop(r.calls, target, s) })
 	}
 	for _, rep := range a.Reports {
 		r.observe(rep)
@@ -212,6 +226,14 @@
 	}
 }
 
+// call makes a call to the target in a goroutine of its own, unless the runner
+// has ended. It runs with r.mu held.
+func (r *Runner) call(f func()) {
+	if r.calls.Err() == nil {
+		r.inCall.Go(f)
+	}
+}
+
 // Observer is told of ended attempts. It is called with the runner's lock held
 // and must not block.
 type Observer interface {
@@ -237,11 +259,13 @@
 	}
 }
 
-// deadline returns the end of a lease on the target's clock. It runs with r.mu
-// held. The target's clock is read at the end of a call, so that the result is
-// late by no more than that call took; the target shortens it to its own bound.
+// deadline returns the end of a lease on the target's clock, or 0 for none: a
+// target that is out of reach gets no renewal, so that its runs end. It runs with
+// r.mu held. The target's clock is read at the end of a call, so that the result
+// is late by no more than that call took; the target shortens it to its own
+// bound.
 func (r *Runner) deadline() int64 {
-	if r.clock == 0 {
+	if r.clock == 0 || !r.core.reachable {
 		return 0
 	}
 	r.leasedAt = r.now()
@@ -266,7 +290,7 @@
 	if result != StartAccepted {
 		events.RunNotAccepted.Log(r.log).Stringer("task", s.Task).Int("attempt", s.Attempt).Int("result", int(result)).Err(err).Send()
 	}
-	r.do(ctx, func(c *Core, now time.Duration) {
+	r.do(func(c *Core, now time.Duration) {
 		r.readClock(clock)
 		r.raiseToken(err)
 		c.Started(now, a, result)
@@ -283,13 +307,14 @@
 	if err != nil {
 		wait.For(ctx, r.opts.RetryAfter)
 	}
-	r.do(ctx, func(c *Core, now time.Duration) {
+	r.do(func(c *Core, now time.Duration) {
 		r.readClock(clock)
 		r.raiseToken(err)
 		c.StopAnswered(now, a, err == nil)
 	})
 	if err == nil {
-		// A stopped run that had not begun leaves no end that a look waits for.
+		// A stopped run that had not begun leaves no end that a look waits for. If
+		// this look fails, the next regular one shows the same.
 		_ = r.look(ctx, t, 0)
 	}
 }
@@ -320,10 +345,10 @@
 		r.mu.Unlock()
 		return err
 	}
-	r.do(ctx, func(c *Core, now time.Duration) {
-		r.readClock(reply.Clock)
+	r.do(func(c *Core, now time.Duration) {
 		known := c.Looked(now, Look{Began: began, Born: reply.Born, Running: reply.Running, Ended: reply.Ended})
 		if known {
+			r.readClock(reply.Clock)
 			r.answeredAt = now
 			r.lastEnd = max(r.lastEnd, reply.LastEnd)
 		} else {
@@ -347,15 +372,15 @@
 	if was {
 		events.TargetUnanswering.Log(r.log).Err(err).Send()
 	}
-	r.perform(context.Background(), r.core.Take())
+	r.perform(r.core.Take())
 	if was {
 		r.loadChanged()
 	}
 }
 
 // Heartbeat takes in what the target says of itself.
-func (r *Runner) Heartbeat(ctx context.Context, t Target) {
-	r.do(ctx, func(c *Core, now time.Duration) {
+func (r *Runner) Heartbeat(t Target) {
+	r.do(func(c *Core, now time.Duration) {
 		old, known := c.Target()
 		c.Heartbeat(now, t)
 		if newer, _ := c.Target(); !known || !newer.sameLife(old) {
@@ -376,15 +401,15 @@
 // Recall proposes a target that an earlier process of this agent knew. It is
 // taken if no heartbeat has arrived; the first look shows whether it still
 // lives.
-func (r *Runner) Recall(ctx context.Context, t Target) {
+func (r *Runner) Recall(t Target) {
 	if _, known := r.Target(); !known {
-		r.Heartbeat(ctx, t)
+		r.Heartbeat(t)
 	}
 }
 
 // TargetLeft notes that the target has said goodbye.
-func (r *Runner) TargetLeft(ctx context.Context, id string) {
-	r.do(ctx, func(c *Core, now time.Duration) { c.TargetLeft(now, id) })
+func (r *Runner) TargetLeft(id string) {
+	r.do(func(c *Core, now time.Duration) { c.TargetLeft(now, id) })
 	events.TargetLeft.Log(r.log).Str("target", id).Send()
 }
 
@@ -412,16 +437,16 @@
 }
 
 // Detach removes a link; the gateway's tasks end.
-func (r *Runner) Detach(ctx context.Context, gateway string) {
-	r.do(ctx, func(c *Core, now time.Duration) {
+func (r *Runner) Detach(gateway string) {
+	r.do(func(c *Core, now time.Duration) {
 		delete(r.sinks, gateway)
 		c.GatewayGone(now, gateway)
 	})
 }
 
 // Order passes the content of a gateway's frame on.
-func (r *Runner) Order(ctx context.Context, gateway string, stamp time.Duration, starts []Start, stopJobs []string, stops []Attempt) {
-	r.do(ctx, func(c *Core, now time.Duration) {
+func (r *Runner) Order(gateway string, stamp time.Duration, starts []Start, stopJobs []string, stops []Attempt) {
+	r.do(func(c *Core, now time.Duration) {
 		c.Echo(gateway, stamp)
 		if len(stopJobs) > 0 {
 			c.StopJobs(now, gateway, stopJobs)
@@ -438,7 +463,7 @@
 // Stop makes the runner start nothing more, and returns when all that ran has
 // ended or ctx ends.
 func (r *Runner) Stop(ctx context.Context) {
-	r.do(ctx, func(c *Core, now time.Duration) { c.Stop(now) })
+	r.do(func(c *Core, now time.Duration) { c.Stop(now) })
 	r.mu.Lock()
 	r.loadChanged()
 	r.mu.Unlock()
--- a/restartable/runner/runner_test.go
+++ b/restartable/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
 type ignoreAttempts struct{}
@@ -20,15 +22,24 @@
 type fakeTarget struct {
 	mu    sync.Mutex
 	looks int
+	stops int
 	fails func(n int) bool
-	began time.Time
+	// stranger is listed as running if it is set.
+	stranger *Attempt
+	began    time.Time
 }
 
 func (f *fakeTarget) Start(context.Context, Target, Start, int64, int64) (StartResult, int64, error) {
 	return StartAccepted, 1, nil
 }
 
-func (f *fakeTarget) Stop(context.Context, Target, Attempt, int64) (int64, error) { return 1, nil }
+// Stop never answers.
+func (f *fakeTarget) Stop(context.Context, Target, Attempt, int64) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops++
+	return 0, errors.New("no answer")
+}
 
 func (f *fakeTarget) Look(ctx context.Context, t Target, _ LookQuery) (LookReply, error) {
 	f.mu.Lock()
@@ -40,7 +51,11 @@
 		return LookReply{}, errors.New("no answer")
 	}
 	time.Sleep(time.Millisecond)
-	return LookReply{Clock: time.Since(f.began).Milliseconds() + 1, Born: t.Born}, nil
+	reply := LookReply{Clock: time.Since(f.began).Milliseconds() + 1, Born: t.Born}
+	if f.stranger != nil {
+		reply.Running = []Attempt{*f.stranger}
+	}
+	return reply, nil
 }
 
 func (f *fakeTarget) count() int {
@@ -58,7 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Run(ctx) })
-	r.Heartbeat(ctx, smallTarget)
+	r.Heartbeat(smallTarget)
 	accepted := false
 	for f.count() < 60 {
 		_, l, _ := r.Load()
@@ -75,3 +90,80 @@
 		t.Error("the target never accepted")
 	}
 }
+
+// Guards against calls that are repeated without an end after the runner has
+// ended.
+func TestNoCallOutlivesTheRunner(t *testing.T) {
+	f := &fakeTarget{began: time.Now(), fails: func(int) bool { return false }, stranger: &Attempt{taskOf("old", 0), 1}}
+	r := New(NewCore(DefaultOptions()), f, 1, boottime.Now, zerolog.Nop(), ignoreAttempts{}, DefaultDriveOptions())
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { r.Run(ctx) })
+	r.Heartbeat(smallTarget)
+	stops := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.stops
+	}
+	for stops() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	wg.Wait()
+	before := stops()
+	r.Heartbeat(smallTarget)
+	time.Sleep(5 * DefaultDriveOptions().RetryAfter)
+	if after := stops(); after != before {
+		t.Fatalf("%d stops after the runner had ended", after-before)
+	}
+}
+
+// lostSink notes whether a run was reported as lost.
+type lostSink struct{ lost chan struct{} }
+
+func (s *lostSink) Report(r Report) {
+	if r.Outcome == task.Lost {
+		close(s.lost)
+	}
+}
+func (s *lostSink) LoadChanged() {}
+func (s *lostSink) Close()       {}
+
+// Guards against runs of a target that has gone and that keep their capacity
+// and their jobs until the target comes back: each look without an answer
+// counted as a renewal of the lease, so that it never lapsed.
+func TestRunsOfATargetThatHasGoneAreLost(t *testing.T) {
+	var gone atomic.Bool
+	f := &fakeTarget{began: time.Now(), fails: func(int) bool { return gone.Load() }}
+	opts := DefaultDriveOptions()
+	opts.LeaseMax, opts.SilentAfter, opts.LookWait = 100*ms, 30*ms, 5*ms
+	r := New(NewCore(DefaultOptions()), f, 1, boottime.Now, zerolog.Nop(), ignoreAttempts{}, opts)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { r.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	r.Heartbeat(smallTarget)
+	sink := &lostSink{make(chan struct{})}
+	r.Attach("g", sink)
+	for ctx.Err() == nil {
+		if _, l, _ := r.Load(); l.Accepting {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	// The fake does not list the run, which would count as lost; so it is gone
+	// before the next look.
+	gone.Store(true)
+	r.Order("g", boottime.Now(), []Start{start("a", 0, 1000)}, nil, nil)
+	// The limit only ends a failed test.
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+		select {
+		case <-sink.lost:
+			return
+		case <-time.After(50 * ms):
+			r.Order("g", boottime.Now(), nil, nil, nil)
+		}
+	}
+	t.Fatal("the run was not reported as lost")
+}
