Let a stopping target take what its agent has begun

The API did not say what the number is for. Ruled out: the agent, which began nothing after the reply. Result: TestStoppingTargetTakesWhatItsAgentHasBegun fails without the change ('connection refused') and passes with it.

--- a/agent/targetapi.go
+++ b/agent/targetapi.go
@@ -62,7 +62,9 @@
 
 // LeaveReply is the answer to POST /v1/leave.
 type LeaveReply struct {
-	// Running is the number of requests that the target still has to finish.
+	// Running is the number of requests that the target still has to finish. Some
+	// may not have arrived there yet: the target listens until it has asked again
+	// and none is left.
 	Running int `json:"running"`
 }
 
@@ -126,8 +128,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
+	again := a.target.left
 	a.target.left, a.target.present = true, false
 	a.target.rejoin = now + a.opts.HeartbeatExpiry
+	if again {
+		return len(a.running)
+	}
 	a.giveBack(now, ledger.Leaving)
 	a.notifyLoad()
 	events.TargetLeft.Log(a.log).Str("target", a.target.name).Int("running", len(a.running)).Send()
--- a/standin/target/announce.go
+++ b/standin/target/announce.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 )
 
 const (
@@ -16,6 +18,8 @@
 	announceRetry = 200 * time.Millisecond
 	// minHeartbeat keeps a wrong reply of the agent from causing a busy loop.
 	minHeartbeat = 10 * time.Millisecond
+	// leaveRetry is the wait while the agent has requests that have not ended.
+	leaveRetry = 20 * time.Millisecond
 	// announceTimeout bounds one request to the agent.
 	announceTimeout = time.Second
 )
@@ -36,22 +40,22 @@
 	}
 	left, failing := false, false
 	for ctx.Err() == nil {
-		wait := announceRetry
+		pause := announceRetry
 		if t.currentMode().Mode == ModeLeave {
 			if !left {
-				left = t.sendLeave()
+				_, left = t.sendLeave()
 			}
 		} else {
 			left = false
 			interval, err := t.sendAnnounce(ctx)
 			if err == nil {
-				wait = interval
+				pause = interval
 			} else if !failing && ctx.Err() == nil {
 				t.opts.Log.Warn().Err(err).Msg("the agent did not take the announcement")
 			}
 			failing = err != nil
 		}
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
 		case <-t.modeChanged:
@@ -76,17 +80,34 @@
 	return max(min(asked, t.opts.HeartbeatInterval), minHeartbeat), nil
 }
 
-// sendLeave tells the agent that the target leaves and reports whether the agent
-// knows.
-func (t *Target) sendLeave() bool {
+// leave tells the agent that the target leaves until the agent has nothing
+// running there, does not answer, or ctx ends: a request that the agent has begun
+// may arrive after its first reply.
+func (t *Target) leave(ctx context.Context) {
+	for ctx.Err() == nil {
+		running, known := t.sendLeave()
+		if !known || running == 0 {
+			return
+		}
+		wait.For(ctx, leaveRetry)
+	}
+}
+
+// sendLeave tells the agent that the target leaves. It returns the number of
+// requests that the agent has begun and that have not ended, and whether the agent
+// answered.
+func (t *Target) sendLeave() (running int, known bool) {
 	if t.opts.AgentURL == "" {
-		return true
+		return 0, true
+	}
+	var reply struct {
+		Running int `json:"running"`
 	}
-	if err := t.post(context.Background(), "/v1/leave", struct{}{}, nil); err != nil {
+	if err := t.post(context.Background(), "/v1/leave", struct{}{}, &reply); err != nil {
 		t.opts.Log.Warn().Err(err).Msg("the agent was not told that the target leaves")
-		return false
+		return 0, false
 	}
-	return true
+	return reply.Running, true
 }
 
 func (t *Target) post(ctx context.Context, path string, body, reply any) error {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -78,8 +78,8 @@
 // stopTimeout bounds the wait for requests in progress when the target stops.
 const stopTimeout = 30 * time.Second
 
-// Run serves until ctx ends. Then it announces that it leaves, finishes the
-// requests in progress and returns nil.
+// Run serves until ctx ends. Then it announces that it leaves, takes and finishes
+// the requests that its agent has begun, and returns nil.
 func (t *Target) Run(ctx context.Context) error {
 	l := t.opts.Listener
 	if l == nil {
@@ -106,9 +106,9 @@
 	}
 	stop()
 	wg.Wait()
-	t.sendLeave()
 	shutdown, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	t.leave(shutdown)
 	if serr := s.Shutdown(shutdown); serr != nil {
 		_ = s.Close()
 	}
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -214,3 +215,46 @@
 		t.Fatal(err)
 	}
 }
+
+// A target that stops takes the requests that its agent has begun and that have
+// not arrived yet. One was refused in TestPlannedStopInterruptsNothing beside busy
+// processes.
+func TestStoppingTargetTakesWhatItsAgentHasBegun(t *testing.T) {
+	var left atomic.Int64
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reply := `{"heartbeat_ms":1000}`
+		if r.URL.Path == "/v1/leave" {
+			reply = `{"running":0}`
+			if left.Add(1) < 3 {
+				reply = `{"running":1}`
+			}
+		}
+		_, _ = io.WriteString(w, reply)
+	}))
+	t.Cleanup(agent.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target, err := New(Options{Target: "t1", Service: "s", AgentURL: agent.URL, HeartbeatInterval: time.Second, Listener: l})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- target.Run(ctx) }()
+	cancel()
+	for left.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The agent's request arrives after its reply, and before the third one.
+	if status, body := run(t.Context(), "http://"+l.Addr().String(), "late", "{}"); status != http.StatusOK {
+		t.Errorf("status %d %s for a request that had begun", status, body)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if got := left.Load(); got != 3 {
+		t.Errorf("left %d times, want until the agent has nothing running", got)
+	}
+}
