Take the decisions out of the adapter, and its names out of a test

Cause (review): platform/ decided which kinds of job are run and which heartbeats are stale, and integration/platform_test.go spoke the platform's names. Change: a submission says whether it is stored, lasting, repeated or a gang, and dispatch refuses what it does not run (cause unsupported); a heartbeat carries its number, and runner ignores overtaken ones.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -1,14 +1,10 @@
 package integration
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +15,7 @@
 	"github.com/rhubarbsail/rhubarbsail/daemon"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 )
 
 // platformSite is a deployment of restartable jobs in this process, with
@@ -54,8 +51,10 @@
 	})
 }
 
-const platformQueues = `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/p/","timeout_ms":3000,"target_latency_ms":500,
-"service":"s","max_attempts":3,"stretch_factor":2}]}`
+var platformQueue = queues.Queue{
+	Name: "r", Host: "h", PathPrefix: "/p/", Service: "s", MaxAttempts: 3, Timeout: 3 * time.Second,
+	TargetLatency: 500 * time.Millisecond, Stretch: 2,
+}
 
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -80,7 +79,7 @@
 func newPlatformSite(t *testing.T, gateways, targets int, adjust ...func(x *standin.Executor)) *platformSite {
 	s := &platformSite{t: t, store: standin.NewStore()}
 	s.storeAddr = serveOn(t, s.store.Handler())
-	s.store.Put("keyed.op", "config", []byte(platformQueues))
+	s.store.PutQueue(1, platformQueue)
 	bounds := platform.Bounds{Grace: 4 * time.Second, LeaseMax: time.Second, RemoteFactor: 1.5}
 	var seeds []string
 	for i := range gateways {
@@ -106,7 +105,7 @@
 		}
 		p := &platformProcess{node: n, run: daemon.RunPlatformAgent}
 		p.start(t)
-		s.heartbeats(n.Internal, x)
+		s.announce(n.Internal, x)
 	}
 	for _, g := range s.gateways {
 		s.awaitReady(g)
@@ -114,26 +113,11 @@
 	return s
 }
 
-// heartbeats sends the executor's heartbeats until the test ends.
-func (s *platformSite) heartbeats(agent string, x *standin.Executor) {
+// announce sends the executor's heartbeats until the test ends.
+func (s *platformSite) announce(agent string, x *standin.Executor) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		for seq := 1; ctx.Err() == nil; seq++ {
-			body, _ := json.Marshal(map[string]any{
-				"service": "s", "state": "ready", "seq": seq, "born": x.Born, "labels": []string{"a"},
-				"capacity": map[string]any{"cpu": x.CPU, "mem_mb": 1000},
-			})
-			r, err := http.Post("http://"+agent+"/api/instances/"+x.ID+"/heartbeat", "application/json", bytes.NewReader(body))
-			if err == nil {
-				_ = r.Body.Close()
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(50 * time.Millisecond):
-			}
-		}
-	})
+	wg.Go(func() { x.KeepAnnouncing(ctx, agent, platformQueue.Service, 50*time.Millisecond) })
 	s.t.Cleanup(func() {
 		cancel()
 		wg.Wait()
@@ -143,34 +127,20 @@
 func (s *platformSite) awaitReady(p *platformProcess) {
 	s.t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		r, err := http.Get("http://" + p.node.Readiness + "/api/readyz")
-		if err != nil {
-			continue
-		}
-		_ = r.Body.Close()
-		if r.StatusCode == http.StatusOK {
+		if standin.Ready(s.t.Context(), p.node.Readiness) {
 			return
 		}
 	}
 	s.t.Fatalf("%s is not ready", p.node.Name)
 }
 
-// submit hands a job of tasks to a gateway and returns the status and the body.
+func (s *platformSite) caller(gateway int) standin.Caller {
+	return standin.Caller{Address: s.gateways[gateway].node.Callers, Queue: platformQueue}
+}
+
+// submit hands a job of tasks to a gateway and returns the status and the state.
 func (s *platformSite) submit(gateway int, id, spec string, tasks int) (int, string) {
-	body := fmt.Sprintf(`{"spec":%q,"best_effort":true,"job_steps":[{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":20}]}`, spec, tasks)
-	r, err := http.NewRequest(http.MethodPost, "http://"+s.gateways[gateway].node.Callers+"/p/"+id, strings.NewReader(body))
-	if err != nil {
-		s.t.Error(err)
-		return 0, ""
-	}
-	r.Host = "h"
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data)
+	return s.caller(gateway).Submit(s.t.Context(), standin.Job{ID: id, Spec: spec, Tasks: tasks})
 }
 
 func (s *platformSite) wantNoBreach() {
@@ -187,11 +157,11 @@
 func TestPlatformPath(t *testing.T) {
 	s := newPlatformSite(t, 2, 3)
 	for g := range s.gateways {
-		if status, body := s.submit(g, fmt.Sprintf("00%d", g), "ms=20", 6); status != 200 || !strings.Contains(body, "completed") {
+		if status, body := s.submit(g, fmt.Sprintf("00%d", g), "ms=20", 6); status != 200 || body != "completed" {
 			t.Fatalf("gateway %d: %d %s", g, status, body)
 		}
 	}
-	if status, body := s.submit(0, "0f", "fail", 1); status != 200 || !strings.Contains(body, "failed") {
+	if status, body := s.submit(0, "0f", "fail", 1); status != 200 || body != "failed" {
 		t.Fatalf("%d %s", status, body)
 	}
 	if status, _ := s.submit(0, "0e", "ms=20", 9000); status != 503 {
@@ -270,12 +240,8 @@
 	s := newPlatformSite(t, 1, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	body := `{"spec":"ms=2500","best_effort":true,"job_steps":[{"count":2,"cpu":1000,"estimate_ms":20}]}`
-	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.gateways[0].node.Callers+"/p/cc", strings.NewReader(body))
-	r.Host = "h"
-	if resp, err := http.DefaultClient.Do(r); err == nil {
-		_ = resp.Body.Close()
-		t.Fatalf("status %d before the tasks ended", resp.StatusCode)
+	if status, _ := s.caller(0).Submit(ctx, standin.Job{ID: "cc", Spec: "ms=2500", Tasks: 2}); status != 0 {
+		t.Fatalf("status %d before the tasks ended", status)
 	}
 	for end := time.Now().Add(20 * time.Second); s.executors[0].Running() > 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -31,6 +31,9 @@
 	SuspendedAfter, SettleAfter time.Duration
 	// RetryAfter is what a refused caller is told to wait at least.
 	RetryAfter time.Duration
+	// UnsupportedRetry is what the caller of a job that this release does not run
+	// is told to wait; the answer changes only with another release.
+	UnsupportedRetry time.Duration
 }
 
 // DefaultOptions suit the deployments of docs/design.md section 1.6.
@@ -39,7 +42,7 @@
 		Zone: zone, NearHop: 300 * time.Microsecond, FarHop: 1500 * time.Microsecond,
 		ReturnTrip: 10 * time.Millisecond, SuspectAfter: 350 * time.Millisecond,
 		SuspendedAfter: 400 * time.Millisecond, SettleAfter: 250 * time.Millisecond,
-		ProbeEvery: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second,
+		ProbeEvery: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second, UnsupportedRetry: time.Minute,
 	}
 }
 
@@ -116,6 +119,10 @@
 	}
 	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
 	j.callers = append(j.callers, caller)
+	if !s.supported() {
+		c.finish(now, j, Answer{State: NotRun, Cause: CauseUnsupported, RetryAfter: c.opts.UnsupportedRetry})
+		return
+	}
 	c.checkSuspension(now)
 	if now < c.settledAt {
 		c.finish(now, j, Answer{State: NotRun, Cause: CauseSuspended, RetryAfter: c.opts.RetryAfter})
--- a/restartable/dispatch/core_test.go
+++ b/restartable/dispatch/core_test.go
@@ -149,6 +149,18 @@
 			r.agent("a", 32_000)
 			r.submit(jobOf("j", 1, 9*time.Second))
 		}, NotRun, CauseOverload},
+		"stored job": {func(r *rig) {
+			r.agent("a", 32_000)
+			s := jobOf("j", 1, 100*ms)
+			s.Stored = true
+			r.submit(s)
+		}, NotRun, CauseUnsupported},
+		"gang": {func(r *rig) {
+			r.agent("a", 32_000)
+			s := jobOf("j", 1, 100*ms)
+			s.Steps[0].Gang = true
+			r.submit(s)
+		}, NotRun, CauseUnsupported},
 		"agent lost with the task": {func(r *rig) {
 			r.agent("a", 32_000)
 			r.submit(jobOf("j", 1, 100*ms))
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
@@ -21,6 +22,10 @@
 	DataRack string
 	// MaxPerTarget bounds the tasks of the step on one target; 0 for no limit.
 	MaxPerTarget int
+	// Gang tasks work only all together.
+	Gang bool
+	// Filling tasks take what other tasks of a target leave unused.
+	Filling bool
 }
 
 // Submission is a job as a caller hands it in.
@@ -31,6 +36,18 @@
 	Steps []Step
 	// Wait is how long the caller waits for the answer.
 	Wait time.Duration
+	// Stored jobs have to outlast this process, Lasting ones run until they are
+	// cancelled, and Times above 0 asks for that many occurrences.
+	Stored, Lasting bool
+	Times           int
+}
+
+// supported tells whether this release runs jobs of this kind.
+func (s *Submission) supported() bool {
+	if s.Stored || s.Lasting || s.Times > 0 || s.Queue.Advised {
+		return false
+	}
+	return !slices.ContainsFunc(s.Steps, func(st Step) bool { return st.Gang || st.Filling })
 }
 
 // State is the kind of an answer.
@@ -58,17 +75,18 @@
 
 // Causes of answers.
 const (
-	CauseNone       Cause = ""
-	CauseAttempts   Cause = "attempts"    // a task has failed too often
-	CauseOverload   Cause = "overload"    // it could not be done in time
-	CauseNoTarget   Cause = "no_target"   // no suitable target takes work
-	CauseTooLarge   Cause = "too_large"   // no target has room for a task
-	CauseDeadline   Cause = "deadline"    // its time ran out
-	CauseAgentLost  Cause = "agent_lost"  // the link to an agent that ran a task ended
-	CauseCallerLeft Cause = "caller_left" // nobody waits for the answer
-	CauseCancelled  Cause = "cancelled"   // a caller has cancelled it
-	CauseEarlierRun Cause = "earlier_run" // a run of an earlier submission of the job has not ended
-	CauseSuspended  Cause = "suspended"   // this gateway did not run for a while
+	CauseNone        Cause = ""
+	CauseAttempts    Cause = "attempts"    // a task has failed too often
+	CauseOverload    Cause = "overload"    // it could not be done in time
+	CauseNoTarget    Cause = "no_target"   // no suitable target takes work
+	CauseTooLarge    Cause = "too_large"   // no target has room for a task
+	CauseUnsupported Cause = "unsupported" // this release does not run jobs of its kind
+	CauseDeadline    Cause = "deadline"    // its time ran out
+	CauseAgentLost   Cause = "agent_lost"  // the link to an agent that ran a task ended
+	CauseCallerLeft  Cause = "caller_left" // nobody waits for the answer
+	CauseCancelled   Cause = "cancelled"   // a caller has cancelled it
+	CauseEarlierRun  Cause = "earlier_run" // a run of an earlier submission of the job has not ended
+	CauseSuspended   Cause = "suspended"   // this gateway did not run for a while
 )
 
 // Answer is the final answer to a submission.
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -40,9 +40,10 @@
 // Target is what a target's heartbeat says of it.
 type Target struct {
 	ID string
-	// Born distinguishes the lives of a target that keeps its id.
-	Born    int64
-	Service string
+	// Born distinguishes the lives of a target that keeps its id; Seq rises with
+	// each heartbeat of a life.
+	Born, Seq int64
+	Service   string
 	// Kind names the model of the machine; targets of one kind are about as fast.
 	Kind     string
 	Labels   []string
@@ -185,9 +186,10 @@
 	return true, ""
 }
 
-// Heartbeat takes in what the target says of itself. Stale lives are ignored.
+// Heartbeat takes in what the target says of itself. Heartbeats of earlier lives
+// and those that newer ones have overtaken are ignored.
 func (c *Core) Heartbeat(now time.Duration, t Target) {
-	if c.known && t.Born < c.target.Born {
+	if c.known && (t.Born < c.target.Born || t.sameLife(c.target) && t.Seq < c.target.Seq) {
 		return
 	}
 	if c.known && !t.sameLife(c.target) {
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -293,6 +293,14 @@
 	if r.core.Looked(r.now, Look{Began: r.now, Born: 1}) {
 		t.Fatal("a list of an earlier life was taken")
 	}
+	reborn.Seq, reborn.Draining = 5, true
+	r.core.Heartbeat(r.now, reborn)
+	overtaken := reborn
+	overtaken.Seq, overtaken.Draining = 4, false
+	r.core.Heartbeat(r.now, overtaken)
+	if got, _ := r.core.Target(); !got.Draining {
+		t.Fatal("an overtaken heartbeat made a leaving target ready")
+	}
 }
 
 // Guards against runs that are reported as lost while their lease may hold.
