Wait for all goroutines of a platform process; log servers that end by themselves

Cause (review): gateway and agent returned while their goroutines, listeners and the metrics reporter lived on, the error of Serve was dropped, and a failure to set TCP_USER_TIMEOUT too. Ruled out: effects on a real process, which ends then anyway. Result: go test -race of restartable, platform and TestPlatform pass.

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
@@ -66,14 +67,19 @@
 	wg.Go(func() { a.logState(background) })
 	wg.Go(func() { a.keepRecord(background) })
 	wg.Go(func() { a.updateGauges(background) })
-	set.start(&wg)
+	set.start(&wg, a.log)
 	events.ProcessStarted.Log(a.log).Str("link", a.node.Internal).Str("target", a.node.Target).Send()
 	<-ctx.Done()
 	events.ProcessStopping.Log(a.log).Send()
 	limit, cancel := context.WithTimeout(context.Background(), a.node.Bounds.Grace-stopReserve)
 	defer cancel()
 	a.runner.Stop(limit)
-	events.ProcessStopped.Log(a.log).Err(limit.Err()).Send()
+	cut := limit.Err()
+	end()
+	err := errors.Join(cut, set.close())
+	wg.Wait()
+	err = errors.Join(err, a.metrics.Close())
+	events.ProcessStopped.Log(a.log).Err(err).Send()
 	return nil
 }
 
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
@@ -88,12 +89,15 @@
 	wg.Go(func() { g.introduce(background) })
 	wg.Go(func() { g.register(background) })
 	wg.Go(func() { g.updateGauges(background) })
-	servers.start(&wg)
+	servers.start(&wg, g.log)
 	events.ProcessStarted.Log(g.log).Str("callers", g.node.Callers).Str("link", g.node.Link).Send()
 	<-ctx.Done()
 	events.ProcessStopping.Log(g.log).Send()
 	g.stopping.Store(true)
 	err = servers.stop(g.node.Bounds.Grace - stopReserve)
+	end()
+	wg.Wait()
+	err = errors.Join(err, g.metrics.Close())
 	events.ProcessStopped.Log(g.log).Err(err).Send()
 	return nil
 }
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -7,6 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 )
@@ -49,9 +53,14 @@
 	}})
 }
 
-func (s *serverSet) start(wg *sync.WaitGroup) {
+// start serves until stop or close. An end for another reason is logged.
+func (s *serverSet) start(wg *sync.WaitGroup, log zerolog.Logger) {
 	for _, b := range s.servers {
-		wg.Go(func() { _ = b.http.Serve(b.listener) })
+		wg.Go(func() {
+			if err := b.http.Serve(b.listener); !errors.Is(err, http.ErrServerClosed) {
+				events.ListenFailed.Log(log).Str("address", b.listener.Addr().String()).Err(err).Send()
+			}
+		})
 	}
 }
 
@@ -61,16 +70,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	wait.For(ctx, stopNotice)
-	var first error
+	var cut error
 	for _, b := range s.servers {
 		if b.drained {
-			if err := b.http.Shutdown(ctx); err != nil && first == nil {
-				first = err
-			}
+			cut = errors.Join(cut, b.http.Shutdown(ctx))
 		}
 	}
+	return errors.Join(cut, s.close())
+}
+
+// close cuts all connections.
+func (s *serverSet) close() error {
+	var failed error
 	for _, b := range s.servers {
-		_ = b.http.Close()
+		failed = errors.Join(failed, b.http.Close())
 	}
-	return first
+	return failed
 }
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -80,7 +80,7 @@
 	s := &platformSite{t: t, store: standin.NewStore()}
 	s.storeAddr = serveOn(t, s.store.Handler())
 	s.store.PutQueue(1, platformQueue)
-	bounds := platform.Bounds{Grace: 4 * time.Second, LeaseMax: time.Second, RemoteFactor: 1.5}
+	bounds := platform.Bounds{Grace: 4 * time.Second, RemoteFactor: 1.5}
 	var seeds []string
 	for i := range gateways {
 		n := &platform.Node{
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 )
 
@@ -84,7 +86,9 @@
 // Run follows the store until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
 	answered := make(chan struct{}, 1)
-	go s.askPeers(ctx, answered)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { s.askPeers(ctx, answered) })
 	retry := s.opts.RetryMin
 	for ctx.Err() == nil {
 		err := s.follow(ctx, func() {
@@ -96,10 +100,7 @@
 			}
 		})
 		s.storeFailed(err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retry):
-		}
+		wait.For(ctx, retry)
 		retry = min(2*retry, s.opts.RetryMax)
 	}
 }
@@ -139,16 +140,16 @@
 // than a read may take.
 func (s *Syncer) askPeers(ctx context.Context, answered <-chan struct{}) {
 	quiet := s.opts.Wait + s.opts.PeersEvery
-	wait := time.NewTimer(s.opts.PeersEvery)
-	defer wait.Stop()
+	next := time.NewTimer(s.opts.PeersEvery)
+	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-answered:
-			wait.Reset(quiet)
+			next.Reset(quiet)
 			continue
-		case <-wait.C:
+		case <-next.C:
 		}
 		var version uint64
 		if c := s.current.Get(); c != nil {
@@ -158,7 +159,7 @@
 			s.confirmed.Store(time.Now().UnixNano())
 			s.install(document, "gateway")
 		}
-		wait.Reset(s.opts.PeersEvery)
+		next.Reset(s.opts.PeersEvery)
 	}
 }
 
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
@@ -34,8 +35,9 @@
 	runner   *runner.Runner
 	gateways *Gateways
 	log      zerolog.Logger
-	links    atomic.Uint64
-	up       atomic.Int64
+	// dialled numbers the links, up counts those that are up.
+	dialled atomic.Uint64
+	up      atomic.Int64
 }
 
 // NewClient returns the links of an agent.
@@ -70,21 +72,18 @@
 
 // keep dials one gateway again and again.
 func (c *Client) keep(ctx context.Context, address string) {
-	wait := redialMin
+	gap := redialMin
 	answered := time.Now()
 	for ctx.Err() == nil {
 		served, err := c.serve(ctx, address)
 		if served {
-			wait, answered = redialMin, time.Now()
+			gap, answered = redialMin, time.Now()
 			events.GatewayDetached.Log(c.log).Str("gateway", address).Err(err).Send()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-		wait = min(2*wait, redialMax)
+		wait.For(ctx, gap)
+		gap = min(2*gap, redialMax)
 		if time.Since(answered) > goneAfter {
-			wait = redialGone
+			gap = redialGone
 		}
 	}
 }
@@ -103,7 +102,7 @@
 		connect.WithReadMaxBytes(frameBytes), connect.WithAcceptCompression("gzip", nil, nil))
 	stream := service.Attach(ctx)
 	defer func() { _ = stream.CloseResponse() }()
-	l := newAgentLink(c, address+"#"+strconv.FormatUint(c.links.Add(1), 10), cancel)
+	l := newAgentLink(c, address+"#"+strconv.FormatUint(c.dialled.Add(1), 10), cancel)
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	written := make(chan struct{})
--- a/restartable/link/dial.go
+++ b/restartable/link/dial.go
@@ -2,13 +2,29 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"syscall"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
+// NewHTTPClient returns the client of links and calls between processes: HTTP/2
+// without TLS.
+func NewHTTPClient() *http.Client {
+	d := net.Dialer{Timeout: dialTimeout, ControlContext: controlUserTimeout}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, Protocols: protocols, DisableCompression: true}}
+}
+
 func controlUserTimeout(_ context.Context, _, _ string, c syscall.RawConn) error {
-	if err := c.Control(setUserTimeout); err != nil {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err = errors.Join(err, failed); err != nil {
 		return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 	}
 	return nil
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -26,7 +26,8 @@
 	dispatcher *dispatch.Dispatcher
 	config     *queues.Current
 	gateways   *Gateways
-	links      atomic.Uint64
+	// attached numbers the links.
+	attached atomic.Uint64
 }
 
 // NewServer returns the service of a gateway.
@@ -152,7 +153,7 @@
 		return connect.NewError(connect.CodeInvalidArgument, errors.New("the first frame has no hello"))
 	}
 	info := dispatch.AgentInfo{
-		Link: hello.Agent + "#" + strconv.FormatUint(s.links.Add(1), 10), Name: hello.Agent, Zone: hello.Zone,
+		Link: hello.Agent + "#" + strconv.FormatUint(s.attached.Add(1), 10), Name: hello.Agent, Zone: hello.Zone,
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/restartable/link/wire.go
+++ b/restartable/link/wire.go
@@ -3,12 +3,8 @@
 package link
 
 import (
-	"net"
-	"net/http"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
@@ -32,20 +28,6 @@
 	frameBytes = 4 << 20
 )
 
-func setUserTimeout(fd uintptr) {
-	// The option only shortens the time until a dead peer is noticed.
-	_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-}
-
-// NewHTTPClient returns the client of links and calls between processes: HTTP/2
-// without TLS.
-func NewHTTPClient() *http.Client {
-	d := net.Dialer{Timeout: dialTimeout, ControlContext: controlUserTimeout}
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, Protocols: protocols, DisableCompression: true}}
-}
-
 func resourcesOf(r *pb.Requirement) task.Resources {
 	return task.Resources{CPUMillis: int64(r.GetCpuMillis()), MemoryMB: int64(r.GetMemoryMb()), Accelerators: int64(r.GetAccelerators())}
 }
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -25,11 +25,6 @@
 	return Resources{r.CPUMillis - o.CPUMillis, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
-// Times returns n times r.
-func (r Resources) Times(n int64) Resources {
-	return Resources{n * r.CPUMillis, n * r.MemoryMB, n * r.Accelerators}
-}
-
 // Within tells whether no part of r is above that of limit.
 func (r Resources) Within(limit Resources) bool {
 	return r.CPUMillis <= limit.CPUMillis && r.MemoryMB <= limit.MemoryMB && r.Accelerators <= limit.Accelerators
