--- a/common/boottime/boottime.go
+++ b/common/boottime/boottime.go
@@ -1,7 +1,7 @@
-// Package boottime reads a clock that also counts the time for which the
-// machine was suspended. Leases and the age of messages are measured with it:
-// Go's monotonic clock stands still during a suspension, so that a resumed
-// process would take an old promise for a fresh one.
+// Package boottime reads a clock that goes on while the machine is suspended.
+// Leases and the age of messages use it: Go's monotonic clock stands still during
+// a suspension, so that a resumed process would take an old promise for a fresh
+// one.
 package boottime
 
 import (
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -10,20 +12,39 @@
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
 )
 
-// jobObserver logs and counts answered jobs. The dispatcher's lock owns it.
-type jobObserver struct {
-	log   zerolog.Logger
-	scope tally.Scope
-	made  map[[2]string]jobMetrics
+// endings counts and times what ends, by two labels. Its user's lock owns it.
+type endings struct {
+	scope    tally.Scope
+	count    telemetry.Metric
+	duration telemetry.Metric
+	made     map[[2]string]ending
 }
 
-type jobMetrics struct {
+type ending struct {
 	count    tally.Counter
 	duration tally.Histogram
 }
 
+// observe counts one end. The histogram has the first label only.
+func (e *endings) observe(first, second string, took time.Duration) {
+	key := [2]string{first, second}
+	m, ok := e.made[key]
+	if !ok {
+		m = ending{e.count.Counter(e.scope, first, second), e.duration.Histogram(e.scope, first)}
+		e.made[key] = m
+	}
+	m.count.Inc(1)
+	m.duration.RecordDuration(took)
+}
+
+// jobObserver logs and counts answered jobs. The dispatcher's lock owns it.
+type jobObserver struct {
+	log     zerolog.Logger
+	endings endings
+}
+
 func newJobObserver(log zerolog.Logger, scope tally.Scope) *jobObserver {
-	return &jobObserver{log: log, scope: scope, made: map[[2]string]jobMetrics{}}
+	return &jobObserver{log, endings{scope, telemetry.RestartableJobs, telemetry.RestartableDuration, map[[2]string]ending{}}}
 }
 
 // JobEnded implements dispatch.Observer.
@@ -40,47 +61,19 @@
 		line = line.Array("open", openTasks(a.Open))
 	}
 	line.Send()
-	key := [2]string{a.State.String(), string(a.Cause)}
-	m, ok := o.made[key]
-	if !ok {
-		m = jobMetrics{
-			count:    telemetry.RestartableJobs.Counter(o.scope, key[0], key[1]),
-			duration: telemetry.RestartableDuration.Histogram(o.scope, key[0]),
-		}
-		o.made[key] = m
-	}
-	m.count.Inc(1)
-	m.duration.RecordDuration(a.Elapsed)
+	o.endings.observe(a.State.String(), string(a.Cause), a.Elapsed)
 }
 
 // attemptObserver counts ended attempts. The runner's lock owns it.
-type attemptObserver struct {
-	scope tally.Scope
-	made  map[[2]string]attemptMetrics
-}
-
-type attemptMetrics struct {
-	count    tally.Counter
-	duration tally.Histogram
-}
+type attemptObserver struct{ endings endings }
 
 func newAttemptObserver(scope tally.Scope) *attemptObserver {
-	return &attemptObserver{scope: scope, made: map[[2]string]attemptMetrics{}}
+	return &attemptObserver{endings{scope, telemetry.Attempts, telemetry.AttemptDuration, map[[2]string]ending{}}}
 }
 
 // AttemptEnded implements runner.Observer.
 func (o *attemptObserver) AttemptEnded(r runner.Report) {
-	key := [2]string{r.Outcome.String(), string(r.Reason)}
-	m, ok := o.made[key]
-	if !ok {
-		m = attemptMetrics{
-			count:    telemetry.Attempts.Counter(o.scope, key[0], key[1]),
-			duration: telemetry.AttemptDuration.Histogram(o.scope, key[0]),
-		}
-		o.made[key] = m
-	}
-	m.count.Inc(1)
-	m.duration.RecordDuration(r.RunTime)
+	o.endings.observe(r.Outcome.String(), string(r.Reason), r.RunTime)
 }
 
 // openTasks writes the open tasks of an answer to the log.
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -23,8 +23,7 @@
 const aheadShare = 0.5
 
 // runCaution is the weight of the risk that a task of a large job runs longer
-// than expected. Measured with jobs of 100 tasks, median slowdown: 1.51 with 0,
-// 1.40 with 1, 1.66 with 4.
+// than expected (docs/policy.md).
 const runCaution = 1
 
 // chunkSlots bounds the tasks sent at a time in multiples of the slots, since
@@ -38,9 +37,7 @@
 	// noticeable is the least ratio of speeds for which waiting is considered;
 	// estimates of equal speeds differ by about 10%.
 	noticeable = 1.2
-	// collisionWeight weighs the expected wait after a collision. Measured with
-	// 3 gateways and equal targets at 80% load, p99 slowdown: 2.05 without the
-	// term, 1.67 with a weight of 1, 1.46 with 4.
+	// collisionWeight weighs the expected wait after a collision (docs/policy.md).
 	collisionWeight = 4
 )
 
--- a/scheduler/price.go
+++ b/scheduler/price.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// priceMax bounds the price of waiting. Measured at 80% load with a 1:8
-	// spread: 5 leaves tasks waiting at the owner, 50 sends them to the slowest
-	// targets; 10 has the least p99 slowdown of the three.
+	// priceMax bounds the price of waiting: a small one leaves tasks waiting at the
+	// owner, a large one sends them to the slowest targets (docs/policy.md).
 	priceMax = 10
 	// servedWindow is the time in seconds over which the served work averages.
 	servedWindow = 3.0
