--- a/restartable/dispatch/giveup.go
+++ b/restartable/dispatch/giveup.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
 // withdraw gives a job up. If nothing of it has begun as far as is known, the
 // agents are asked to drop it first: only then can the caller be told that it
@@ -35,9 +33,8 @@
 func (c *Core) giveUp(now time.Duration, j *job, cause Cause) {
 	open := j.openTasks(now)
 	state := NotRun
-	if j.begun || c.stopAll(j) {
+	if stopped := c.stopAll(j); stopped || j.begun {
 		state = Unfinished
-		c.stopAll(j)
 	}
 	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter, Open: open})
 }
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -44,9 +44,8 @@
 	// RevokeGain is the factor by which another target has to finish a queued
 	// task sooner before it is revoked. Default 3.
 	RevokeGain float64
-	// RevokeMin is the least time saved that is worth a revoke. Default 200 ms. With a gain of
-	// 1.5 and 30 ms, 2.5% of the messages at 80% load went into revokes, without a
-	// lower p99.
+	// RevokeMin is the least time saved that is worth a revoke; smaller gains cost
+	// messages only (docs/policy.md). Default 200 ms.
 	RevokeMin time.Duration
 	// WaitMargin and RunMargin multiply the expected wait and run time of a job
 	// before their sum is compared with its deadline. A queue that uses the whole
