Log requests that are rejected before they become jobs

Cause: a gateway without a configuration answered 503 without a log line, and so did answers 404, 413 and 400; a complaint about one of them led nowhere.

Ruled out: lines dropped by the bounded writer; there were none.

--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -52,6 +52,8 @@
 var (
 	RestartableJobs = define(KindCounter, "restartable_jobs_total", "jobs",
 		"Restartable jobs answered, by state and cause.", "state", "cause")
+	RequestsRejected = define(KindCounter, "restartable_requests_rejected_total", "requests",
+		"Requests answered before they became jobs, by cause.", "cause")
 	RestartableDuration = define(KindHistogram, "restartable_job_duration_seconds", "seconds",
 		"Time from the arrival of a restartable job to its answer, by state.", "state")
 	RestartableInProgress = define(KindGauge, "restartable_jobs_in_progress", "jobs", "Restartable jobs without an answer.")
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -26,9 +26,7 @@
 		avoided.Update(float64(s.Avoided))
 		capacity.Update(float64(s.Capacity))
 		committed.Update(float64(s.Committed))
-		if c := g.config.Get(); c != nil {
-			version.Update(float64(c.Version))
-		}
+		version.Update(float64(g.queuesVersion()))
 		confirmed.Update(g.syncer.Age().Seconds())
 		wait.For(ctx, gaugesEvery)
 	}
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -122,6 +122,21 @@
 
 // Cancel implements platform.Jobs.
 func (g *PlatformGateway) Cancel(id string) bool { return g.dispatcher.Cancel(id) }
+// Rejected implements platform.Jobs.
+func (g *PlatformGateway) Rejected(r platform.Rejection) {
+	events.RequestRejected.Log(g.log).Str("job", r.Job).Str("path", r.Path).Str("cause", string(r.Cause)).
+		Uint64("queues_version", g.queuesVersion()).Send()
+	telemetry.RequestsRejected.Counter(g.metrics.Scope, string(r.Cause)).Inc(1)
+}
+
+// queuesVersion returns the version of the configuration in force, 0 without one.
+func (g *PlatformGateway) queuesVersion() uint64 {
+	if c := g.config.Get(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 
 // Stopping implements platform.Jobs.
 func (g *PlatformGateway) Stopping() bool { return g.stopping.Load() }
