Let a gateway advertise another address than it listens on

Cause: agents and gateways learn addresses of links from each other, so that nothing could stand between two processes: neither a relay of an operator nor the soak's, which injects faults into links.

Ruled out: relays by settings only; the seeds of agents can name a relay, but each gateway names its own address in its replies as well.

--- a/common/settings/args.go
+++ b/common/settings/args.go
@@ -27,8 +27,25 @@
 // findings, which go to stderr one a line.
 func FromArgs(name string, args []string, s Settings, stdout, stderr io.Writer) (exit int, done bool) {
 	var a arguments
+	if exit, done := ParseArgs(name, args, &a, stdout, stderr); done {
+		return exit, true
+	}
+	if err := Load(a.Settings, s); err != nil {
+		report(name, err, stderr)
+		return ExitInvalid, true
+	}
+	if a.Check {
+		fmt.Fprintf(stdout, "%s: valid\n", a.Settings)
+	}
+	return ExitOK, a.Check
+}
+
+// ParseArgs parses arguments into a struct with go-flags tags. If done is true
+// the process ends with the exit code: after --help or wrong arguments, which
+// are reported on stderr.
+func ParseArgs(name string, args []string, into any, stdout, stderr io.Writer) (exit int, done bool) {
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Options", "", &a); err != nil {
+	if _, err := p.AddGroup("Options", "", into); err != nil {
 		panic(err)
 	}
 	rest, err := p.ParseArgs(args)
@@ -43,14 +60,7 @@
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitInvalid, true
 	}
-	if err := Load(a.Settings, s); err != nil {
-		report(name, err, stderr)
-		return ExitInvalid, true
-	}
-	if a.Check {
-		fmt.Fprintf(stdout, "%s: valid\n", a.Settings)
-	}
-	return ExitOK, a.Check
+	return ExitOK, false
 }
 
 func report(name string, err error, stderr io.Writer) {
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -58,7 +58,7 @@
 func NewPlatformGateway(n *platform.Node, log zerolog.Logger) *PlatformGateway {
 	g := &PlatformGateway{
 		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log),
-		config: &queues.Current{}, gateways: link.NewGateways(n.Link), client: link.NewHTTPClient(),
+		config: &queues.Current{}, gateways: link.NewGateways(n.AdvertisedLink()), client: link.NewHTTPClient(),
 	}
 	for _, seed := range n.Seeds {
 		g.gateways.Add(seed)
@@ -90,7 +90,7 @@
 	wg.Go(func() { g.register(background) })
 	wg.Go(func() { g.updateGauges(background) })
 	servers.start(&wg, g.log)
-	events.ProcessStarted.Log(g.log).Str("callers", g.node.Callers).Str("link", g.node.Link).Send()
+	events.ProcessStarted.Log(g.log).Str("callers", g.node.Callers).Str("link", g.node.Link).Str("advertised", g.node.AdvertisedLink()).Send()
 	<-ctx.Done()
 	events.ProcessStopping.Log(g.log).Send()
 	g.stopping.Store(true)
@@ -146,7 +146,7 @@
 func (g *PlatformGateway) others() []restartv1connect.DispatchServiceClient {
 	var out []restartv1connect.DispatchServiceClient
 	for _, a := range g.gateways.All() {
-		if a != g.node.Link {
+		if a != g.node.AdvertisedLink() {
 			out = append(out, restartv1connect.NewDispatchServiceClient(g.client, "http://"+a,
 				connect.WithAcceptCompression("gzip", nil, nil)))
 		}
@@ -205,7 +205,7 @@
 	answers := make(chan []string, len(others))
 	for _, o := range others {
 		go func() {
-			r, err := o.Introduce(call, connect.NewRequest(&pb.IntroduceRequest{Gateway: g.node.Link}))
+			r, err := o.Introduce(call, connect.NewRequest(&pb.IntroduceRequest{Gateway: g.node.AdvertisedLink()}))
 			if err != nil {
 				answers <- nil
 				return
@@ -234,7 +234,7 @@
 			g.gateways.Add(a)
 		}
 		if err == nil {
-			err = g.directory.Register(ctx, g.node.Name, g.node.Link)
+			err = g.directory.Register(ctx, g.node.Name, g.node.AdvertisedLink())
 		}
 		if err == nil {
 			return
