Forget gateways that are gone

Cause: the set of gateways of a process only grew and took no address after the 256th, and the store kept the record of every gateway ever started.

Change: an address that is no seed is forgotten 10 min after the last contact. Others are told only of gateways reached in the last minute, so that one that is gone is not passed on for ever. What a gateway has to do with the others moves to daemon/platformpeers.go.

Ruled out: times in the records (clocks step); removal at a planned stop only (a killed gateway leaves its record).

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -40,7 +40,7 @@
 	token := time.Now().UnixMilli()
 	store := platform.NewStore(n.Store)
 	a := &PlatformAgent{
-		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(n.Seeds...),
+		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(boottime.Now, n.Seeds...),
 		directory: platform.NewDirectory(store), records: platform.NewTargetRecords(store, n.Name),
 	}
 	a.runner = runner.New(runner.NewCore(runner.DefaultOptions()), platform.NewTargetClient(n.Target), token,
@@ -94,8 +94,8 @@
 				events.GatewayRecordFailed.Log(a.log).Err(err).Send()
 			}
 			read = read || err == nil
-			for _, g := range all {
-				a.gateways.Add(g)
+			for _, r := range all[:min(len(all), recordsKept)] {
+				a.gateways.Add(r.Address)
 			}
 		}
 		wait.For(ctx, directoryEvery)
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -2,21 +2,16 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
-	"github.com/rhubarbsail/rhubarbsail/common/wait"
-	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
-	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
@@ -30,14 +25,6 @@
 	stopNotice = 2500 * time.Millisecond
 	// stopReserve is kept of the grace for the end of the process.
 	stopReserve = 300 * time.Millisecond
-	// introduceRetry is the time between two introductions to other gateways
-	// until one of them has answered, introduceEvery that afterwards.
-	introduceRetry = 200 * time.Millisecond
-	introduceEvery = 2 * time.Second
-	// registerRetry is the pause after a failed write of the gateway's record.
-	registerRetry = time.Second
-	// peerTimeout bounds a call to another gateway.
-	peerTimeout = 500 * time.Millisecond
 )
 
 // PlatformGateway is a gateway of restartable jobs on the users' platform.
@@ -48,29 +35,31 @@
 	config     *queues.Current
 	dispatcher *dispatch.Dispatcher
 	gateways   *link.Gateways
-	client     *http.Client
-	directory  *platform.Directory
+	peers      *gatewayPeers
 	syncer     *configsync.Syncer
 	stopping   atomic.Bool
 }
 
 // NewPlatformGateway returns a gateway with the platform's settings.
 func NewPlatformGateway(n *platform.Node, log zerolog.Logger) *PlatformGateway {
+	address := n.AdvertisedLink()
+	store := platform.NewStore(n.Store)
 	g := &PlatformGateway{
-		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log),
-		config: &queues.Current{}, gateways: link.NewGateways(n.AdvertisedLink()), client: link.NewHTTPClient(),
+		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log), config: &queues.Current{},
+		gateways: link.NewGateways(boottime.Now, append([]string{address}, n.Seeds...)...),
 	}
-	for _, seed := range n.Seeds {
-		g.gateways.Add(seed)
+	// This gateway itself is always among those that agents are told of.
+	g.gateways.Hold(address)
+	g.peers = &gatewayPeers{
+		name: n.Name, address: address, log: log, known: g.gateways, client: link.NewHTTPClient(),
+		directory: platform.NewDirectory(store),
 	}
 	opts := dispatch.DefaultOptions(n.Zone)
 	if n.Bounds.RemoteFactor > 0 {
 		opts.RemoteFactor = n.Bounds.RemoteFactor
 	}
 	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
-	store := platform.NewStore(n.Store)
-	g.directory = platform.NewDirectory(store)
-	g.syncer = configsync.New(platform.NewConfigSource(store), g, g.config, log, configsync.DefaultOptions())
+	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, log, configsync.DefaultOptions())
 	return g
 }
 
@@ -86,8 +75,8 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { g.dispatcher.Run(background) })
 	wg.Go(func() { g.syncer.Run(background) })
-	wg.Go(func() { g.introduce(background) })
-	wg.Go(func() { g.register(background) })
+	wg.Go(func() { g.peers.introduce(background) })
+	wg.Go(func() { g.peers.register(background) })
 	wg.Go(func() { g.updateGauges(background) })
 	servers.start(&wg, g.log)
 	events.ProcessStarted.Log(g.log).Str("callers", g.node.Callers).Str("link", g.node.Link).Str("advertised", g.node.AdvertisedLink()).Send()
@@ -122,6 +111,7 @@
 
 // Cancel implements platform.Jobs.
 func (g *PlatformGateway) Cancel(id string) bool { return g.dispatcher.Cancel(id) }
+
 // Rejected implements platform.Jobs.
 func (g *PlatformGateway) Rejected(r platform.Rejection) {
 	events.RequestRejected.Log(g.log).Str("job", r.Job).Str("path", r.Path).Str("cause", string(r.Cause)).
@@ -137,109 +127,5 @@
 	return 0
 }
 
-
 // Stopping implements platform.Jobs.
 func (g *PlatformGateway) Stopping() bool { return g.stopping.Load() }
-
-// others returns the clients of the other gateways. Their calls are rare, and a
-// connection kept in between may have gone silent: it is closed after each.
-func (g *PlatformGateway) others() []restartv1connect.DispatchServiceClient {
-	var out []restartv1connect.DispatchServiceClient
-	for _, a := range g.gateways.All() {
-		if a != g.node.AdvertisedLink() {
-			out = append(out, restartv1connect.NewDispatchServiceClient(g.client, "http://"+a,
-				connect.WithAcceptCompression("gzip", nil, nil)))
-		}
-	}
-	return out
-}
-
-// Newer implements configsync.Peers.
-func (g *PlatformGateway) Newer(ctx context.Context, version uint64) []byte {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	defer g.client.CloseIdleConnections()
-	others := g.others()
-	replies := make(chan *pb.ConfigurationReply, len(others))
-	for _, o := range others {
-		go func() {
-			r, err := o.Configuration(ctx, connect.NewRequest(&pb.ConfigurationRequest{NewerThan: version}))
-			if err != nil {
-				replies <- nil
-				return
-			}
-			replies <- r.Msg
-		}()
-	}
-	var newest *pb.ConfigurationReply
-	for range others {
-		r := <-replies
-		if r != nil && len(r.Document) > 0 && (newest == nil || r.Version > newest.Version) {
-			newest = r
-		}
-	}
-	if newest == nil {
-		return nil
-	}
-	return newest.Document
-}
-
-// introduce makes this gateway known to the agents of the others. Another
-// gateway may have been replaced since, so that it does not end.
-func (g *PlatformGateway) introduce(ctx context.Context) {
-	gap := introduceRetry
-	for ctx.Err() == nil {
-		if g.introduceOnce(ctx) {
-			gap = introduceEvery
-		}
-		wait.For(ctx, gap)
-	}
-}
-
-// introduceOnce returns whether any other gateway has answered.
-func (g *PlatformGateway) introduceOnce(ctx context.Context) bool {
-	call, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	defer g.client.CloseIdleConnections()
-	others := g.others()
-	answers := make(chan []string, len(others))
-	for _, o := range others {
-		go func() {
-			r, err := o.Introduce(call, connect.NewRequest(&pb.IntroduceRequest{Gateway: g.node.AdvertisedLink()}))
-			if err != nil {
-				answers <- nil
-				return
-			}
-			answers <- r.Msg.Gateways
-		}()
-	}
-	answered := false
-	for range others {
-		all := <-answers
-		answered = answered || len(all) > 0
-		for _, a := range all {
-			g.gateways.Add(a)
-		}
-	}
-	return answered
-}
-
-// register reads the other gateways' addresses from the store and writes this
-// one's. Of two gateways that start together each is told of the other by the
-// store or by an introduction.
-func (g *PlatformGateway) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		known, err := g.directory.List(ctx)
-		for _, a := range known {
-			g.gateways.Add(a)
-		}
-		if err == nil {
-			err = g.directory.Register(ctx, g.node.Name, g.node.AdvertisedLink())
-		}
-		if err == nil {
-			return
-		}
-		events.GatewayRecordFailed.Log(g.log).Err(err).Send()
-		wait.For(ctx, registerRetry)
-	}
-}
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -55,26 +55,37 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	dialled := map[string]bool{}
+	forgotten := make(chan string)
 	for {
 		for _, address := range c.gateways.All() {
-			if !dialled[address] {
-				dialled[address] = true
-				wg.Go(func() { c.keep(ctx, address) })
+			if dialled[address] {
+				continue
 			}
+			dialled[address] = true
+			wg.Go(func() {
+				c.keep(ctx, address)
+				select {
+				case forgotten <- address:
+				case <-ctx.Done():
+				}
+			})
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.gateways.Changed():
+		case address := <-forgotten:
+			// It may have been added again since: the loop looks anew.
+			delete(dialled, address)
 		}
 	}
 }
 
-// keep dials one gateway again and again.
+// keep dials one gateway again and again until it is forgotten.
 func (c *Client) keep(ctx context.Context, address string) {
 	gap := redialMin
 	answered := time.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.gateways.Knows(address) {
 		served, err := c.serve(ctx, address)
 		if served {
 			gap, answered = redialMin, time.Now()
@@ -110,7 +121,7 @@
 		defer close(written)
 		cancel(l.write(ctx, stream))
 	}()
-	attached := false
+	attached, release := false, func() {}
 	err := func() error {
 		for {
 			f, err := stream.Receive()
@@ -121,6 +132,7 @@
 			if !attached {
 				attached = true
 				c.up.Add(1)
+				release = c.gateways.Hold(address)
 				c.runner.Attach(l.name, l)
 				events.GatewayAttached.Log(c.log).Str("gateway", address).Str("link", l.name).Send()
 			}
@@ -131,6 +143,7 @@
 		err = cause
 	}
 	cancel(err)
+	release()
 	if attached {
 		c.up.Add(-1)
 		c.runner.Detach(l.name)
--- a/restartable/link/gateways.go
+++ b/restartable/link/gateways.go
@@ -3,60 +3,161 @@
 import (
 	"slices"
 	"sync"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+)
+
+const (
+	// gatewaysMax bounds the set, so that wrong records cannot fill the memory.
+	gatewaysMax = 256
+	// forgetAfter is the time without contact after which a gateway is taken to
+	// have been replaced. It exceeds the minutes for which regions lose each other.
+	forgetAfter = 10 * time.Minute
+	// reachableFor is the time after a contact in which other processes are told
+	// of a gateway. It is well below forgetAfter, so that a gateway that is gone is
+	// forgotten by all before anyone could be told of it again.
+	reachableFor = time.Minute
 )
 
-// Gateways is the set of gateway addresses that a process knows. It only grows
-// while the process lives; an address without a gateway costs rare dials.
+// Gateways is the set of gateway addresses that a process knows. One that has
+// not been reached for a while is forgotten, unless it is a seed.
 type Gateways struct {
+	now boottime.Clock
+
 	mu      sync.Mutex // owns the fields below
-	known   []string
+	known   []*knownGateway
 	version uint64
 	changed chan struct{}
 }
 
-// NewGateways returns a set with the given addresses.
-func NewGateways(addresses ...string) *Gateways {
-	g := &Gateways{changed: make(chan struct{}, 1)}
-	for _, a := range addresses {
+// knownGateway is one address.
+type knownGateway struct {
+	address string
+	seed    bool
+	// added and reached are the times of the first mention and of the last
+	// contact; reached is negative before the first one.
+	added, reached time.Duration
+	// links counts the links that are up.
+	links int
+}
+
+const never = time.Duration(-1)
+
+// NewGateways returns a set with the addresses of seeds.
+func NewGateways(now boottime.Clock, seeds ...string) *Gateways {
+	g := &Gateways{now: now, changed: make(chan struct{}, 1)}
+	for _, a := range seeds {
 		g.Add(a)
+		if k := g.find(a); k != nil {
+			k.seed = true
+		}
 	}
 	return g
 }
 
-// gatewaysMax bounds the set, so that wrong records cannot fill the memory.
-const gatewaysMax = 256
+// find runs with g.mu held, or before the set is shared.
+func (g *Gateways) find(address string) *knownGateway {
+	for _, k := range g.known {
+		if k.address == address {
+			return k
+		}
+	}
+	return nil
+}
 
-// Add adds an IP:port.
+// Add adds an IP:port that another process has named.
 func (g *Gateways) Add(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if address == "" || slices.Contains(g.known, address) || len(g.known) >= gatewaysMax {
+	g.forget()
+	if address == "" || g.find(address) != nil || len(g.known) >= gatewaysMax {
 		return
 	}
-	g.known = append(g.known, address)
-	g.version++
+	g.known = append(g.known, &knownGateway{address: address, added: g.now(), reached: never})
 	select {
 	case g.changed <- struct{}{}:
 	default:
 	}
 }
 
-// All returns the addresses.
+// forget drops gateways that are gone. It runs with g.mu held.
+func (g *Gateways) forget() {
+	now := g.now()
+	g.known = slices.DeleteFunc(g.known, func(k *knownGateway) bool {
+		return !k.seed && k.links == 0 && now-max(k.added, k.reached) > forgetAfter
+	})
+}
+
+// Reached notes a contact with a known gateway.
+func (g *Gateways) Reached(address string) { g.Hold(address)() }
+
+// Hold notes a contact with a known gateway that lasts until release is called.
+func (g *Gateways) Hold(address string) (release func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := g.find(address)
+	if k == nil {
+		return func() {}
+	}
+	if !k.reachable(g.now()) {
+		g.version++
+	}
+	k.links++
+	k.reached = g.now()
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		k.links--
+		k.reached = g.now()
+	}
+}
+
+func (k *knownGateway) reachable(now time.Duration) bool {
+	return k.links > 0 || k.reached != never && now-k.reached <= reachableFor
+}
+
+// All returns the addresses of all known gateways.
 func (g *Gateways) All() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.Clone(g.known)
+	g.forget()
+	out := make([]string, len(g.known))
+	for i, k := range g.known {
+		out[i] = k.address
+	}
+	return out
+}
+
+// Knows tells whether an address is in the set.
+func (g *Gateways) Knows(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forget()
+	return g.find(address) != nil
 }
 
-// Since returns the version of the set, and its addresses if they have changed
-// since the version given.
+// Reachable returns the addresses that others are told of.
+func (g *Gateways) Reachable() []string {
+	_, all := g.Since(0)
+	return all
+}
+
+// Since returns the version of what others are told, and the addresses if some
+// have been added since the version given.
 func (g *Gateways) Since(version uint64) (uint64, []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if version == g.version {
 		return version, nil
 	}
-	return g.version, slices.Clone(g.known)
+	var out []string
+	for _, k := range g.known {
+		if k.reachable(g.now()) {
+			out = append(out, k.address)
+		}
+	}
+	return g.version, out
 }
 
 // Changed receives a value after the set has grown.
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -116,7 +116,7 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	s := &http.Server{Handler: link.NewServer(d, &queues.Current{}, link.NewGateways()).Handler(), Protocols: protocols}
+	s := &http.Server{Handler: link.NewServer(d, &queues.Current{}, link.NewGateways(boottime.Now)).Handler(), Protocols: protocols}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() {
 		cancel()
@@ -128,7 +128,7 @@
 // startAgent returns an agent that links to the gateway at the address.
 func startAgent(t *testing.T, gateway string) {
 	r := runner.New(runner.NewCore(runner.DefaultOptions()), &quickTarget{}, 1, boottime.Now, zerolog.Nop(), ignore{}, runner.DefaultDriveOptions())
-	c := link.NewClient("agent", "z", r, link.NewGateways(gateway), zerolog.Nop())
+	c := link.NewClient("agent", "z", r, link.NewGateways(boottime.Now, gateway), zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Run(ctx) })
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -54,10 +54,11 @@
 	return connect.NewResponse(reply), nil
 }
 
-// Introduce adds a gateway to the list that agents are sent.
+// Introduce adds a gateway to those that agents are told of.
 func (s *Server) Introduce(_ context.Context, r *connect.Request[pb.IntroduceRequest]) (*connect.Response[pb.IntroduceReply], error) {
 	s.gateways.Add(r.Msg.Gateway)
-	return connect.NewResponse(&pb.IntroduceReply{Gateways: s.gateways.All()}), nil
+	s.gateways.Reached(r.Msg.Gateway)
+	return connect.NewResponse(&pb.IntroduceReply{Gateways: s.gateways.Reachable()}), nil
 }
 
 // gatewayLink is one agent's stream at the gateway. The handler's goroutine
