Split links, peers' clients and frame conversion off the gateway package

Change: gateway/agentlink (streams to agents), gateway/peers (clients of other gateways) and gateway/wire (conversion); names and comments move with them, the code is the same.

Ruled out: splitting the engine itself. Its files share one state that a single goroutine owns; packages would only export that state.

--- a/gateway/agentstate.go
+++ b/gateway/agentstate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/gateway/agentlink"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 	"github.com/rhubarbsail/rhubarbsail/scheduler"
@@ -25,12 +26,12 @@
 // agentState is the engine's view of one listed agent. The engine goroutine
 // owns it.
 type agentState struct {
-	addr   agentAddr
+	addr   agentlink.Address
 	target scheduler.TargetID
 	// stop ends the link's goroutine.
 	stop func()
 	// session is nil while the link is down.
-	session  *session
+	session  *agentlink.Session
 	welcomed model.Incarnation
 	permit   *rhubarbsailv1.Permit
 	load     scheduler.Load
@@ -45,16 +46,16 @@
 // usable reports whether the agent may receive starts: its link is up and the
 // running incarnation is the one that the log lists.
 func (a *agentState) usable() bool {
-	return a.session != nil && a.welcomed == a.addr.incarnation && a.permit != nil
+	return a.session != nil && a.welcomed == a.addr.Incarnation && a.permit != nil
 }
 
 func (a *agentState) ref() ownership.AgentRef {
-	return ownership.AgentRef{ID: a.addr.id, Incarnation: a.addr.incarnation}
+	return ownership.AgentRef{ID: a.addr.ID, Incarnation: a.addr.Incarnation}
 }
 
 // send queues a frame; false means that it will certainly not be sent.
 func (a *agentState) send(f *rhubarbsailv1.GatewayFrame) bool {
-	return a.session != nil && a.session.send(f)
+	return a.session != nil && a.session.Send(f)
 }
 
 func (a *agentState) addFlight(id model.TaskID, f *flight) {
@@ -77,7 +78,7 @@
 	listed := make([]ownership.AgentRef, 0, len(e.view.Agents))
 	for id, a := range e.view.Agents {
 		listed = append(listed, ownership.AgentRef{ID: id, Incarnation: a.Incarnation})
-		addr := agentAddr{id: id, incarnation: a.Incarnation, address: a.Address}
+		addr := agentlink.Address{ID: id, Incarnation: a.Incarnation, Address: a.Address}
 		if old := e.agents[id]; old != nil && old.addr != addr {
 			e.dropAgent(now, old)
 		}
@@ -88,14 +89,14 @@
 	for id, ag := range e.agents {
 		// An agent that stopped as planned closes its link after its last report,
 		// which the log may overtake.
-		if !e.view.Listed(id, ag.addr.incarnation) && (ag.session == nil || len(ag.flights) == 0) {
+		if !e.view.Listed(id, ag.addr.Incarnation) && (ag.session == nil || len(ag.flights) == 0) {
 			e.dropAgent(now, ag)
 		}
 	}
 	e.validity.SetListed(listed)
 }
 
-func (e *engine) addAgent(now time.Time, addr agentAddr, target scheduler.TargetID) {
+func (e *engine) addAgent(now time.Time, addr agentlink.Address, target scheduler.TargetID) {
 	ag := &agentState{
 		addr:     addr,
 		target:   target,
@@ -104,7 +105,7 @@
 		fences:   make(map[uint64][]ownership.PartitionEpoch),
 	}
 	ag.stop = e.dial(addr)
-	e.agents[addr.id] = ag
+	e.agents[addr.ID] = ag
 	e.byTarget[target] = ag
 }
 
@@ -113,7 +114,7 @@
 func (e *engine) dropAgent(now time.Time, ag *agentState) {
 	ag.stop()
 	e.loseFlights(now, ag, "the agent was replaced or removed")
-	delete(e.agents, ag.addr.id)
+	delete(e.agents, ag.addr.ID)
 	if e.byTarget[ag.target] == ag {
 		delete(e.byTarget, ag.target)
 	}
--- a/gateway/collect.go
+++ b/gateway/collect.go
@@ -5,27 +5,29 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/gateway/agentlink"
+	"github.com/rhubarbsail/rhubarbsail/gateway/wire"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 	"github.com/rhubarbsail/rhubarbsail/scheduler"
 )
 
-// linkUp implements linkEvents.
-func (e *engine) linkUp(a agentAddr, s *session, incarnation model.Incarnation) {
+// LinkUp implements agentlink.Events.
+func (e *engine) LinkUp(a agentlink.Address, s *agentlink.Session, incarnation model.Incarnation) {
 	e.postAlways(func(e *engine, now time.Time) {
-		ag := e.agents[a.id]
+		ag := e.agents[a.ID]
 		if ag == nil || ag.addr != a {
-			s.cancel()
+			s.Close()
 			return
 		}
 		ag.session = s
 		ag.welcomed = incarnation
 		ag.permit = nil
 		clear(ag.fences)
-		if incarnation > a.incarnation {
+		if incarnation > a.Incarnation {
 			e.loseFlights(now, ag, "the agent restarted")
 		}
-		if incarnation == a.incarnation {
+		if incarnation == a.Incarnation {
 			e.sendFences(ag)
 			// A task that never arrived over the earlier link gets a tombstone and
 			// can be placed again.
@@ -33,15 +35,15 @@
 			e.sendDrain(ag, e.view.Drained[string(ag.target)])
 			e.probe(now, ag)
 		}
-		events.LinkUp.Log(e.log).Str("agent", a.id).Send()
+		events.LinkUp.Log(e.log).Str("agent", a.ID).Send()
 		e.syncTargets(now)
 	})
 }
 
-// linkDown implements linkEvents.
-func (e *engine) linkDown(a agentAddr, s *session) {
+// LinkDown implements agentlink.Events.
+func (e *engine) LinkDown(a agentlink.Address, s *agentlink.Session) {
 	e.postAlways(func(e *engine, now time.Time) {
-		ag := e.agents[a.id]
+		ag := e.agents[a.ID]
 		if ag == nil || ag.session != s {
 			return
 		}
@@ -49,19 +51,19 @@
 		ag.linkLost = now
 		ag.permit = nil
 		clear(ag.fences)
-		events.LinkDown.Log(e.log).Str("agent", a.id).Send()
-		if !e.view.Listed(a.id, ag.addr.incarnation) {
+		events.LinkDown.Log(e.log).Str("agent", a.ID).Send()
+		if !e.view.Listed(a.ID, ag.addr.Incarnation) {
 			e.dropAgent(now, ag)
 		}
 		e.syncTargets(now)
 	})
 }
 
-// linkFrame implements linkEvents.
-func (e *engine) linkFrame(a agentAddr, s *session, f *rhubarbsailv1.AgentFrame) {
+// LinkFrame implements agentlink.Events.
+func (e *engine) LinkFrame(a agentlink.Address, s *agentlink.Session, f *rhubarbsailv1.AgentFrame) {
 	e.postAlways(func(e *engine, now time.Time) {
-		ag := e.agents[a.id]
-		if ag == nil || ag.session != s || ag.welcomed != ag.addr.incarnation {
+		ag := e.agents[a.ID]
+		if ag == nil || ag.session != s || ag.welcomed != ag.addr.Incarnation {
 			return
 		}
 		e.receive(now, ag, f)
@@ -107,7 +109,7 @@
 
 func (e *engine) applyProbe(now time.Time, ag *agentState, r *rhubarbsailv1.ProbeReply, l *rhubarbsailv1.Load) {
 	e.validity.Confirm(ownership.Confirmation{
-		Agent: ag.ref(), Sequence: r.Sequence, Newer: partitionEpochs(r.Newer),
+		Agent: ag.ref(), Sequence: r.Sequence, Newer: wire.PartitionEpochs(r.Newer),
 		Stopped: l.GetMayDepart(),
 	})
 	e.dropSuperseded(now)
@@ -128,7 +130,7 @@
 // the agent. A record of an earlier placement changes nothing unless it proves
 // that the task ran.
 func (e *engine) applyRecord(now time.Time, ag *agentState, r *rhubarbsailv1.TaskRecord) {
-	id := taskIDModel(r.Task)
+	id := wire.ModelTaskID(r.Task)
 	f := ag.flights[id]
 	if f == nil {
 		e.updateKnown(ag, r)
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -12,6 +12,8 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/gateway/agentlink"
+	"github.com/rhubarbsail/rhubarbsail/gateway/peers"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 	"github.com/rhubarbsail/rhubarbsail/scheduler"
@@ -52,7 +54,7 @@
 	http    *http.Client
 	links   sync.WaitGroup
 	// dial starts the link to an agent and returns the function that ends it.
-	dial func(agentAddr) func()
+	dial func(agentlink.Address) func()
 	// reachable is true while a majority of the listed agents confirms this
 	// gateway; the engine writes it, membership reads it.
 	reachable atomic.Bool
@@ -87,7 +89,7 @@
 		started:  g.started,
 		events:   make(chan event, engineQueue),
 		ctx:      g.ctx,
-		http:     newInternalClient(),
+		http:     peers.NewHTTPClient(),
 		view:     g.control.Snapshot(),
 		validity: ownership.NewValidity(g.opts.Ownership),
 		jobs:     make(map[model.JobKey]*job),
@@ -206,14 +208,14 @@
 
 // startLink keeps a stream to the agent open until the returned function is
 // called.
-func (e *engine) startLink(addr agentAddr) func() {
+func (e *engine) startLink(addr agentlink.Address) func() {
 	ctx, cancel := context.WithCancel(e.ctx)
 	hello := &rhubarbsailv1.Hello{Gateway: e.opts.ID, GatewayIncarnation: uint64(e.opts.Incarnation)}
-	l := newLink(addr, e.http, hello, e)
+	l := agentlink.New(addr, e.http, hello, e)
 	e.links.Add(1)
 	go func() {
 		defer e.links.Done()
-		l.run(ctx)
+		l.Run(ctx)
 	}()
 	return cancel
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/control"
+	"github.com/rhubarbsail/rhubarbsail/gateway/agentlink"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/inventory"
 	"github.com/rhubarbsail/rhubarbsail/logservice/logservicetest"
@@ -28,7 +29,7 @@
 	machine  *state.Machine
 	now      time.Time
 	offset   uint64
-	sessions map[string]*session
+	sessions map[string]*agentlink.Session
 	// started holds the starts that were read and not returned by starts.
 	started map[string][]*rhubarbsailv1.Start
 }
@@ -42,10 +43,10 @@
 	g.control = control.New(control.Options{Log: g.deps.Log, Stream: "s", Writer: self})
 	f := &fixture{
 		t: t, e: newEngine(g), machine: state.NewMachine(state.Options{}),
-		now: g.started.Add(time.Minute), sessions: make(map[string]*session),
+		now: g.started.Add(time.Minute), sessions: make(map[string]*agentlink.Session),
 		started: make(map[string][]*rhubarbsailv1.Start),
 	}
-	f.e.dial = func(agentAddr) func() { return func() {} }
+	f.e.dial = func(agentlink.Address) func() { return func() {} }
 	cfg := inventory.New(
 		inventory.Inventory{Targets: []inventory.Target{{ID: "t1", Service: "work"}, {ID: "t2", Service: "work"}, {ID: "t3", Service: "work"}}},
 		inventory.Rules{Clients: []inventory.Client{{ID: "c", Share: 1}, {ID: "d", Share: 1}}, Services: []inventory.Service{{ID: "work"}}})
@@ -108,15 +109,15 @@
 
 // link opens a session with an incarnation of the agent.
 func (f *fixture) link(agent string, inc model.Incarnation) {
-	s := &session{out: make(chan *rhubarbsailv1.GatewayFrame, 256), cancel: func() {}}
+	s := agentlink.NewSession(func() {})
 	f.sessions[agent] = s
-	f.e.linkUp(f.e.agents[agent].addr, s, inc)
+	f.e.LinkUp(f.e.agents[agent].addr, s, inc)
 	f.pump()
 	f.frame(agent, &rhubarbsailv1.AgentFrame{Frame: &rhubarbsailv1.AgentFrame_Welcome{Welcome: &rhubarbsailv1.Welcome{AgentIncarnation: uint64(inc)}}})
 }
 
 func (f *fixture) unlink(agent string) {
-	f.e.linkDown(f.e.agents[agent].addr, f.sessions[agent])
+	f.e.LinkDown(f.e.agents[agent].addr, f.sessions[agent])
 	f.pump()
 }
 
@@ -138,7 +139,7 @@
 func (f *fixture) frame(agent string, m *rhubarbsailv1.AgentFrame) {
 	m.Permit = &rhubarbsailv1.Permit{AgentIncarnation: 1}
 	m.Load = &rhubarbsailv1.Load{Slots: 2, Accepting: true}
-	f.e.linkFrame(f.e.agents[agent].addr, f.sessions[agent], m)
+	f.e.LinkFrame(f.e.agents[agent].addr, f.sessions[agent], m)
 	f.pump()
 }
 
@@ -153,7 +154,7 @@
 	var out []*rhubarbsailv1.GatewayFrame
 	for {
 		select {
-		case m := <-f.sessions[agent].out:
+		case m := <-f.sessions[agent].Frames():
 			out = append(out, m)
 			if s := m.GetStart(); s != nil {
 				f.started[agent] = append(f.started[agent], s.Starts...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/control"
+	"github.com/rhubarbsail/rhubarbsail/gateway/peers"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 	"github.com/rhubarbsail/rhubarbsail/state"
@@ -30,7 +31,7 @@
 	control *control.Loop
 	engine  *engine
 	router  *router
-	peers   *peerClients
+	peers   *peers.Clients
 	log     eventLog
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
@@ -61,7 +62,7 @@
 	g := &Gateway{opts: opts, deps: deps, started: time.Now(), log: eventLog{deps.Logger}}
 	g.alive.Store(&map[string]bool{})
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.peers = newPeerClients(connect.WithInterceptors(interceptor))
+	g.peers = peers.New(connect.WithInterceptors(interceptor))
 	g.control = control.New(control.Options{
 		Log: deps.Log, Stream: opts.Stream, Writer: opts.ID,
 		Retention:      opts.Ownership.Retention + stateRetentionMargin,
@@ -226,7 +227,7 @@
 			continue
 		}
 		pctx, cancel := context.WithTimeout(ctx, peerPingTimeout)
-		resp, err := g.peers.client(p).Ping(pctx, connect.NewRequest(&rhubarbsailv1.PingRequest{
+		resp, err := g.peers.Client(p).Ping(pctx, connect.NewRequest(&rhubarbsailv1.PingRequest{
 			Gateway: g.opts.ID, Incarnation: uint64(g.opts.Incarnation),
 		}))
 		cancel()
@@ -243,7 +244,7 @@
 	if best == "" {
 		return 0, nil, nil
 	}
-	resp, err := g.peers.client(best).State(ctx, connect.NewRequest(&rhubarbsailv1.StateRequest{}))
+	resp, err := g.peers.Client(best).State(ctx, connect.NewRequest(&rhubarbsailv1.StateRequest{}))
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "control state of peer")
 	}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/gateway/wire"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 	"github.com/rhubarbsail/rhubarbsail/state"
@@ -46,7 +47,7 @@
 	}
 	sctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	resp, err := g.peers.client(to.Address).Handover(sctx, connect.NewRequest(table))
+	resp, err := g.peers.Client(to.Address).Handover(sctx, connect.NewRequest(table))
 	if err == nil && !resp.Msg.Accepted {
 		err = errSuccessorLeaving
 	}
@@ -120,13 +121,13 @@
 func (e *engine) tableEntry(j *job) *rhubarbsailv1.JobTableEntry {
 	out := &rhubarbsailv1.JobTableEntry{Client: j.key.Client, Key: j.key.Key, Digest: j.digest[:]}
 	if j.answered() {
-		out.Answer = answerProto(*j.answer)
+		out.Answer = wire.SubmitResponse(*j.answer)
 		return out
 	}
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.phase == taskSucceeded {
 			out.Tasks = append(out.Tasks, &rhubarbsailv1.HandoverTask{Record: &rhubarbsailv1.TaskRecord{
-				Task:  taskIDProto(model.TaskID{Job: j.key, Index: i}),
+				Task:  wire.TaskID(model.TaskID{Job: j.key, Index: i}),
 				State: rhubarbsailv1.TaskState_TASK_STATE_SUCCEEDED, Result: t.result,
 			}})
 		}
@@ -135,8 +136,8 @@
 		for id, f := range ag.flights {
 			if f.job == j {
 				out.Tasks = append(out.Tasks, &rhubarbsailv1.HandoverTask{
-					Agent: ag.addr.id, AgentIncarnation: uint64(ag.addr.incarnation),
-					Record: &rhubarbsailv1.TaskRecord{Task: taskIDProto(id), Epoch: uint64(f.epoch), Attempt: f.attempt},
+					Agent: ag.addr.ID, AgentIncarnation: uint64(ag.addr.Incarnation),
+					Record: &rhubarbsailv1.TaskRecord{Task: wire.TaskID(id), Epoch: uint64(f.epoch), Attempt: f.attempt},
 				})
 			}
 		}
@@ -147,7 +148,7 @@
 func knownEntry(key model.JobKey, k *knownJob) *rhubarbsailv1.JobTableEntry {
 	out := &rhubarbsailv1.JobTableEntry{Client: key.Client, Key: key.Key, Digest: k.digest[:]}
 	if k.answer != nil {
-		out.Answer = answerProto(*k.answer)
+		out.Answer = wire.SubmitResponse(*k.answer)
 	}
 	for _, t := range k.tasks {
 		out.Tasks = append(out.Tasks, &rhubarbsailv1.HandoverTask{
@@ -195,7 +196,7 @@
 		k := &knownJob{tasks: make(map[int]knownTask, len(en.Tasks))}
 		copy(k.digest[:], en.Digest)
 		if en.Answer != nil {
-			a := answerModel(en.Answer)
+			a := wire.Answer(en.Answer)
 			k.answer = &a
 		}
 		for _, t := range en.Tasks {
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/gateway/wire"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 	"github.com/rhubarbsail/rhubarbsail/state"
@@ -31,7 +32,7 @@
 			return call(ctx, g.engine, func(e *engine, now time.Time) bool { return e.cancelJob(now, key) })
 		},
 		func(ctx context.Context, to state.Gateway) (bool, bool, error) {
-			resp, err := g.peers.client(to.Address).Cancel(ctx, connect.NewRequest(&rhubarbsailv1.CancelRequest{Client: key.Client, Key: key.Key}))
+			resp, err := g.peers.Client(to.Address).Cancel(ctx, connect.NewRequest(&rhubarbsailv1.CancelRequest{Client: key.Client, Key: key.Key}))
 			if err != nil {
 				return false, false, err
 			}
@@ -46,7 +47,7 @@
 			return call(ctx, g.engine, func(e *engine, _ time.Time) *rhubarbsailv1.LookupResponse { return e.lookup(key) })
 		},
 		func(ctx context.Context, to state.Gateway) (*rhubarbsailv1.LookupResponse, bool, error) {
-			resp, err := g.peers.client(to.Address).Lookup(ctx, connect.NewRequest(&rhubarbsailv1.LookupRequest{Client: key.Client, Key: key.Key}))
+			resp, err := g.peers.Client(to.Address).Lookup(ctx, connect.NewRequest(&rhubarbsailv1.LookupRequest{Client: key.Client, Key: key.Key}))
 			if err != nil {
 				return nil, false, err
 			}
@@ -68,7 +69,7 @@
 		out.State = httpapi.JobRunning
 	}
 	if r.Answer != nil {
-		a := answerModel(r.Answer)
+		a := wire.Answer(r.Answer)
 		out.State, out.Answer = httpapi.JobFinished, &a
 	}
 	return out
@@ -81,7 +82,7 @@
 			return call(ctx, g.engine, func(e *engine, _ time.Time) *rhubarbsailv1.ExplainResponse { return e.explain(key) })
 		},
 		func(ctx context.Context, to state.Gateway) (*rhubarbsailv1.ExplainResponse, bool, error) {
-			resp, err := g.peers.client(to.Address).Explain(ctx, connect.NewRequest(&rhubarbsailv1.ExplainRequest{Client: key.Client, Key: key.Key}))
+			resp, err := g.peers.Client(to.Address).Explain(ctx, connect.NewRequest(&rhubarbsailv1.ExplainRequest{Client: key.Client, Key: key.Key}))
 			if err != nil {
 				return nil, false, err
 			}
@@ -123,7 +124,7 @@
 		}
 	}
 	if j.answered() {
-		out.Answer = answerProto(*j.answer)
+		out.Answer = wire.SubmitResponse(*j.answer)
 		if j.answer.State == model.RunComplete {
 			out.Started, out.Finished = out.Tasks, out.Tasks
 		}
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -150,7 +150,7 @@
 func (m *membership) ping(ctx context.Context, sent time.Duration, p *peer, address string) {
 	pctx, cancel := context.WithTimeout(ctx, m.g.opts.Ownership.SuspectAfter)
 	defer cancel()
-	resp, err := m.g.peers.client(address).Ping(pctx, connect.NewRequest(&rhubarbsailv1.PingRequest{
+	resp, err := m.g.peers.Client(address).Ping(pctx, connect.NewRequest(&rhubarbsailv1.PingRequest{
 		Gateway: m.g.opts.ID, Incarnation: uint64(m.g.opts.Incarnation),
 	}))
 	m.done(ctx, func() {
@@ -254,3 +254,19 @@
 		m.g.log.handedOver(h, err)
 	}
 }
+
+// members returns the agents of all list versions that a takeover may need.
+func members(v *state.Snapshot) []ownership.Member {
+	out := make([]ownership.Member, 0, len(v.Agents)+len(v.Departed))
+	for _, a := range v.Agents {
+		out = append(out, ownership.Member{
+			Agent: ownership.AgentRef{ID: a.ID, Incarnation: a.Incarnation}, Joined: a.Joined,
+		})
+	}
+	for _, d := range v.Departed {
+		out = append(out, ownership.Member{
+			Agent: ownership.AgentRef{ID: d.ID, Incarnation: d.Incarnation}, Joined: d.Joined, Left: d.Left, LeftAt: d.LeftAt,
+		})
+	}
+	return out
+}
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -173,7 +173,7 @@
 		if ag == nil {
 			continue
 		}
-		a := e.view.Agents[ag.addr.id]
+		a := e.view.Agents[ag.addr.ID]
 		out.Targets = append(out.Targets, httpapi.TargetStatus{
 			ID: string(t.ID), Service: a.Service, AvailabilityZone: a.AvailabilityZone, Worker: a.Worker,
 			Connected: ag.usable(), Accepting: ag.load.Accepting, Leaving: ag.load.Leaving,
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -6,6 +6,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/gateway/wire"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 	"github.com/rhubarbsail/rhubarbsail/scheduler"
@@ -218,7 +219,7 @@
 // noteStaleEpoch records that the agent refused a start under an old epoch.
 func (e *engine) noteStaleEpoch(r *rhubarbsailv1.TaskRecord) {
 	e.validity.Observe([]ownership.PartitionEpoch{{
-		Partition: model.PartitionOf(taskIDModel(r.Task).Job, len(e.partitions)),
+		Partition: model.PartitionOf(wire.ModelTaskID(r.Task).Job, len(e.partitions)),
 		Epoch:     model.Epoch(r.Epoch) + 1,
 	}})
 }
--- a/gateway/peers.go
+++ b/gateway/peers/peers.go
@@ -1,4 +1,5 @@
-package gateway
+// Package peers has the clients of the calls between gateways.
+package peers
 
 import (
 	"context"
@@ -20,9 +21,9 @@
 	http2PingTimeout = 2 * time.Second
 )
 
-// newInternalClient returns an HTTP client that speaks HTTP/2 without TLS to
+// NewHTTPClient returns an HTTP client that speaks HTTP/2 without TLS to
 // gateways and agents.
-func newInternalClient() *http.Client {
+func NewHTTPClient() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
@@ -34,23 +35,24 @@
 	}}
 }
 
-// peerClients keeps one client for each gateway address. mu guards clients.
-type peerClients struct {
+// Clients keeps one client for each gateway address. mu guards clients.
+type Clients struct {
 	mu      sync.Mutex
 	clients map[string]rhubarbsailv1connect.GatewayServiceClient
 	http    *http.Client
 	opts    []connect.ClientOption
 }
 
-func newPeerClients(opts ...connect.ClientOption) *peerClients {
-	return &peerClients{
+// New returns the clients; they share the options.
+func New(opts ...connect.ClientOption) *Clients {
+	return &Clients{
 		clients: make(map[string]rhubarbsailv1connect.GatewayServiceClient),
-		http:    newInternalClient(),
+		http:    NewHTTPClient(),
 		opts:    opts,
 	}
 }
 
-func (p *peerClients) client(address string) rhubarbsailv1connect.GatewayServiceClient {
+func (p *Clients) Client(address string) rhubarbsailv1connect.GatewayServiceClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.clients[address]
--- a/gateway/router.go
+++ b/gateway/router.go
@@ -9,6 +9,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/gateway/peers"
+	"github.com/rhubarbsail/rhubarbsail/gateway/wire"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 	"github.com/rhubarbsail/rhubarbsail/state"
 )
@@ -33,7 +35,7 @@
 	opts   Options
 	view   viewSource
 	engine *engine
-	peers  *peerClients
+	peers  *peers.Clients
 }
 
 // viewSource gives the control snapshot and tells of its changes.
@@ -122,14 +124,14 @@
 		copies.Closed()
 		return reply{moved: true}, nil
 	}
-	resp, err := r.peers.client(g.Address).Submit(ctx, connect.NewRequest(submitRequest(s.job)))
+	resp, err := r.peers.Client(g.Address).Submit(ctx, connect.NewRequest(wire.SubmitRequest(s.job)))
 	if err == nil || neverSent(err) {
 		copies.Closed()
 	}
 	if err != nil {
 		return reply{}, errors.Wrapf(err, "submit to gateway %s", g.ID)
 	}
-	return reply{moved: resp.Msg.Moved, answer: answerModel(resp.Msg)}, nil
+	return reply{moved: resp.Msg.Moved, answer: wire.Answer(resp.Msg)}, nil
 }
 
 // askSelf submits to this gateway's engine.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
+	"github.com/rhubarbsail/rhubarbsail/gateway/wire"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1/rhubarbsailv1connect"
 	"github.com/rhubarbsail/rhubarbsail/state"
@@ -45,7 +46,7 @@
 
 // Submit answers moved unless this gateway owns the partition.
 func (s service) Submit(ctx context.Context, req *connect.Request[rhubarbsailv1.SubmitRequest]) (*connect.Response[rhubarbsailv1.SubmitResponse], error) {
-	j := jobModel(req.Msg)
+	j := wire.Job(req.Msg)
 	rep, err := s.g.router.askSelf(ctx, submission{job: j, digest: j.Digest(), ctx: ctx})
 	if err != nil {
 		return nil, err
@@ -53,7 +54,7 @@
 	if rep.moved {
 		return connect.NewResponse(&rhubarbsailv1.SubmitResponse{Moved: true}), nil
 	}
-	return connect.NewResponse(answerProto(rep.answer)), nil
+	return connect.NewResponse(wire.SubmitResponse(rep.answer)), nil
 }
 
 // Cancel cancels a job of this gateway.
--- a/gateway/convert.go
+++ b/gateway/wire/wire.go
@@ -1,4 +1,6 @@
-package gateway
+// Package wire converts between the model and the frames that gateways and
+// agents exchange.
+package wire
 
 import (
 	"time"
@@ -6,18 +8,20 @@
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 	rhubarbsailv1 "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/v1"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
-	"github.com/rhubarbsail/rhubarbsail/state"
 )
 
-func taskIDProto(id model.TaskID) *rhubarbsailv1.TaskID {
+// TaskID converts the id of a task.
+func TaskID(id model.TaskID) *rhubarbsailv1.TaskID {
 	return &rhubarbsailv1.TaskID{Client: id.Job.Client, Key: id.Job.Key, Index: uint32(id.Index)}
 }
 
-func taskIDModel(id *rhubarbsailv1.TaskID) model.TaskID {
+// ModelTaskID converts the id of a task in a frame.
+func ModelTaskID(id *rhubarbsailv1.TaskID) model.TaskID {
 	return model.TaskID{Job: model.JobKey{Client: id.GetClient(), Key: id.GetKey()}, Index: int(id.GetIndex())}
 }
 
-func partitionEpochs(in []*rhubarbsailv1.PartitionEpoch) []ownership.PartitionEpoch {
+// PartitionEpochs converts the epochs in a frame.
+func PartitionEpochs(in []*rhubarbsailv1.PartitionEpoch) []ownership.PartitionEpoch {
 	out := make([]ownership.PartitionEpoch, len(in))
 	for i, p := range in {
 		out[i] = ownership.PartitionEpoch{Partition: model.Partition(p.Partition), Epoch: model.Epoch(p.Epoch)}
@@ -25,23 +29,8 @@
 	return out
 }
 
-// members returns the agents of all list versions that a takeover may need.
-func members(v *state.Snapshot) []ownership.Member {
-	out := make([]ownership.Member, 0, len(v.Agents)+len(v.Departed))
-	for _, a := range v.Agents {
-		out = append(out, ownership.Member{
-			Agent: ownership.AgentRef{ID: a.ID, Incarnation: a.Incarnation}, Joined: a.Joined,
-		})
-	}
-	for _, d := range v.Departed {
-		out = append(out, ownership.Member{
-			Agent: ownership.AgentRef{ID: d.ID, Incarnation: d.Incarnation}, Joined: d.Joined, Left: d.Left, LeftAt: d.LeftAt,
-		})
-	}
-	return out
-}
-
-func submitRequest(j *model.Job) *rhubarbsailv1.SubmitRequest {
+// SubmitRequest converts a job for its owner.
+func SubmitRequest(j *model.Job) *rhubarbsailv1.SubmitRequest {
 	r := &rhubarbsailv1.SubmitRequest{
 		Client: j.Key.Client, Key: j.Key.Key, Service: j.Service,
 		SubmittedUnixNanos: j.SubmittedAt.UnixNano(),
@@ -57,7 +46,8 @@
 	return r
 }
 
-func jobModel(r *rhubarbsailv1.SubmitRequest) *model.Job {
+// Job converts the job in a request of another gateway.
+func Job(r *rhubarbsailv1.SubmitRequest) *model.Job {
 	j := &model.Job{
 		Key:     model.JobKey{Client: r.Client, Key: r.Key},
 		Service: r.Service, Repeatable: r.Repeatable,
@@ -77,16 +67,17 @@
 	model.RunMayHaveRun: rhubarbsailv1.RunState_RUN_STATE_MAY_HAVE_RUN,
 }
 
-func answerProto(a model.Answer) *rhubarbsailv1.SubmitResponse {
+// SubmitResponse converts an answer for another gateway.
+func SubmitResponse(a model.Answer) *rhubarbsailv1.SubmitResponse {
 	return &rhubarbsailv1.SubmitResponse{
 		State: runStates[a.State], Reason: string(a.Reason), Message: a.Message,
 		RetryAfterMs: a.RetryAfter.Milliseconds(), Results: a.Results,
 	}
 }
 
-// answerModel converts an answer. A state that this version does not know
+// Answer converts an answer. A state that this version does not know
 // counts as may_have_run.
-func answerModel(r *rhubarbsailv1.SubmitResponse) model.Answer {
+func Answer(r *rhubarbsailv1.SubmitResponse) model.Answer {
 	a := model.Answer{
 		State: model.RunMayHaveRun, Reason: model.Reason(r.Reason), Message: r.Message,
 		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond, Results: r.Results,
