Let clients read the answer to a body that is too large

Ruled out: a larger read-ahead of the server; it has no such setting, and the answer would come only after the rest.

--- /dev/null
+++ b/common/largebody/largebody_test.go
@@ -0,0 +1,54 @@
+package largebody_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/rhubarbsail/rhubarbsail/common/largebody"
+)
+
+// Guards against a connection that is reset while a plain client still sends
+// its body: such a client never reads the answer 413.
+func TestClientThatSendsAllFirstReadsTheAnswer(t *testing.T) {
+	e := echo.New()
+	e.POST("/", func(c echo.Context) error {
+		return largebody.Answer(c, func() error { return c.NoContent(http.StatusRequestEntityTooLarge) })
+	})
+	s := httptest.NewServer(e)
+	defer s.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 104857600\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	chunk := make([]byte, 1<<20)
+	for range 100 {
+		// The client is slower than the time that the server waits by itself
+		// before it resets the connection.
+		time.Sleep(8 * time.Millisecond)
+		if _, err := conn.Write(chunk); err != nil {
+			t.Fatalf("the connection broke while the body was sent: %v", err)
+		}
+	}
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	if r.StatusCode != http.StatusRequestEntityTooLarge || !r.Close {
+		t.Errorf("status %d, close %v", r.StatusCode, r.Close)
+	}
+}
--- a/httpapi/callers.go
+++ b/httpapi/callers.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		var b *bodyError
 		errors.As(err, &b)
-		return writeAnswer(c, b.code, model.Failed(model.RunNotRun, b.reason, b.text), nil)
+		return b.answer(c, func() error { return writeAnswer(c, b.code, model.Failed(model.RunNotRun, b.reason, b.text), nil) })
 	}
 	defer release()
 	now := h.o.Now()
--- a/httpapi/operators.go
+++ b/httpapi/operators.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		var b *bodyError
 		errors.As(err, &b)
-		return writeError(c, b.code, ErrorBody{Reason: string(b.reason), Message: b.text})
+		return b.answer(c, func() error { return writeError(c, b.code, ErrorBody{Reason: string(b.reason), Message: b.text}) })
 	}
 	defer release()
 	var b changeBody
--- a/httpapi/reader.go
+++ b/httpapi/reader.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/rhubarbsail/rhubarbsail/common/largebody"
 	"github.com/rhubarbsail/rhubarbsail/common/model"
 )
 
@@ -24,6 +25,14 @@
 
 func (e *bodyError) Error() string { return e.text }
 
+// answer writes the answer to a request whose body was not read as a whole.
+func (e *bodyError) answer(c echo.Context, write func() error) error {
+	if e.code == http.StatusRequestEntityTooLarge {
+		return largebody.Answer(c, write)
+	}
+	return write()
+}
+
 // bodyReader reads bodies within a bound for each and a bound for all bodies
 // held at the same time.
 type bodyReader struct {
