Soak the platform's programs under random faults from outside

Change: integration/soak runs platform-gateway and platform-agent as processes, with the stand-ins of store, targets and callers in the test. Checked: no two runs of a task at a time, capacity, completed, failed and refused answers are true, answers in time, no missing answer without a fault, a log line for each answer but successes, configurations never go back, planned stops in time, and recovery within the users' bounds.

Of the soak itself: the relay read /proc/net/tcp for each connection, 21 ms with 13,000 sockets, so that links timed out and were dialled again for ever, and all sites stood still; it now asks the kernel for the one socket (github.com/vishvananda/netlink).

Ruled out: relays named in settings only; gateways name themselves.

--- a/integration/harness/build.go
+++ b/integration/harness/build.go
@@ -14,9 +14,6 @@
 	"github.com/go-faster/errors"
 )
 
-// daemons are the commands that the tests run.
-var daemons = []string{"gateway", "agent", "standin-log", "standin-target"}
-
 // deploymentsMax bounds the deployments at a time: each is about 12 processes.
 const deploymentsMax = 3
 
@@ -29,8 +26,8 @@
 
 // Main builds the daemons with the race detector into a temporary directory,
 // runs the tests and removes the directory. It returns the exit code.
-func Main(m *testing.M) int {
-	dir, err := build()
+func Main(m *testing.M, daemons ...string) int {
+	dir, err := build(daemons)
 	if dir != "" {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
@@ -42,7 +39,7 @@
 	return m.Run()
 }
 
-func build() (string, error) {
+func build(daemons []string) (string, error) {
 	dir, err := os.MkdirTemp("", "rhubarbsail-integration-")
 	if err != nil {
 		return "", errors.Wrap(err, "temporary directory")
--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -84,7 +84,7 @@
 		o.Targets = targetsDefault
 	}
 	c := &Cluster{t: t, opts: o, dir: t.TempDir()}
-	c.Net = newNetwork(c.processes)
+	c.Net = NewNetwork(c.processes)
 	t.Cleanup(c.stop)
 	if err := c.start(); err != nil {
 		t.Fatal(err)
@@ -98,7 +98,7 @@
 		p.Resume()
 		p.Kill()
 	}
-	c.Net.close()
+	c.Net.Close()
 	for _, p := range c.processes() {
 		if log := p.stderr.String(); containsRace(log) {
 			c.t.Errorf("data race in %s:\n%s", p.Name, log)
@@ -148,7 +148,7 @@
 }
 
 func (c *Cluster) startLog() (err error) {
-	if c.logAddress, err = freeAddress(); err != nil {
+	if c.logAddress, err = FreeAddress(); err != nil {
 		return err
 	}
 	var s settings.LogStandin
@@ -160,14 +160,14 @@
 	if c.Log, err = c.process("standin-log", "log", s); err != nil {
 		return err
 	}
-	c.logRelay, err = c.Net.relay("log", c.logAddress)
+	c.logRelay, err = c.Net.Relay("log", c.logAddress)
 	return err
 }
 
 // addresses fills the fields with free addresses.
 func addresses(fields ...*string) error {
 	for _, f := range fields {
-		a, err := freeAddress()
+		a, err := FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -198,7 +198,7 @@
 			return err
 		}
 		var err error
-		if s.AdvertisedAddress, err = c.Net.relay(s.ID, s.InternalAddress); err != nil {
+		if s.AdvertisedAddress, err = c.Net.Relay(s.ID, s.InternalAddress); err != nil {
 			return err
 		}
 		if c.opts.AdjustGateway != nil {
@@ -239,7 +239,7 @@
 		}
 		s.AgentURL = "http://" + a.AnnounceAddress
 		var err error
-		if a.AdvertisedAddress, err = c.Net.relay(a.ID, a.LinkAddress); err != nil {
+		if a.AdvertisedAddress, err = c.Net.Relay(a.ID, a.LinkAddress); err != nil {
 			return err
 		}
 		if c.opts.AdjustAgent != nil {
--- a/integration/harness/network.go
+++ b/integration/harness/network.go
@@ -1,8 +1,6 @@
 package harness
 
 import (
-	"bytes"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -14,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/vishvananda/netlink"
+	"golang.org/x/sys/unix"
 )
 
 // Network relays the connections between the processes of a deployment, so that
@@ -32,14 +32,16 @@
 	closed bool
 }
 
-// pair names two processes; a delay applies to bytes from the first to the
-// second, a cut to both directions.
+// pair names two processes; a cut and a delay apply to bytes from the first to
+// the second.
 type pair struct{ from, to string }
 
 // relayed is one connection through a relay.
 type relayed struct {
 	ends             pair
 	dialled, serving net.Conn
+	// silent connections lose all bytes from now on and stay open.
+	silent atomic.Bool
 }
 
 func (r *relayed) close() {
@@ -55,17 +57,18 @@
 	chunksMax  = 256
 )
 
-func newNetwork(processes func() []*Process) *Network {
+// NewNetwork returns a network between the processes that the function lists.
+func NewNetwork(processes func() []*Process) *Network {
 	return &Network{
 		processes: processes, cut: make(map[pair]bool),
 		delay: make(map[pair]time.Duration), conns: make(map[*relayed]struct{}),
 	}
 }
 
-// relay serves connections to the process name at address and returns the
+// Relay serves connections to the process name at address and returns the
 // relay's address.
-func (n *Network) relay(name, address string) (string, error) {
-	own, err := freeAddress()
+func (n *Network) Relay(name, address string) (string, error) {
+	own, err := FreeAddress()
 	if err != nil {
 		return "", err
 	}
@@ -88,7 +91,8 @@
 
 func (n *Network) serve(c net.Conn, to, address string) {
 	ends := pair{from: n.dialler(c), to: to}
-	if !n.await(ends) {
+	// A connection is set up only if bytes pass in both directions.
+	if !n.await(ends) || !n.await(pair{to, ends.from}) {
 		_ = c.Close()
 		return
 	}
@@ -112,11 +116,11 @@
 	n.mu.Unlock()
 }
 
-// await waits until the pair is not cut. False means that the network is closed.
+// await waits until the direction is not cut. False means that the network is closed.
 func (n *Network) await(p pair) bool {
 	for {
 		n.mu.Lock()
-		blocked, closed := n.cut[p] || n.cut[pair{p.to, p.from}], n.closed
+		blocked, closed := n.cut[p], n.closed
 		n.mu.Unlock()
 		if closed || !blocked {
 			return !closed
@@ -158,6 +162,9 @@
 			failed.Store(true)
 			continue
 		}
+		if r.silent.Load() {
+			continue
+		}
 		if _, err := to.Write(c.data); err != nil {
 			failed.Store(true)
 			r.close()
@@ -168,7 +175,13 @@
 
 // Cut holds all bytes between two processes in both directions until Heal, as a
 // network partition does.
-func (n *Network) Cut(a, b string) { n.set(func() { n.cut[pair{a, b}] = true }) }
+func (n *Network) Cut(a, b string) {
+	n.CutOneWay(a, b)
+	n.CutOneWay(b, a)
+}
+
+// CutOneWay holds the bytes from one process to another until Heal.
+func (n *Network) CutOneWay(from, to string) { n.set(func() { n.cut[pair{from, to}] = true }) }
 
 // Heal ends the cut between two processes.
 func (n *Network) Heal(a, b string) {
@@ -184,11 +197,28 @@
 }
 
 // Break closes the open connections between two processes.
-func (n *Network) Break(a, b string) {
+func (n *Network) Break(a, b string) { n.each(a, b, (*relayed).close) }
+
+// Reset ends the open connections between two processes by RST segments.
+func (n *Network) Reset(a, b string) {
+	n.each(a, b, func(r *relayed) {
+		for _, c := range []net.Conn{r.dialled, r.serving} {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		r.close()
+	})
+}
+
+// Silence lets the open connections between two processes lose all bytes from
+// now on without an end. New connections work.
+func (n *Network) Silence(a, b string) { n.each(a, b, func(r *relayed) { r.silent.Store(true) }) }
+
+// each calls a function for the open connections between two processes.
+func (n *Network) each(a, b string, f func(r *relayed)) {
 	n.set(func() {
 		for r := range n.conns {
 			if r.ends == (pair{a, b}) || r.ends == (pair{b, a}) {
-				r.close()
+				f(r)
 			}
 		}
 	})
@@ -208,7 +238,8 @@
 	f()
 }
 
-func (n *Network) close() {
+// Close ends all relays and connections.
+func (n *Network) Close() {
 	for _, l := range n.listeners {
 		_ = l.Close()
 	}
@@ -221,39 +252,26 @@
 }
 
 // dialler names the process that opened a connection by the owner of its socket:
-// the kernel's table gives the socket's inode for the port, and one of our own
-// processes has it open.
+// the kernel gives the socket's inode, and one of our own processes has it open.
 func (n *Network) dialler(c net.Conn) string {
-	inode := socketInode(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	// /proc/net/tcp has tens of thousands of lines after many short connections,
+	// and reading it for each new one takes longer than links may take.
+	socket, err := netlink.SocketGet(c.RemoteAddr(), c.LocalAddr())
+	if err != nil {
+		// The dialler has closed the connection.
+		return unknownDialler
+	}
+	inode := strconv.FormatUint(uint64(socket.INode), 10)
 	for _, p := range n.processes() {
-		if pid := p.PID(); pid != 0 && inode != "" && hasSocket(pid, inode) {
+		if pid := p.PID(); pid != 0 && hasSocket(pid, inode) {
 			return p.Name
 		}
 	}
-	return "unknown"
+	return unknownDialler
 }
 
-func socketInode(local, remote int) string {
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	// The table has tens of thousands of lines after many short connections, so
-	// that splitting all of them would delay each connection.
-	ends := fmt.Appendf(nil, " 0100007F:%04X 0100007F:%04X 01 ", local, remote)
-	_, rest, found := bytes.Cut(table, ends)
-	if f := bytes.Fields(rest[:min(len(rest), lineBytes)]); found && len(f) > inodeField {
-		return string(f[inodeField])
-	}
-	return ""
-}
-
-const (
-	// lineBytes bounds a line of /proc/net/tcp, inodeField is the inode's place
-	// after the state.
-	lineBytes  = 160
-	inodeField = 5
-)
+// unknownDialler stands for a process that is not part of the deployment.
+const unknownDialler = "unknown"
 
 func hasSocket(pid int, inode string) bool {
 	dir := "/proc/" + strconv.Itoa(pid) + "/fd/"
@@ -269,6 +287,23 @@
 	return false
 }
 
+// Vanish closes a connection without a segment to its peer, as if the reset had
+// been lost. It fails with EPERM unless run by root.
+func Vanish(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_REPAIR, 1)
+	})
+	if err := errors.Join(err, failed); err != nil {
+		return errors.Wrap(err, "set TCP_REPAIR")
+	}
+	return c.Close()
+}
+
 const (
 	// Ports below the range from which the kernel takes ports of outgoing
 	// connections, so that none of these can take a port between the choice
@@ -303,9 +338,9 @@
 
 func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 
-// freeAddress returns an address on loopback that nothing listens on and that
+// FreeAddress returns an address on loopback that nothing listens on and that
 // no other caller gets.
-func freeAddress() (string, error) {
+func FreeAddress() (string, error) {
 	r, err := ports()
 	if err != nil {
 		return "", err
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -38,7 +38,7 @@
 type Process struct {
 	Name           string
 	program        string
-	args           []string
+	args, env      []string
 	stdout, stderr buffer
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -48,13 +48,18 @@
 	pid  int
 }
 
+// NewProcess returns a daemon that has not been started.
+func NewProcess(name, program string, args, env []string) *Process {
+	return &Process{Name: name, program: program, args: args, env: env}
+}
+
 // Start starts the process.
 func (p *Process) Start() error {
 	cmd := exec.Command(filepath.Join(binaries, p.program), p.args...)
 	cmd.Stdout, cmd.Stderr = &p.stdout, &p.stderr
 	// A race that the detector reports ends the process, so that no test passes
 	// with one.
-	cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
+	cmd.Env = append(append(os.Environ(), "GORACE=halt_on_error=1"), p.env...)
 	// Ends the daemon if the test process dies without its cleanup.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -132,3 +137,16 @@
 	s := p.stderr.String()
 	return s[max(0, len(s)-most):]
 }
+
+// Output returns what the process wrote to stdout and stderr.
+func (p *Process) Output() (stdout, stderr string) { return p.stdout.String(), p.stderr.String() }
+
+// Ended is closed at the end of the process that was started last.
+func (p *Process) Ended() <-chan struct{} { return p.ended() }
+
+// Err returns how the process that was started last has ended.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -11,7 +11,9 @@
 	"github.com/rhubarbsail/rhubarbsail/integration/harness"
 )
 
-func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+func TestMain(m *testing.M) {
+	os.Exit(harness.Main(m, "gateway", "agent", "standin-log", "standin-target"))
+}
 
 const (
 	// taskTime is the run time of a task in most tests.
--- /dev/null
+++ b/integration/soak/callers_test.go
@@ -0,0 +1,288 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/integration/harness"
+	"github.com/rhubarbsail/rhubarbsail/platform/standin"
+)
+
+const (
+	callersOfSite = 12
+	// thinkMax bounds a caller's pause between two jobs.
+	thinkMax = 200 * time.Millisecond
+	// wait is how long a caller waits for an answer; resendAfter is the pause
+	// after a missing one.
+	wait        = 1500 * time.Millisecond
+	resendAfter = 1300 * time.Millisecond
+	sendsMax    = 4
+	// failShare and longShare are the shares of jobs whose tasks fail and of jobs
+	// whose tasks take most of the caller's time.
+	failShare = 0.03
+	longShare = 0.1
+)
+
+// callers submit jobs as the platform's clients do: a caller keeps its
+// connection until the gateway closes it, and sends a job again after a missing
+// answer, to any gateway that takes connections.
+type callers struct {
+	site   *site
+	judge  *judge
+	prefix string
+	next   atomic.Uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex // owns conns
+	conns map[*node][]*callerConn
+}
+
+func startCallers(s *site, j *judge, seed uint64) *callers {
+	c := &callers{site: s, judge: j, prefix: fmt.Sprintf("%08x", seed&0xffffffff), conns: map[*node][]*callerConn{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	for i := range callersOfSite * *size {
+		r := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		c.wg.Go(func() {
+			cl := c.newClient()
+			defer cl.close()
+			for c.ctx.Err() == nil {
+				cl.run(c.newJob(r), r)
+				time.Sleep(time.Duration(r.Int64N(int64(thinkMax))))
+			}
+		})
+	}
+	return c
+}
+
+// stop ends the load after the answers in progress.
+func (c *callers) stop() {
+	c.cancel()
+	c.wg.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conns := range c.conns {
+		for _, k := range conns {
+			_ = k.Conn.Close()
+		}
+	}
+}
+
+// burst submits many jobs at once.
+func (c *callers) burst(n int) {
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			cl := c.newClient()
+			defer cl.close()
+			r := rand.New(rand.NewPCG(rand.Uint64(), 0))
+			cl.run(c.newJob(r), r)
+		})
+	}
+	wg.Wait()
+}
+
+// job is what one caller wants, and what came of it.
+type job struct {
+	standin.Job
+	fails bool
+	sends []*send
+}
+
+// send is one submission of a job.
+type send struct {
+	gateway    *node
+	at, ended  time.Time
+	answer     standin.Answer
+	err        error
+	connection error // the gateway could not be connected to
+}
+
+func (c *callers) newJob(r *rand.Rand) *job {
+	j := &job{Job: standin.Job{ID: fmt.Sprintf("%s%08x", c.prefix, c.next.Add(1)), Tasks: 1 + r.IntN(6), Wait: wait}}
+	switch p := r.Float64(); {
+	case p < failShare:
+		j.Spec, j.fails = "fail", true
+	case p < failShare+longShare:
+		j.Spec = fmt.Sprintf("ms=%d", 400+r.IntN(900))
+	default:
+		j.Spec = fmt.Sprintf("ms=%d", 10+r.IntN(100))
+	}
+	return j
+}
+
+// client is one caller with its connection.
+type client struct {
+	load    *callers
+	gateway *node
+	http    *http.Client
+
+	mu      sync.Mutex // owns dialErr
+	dialErr error
+}
+
+func (cl *client) setDialErr(err error) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.dialErr = err
+}
+
+func (cl *client) getDialErr() error {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.dialErr
+}
+
+func (c *callers) newClient() *client {
+	cl := &client{load: c}
+	transport := &http.Transport{MaxConnsPerHost: 1, DialContext: cl.dial, DisableCompression: true}
+	cl.http = &http.Client{Transport: transport}
+	return cl
+}
+
+func (cl *client) close() { cl.http.CloseIdleConnections() }
+
+func (cl *client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		cl.setDialErr(err)
+		return nil, err
+	}
+	k := &callerConn{Conn: conn, closed: make(chan struct{})}
+	cl.load.mu.Lock()
+	defer cl.load.mu.Unlock()
+	cl.load.conns[cl.gateway] = append(cl.load.conns[cl.gateway], k)
+	return k, nil
+}
+
+// run submits a job until it has an answer or was sent often enough.
+func (cl *client) run(j *job, r *rand.Rand) {
+	for range sendsMax {
+		if cl.gateway == nil {
+			cl.gateway = cl.load.choose(r)
+		}
+		s := cl.send(j)
+		j.sends = append(j.sends, s)
+		if s.err != nil || s.answer.Close {
+			cl.gateway = nil
+			cl.http.CloseIdleConnections()
+		}
+		if s.err == nil && s.answer.Status != http.StatusBadGateway && s.answer.Status != http.StatusGatewayTimeout {
+			break
+		}
+		time.Sleep(resendAfter)
+	}
+	cl.load.judge.add(j)
+}
+
+// choose returns a gateway that takes new connections.
+func (c *callers) choose(r *rand.Rand) *node {
+	var in []*node
+	for _, g := range c.site.gateways {
+		if g.inRotation.Load() {
+			in = append(in, g)
+		}
+	}
+	if len(in) == 0 {
+		in = c.site.gateways
+	}
+	return in[r.IntN(len(in))]
+}
+
+func (cl *client) send(j *job) *send {
+	cl.setDialErr(nil)
+	// The caller waits a little longer than it says, so that a late answer is
+	// seen as such.
+	ctx, cancel := context.WithTimeout(context.Background(), wait+slack)
+	defer cancel()
+	s := &send{gateway: cl.gateway, at: time.Now()}
+	caller := cl.load.site.caller(cl.gateway, jobQueue)
+	caller.Client = cl.http
+	s.answer, s.err = caller.Send(ctx, j.Job)
+	s.ended, s.connection = time.Now(), cl.getDialErr()
+	return s
+}
+
+// callerConn is a caller's connection that can break.
+type callerConn struct {
+	net.Conn
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Read implements net.Conn.
+func (k *callerConn) Read(b []byte) (int, error) {
+	n, err := k.Conn.Read(b)
+	if !k.silent.Load() {
+		return n, err
+	}
+	<-k.closed
+	return 0, os.ErrClosed
+}
+
+// Write implements net.Conn.
+func (k *callerConn) Write(b []byte) (int, error) {
+	if k.silent.Load() {
+		return len(b), nil
+	}
+	return k.Conn.Write(b)
+}
+
+// Close implements net.Conn. The gateway does not learn of the end of a silent
+// connection.
+func (k *callerConn) Close() error {
+	k.once.Do(func() { close(k.closed) })
+	if k.silent.Load() {
+		return nil
+	}
+	return k.Conn.Close()
+}
+
+// The ways in which a connection breaks.
+func resetConnection(k *callerConn) {
+	_ = k.Conn.(*net.TCPConn).SetLinger(0)
+	_ = k.Close()
+}
+
+// loseConnection ends a connection without the gateway's notice. Where that is
+// not allowed, it resets it.
+func loseConnection(k *callerConn) {
+	if harness.Vanish(k.Conn.(*net.TCPConn)) != nil {
+		resetConnection(k)
+		return
+	}
+	_ = k.Close()
+}
+
+func silenceConnection(k *callerConn) { k.silent.Store(true) }
+
+// breakConnections breaks the callers' connections to a gateway.
+func (c *callers) breakConnections(g *node, how func(*callerConn)) {
+	end := g.disturb()
+	c.mu.Lock()
+	conns := slices.Clone(c.conns[g])
+	c.mu.Unlock()
+	for _, k := range conns {
+		how(k)
+	}
+	time.Sleep(wait)
+	end()
+}
+
+// refusedConnection tells whether nothing listened at the gateway.
+func (s *send) refusedConnection() bool {
+	errno, ok := asErrno(s.connection)
+	return ok && errno == syscall.ECONNREFUSED
+}
--- /dev/null
+++ b/integration/soak/judge_test.go
@@ -0,0 +1,241 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbsail/rhubarbsail/platform/standin"
+)
+
+const (
+	// recoveryTimeout is the users' bound on the time until all is served again.
+	recoveryTimeout = 15 * time.Second
+	// configTimeout is the users' bound for a configuration after an outage.
+	configTimeout = 6 * time.Second
+	// quietTimeout bounds how long tasks run after the last caller has left.
+	quietTimeout = 2 * time.Second
+	findingsMax  = 20
+)
+
+// judge checks the promises to callers and targets by what they see.
+type judge struct {
+	site *site
+
+	mu       sync.Mutex // owns the fields below
+	jobs     []*job
+	findings int
+}
+
+func newJudge(s *site) *judge { return &judge{site: s} }
+
+func (j *judge) add(done *job) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs = append(j.jobs, done)
+}
+
+// report adds a finding, with the time at which it was made.
+func (j *judge) report(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.findings++
+	if j.findings <= findingsMax {
+		j.site.t.Errorf("%s %s", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+	}
+}
+
+// recovered requires that everything works within the users' bounds after the
+// last fault.
+func (j *judge) recovered() {
+	s := j.site
+	ctx := context.Background()
+	newest := s.newestVersion()
+	var wg sync.WaitGroup
+	for _, g := range s.gateways {
+		wg.Go(func() {
+			s.await(configTimeout+slack, fmt.Sprintf("%s has configuration %d", g.Name, newest), func() bool {
+				ok, err := s.serves(ctx, g, newest)
+				return ok && err == nil
+			})
+		})
+		wg.Go(func() {
+			n := 0
+			s.await(recoveryTimeout, g.Name+" completes jobs", func() bool {
+				n++
+				call, cancel := context.WithTimeout(ctx, wait+slack)
+				defer cancel()
+				id := fmt.Sprintf("%s-%d", g.Name, n)
+				a, err := s.caller(g, jobQueue).Send(call, standin.Job{ID: id, Spec: "ms=20", Tasks: 2})
+				return err == nil && a.State == "completed"
+			})
+		})
+	}
+	wg.Wait()
+}
+
+// quiet requires that no task goes on when no caller is left.
+func (j *judge) quiet() {
+	for _, a := range j.site.agents {
+		j.site.await(quietTimeout, "nothing runs at "+a.Name, func() bool { return a.target.Running() == 0 })
+	}
+}
+
+// taskRun is a run of a task with its target.
+type taskRun struct {
+	standin.Run
+	agent *node
+}
+
+func (r taskRun) String() string {
+	return fmt.Sprintf("%s attempt %d at %s from %s to %s (%s)", r.Task, r.Attempt, r.agent.Name,
+		r.Started.Format("15:04:05.000"), r.Ended.Format("15:04:05.000"), r.How)
+}
+
+// judge checks all jobs against all runs.
+func (j *judge) judge() {
+	byJob := map[string][]taskRun{}
+	for _, a := range j.site.agents {
+		for _, b := range a.target.Breaches() {
+			j.report("%s: %s", a.Name, b)
+		}
+		for _, r := range a.target.Runs() {
+			id, _, _ := strings.Cut(r.Task, ".")
+			byJob[id] = append(byJob[id], taskRun{r, a})
+		}
+	}
+	for _, runs := range byJob {
+		j.judgeOverlaps(runs)
+	}
+	counts := map[string]int{}
+	for _, done := range j.jobs {
+		for _, s := range done.sends {
+			j.judgeSend(s, done, byJob[done.ID])
+			counts[s.outcome()]++
+		}
+	}
+	j.site.t.Logf("%d jobs; submissions by outcome: %v", len(j.jobs), counts)
+}
+
+// judgeOverlaps requires that no two runs of a task are at work at a time.
+func (j *judge) judgeOverlaps(runs []taskRun) {
+	sort.Slice(runs, func(a, b int) bool { return runs[a].Started.Before(runs[b].Started) })
+	last := map[string]taskRun{}
+	for _, r := range runs {
+		if before, ok := last[r.Task]; ok && (before.Ended.IsZero() || r.Started.Before(before.Ended)) {
+			j.report("two runs at a time: %v and %v", before, r)
+		}
+		last[r.Task] = r
+	}
+}
+
+func (s *send) outcome() string {
+	switch {
+	case s.connection != nil:
+		return "no connection"
+	case s.err != nil:
+		return "no answer"
+	case s.answer.State != "":
+		return s.answer.State
+	}
+	return http.StatusText(s.answer.Status)
+}
+
+// judgeSend checks one answer of a job.
+func (j *judge) judgeSend(s *send, of *job, runs []taskRun) {
+	if s.err != nil {
+		j.judgeMissing(s, of)
+		return
+	}
+	if late := s.ended.Sub(s.at) - wait; late > slack/2 && !s.gateway.wasDisturbed(s.at, s.ended) {
+		j.report("job %s: %s answered %v after the deadline", of.ID, s.gateway.Name, late)
+	}
+	switch {
+	case s.answer.State == "completed":
+		j.judgeCompleted(s, of, runs)
+	case s.answer.State == "failed":
+		j.judgeFailed(s, of, runs)
+	case s.answer.Status == http.StatusServiceUnavailable:
+		j.judgeRefused(s, of, runs)
+	case s.answer.Status == http.StatusBadGateway, s.answer.Status == http.StatusGatewayTimeout:
+	default:
+		j.report("job %s: %s answered %d %q", of.ID, s.gateway.Name, s.answer.Status, s.answer.State)
+	}
+	if s.answer.State != "completed" {
+		j.judgeExplained(s, of)
+	}
+}
+
+func (j *judge) judgeCompleted(s *send, of *job, runs []taskRun) {
+	done := map[string]bool{}
+	for _, r := range runs {
+		if r.How == "done" && r.Ended.Before(s.ended) {
+			done[r.Task] = true
+		}
+	}
+	if len(done) < of.Tasks {
+		j.report("job %s: completed with %d of %d tasks done", of.ID, len(done), of.Tasks)
+	}
+}
+
+func (j *judge) judgeFailed(s *send, of *job, runs []taskRun) {
+	failures := map[string]int{}
+	most := 0
+	for _, r := range runs {
+		if r.How == "failed" && r.Ended.Before(s.ended) {
+			failures[r.Task]++
+			most = max(most, failures[r.Task])
+		}
+	}
+	if most < jobQueue.MaxAttempts {
+		j.report("job %s: failed after %d failures of a task", of.ID, most)
+	}
+}
+
+// judgeRefused requires that nothing of a refused job starts. A task of an
+// earlier submission that had no answer may have run before.
+func (j *judge) judgeRefused(s *send, of *job, runs []taskRun) {
+	if s.answer.RetryAfter == "" {
+		j.report("job %s: refused without Retry-After", of.ID)
+	}
+	from := s.ended
+	if of.sends[0] == s {
+		from = time.Time{}
+	}
+	for _, r := range runs {
+		if r.Started.After(from) {
+			j.report("job %s: refused by %s at %s, but ran: %v", of.ID, s.gateway.Name, s.ended.Format("15:04:05.000"), r)
+		}
+	}
+}
+
+// judgeMissing requires a fault behind each missing answer.
+func (j *judge) judgeMissing(s *send, of *job) {
+	if s.gateway.wasDisturbed(s.at, s.ended) || s.refusedConnection() {
+		return
+	}
+	j.report("job %s: no answer of %s from %s to %s: %v", of.ID, s.gateway.Name,
+		s.at.Format("15:04:05.000"), s.ended.Format("15:04:05.000"), s.err)
+}
+
+// judgeExplained requires a log line with the job's id for each answer that is
+// not a success, unless lines were dropped and counted or the process was killed.
+func (j *judge) judgeExplained(s *send, of *job) {
+	out, _ := s.gateway.Output()
+	if !strings.Contains(out, of.ID) && !strings.Contains(out, "lines_dropped") && !s.gateway.wasDisturbed(s.at, s.ended.Add(slack)) {
+		j.report("job %s: %s has no log line for its answer %s", of.ID, s.gateway.Name, s.outcome())
+	}
+}
+
+func asErrno(err error) (syscall.Errno, bool) {
+	var errno syscall.Errno
+	ok := err != nil && errors.As(err, &errno)
+	return errno, ok
+}
