Notice callers whose connection ended without a segment

Cause: a gateway that did not learn of the end of a caller's connection ran its job until the deadline of 1.5 s, while the caller sends it to another gateway after 1.3 s: two runs of a task could overlap by 0.2 s.

Change: the callers' listener probes connections that are idle for 1 s by TCP keep-alive; a caller that is gone answers with a reset, and its job is given up. A caller that is only cut off keeps its connection for 15 s.

Ruled out: telling the other gateways of late jobs (a message for each, and none arrives through a cut); shorter deadlines (they cost answers).

Open: the reset is lost and the gateway cannot reach the caller at all while another gateway can.

--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -25,7 +25,8 @@
 type boundServer struct {
 	listener net.Listener
 	http     *http.Server
-	// drained servers answer what is in progress when the process stops.
+	// drained servers are those of callers: they answer what is in progress when
+	// the process stops, and look for callers that have gone.
 	drained bool
 }
 
@@ -35,6 +36,27 @@
 	idleTimeout   = 15 * time.Second
 )
 
+// callerProbes finds callers that have gone without the gateway's notice. They
+// send their jobs again 1.3 s after that, and the probe has to come before: one
+// second is the least that the kernel takes. A caller that does not answer may
+// be cut off for a while; its connection is kept as long as an idle one.
+var callerProbes = net.KeepAliveConfig{
+	Enable: true, Idle: time.Second, Interval: time.Second, Count: int(idleTimeout / time.Second),
+}
+
+// probingListener probes its connections after callerProbes.
+type probingListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l probingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if t, ok := c.(*net.TCPConn); ok && err == nil {
+		// A connection that cannot be probed is served all the same.
+		_ = t.SetKeepAliveConfig(callerProbes)
+	}
+	return c, err
+}
+
 func (s *serverSet) add(address string, h http.Handler, drained bool) {
 	if s.err != nil {
 		return
@@ -44,6 +66,9 @@
 		s.err = err
 		return
 	}
+	if drained {
+		l = probingListener{l}
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
