--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
@@ -14,74 +13,6 @@
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
-// ErrFenced means that the target has seen a higher fencing token.
-var ErrFenced = errors.New("the target has seen a higher fencing token")
-
-// TargetClient calls a target. All durations in deadlines are on the target's
-// own clock, in milliseconds.
-type TargetClient interface {
-	// Start begins a task. It returns StartUnanswered for every failure after
-	// which the task may still start, and ErrFenced for a low token.
-	Start(ctx context.Context, t Target, s Start, token, deadline int64) (StartResult, int64, error)
-	// Stop ends a task. An error means that it may not have been carried out.
-	Stop(ctx context.Context, t Target, a Attempt, token int64) (clock int64, err error)
-	// Look lists what runs and ends, and extends the lease of all that runs.
-	Look(ctx context.Context, t Target, q LookQuery) (LookReply, error)
-}
-
-// LookQuery is the question for a look at a target.
-type LookQuery struct {
-	Token int64
-	// Deadline extends the lease to this time of the target's clock; 0 does not.
-	Deadline int64
-	// LastEnd is the highest number of an end that was taken in.
-	LastEnd int64
-	// Wait is how long the target may wait for an end.
-	Wait time.Duration
-}
-
-// LookReply is the target's answer.
-type LookReply struct {
-	Clock   int64
-	Born    int64
-	LastEnd int64
-	Running []Attempt
-	Ended   []End
-}
-
-// DriveOptions are the times of a Runner.
-type DriveOptions struct {
-	// Lease is how long the target keeps runs without a renewal.
-	Lease time.Duration
-	// LeaseMax is the target's own bound of a lease, with the error of its clock.
-	LeaseMax time.Duration
-	// Lookers is the number of looks at a time, so that one without an answer
-	// holds nothing up.
-	Lookers int
-	// LookWait is the time between two renewals while nothing ends.
-	LookWait time.Duration
-	// CallTimeout bounds a start or a stop; a look has LookWait more.
-	CallTimeout time.Duration
-	// SilentAfter is the time without any answer to a look after which the
-	// target counts as unreachable.
-	SilentAfter time.Duration
-	// RetryAfter is the pause after a failed call.
-	RetryAfter time.Duration
-	// TickEvery is the time between two checks of leases and the queue.
-	TickEvery time.Duration
-}
-
-// DefaultDriveOptions suit targets whose leases last at most one second. A
-// lease outlives two lost renewals.
-func DefaultDriveOptions() DriveOptions {
-	return DriveOptions{
-		Lease: 900 * time.Millisecond, LeaseMax: 1050 * time.Millisecond,
-		Lookers: 2, LookWait: 100 * time.Millisecond, CallTimeout: 60 * time.Millisecond,
-		SilentAfter: 350 * time.Millisecond,
-		RetryAfter:  20 * time.Millisecond, TickEvery: 25 * time.Millisecond,
-	}
-}
-
 // Sink carries reports to one gateway. Its methods do not block.
 type Sink interface {
 	Report(r Report)
@@ -259,125 +190,6 @@
 	}
 }
 
-// deadline returns the end of a lease on the target's clock, or 0 for none: a
-// target that is out of reach gets no renewal, so that its runs end. It runs with
-// r.mu held. The target's clock is read at the end of a call, so that the result
-// is late by no more than that call took; the target shortens it to its own
-// bound.
-func (r *Runner) deadline() int64 {
-	if r.clock == 0 || !r.core.reachable {
-		return 0
-	}
-	r.leasedAt = r.now()
-	return r.clock + (r.leasedAt - r.clockAt + r.opts.Lease).Milliseconds()
-}
-
-// readClock notes the target's clock. It runs with r.mu held.
-func (r *Runner) readClock(clock int64) {
-	if clock != 0 {
-		r.clock, r.clockAt = clock, r.now()
-	}
-}
-
-func (r *Runner) start(ctx context.Context, t Target, s Start) {
-	r.mu.Lock()
-	token, deadline := r.token, r.deadline()
-	r.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
-	defer cancel()
-	result, clock, err := r.client.Start(call, t, s, token, deadline)
-	a := Attempt{s.Task, s.Attempt}
-	if result != StartAccepted {
-		events.RunNotAccepted.Log(r.log).Stringer("task", s.Task).Int("attempt", s.Attempt).Int("result", int(result)).Err(err).Send()
-	}
-	r.do(func(c *Core, now time.Duration) {
-		r.readClock(clock)
-		r.raiseToken(err)
-		c.Started(now, a, result)
-	})
-}
-
-func (r *Runner) stop(ctx context.Context, t Target, a Attempt) {
-	r.mu.Lock()
-	token := r.token
-	r.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
-	defer cancel()
-	clock, err := r.client.Stop(call, t, a, token)
-	if err != nil {
-		wait.For(ctx, r.opts.RetryAfter)
-	}
-	r.do(func(c *Core, now time.Duration) {
-		r.readClock(clock)
-		r.raiseToken(err)
-		c.StopAnswered(now, a, err == nil)
-	})
-	if err == nil {
-		// A stopped run that had not begun leaves no end that a look waits for. If
-		// this look fails, the next regular one shows the same.
-		_ = r.look(ctx, t, 0)
-	}
-}
-
-// tokenStep is added to a fencing token that the target refuses. An earlier
-// agent of this VM took its token from a clock that was ahead of this one.
-const tokenStep = 10_000
-
-// raiseToken runs with r.mu held.
-func (r *Runner) raiseToken(err error) {
-	if errors.Is(err, ErrFenced) {
-		r.token += tokenStep
-		events.FencingTokenRaised.Log(r.log).Int64("token", r.token).Send()
-	}
-}
-
-func (r *Runner) look(ctx context.Context, t Target, wait time.Duration) error {
-	r.mu.Lock()
-	q := LookQuery{Token: r.token, Deadline: r.deadline(), LastEnd: r.lastEnd, Wait: wait}
-	r.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, q.Wait+r.opts.CallTimeout)
-	defer cancel()
-	began := r.now()
-	reply, err := r.client.Look(call, t, q)
-	if err != nil {
-		r.mu.Lock()
-		r.raiseToken(err)
-		r.mu.Unlock()
-		return err
-	}
-	r.do(func(c *Core, now time.Duration) {
-		known := c.Looked(now, Look{Began: began, Born: reply.Born, Running: reply.Running, Ended: reply.Ended})
-		if known {
-			r.readClock(reply.Clock)
-			r.answeredAt = now
-			r.lastEnd = max(r.lastEnd, reply.LastEnd)
-		} else {
-			err = errors.Errorf("the target answers as born at %d", reply.Born)
-		}
-	})
-	return err
-}
-
-// lookFailed counts the target as unreachable if no look has been answered for
-// a while. A single one may have lost its answer.
-func (r *Runner) lookFailed(err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	if now-r.answeredAt < r.opts.SilentAfter {
-		return
-	}
-	was := r.core.reachable
-	r.core.Unreachable(now, now-r.leasedAt > r.opts.LeaseMax)
-	if was {
-		events.TargetUnanswering.Log(r.log).Err(err).Send()
-	}
-	r.perform(r.core.Take())
-	if was {
-		r.loadChanged()
-	}
-}
-
 // Heartbeat takes in what the target says of itself.
 func (r *Runner) Heartbeat(t Target) {
 	r.do(func(c *Core, now time.Duration) {
