Keep an agent's part of its kind's speed with the sum

Cause: an agent's expected slowness mixes its own runs with those of its kind. The sum of a kind is kept for 100 ms, but the agent's present part was taken out of it: runs that had ended since counted as negative runs of the others. Right after a start, when counts double within 100 ms, a slow target could be expected to need 0.0005 of the time; it got dozens of tasks, which were recalled 50 ms later, and the run times that it reported went into the queue's estimator.

Ruled out: a load without statistics (an agent's first frame has 1.0 and no samples); estimates of 0 (none of 8,311 jobs had one); cold targets (these sites have none).

TestFirstRunsOfASlowTargetDoNotMakeItLookFast failed before.

--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -61,6 +61,8 @@
 	avoided  bool
 	// probesDone counts the runs that were done since the target is avoided.
 	probesDone int
+	// ofKind is its part in the last sum of its kind.
+	ofKind kindSpeed
 }
 
 func (a *agent) report(now time.Duration, l Load) {
@@ -105,7 +107,8 @@
 		key := kindKey{a.target.Service, a.target.Kind}
 		k := c.kinds[key]
 		w := a.kindWeight()
-		c.kinds[key] = kindSpeed{k.sum + w*a.logSlowness(), k.weight + w}
+		a.ofKind = kindSpeed{w * a.logSlowness(), w}
+		c.kinds[key] = kindSpeed{k.sum + a.ofKind.sum, k.weight + w}
 	}
 }
 
@@ -116,9 +119,10 @@
 	c.refreshKinds(now)
 	own, mean := float64(a.load.Samples), a.logSlowness()
 	k := c.kinds[kindKey{a.target.Service, a.target.Kind}]
-	others := k.weight - a.kindWeight()
-	if others > 0 {
-		ofOthers := (k.sum - a.kindWeight()*mean) / others
+	// The agent's part is that of the time of the sum: with its present one, runs
+	// that ended since would count as negative runs of the others.
+	if others := k.weight - a.ofKind.weight; others > 0 {
+		ofOthers := (k.sum - a.ofKind.sum) / others
 		mean = (own*mean + kindSamples*ofOthers) / (own + kindSamples)
 	}
 	return math.Exp(mean) * max(a.load.Anomaly, slownessMin)
--- a/restartable/dispatch/load_test.go
+++ b/restartable/dispatch/load_test.go
@@ -257,3 +257,28 @@
 		}
 	}
 }
+
+// After all VMs have lost power, the first runs of a slow target end in a burst
+// within the time for which the speeds of kinds are kept. Guards against a
+// target that then looks as if it needed no time: on bondline-th scale-2 such
+// targets got dozens of tasks, which were recalled 50 ms later.
+func TestFirstRunsOfASlowTargetDoNotMakeItLookFast(t *testing.T) {
+	r := newRig(t)
+	speeds := map[string]float64{"slow": 1.7, "fast-1": 0.7, "fast-2": 0.7}
+	for name := range speeds {
+		r.agent(name, 32_000)
+		r.report(name, func(l *Load) { l.Slowness, l.Samples = speeds[name], 5 })
+	}
+	r.after(kindsEvery)
+	slowness := func(name string) float64 { return r.core.slowness(r.now, r.core.byLink[name]) }
+	slowness("slow")
+	for samples := 6; samples <= 30; samples++ {
+		r.after(ms)
+		r.report("slow", func(l *Load) { l.Slowness, l.Samples = speeds["slow"], samples })
+		for name := range speeds {
+			if got := slowness(name); got < 0.65 || got > 1.75 {
+				t.Fatalf("with %d samples of the slow target, %s is expected to be %.3f times as slow as usual", samples, name, got)
+			}
+		}
+	}
+}
