Keep what agents have learned of their targets' speed in the store

Cause: a restarted agent forgot how slow its target is.

Change: the agent's record in the store also has slowness and the number of runs. It is written when a speed from at least 20 runs differs by a quarter from the kept one, each 5 s at most, and read at the start; it counts as 20 runs, and not at all for a target of another kind or size.

Ruled out: asking the gateways; after the loss of all power none knows.

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -102,11 +102,15 @@
 	}
 }
 
-// recordEvery is the time between two comparisons of the target with its record.
-const recordEvery = 500 * time.Millisecond
+const (
+	// recordEvery is the time between two comparisons of the target with its
+	// record, learnedEvery the least time between two writes for its speed only.
+	recordEvery  = 500 * time.Millisecond
+	learnedEvery = 5 * time.Second
+)
 
-// keepRecord reads the target of an earlier process from the store, and writes
-// it whenever its life or its size changes.
+// keepRecord reads the record of an earlier process from the store, and writes
+// it whenever the target's life or its size changes, or its speed does clearly.
 func (a *PlatformAgent) keepRecord(ctx context.Context) {
 	saved, ok, err := a.records.Load(ctx)
 	if err != nil {
@@ -114,20 +118,23 @@
 	} else if ok {
 		a.runner.Recall(saved)
 	}
+	var written time.Time
 	for ctx.Err() == nil {
 		wait.For(ctx, recordEvery)
 		t, known := a.runner.Target()
 		// A target that leaves is recorded as such only by its heartbeats.
 		t.Draining = false
-		if !known || t.Same(saved) {
+		next := saved.Update(t, a.runner.Learned())
+		sameTarget, sameSpeed := t.Same(saved.Target), next.Learned == saved.Learned
+		if !known || sameTarget && (sameSpeed || time.Since(written) < learnedEvery) {
 			continue
 		}
-		if err := a.records.Save(ctx, t); err != nil {
+		if err := a.records.Save(ctx, next); err != nil {
 			events.TargetRecordFailed.Log(a.log).Err(err).Send()
 			wait.For(ctx, registerRetry)
 			continue
 		}
-		saved = t
+		saved, written = next, time.Now()
 	}
 }
 
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -76,6 +76,9 @@
 	}
 	if c.known && !t.sameLife(c.target) {
 		c.endLife(now)
+		if !t.sameSort(c.target) {
+			c.stats = newStatistics(c.opts.SlownessMax)
+		}
 	}
 	if !c.known {
 		c.surveyed = false
@@ -84,6 +87,20 @@
 	c.pump(now)
 }
 
+// Adopt takes in the speed that an earlier process of this agent has learned,
+// if the target is still of the same sort as the one that it knew.
+func (c *Core) Adopt(kept Record) {
+	if c.known && c.target.sameSort(kept.Target) {
+		c.stats.adopt(kept.Learned)
+	}
+}
+
+// Learned returns what is known of the target's speed.
+func (c *Core) Learned(now time.Duration) Learned {
+	sp := c.stats.speed(now, nil)
+	return Learned{Slowness: sp.slowness, Samples: sp.samples}
+}
+
 // TargetLeft notes that the target of this life has said goodbye.
 func (c *Core) TargetLeft(now time.Duration, id string) {
 	if c.known && c.target.ID == id {
--- /dev/null
+++ b/restartable/runner/record.go
@@ -0,0 +1,46 @@
+package runner
+
+import "math"
+
+// Record is what an agent keeps of its target beyond its own process.
+type Record struct {
+	Target  Target
+	Learned Learned
+}
+
+// Learned is what is known of a target's speed.
+type Learned struct {
+	// Slowness is the usual ratio of measured to expected run times, learned from
+	// Samples runs.
+	Slowness float64
+	Samples  int
+}
+
+const (
+	// learnedSamples is the least number of runs after which a speed is worth
+	// keeping, and the most that a kept one counts: a target may have changed.
+	learnedSamples = 20
+	// learnedRatio is how far a speed has to be from the kept one to replace it.
+	learnedRatio = 1.25
+)
+
+// Update returns the record of a target with a speed. A kept speed stays until
+// one is learned that differs clearly, or until another sort of target comes.
+func (r Record) Update(t Target, l Learned) Record {
+	kept := r.Learned
+	if !t.sameSort(r.Target) {
+		kept = Learned{}
+	}
+	if l.Samples >= learnedSamples && (kept.Samples == 0 || math.Abs(math.Log(l.Slowness/kept.Slowness)) > math.Log(learnedRatio)) {
+		kept = l
+	}
+	return Record{Target: t, Learned: kept}
+}
+
+// adopt starts from a kept speed, unless as much has been learned since.
+func (s *statistics) adopt(l Learned) {
+	if n := min(l.Samples, learnedSamples); n > s.samples && l.Slowness > 0 {
+		s.baseline = s.logRatio(l.Slowness)
+		s.recent, s.samples = s.baseline, n
+	}
+}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -210,13 +210,24 @@
 	}
 }
 
-// Recall proposes a target that an earlier process of this agent knew. It is
-// taken if no heartbeat has arrived; the first look shows whether it still
-// lives.
-func (r *Runner) Recall(t Target) {
+// Recall takes in what an earlier process of this agent kept: the target, if no
+// heartbeat has arrived, and its speed. The first look shows whether the target
+// still lives.
+func (r *Runner) Recall(kept Record) {
 	if _, known := r.Target(); !known {
-		r.Heartbeat(t)
+		r.Heartbeat(kept.Target)
 	}
+	r.do(func(c *Core, _ time.Duration) {
+		c.Adopt(kept)
+		r.loadChanged()
+	})
+}
+
+// Learned returns what is known of the target's speed.
+func (r *Runner) Learned() Learned {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Learned(r.now())
 }
 
 // TargetLeft notes that the target has said goodbye.
