--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -26,10 +26,11 @@
 	wait        = 1500 * time.Millisecond
 	resendAfter = 1300 * time.Millisecond
 	sendsMax    = 4
-	// failShare and longShare are the shares of jobs whose tasks fail and of jobs
-	// whose tasks take most of the caller's time.
-	failShare = 0.03
-	longShare = 0.1
+	// failShare, longShare and hopelessShare are the shares of jobs whose tasks
+	// fail, take most of the caller's time, and far more than that.
+	failShare     = 0.03
+	longShare     = 0.1
+	hopelessShare = 0.07
 )
 
 // callers submit jobs as the platform's clients do: a caller keeps its
@@ -115,6 +116,10 @@
 		j.Spec, j.fails = "fail", true
 	case p < failShare+longShare:
 		j.Spec = fmt.Sprintf("ms=%d", 400+r.IntN(900))
+	case p < failShare+longShare+hopelessShare:
+		// If such a run outlives its gateway or its caller, it meets that of the
+		// job's next submission.
+		j.Spec = fmt.Sprintf("ms=%d", 2500+r.IntN(2000))
 	default:
 		j.Spec = fmt.Sprintf("ms=%d", 10+r.IntN(100))
 	}
