Describe the soak's faults in one table

Cause: a kind of fault stood in three places, a constant, a list by weight and a switch of 70 lines.

Change: one table with name, weight and what it does; waits use common/wait.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -21,9 +21,9 @@
 	callersOfSite = 12
 	// thinkMax bounds a caller's pause between two jobs.
 	thinkMax = 200 * time.Millisecond
-	// wait is how long a caller waits for an answer; resendAfter is the pause
+	// patience is how long a caller waits for an answer; resendAfter is the pause
 	// after a missing one.
-	wait        = 1500 * time.Millisecond
+	patience    = 1500 * time.Millisecond
 	resendAfter = 1300 * time.Millisecond
 	sendsMax    = 4
 	// failShare, longShare and hopelessShare are the shares of jobs whose tasks
@@ -110,7 +110,7 @@
 }
 
 func (c *callers) newJob(r *rand.Rand) *job {
-	j := &job{Job: standin.Job{ID: fmt.Sprintf("%s%08x", c.prefix, c.next.Add(1)), Tasks: 1 + r.IntN(6), Wait: wait}}
+	j := &job{Job: standin.Job{ID: fmt.Sprintf("%s%08x", c.prefix, c.next.Add(1)), Tasks: 1 + r.IntN(6), Wait: patience}}
 	switch p := r.Float64(); {
 	case p < failShare:
 		j.Spec, j.fails = "fail", true
@@ -209,7 +209,7 @@
 	cl.setDialErr(nil)
 	// The caller waits a little longer than it says, so that a late answer is
 	// seen as such.
-	ctx, cancel := context.WithTimeout(context.Background(), wait+slack)
+	ctx, cancel := context.WithTimeout(context.Background(), patience+slack)
 	defer cancel()
 	s := &send{gateway: cl.gateway, at: time.Now()}
 	caller := cl.load.site.caller(cl.gateway, jobQueue)
@@ -282,7 +282,7 @@
 	for _, k := range conns {
 		how(k)
 	}
-	time.Sleep(wait)
+	time.Sleep(patience)
 	end()
 }
 
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -22,7 +22,9 @@
 	fenceAhead = 20 * time.Second
 	burstJobs  = 60
 	configStep = 200 * time.Millisecond
-	configsMax = 8
+	// timeoutChangeMax is how far a changed configuration moves a queue's timeout.
+	timeoutChangeMax = 100 * time.Millisecond
+	configsMax       = 8
 )
 
 // callFaults chooses which calls to a target fail.
@@ -48,98 +50,116 @@
 	return []standin.Fault{standin.FaultAnswerLost, standin.FaultLate, standin.FaultBusy}[rand.IntN(3)]
 }
 
+// scene is a step with what it touches.
+type scene struct {
+	step
+	site           *site
+	load           *callers
+	gateway, other *node
+	agent          *node
+}
+
+// fault is a kind of steps. Its weight is how often it is drawn.
+type fault struct {
+	name   string
+	weight int
+	play   func(sc scene)
+}
+
+// faults are all kinds. A play returns when its fault has ended.
+var faults = []fault{
+	{"kill gateway", 2, func(sc scene) { sc.site.kill(sc.gateway, sc.For) }},
+	{"kill agent", 2, func(sc scene) { sc.site.kill(sc.agent, sc.For) }},
+	{"pause gateway", 2, func(sc scene) { pause(sc.gateway, sc.For) }},
+	{"pause agent", 2, func(sc scene) { pause(sc.agent, sc.For) }},
+	{"planned stop of gateway", 2, func(sc scene) { sc.site.restart(sc.gateway, sc.For) }},
+	{"planned stop of agent", 2, func(sc scene) { sc.site.restart(sc.agent, sc.For) }},
+	{"SIGHUP to all", 1, func(sc scene) {
+		for _, n := range sc.site.nodes() {
+			n.Signal(syscall.SIGHUP)
+		}
+	}},
+	{"cut agent from gateway", 2, func(sc scene) { sc.cut(sc.agent.Name, sc.gateway.Name, true, true) }},
+	{"cut agent to gateway one way", 1, func(sc scene) { sc.cut(sc.agent.Name, sc.gateway.Name, true, false) }},
+	{"cut gateway to agent one way", 1, func(sc scene) { sc.cut(sc.agent.Name, sc.gateway.Name, false, true) }},
+	{"cut gateway from gateway", 1, func(sc scene) { sc.cut(sc.gateway.Name, sc.other.Name, true, true) }},
+	{"cut gateway from store", 1, func(sc scene) { sc.cut(sc.gateway.Name, storeAs, true, true) }},
+	{"cut agent from store", 1, func(sc scene) { sc.cut(sc.agent.Name, storeAs, true, true) }},
+	{"delay agent to gateway", 1, func(sc scene) {
+		delay := func(d time.Duration) { sc.site.net.Delay(sc.agent.Name, sc.gateway.Name, d) }
+		delay(time.Duration(sc.X * float64(delayMax)))
+		time.Sleep(sc.For)
+		delay(0)
+	}},
+	{"reset links", 1, func(sc scene) { sc.site.net.Reset(sc.agent.Name, sc.gateway.Name) }},
+	{"silence links", 1, func(sc scene) { sc.site.net.Silence(sc.agent.Name, sc.gateway.Name) }},
+	{"store down", 1, func(sc scene) { sc.during(sc.site.store.SetDown) }},
+	{"store loses answers", 1, func(sc scene) { sc.during(sc.site.store.LoseAnswers) }},
+	{"store drops history", 1, func(sc scene) { sc.site.store.Forget() }},
+	{"target starts again under its id", 2, func(sc scene) { restartTarget(sc.agent, "", sc.For) }},
+	{"target replaced", 1, func(sc scene) {
+		restartTarget(sc.agent, fmt.Sprintf("%s-%d", sc.agent.Name, sc.At.Milliseconds()), sc.For)
+	}},
+	{"target slow", 1, func(sc scene) {
+		sc.agent.target.SetSlowness(1 + sc.X*(slownessMax-1))
+		time.Sleep(sc.For)
+		sc.agent.target.SetSlowness(1)
+	}},
+	{"calls to target fail", 2, func(sc scene) {
+		sc.agent.calls.set(sc.X * failShareMax)
+		time.Sleep(sc.For)
+		sc.agent.calls.set(0)
+	}},
+	{"target has seen a later token", 1, func(sc scene) {
+		ahead := time.Duration(sc.X * float64(fenceAhead))
+		sc.agent.target.RaiseFence(time.Now().Add(ahead).UnixMilli())
+	}},
+	{"configuration changes", 2, func(sc scene) {
+		for range 1 + int(sc.X*configsMax) {
+			sc.site.newConfig(time.Duration(sc.X * float64(timeoutChangeMax)))
+			time.Sleep(configStep)
+		}
+	}},
+	{"reset callers", 1, func(sc scene) { sc.load.breakConnections(sc.gateway, resetConnection) }},
+	{"silence callers", 1, func(sc scene) { sc.load.breakConnections(sc.gateway, silenceConnection) }},
+	{"callers end without notice", 1, func(sc scene) { sc.load.breakConnections(sc.gateway, loseConnection) }},
+	{"burst of jobs", 1, func(sc scene) { sc.load.burst(burstJobs) }},
+}
+
+// during sets a fault for the length of the step.
+func (sc scene) during(set func(bool)) {
+	set(true)
+	time.Sleep(sc.For)
+	set(false)
+}
+
+// cut holds bytes between two processes for the length of the step.
+func (sc scene) cut(a, b string, there, back bool) {
+	if there {
+		sc.site.net.CutOneWay(a, b)
+	}
+	if back {
+		sc.site.net.CutOneWay(b, a)
+	}
+	time.Sleep(sc.For)
+	sc.site.net.Heal(a, b)
+}
+
 // play carries the steps out at their times and waits for the end of the last.
 func (s *site) play(steps []step, load *callers) {
 	began := time.Now()
 	var wg sync.WaitGroup
 	for _, st := range steps {
+		sc := scene{
+			step: st, site: s, load: load, agent: s.agents[st.Agent],
+			gateway: s.gateways[st.Gateway], other: s.gateways[(st.Gateway+1)%len(s.gateways)],
+		}
 		time.Sleep(time.Until(began.Add(st.At)))
-		wg.Go(func() { s.apply(st, load) })
+		wg.Go(func() { st.Fault.play(sc) })
 	}
 	wg.Wait()
 }
 
-// apply carries one step out and ends it.
-func (s *site) apply(st step, load *callers) {
-	g, a := s.gateways[st.Gateway], s.agents[st.Agent]
-	other := s.gateways[(st.Gateway+1)%len(s.gateways)]
-	switch st.Kind {
-	case killGateway:
-		s.kill(g, st.For)
-	case killAgent:
-		s.kill(a, st.For)
-	case pauseGateway:
-		pause(g, st.For)
-	case pauseAgent:
-		pause(a, st.For)
-	case stopGateway:
-		s.restart(g, st.For)
-	case stopAgent:
-		s.restart(a, st.For)
-	case hangup:
-		for _, n := range s.nodes() {
-			n.Signal(syscall.SIGHUP)
-		}
-	case cutLink:
-		s.cut(a.Name, g.Name, st.For, true, true)
-	case cutToGateway:
-		s.cut(a.Name, g.Name, st.For, true, false)
-	case cutToAgent:
-		s.cut(a.Name, g.Name, st.For, false, true)
-	case cutGateways:
-		s.cut(g.Name, other.Name, st.For, true, true)
-	case cutGatewayStore:
-		s.cut(g.Name, storeAs, st.For, true, true)
-	case cutAgentStore:
-		s.cut(a.Name, storeAs, st.For, true, true)
-	case delayLink:
-		s.net.Delay(a.Name, g.Name, time.Duration(st.X*float64(delayMax)))
-		time.Sleep(st.For)
-		s.net.Delay(a.Name, g.Name, 0)
-	case resetLink:
-		s.net.Reset(a.Name, g.Name)
-	case silenceLink:
-		s.net.Silence(a.Name, g.Name)
-	case storeDown:
-		s.store.SetDown(true)
-		time.Sleep(st.For)
-		s.store.SetDown(false)
-	case storeLoses:
-		s.store.LoseAnswers(true)
-		time.Sleep(st.For)
-		s.store.LoseAnswers(false)
-	case storeForgets:
-		s.store.Forget()
-	case targetCrash:
-		restartTarget(a, "", st.For)
-	case targetReplaced:
-		restartTarget(a, fmt.Sprintf("%s-%d", a.Name, st.At.Milliseconds()), st.For)
-	case targetSlow:
-		a.target.SetSlowness(1 + st.X*(slownessMax-1))
-		time.Sleep(st.For)
-		a.target.SetSlowness(1)
-	case targetCalls:
-		a.calls.set(st.X * failShareMax)
-		time.Sleep(st.For)
-		a.calls.set(0)
-	case targetFence:
-		a.target.RaiseFence(time.Now().Add(time.Duration(st.X * float64(fenceAhead))).UnixMilli())
-	case configChange:
-		for range 1 + int(st.X*configsMax) {
-			s.newConfig(time.Duration(st.X*100) * time.Millisecond)
-			time.Sleep(configStep)
-		}
-	case resetCallers:
-		load.breakConnections(g, resetConnection)
-	case silenceCallers:
-		load.breakConnections(g, silenceConnection)
-	case loseCallers:
-		load.breakConnections(g, loseConnection)
-	case burst:
-		load.burst(burstJobs)
-	}
-}
-
 // kill ends a process, and starts it again after a while.
 func (s *site) kill(n *node, down time.Duration) {
 	if !n.lifecycle.TryLock() {
@@ -197,18 +217,7 @@
 	}
 }
 
-// cut holds bytes between two processes for a while.
-func (s *site) cut(a, b string, d time.Duration, there, back bool) {
-	if there {
-		s.net.CutOneWay(a, b)
-	}
-	if back {
-		s.net.CutOneWay(b, a)
-	}
-	time.Sleep(d)
-	s.net.Heal(a, b)
-}
-
+// restartTarget ends the target's life and begins another one after a while.
 func restartTarget(a *node, id string, down time.Duration) {
 	if !a.calls.down.TryLock() {
 		return
--- a/integration/soak/judge_test.go
+++ b/integration/soak/judge_test.go
@@ -70,7 +70,7 @@
 			n := 0
 			s.await(recoveryTimeout, g.Name+" completes jobs", func() bool {
 				n++
-				call, cancel := context.WithTimeout(ctx, wait+slack)
+				call, cancel := context.WithTimeout(ctx, patience+slack)
 				defer cancel()
 				id := fmt.Sprintf("%s-%d", g.Name, n)
 				a, err := s.caller(g, jobQueue).Send(call, standin.Job{ID: id, Spec: "ms=20", Tasks: 2})
@@ -154,7 +154,7 @@
 		j.judgeMissing(s, of)
 		return
 	}
-	if late := s.ended.Sub(s.at) - wait; late > slack/2 && !s.gateway.wasDisturbed(s.at, s.ended) {
+	if late := s.ended.Sub(s.at) - patience; late > slack/2 && !s.gateway.wasDisturbed(s.at, s.ended) {
 		j.report("job %s: %s answered %v after the deadline", of.ID, s.gateway.Name, late)
 	}
 	switch {
--- a/integration/soak/watch_test.go
+++ b/integration/soak/watch_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 )
 
@@ -51,14 +52,7 @@
 		}
 		cancel()
 		g.inRotation.Store(misses < missesMax)
-		sleep(ctx, readyEvery)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		wait.For(ctx, readyEvery)
 	}
 }
 
@@ -67,7 +61,7 @@
 func (s *site) watchVersion(ctx context.Context, j *judge, g *node) {
 	process, seen := 0, uint64(0)
 	for ctx.Err() == nil {
-		sleep(ctx, configEvery)
+		wait.For(ctx, configEvery)
 		pid := g.PID()
 		if pid != process {
 			process, seen = pid, 0
