Do not time the notice of a lost caller

Cause: TestLostCallerIsNoticedBeforeItSendsAgain allowed 0.3 s between the kernel's probe and the end of the handler; on a busy machine that could fail by chance, and no test of this project asserts on timing.

Change: the test checks that the probe is set before the time of the next submission, and that the request ends within 10 s; the kernel's default for the first probe is 15 s. It is as strict about the setting.

Ruled out: a wider bound alone, which would accept a later probe.

Result: fails with the probing listener taken out, passes with it.

--- a/daemon/servers_test.go
+++ b/daemon/servers_test.go
@@ -19,6 +19,9 @@
 // connection broke.
 const resendAfter = 1300 * time.Millisecond
 
+// noticeTimeout is well under the kernel's default for the first probe.
+const noticeTimeout = 10 * time.Second
+
 // Guards against a job that goes on for a caller whose connection ended without
 // the gateway's notice: the caller sends the job again, to another gateway, and
 // its tasks would run twice at a time.
@@ -50,9 +53,14 @@
 	} else if err != nil {
 		t.Fatal(err)
 	}
+	// The kernel probes after a second; how soon the handler then runs depends on
+	// the machine. Without the setting the first probe comes after 15 s.
+	if callerProbes.Idle >= resendAfter {
+		t.Errorf("the first probe comes after %v, later than the job is sent again", callerProbes.Idle)
+	}
 	select {
 	case <-ended:
-	case <-time.After(resendAfter):
-		t.Fatalf("the request goes on %v after its caller has gone", resendAfter)
+	case <-time.After(noticeTimeout):
+		t.Fatal("the request goes on after its caller has gone")
 	}
 }
