Take the platform tests' addresses from the reserved ports

The test chose a port by listening on port 0 and closing it; 40295 lies in the kernel's range for outgoing connections (32768 to 60999), and a connection took it before the gateway listened. The soak, which now runs beside it, opens many.

Ruled out: a process left over from another test; the address was new, and four runs of the test alone passed.

Change: the tests use the harness's addresses, which lie below that range in a block of this process.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/daemon"
+	"github.com/rhubarbsail/rhubarbsail/integration/harness"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
@@ -56,13 +57,14 @@
 	TargetLatency: 500 * time.Millisecond, Stretch: 2,
 }
 
+// freeAddress returns an address that no outgoing connection can take before
+// the process listens on it.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := harness.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return a
 }
 
 func serveOn(t *testing.T, h http.Handler) string {
