Ignore SIGHUP before the arguments are parsed; give each program its own

Cause: by reading the change. Parsing of arguments had come before SIGHUP is ignored, so that a SIGHUP in the first instants ended the process.

Change: signals first; each program names its arguments, and the parser refuses what an agent does not have.

Ruled out: a test of the signal; it would have to hit some microseconds.

--- a/cmd/platform-agent/main.go
+++ b/cmd/platform-agent/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(daemon.PlatformMain("agent", daemon.RunPlatformAgent))
+	os.Exit(daemon.PlatformMain("agent", &daemon.PlatformAgentArguments{}, daemon.RunPlatformAgent))
 }
--- a/cmd/platform-gateway/main.go
+++ b/cmd/platform-gateway/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(daemon.PlatformMain("gateway", daemon.RunPlatformGateway))
+	os.Exit(daemon.PlatformMain("gateway", &daemon.PlatformGatewayArguments{}, daemon.RunPlatformGateway))
 }
--- a/daemon/platformmain.go
+++ b/daemon/platformmain.go
@@ -14,32 +14,45 @@
 	"github.com/rhubarbsail/rhubarbsail/platform"
 )
 
-// platformArguments are the command line of the daemons on the platform.
-type platformArguments struct {
+// PlatformArguments are the command line of a daemon on the platform, a struct
+// with go-flags tags.
+type PlatformArguments interface {
+	// Apply changes the platform's settings as the arguments say.
+	Apply(n *platform.Node)
+}
+
+// PlatformGatewayArguments are the command line of platform-gateway.
+type PlatformGatewayArguments struct {
 	AdvertiseLink string `long:"advertise-link" value-name:"IP:PORT" description:"address at which agents and other gateways reach this gateway's link, if it differs from the one it listens on"`
 }
 
+// Apply implements PlatformArguments.
+func (a *PlatformGatewayArguments) Apply(n *platform.Node) { n.Advertised = a.AdvertiseLink }
+
+// PlatformAgentArguments are the command line of platform-agent, which has none
+// of its own.
+type PlatformAgentArguments struct{}
+
+// Apply implements PlatformArguments.
+func (*PlatformAgentArguments) Apply(*platform.Node) {}
+
 // PlatformMain runs a daemon with the platform's settings until SIGTERM or
 // SIGINT and returns the exit code. SIGHUP tells of changed settings; none of
 // those that are used changes during the life of a process.
-func PlatformMain(process string, run func(context.Context, *platform.Node, zerolog.Logger) error) int {
-	var args platformArguments
-	if exit, done := settings.ParseArgs(process, os.Args[1:], &args, os.Stdout, os.Stderr); done {
-		return exit
-	}
+func PlatformMain(process string, args PlatformArguments, run func(context.Context, *platform.Node, zerolog.Logger) error) int {
+	// The platform may send SIGHUP from the start of the process on.
 	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if exit, done := settings.ParseArgs(process, os.Args[1:], args, os.Stdout, os.Stderr); done {
+		return exit
+	}
 	node, err := platform.LoadNode()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", process, err)
 		return exitFailed
 	}
-	if args.AdvertiseLink != "" && node.Callers == "" {
-		fmt.Fprintf(os.Stderr, "%s: --advertise-link applies to gateways only\n", process)
-		return settings.ExitInvalid
-	}
-	node.Advertised = args.AdvertiseLink
+	args.Apply(node)
 	out, closeLog := events.NewBoundedWriter(os.Stdout)
 	defer func() { _ = closeLog() }()
 	log, err := events.NewLogger(out, "info", process, node.Name)
