Read a target's record before it is written

Cause: by reading the change. An agent read its record once; if the store did not answer then, it wrote an empty speed over the kept one as soon as the store was back. What it took from the store was not in its log.

Ruled out: writing without the speed; the store keeps whole values.

Change: the record is read until the store answers, and nothing is written before; one that is malformed counts as none.

Result: TestRecordIsReadBeforeItIsWritten failed before (kept slowness 0) and passes.

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -111,12 +111,11 @@
 
 // keepRecord reads the record of an earlier process from the store, and writes
 // it whenever the target's life or its size changes, or its speed does clearly.
+// Nothing is written before the record has been read: it would be lost.
 func (a *PlatformAgent) keepRecord(ctx context.Context) {
-	saved, ok, err := a.records.Load(ctx)
-	if err != nil {
-		events.TargetRecordFailed.Log(a.log).Err(err).Send()
-	} else if ok {
-		a.runner.Recall(saved)
+	saved, ok := a.loadRecord(ctx)
+	if !ok {
+		return
 	}
 	var written time.Time
 	for ctx.Err() == nil {
@@ -138,6 +137,27 @@
 	}
 }
 
+// loadRecord reads the record as soon as the store answers and hands it to the
+// runner. It returns an empty one if there is none that
+// can be read, and false if ctx ends first.
+func (a *PlatformAgent) loadRecord(ctx context.Context) (runner.Record, bool) {
+	for ctx.Err() == nil {
+		kept, found, err := a.records.Load(ctx)
+		if err != nil {
+			events.TargetRecordFailed.Log(a.log).Err(err).Send()
+		}
+		if err != nil && !errors.Is(err, platform.ErrMalformed) {
+			wait.For(ctx, registerRetry)
+			continue
+		}
+		if found {
+			a.runner.Recall(kept)
+		}
+		return kept, true
+	}
+	return runner.Record{}, false
+}
+
 // stateEvery is the time between two log lines on the target's load.
 const stateEvery = 5 * time.Second
 
--- /dev/null
+++ b/daemon/platformagent_test.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/platform/standin"
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// logBuffer keeps log lines; mu guards data.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *logBuffer) count(event string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.data.String(), `"name":"`+event+`"`)
+}
+
+// awaitTrue waits for a condition; the limit only ends a test that has failed.
+func awaitTrue(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// Guards against an agent that never writes its record, since it waits for one
+// that cannot be read.
+func TestMalformedRecordIsReplaced(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	store.Put("keyed.targets", "agent-1", []byte("{"))
+	a := NewPlatformAgent(&platform.Node{Name: "agent-1", Store: address}, zerolog.Nop())
+	defer func() { _ = a.metrics.Close() }()
+	if kept, ok := a.loadRecord(t.Context()); !ok || kept.Learned != (runner.Learned{}) {
+		t.Errorf("record %+v, %v", kept, ok)
+	}
+}
+
+// Guards against an agent that starts while the store does not answer: it wrote
+// its record anew once the store was back, and lost what was learned of the
+// target's speed.
+func TestRecordIsReadBeforeItIsWritten(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	target := runner.Target{ID: "i-1", Born: 1, Service: "s", Kind: "a", Capacity: task.Resources{CPUMillis: 4000}}
+	learned := runner.Learned{Slowness: 1.7, Samples: 40}
+	records := platform.NewTargetRecords(platform.NewStore(address), "agent-1")
+	if err := records.Save(t.Context(), runner.Record{Target: target, Learned: learned}); err != nil {
+		t.Fatal(err)
+	}
+	store.SetDown(true)
+
+	var log logBuffer
+	a := NewPlatformAgent(&platform.Node{Name: "agent-1", Store: address}, zerolog.New(&log))
+	defer func() { _ = a.metrics.Close() }()
+	next := target
+	next.ID, next.Born = "i-2", 2
+	a.runner.Heartbeat(next)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { a.keepRecord(ctx) })
+	defer func() {
+		cancel()
+		wg.Wait()
+	}()
+	awaitTrue(t, "the store has failed", func() bool { return log.count("target_record_failed") > 0 })
+	store.SetDown(false)
+	awaitTrue(t, "the new life is recorded", func() bool {
+		kept, ok, err := records.Load(t.Context())
+		return ok && err == nil && kept.Target.Same(next)
+	})
+	kept, _, err := records.Load(t.Context())
+	if err != nil || kept.Learned != learned {
+		t.Errorf("kept %+v, %v", kept.Learned, err)
+	}
+	if got := a.runner.Learned().Slowness; got < 1.69 || got > 1.71 {
+		t.Errorf("the agent takes its target to be %.2f times as slow", got)
+	}
+	if log.count("target_recalled") != 1 {
+		t.Error("no log line tells what was taken from the store")
+	}
+}
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -76,7 +76,7 @@
 	}
 	if c.known && !t.sameLife(c.target) {
 		c.endLife(now)
-		if !t.sameSort(c.target) {
+		if !t.sameHardware(c.target) {
 			c.stats = newStatistics(c.opts.SlownessMax)
 		}
 	}
@@ -88,9 +88,9 @@
 }
 
 // Adopt takes in the speed that an earlier process of this agent has learned,
-// if the target is still of the same sort as the one that it knew.
+// if the target still has the hardware of the one that it knew.
 func (c *Core) Adopt(kept Record) {
-	if c.known && c.target.sameSort(kept.Target) {
+	if c.known && c.target.sameHardware(kept.Target) {
 		c.stats.adopt(kept.Learned)
 	}
 }
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -51,8 +51,8 @@
 		t.Draining == o.Draining && slices.Equal(t.Labels, o.Labels)
 }
 
-// sameSort tells whether two targets may be expected to be as fast.
-func (t Target) sameSort(o Target) bool { return t.Kind == o.Kind && t.Capacity == o.Capacity }
+// sameHardware tells whether two targets may be expected to be as fast.
+func (t Target) sameHardware(o Target) bool { return t.Kind == o.Kind && t.Capacity == o.Capacity }
 
 func (t Target) sameLife(o Target) bool { return t.ID == o.ID && t.Born == o.Born }
 
--- a/restartable/runner/record.go
+++ b/restartable/runner/record.go
@@ -25,10 +25,10 @@
 )
 
 // Update returns the record of a target with a speed. A kept speed stays until
-// one is learned that differs clearly, or until another sort of target comes.
+// one is learned that differs clearly, or until a target of other hardware comes.
 func (r Record) Update(t Target, l Learned) Record {
 	kept := r.Learned
-	if !t.sameSort(r.Target) {
+	if !t.sameHardware(r.Target) {
 		kept = Learned{}
 	}
 	if l.Samples >= learnedSamples && (kept.Samples == 0 || math.Abs(math.Log(l.Slowness/kept.Slowness)) > math.Log(learnedRatio)) {
@@ -36,11 +36,3 @@
 	}
 	return Record{Target: t, Learned: kept}
 }
-
-// adopt starts from a kept speed, unless as much has been learned since.
-func (s *statistics) adopt(l Learned) {
-	if n := min(l.Samples, learnedSamples); n > s.samples && l.Slowness > 0 {
-		s.baseline = s.logRatio(l.Slowness)
-		s.recent, s.samples = s.baseline, n
-	}
-}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -221,6 +221,8 @@
 		c.Adopt(kept)
 		r.loadChanged()
 	})
+	events.TargetRecalled.Log(r.log).Str("target", kept.Target.ID).Int64("born", kept.Target.Born).
+		Float64("slowness", kept.Learned.Slowness).Int("samples", kept.Learned.Samples).Send()
 }
 
 // Learned returns what is known of the target's speed.
--- a/restartable/runner/statistics.go
+++ b/restartable/runner/statistics.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// adopt starts from a kept speed, unless as much has been learned since.
+func (s *statistics) adopt(l Learned) {
+	if n := min(l.Samples, learnedSamples); n > s.samples && l.Slowness > 0 {
+		s.baseline = s.logRatio(l.Slowness)
+		s.recent, s.samples = s.baseline, n
+	}
+}
+
 func (s *statistics) logRatio(ratio float64) float64 {
 	return math.Log(min(max(ratio, 1/s.ratioMax), s.ratioMax))
 }
