Log gateways that other gateways lose and regain

Cause: by reading the change. Calls between gateways failed without a line, so that a gateway which is cut off from the others showed nothing. A gateway that was reached while its address was just forgotten had a link of which the set did not know, and could get a second one.

Ruled out: a line for each failed call; one that is gone fails each 2 s for 10 min.

Result: TestLostAndRegainedPeersAreLogged failed before and passes. The second fault needs a contact in the instant of the 10 min and has no test of its own.

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -138,8 +138,8 @@
 }
 
 // loadRecord reads the record as soon as the store answers and hands it to the
-// runner. It returns an empty one if there is none that
-// can be read, and false if ctx ends first.
+// runner. It returns an empty one if there is none that can be read, and false
+// if ctx ends first.
 func (a *PlatformAgent) loadRecord(ctx context.Context) (runner.Record, bool) {
 	for ctx.Err() == nil {
 		kept, found, err := a.records.Load(ctx)
--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -43,6 +43,9 @@
 	known     *link.Gateways
 	client    *http.Client
 	directory *platform.Directory
+	// lost are the gateways that did not answer the last introduction. The
+	// goroutine of introduce owns it.
+	lost map[string]bool
 }
 
 // others returns the clients of the other gateways. Their calls are rare, and a
@@ -64,7 +67,8 @@
 	restartv1connect.DispatchServiceClient
 }
 
-// Newer implements configsync.Peers.
+// Newer implements configsync.Peers. A gateway that does not answer is passed
+// over here and logged by the introductions, which call it each 2 s.
 func (p *gatewayPeers) Newer(ctx context.Context, version uint64) []byte {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -111,32 +115,50 @@
 	}
 }
 
+// introduction is the outcome of one call.
+type introduction struct {
+	to       string
+	gateways []string
+	err      error
+}
+
 // introduceOnce returns whether any other gateway has answered.
 func (p *gatewayPeers) introduceOnce(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	defer p.client.CloseIdleConnections()
 	others := p.others()
-	answers := make(chan []string, len(others))
+	outcomes := make(chan introduction, len(others))
 	for _, o := range others {
 		go func() {
 			r, err := o.Introduce(call, connect.NewRequest(&pb.IntroduceRequest{Gateway: p.address}))
-			if err != nil {
-				answers <- nil
-				return
+			out := introduction{to: o.address, err: err}
+			if err == nil {
+				out.gateways = r.Msg.Gateways
 			}
-			p.known.Reached(o.address)
-			answers <- append(r.Msg.Gateways, o.address)
+			outcomes <- out
 		}()
 	}
-	answered := false
+	lost, answered := map[string]bool{}, false
 	for range others {
-		all := <-answers
-		answered = answered || len(all) > 0
-		for _, a := range all {
+		out := <-outcomes
+		if out.err != nil {
+			lost[out.to] = true
+			if !p.lost[out.to] && ctx.Err() == nil {
+				events.GatewayLost.Log(p.log).Str("gateway", out.to).Err(out.err).Send()
+			}
+			continue
+		}
+		if p.lost[out.to] {
+			events.GatewayRegained.Log(p.log).Str("gateway", out.to).Send()
+		}
+		answered = true
+		p.known.Reached(out.to)
+		for _, a := range out.gateways {
 			p.known.Add(a)
 		}
 	}
+	p.lost = lost
 	return answered
 }
 
@@ -154,7 +176,9 @@
 	}
 }
 
-// registerOnce writes the record, and removes records that are too old to be of a living gateway.
+// registerOnce writes the record, and removes those that are too old to be of a
+// living gateway. One that writes its record between the list and the removal
+// loses it until it writes the next.
 func (p *gatewayPeers) registerOnce(ctx context.Context) error {
 	newest, err := p.directory.List(ctx)
 	if err != nil {
--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -13,8 +15,46 @@
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 )
 
+// Guards against a gateway that is cut off from the others without a line in its
+// log, and against a line for each attempt of an outage.
+func TestLostAndRegainedPeersAreLogged(t *testing.T) {
+	var log logBuffer
+	var down atomic.Bool
+	handler := link.NewServer(nil, &queues.Current{}, link.NewGateways(boottime.Now)).Handler()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	server.Config.Protocols = protocols
+	server.Start()
+	defer server.Close()
+	p := &gatewayPeers{
+		name: "g", address: "g:1", log: zerolog.New(&log), client: link.NewHTTPClient(),
+		known: link.NewGateways(boottime.Now, "g:1", strings.TrimPrefix(server.URL, "http://")),
+	}
+	for _, c := range []struct {
+		down           bool
+		lost, regained int
+		answered       bool
+	}{{false, 0, 0, true}, {true, 1, 0, false}, {true, 1, 0, false}, {false, 1, 1, true}, {false, 1, 1, true}} {
+		down.Store(c.down)
+		if answered := p.introduceOnce(t.Context()); answered != c.answered {
+			t.Errorf("answered %v with the other gateway down: %v", answered, c.down)
+		}
+		if l, r := log.count("gateway_lost"), log.count("gateway_regained"); l != c.lost || r != c.regained {
+			t.Errorf("%d lines of a lost and %d of a regained gateway, want %d and %d", l, r, c.lost, c.regained)
+		}
+	}
+}
+
 // Guards against records of replaced gateways that pile up in the store and fill
 // the set of a new process before it comes to those that live.
 func TestRecordsOfReplacedGatewaysAreRemoved(t *testing.T) {
--- a/restartable/link/gateways.go
+++ b/restartable/link/gateways.go
@@ -47,16 +47,17 @@
 // NewGateways returns a set with the addresses of seeds.
 func NewGateways(now boottime.Clock, seeds ...string) *Gateways {
 	g := &Gateways{now: now, changed: make(chan struct{}, 1)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, a := range seeds {
-		g.Add(a)
-		if k := g.find(a); k != nil {
+		if k := g.add(a); k != nil {
 			k.seed = true
 		}
 	}
 	return g
 }
 
-// find runs with g.mu held, or before the set is shared.
+// find runs with g.mu held.
 func (g *Gateways) find(address string) *knownGateway {
 	for _, k := range g.known {
 		if k.address == address {
@@ -70,15 +71,23 @@
 func (g *Gateways) Add(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.add(address)
+}
+
+// add returns the gateway, or nil if there is no room for it. It runs with g.mu
+// held.
+func (g *Gateways) add(address string) *knownGateway {
 	g.forget()
-	if address == "" || g.find(address) != nil || len(g.known) >= gatewaysMax {
-		return
+	if k := g.find(address); k != nil || address == "" || len(g.known) >= gatewaysMax {
+		return k
 	}
-	g.known = append(g.known, &knownGateway{address: address, added: g.now(), reached: never})
+	k := &knownGateway{address: address, added: g.now(), reached: never}
+	g.known = append(g.known, k)
 	select {
 	case g.changed <- struct{}{}:
 	default:
 	}
+	return k
 }
 
 // forget drops gateways that are gone. It runs with g.mu held.
@@ -89,14 +98,15 @@
 	})
 }
 
-// Reached notes a contact with a known gateway.
+// Reached adds a gateway if necessary and notes a contact with it.
 func (g *Gateways) Reached(address string) { g.Hold(address)() }
 
-// Hold notes a contact with a known gateway that lasts until release is called.
+// Hold adds a gateway if necessary and notes a contact with it that lasts until
+// release is called.
 func (g *Gateways) Hold(address string) (release func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	k := g.find(address)
+	k := g.add(address)
 	if k == nil {
 		return func() {}
 	}
--- a/restartable/link/gateways_test.go
+++ b/restartable/link/gateways_test.go
@@ -21,7 +21,6 @@
 	g := link.NewGateways(clock.Now, "seed:1")
 	for i := range 5000 {
 		address := fmt.Sprintf("replaced-%d:1", i)
-		g.Add(address)
 		g.Reached(address)
 		clock.now += 10 * time.Second
 	}
@@ -40,7 +39,6 @@
 func TestGoneGatewaysAreNotPassedOnForEver(t *testing.T) {
 	clock := &fakeClock{}
 	a, b := link.NewGateways(clock.Now), link.NewGateways(clock.Now)
-	a.Add("gone:1")
 	a.Reached("gone:1")
 	for range 3600 {
 		clock.now += time.Second
@@ -61,7 +59,6 @@
 func TestHeldGatewayIsNotForgotten(t *testing.T) {
 	clock := &fakeClock{}
 	g := link.NewGateways(clock.Now)
-	g.Add("up:1")
 	release := g.Hold("up:1")
 	clock.now += 24 * time.Hour
 	if !slices.Contains(g.All(), "up:1") || !slices.Contains(g.Reachable(), "up:1") {
