Let callers read the refusal of a body for want of memory

Cause: by reading the change. Only the answer 413 was sent before the rest of the body was read; 429, given when the gateway holds as many bodies as it may, still ended in a reset connection.

Ruled out: 408 and 400; there nothing more comes. HTTP/2; its answers were right and have a test now.

--- a/common/largebody/largebody.go
+++ b/common/largebody/largebody.go
@@ -1,6 +1,6 @@
-// Package largebody answers requests whose body is too large so that clients
-// can read the answer. A server that closes a connection with unread bytes
-// resets it, and the reset may overtake the answer.
+// Package largebody answers requests before their body has been read, so that
+// clients can read the answer. A server that closes a connection with unread
+// bytes resets it, and the reset may overtake the answer.
 package largebody
 
 import (
--- a/common/largebody/largebody_test.go
+++ b/common/largebody/largebody_test.go
@@ -52,3 +52,30 @@
 		t.Errorf("status %d, close %v", r.StatusCode, r.Close)
 	}
 }
+
+// Guards against an answer over HTTP/2 that is lost or reported as an error:
+// there a stream ends without its connection.
+func TestAnswerOverHTTP2(t *testing.T) {
+	e := echo.New()
+	failed := make(chan error, 1)
+	e.POST("/", func(c echo.Context) error {
+		err := largebody.Answer(c, func() error { return c.NoContent(http.StatusRequestEntityTooLarge) })
+		failed <- err
+		return err
+	})
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	s := httptest.NewUnstartedServer(e)
+	s.Config.Protocols = protocols
+	s.Start()
+	defer s.Close()
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	r, err := client.Post(s.URL, "text/plain", strings.NewReader(strings.Repeat("x", 1<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	if err := <-failed; err != nil || r.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d, %v", r.StatusCode, err)
+	}
+}
--- a/httpapi/reader.go
+++ b/httpapi/reader.go
@@ -27,9 +27,11 @@
 
 // answer writes the answer to a request whose body was not read as a whole.
 func (e *bodyError) answer(c echo.Context, write func() error) error {
-	if e.code == http.StatusRequestEntityTooLarge {
+	switch e.code {
+	case http.StatusRequestEntityTooLarge, http.StatusTooManyRequests:
 		return largebody.Answer(c, write)
 	}
+	// Nothing more comes from the client.
 	return write()
 }
 
--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -86,6 +86,50 @@
 	}
 }
 
+// A caller that sends all of its body before it reads must get the refusal for
+// want of memory, in place of a reset connection.
+func TestRefusalBeforeTheBodyCanBeRead(t *testing.T) {
+	limits := DefaultLimits()
+	limits.BodyBytesTotal = 1
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(testCallers(&fakeJobs{}, limits), DefaultServerLimits())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	defer func() {
+		_ = s.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	chunks := int(limits.BodyBytes >> 16)
+	if _, err := fmt.Fprintf(c, "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", chunks<<16); err != nil {
+		t.Fatal(err)
+	}
+	for range chunks {
+		// Slower than the time that the server waits by itself before it resets.
+		time.Sleep(8 * time.Millisecond)
+		if _, err := c.Write(make([]byte, 1<<16)); err != nil {
+			t.Fatalf("the connection broke while the body was sent: %v", err)
+		}
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	if r.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("status %d", r.StatusCode)
+	}
+}
+
 // A large header must not be read into memory.
 func TestLargeHeaderIsRefused(t *testing.T) {
 	limits := DefaultServerLimits()
