Log why a link to an agent ended; name what a link connects to an agent

A type Address had a field Address.

Change: the cause goes with LinkDown into the log; agentlink.Agent.

Ruled out: a line for each dial that fails; the agent then stays without a link, which event 4002 or its absence from 4001 shows.

--- a/gateway/agentlink/agentlink.go
+++ b/gateway/agentlink/agentlink.go
@@ -23,8 +23,8 @@
 	backoffMax = 2 * time.Second
 )
 
-// Address names the agent that a link connects to.
-type Address struct {
+// Agent names the agent that a link connects to.
+type Agent struct {
 	ID          string
 	Incarnation model.Incarnation
 	Address     string
@@ -49,7 +49,7 @@
 func (s *Session) Close() { s.cancel() }
 
 // Send queues a frame. False means that the frame was not queued and will not
-// be sent: the Session is closing.
+// be sent: the session is closing.
 func (s *Session) Send(f *rhubarbsailv1.GatewayFrame) bool {
 	select {
 	case s.out <- f:
@@ -60,24 +60,24 @@
 	}
 }
 
-// Events receives what happens on links. Calls block while the engine is
+// Events receives what happens on links. Calls block while the receiver is
 // busy, which slows the agent's sending down.
 type Events interface {
-	LinkUp(a Address, s *Session, incarnation model.Incarnation)
-	LinkDown(a Address, s *Session)
-	LinkFrame(a Address, s *Session, f *rhubarbsailv1.AgentFrame)
+	LinkUp(a Agent, s *Session, incarnation model.Incarnation)
+	LinkDown(a Agent, s *Session, cause error)
+	LinkFrame(a Agent, s *Session, f *rhubarbsailv1.AgentFrame)
 }
 
 // Link keeps a stream to one agent open until its context ends.
 type Link struct {
-	addr   Address
+	addr   Agent
 	self   *rhubarbsailv1.Hello
 	client rhubarbsailv1connect.AgentServiceClient
 	events Events
 }
 
 // New returns a link that is not yet open.
-func New(addr Address, hc *http.Client, self *rhubarbsailv1.Hello, events Events, opts ...connect.ClientOption) *Link {
+func New(addr Agent, hc *http.Client, self *rhubarbsailv1.Hello, events Events, opts ...connect.ClientOption) *Link {
 	client := rhubarbsailv1connect.NewAgentServiceClient(hc, "http://"+addr.Address, opts...)
 	return &Link{addr: addr, self: self, client: client, events: events}
 }
@@ -87,6 +87,8 @@
 	backoff := backoffMin
 	for ctx.Err() == nil {
 		started := time.Now()
+		// The end of a session was passed on; without one the agent stays
+		// unreachable, which the receiver knows.
 		_ = l.serve(ctx)
 		if time.Since(started) > backoffMax {
 			backoff = backoffMin
@@ -130,7 +132,7 @@
 	cancel()
 	<-written
 	_ = stream.CloseResponse()
-	l.events.LinkDown(l.addr, s)
+	l.events.LinkDown(l.addr, s, err)
 	return err
 }
 
--- a/gateway/agentstate.go
+++ b/gateway/agentstate.go
@@ -26,7 +26,7 @@
 // agentState is the engine's view of one listed agent. The engine goroutine
 // owns it.
 type agentState struct {
-	addr   agentlink.Address
+	addr   agentlink.Agent
 	target scheduler.TargetID
 	// stop ends the link's goroutine.
 	stop func()
@@ -78,7 +78,7 @@
 	listed := make([]ownership.AgentRef, 0, len(e.view.Agents))
 	for id, a := range e.view.Agents {
 		listed = append(listed, ownership.AgentRef{ID: id, Incarnation: a.Incarnation})
-		addr := agentlink.Address{ID: id, Incarnation: a.Incarnation, Address: a.Address}
+		addr := agentlink.Agent{ID: id, Incarnation: a.Incarnation, Address: a.Address}
 		if old := e.agents[id]; old != nil && old.addr != addr {
 			e.dropAgent(now, old)
 		}
@@ -96,7 +96,7 @@
 	e.validity.SetListed(listed)
 }
 
-func (e *engine) addAgent(now time.Time, addr agentlink.Address, target scheduler.TargetID) {
+func (e *engine) addAgent(now time.Time, addr agentlink.Agent, target scheduler.TargetID) {
 	ag := &agentState{
 		addr:     addr,
 		target:   target,
--- a/gateway/collect.go
+++ b/gateway/collect.go
@@ -13,7 +13,7 @@
 )
 
 // LinkUp implements agentlink.Events.
-func (e *engine) LinkUp(a agentlink.Address, s *agentlink.Session, incarnation model.Incarnation) {
+func (e *engine) LinkUp(a agentlink.Agent, s *agentlink.Session, incarnation model.Incarnation) {
 	e.postAlways(func(e *engine, now time.Time) {
 		ag := e.agents[a.ID]
 		if ag == nil || ag.addr != a {
@@ -41,7 +41,7 @@
 }
 
 // LinkDown implements agentlink.Events.
-func (e *engine) LinkDown(a agentlink.Address, s *agentlink.Session) {
+func (e *engine) LinkDown(a agentlink.Agent, s *agentlink.Session, cause error) {
 	e.postAlways(func(e *engine, now time.Time) {
 		ag := e.agents[a.ID]
 		if ag == nil || ag.session != s {
@@ -51,7 +51,7 @@
 		ag.linkLost = now
 		ag.permit = nil
 		clear(ag.fences)
-		events.LinkDown.Log(e.log).Str("agent", a.ID).Send()
+		events.LinkDown.Log(e.log).Str("agent", a.ID).Err(cause).Send()
 		if !e.view.Listed(a.ID, ag.addr.Incarnation) {
 			e.dropAgent(now, ag)
 		}
@@ -60,7 +60,7 @@
 }
 
 // LinkFrame implements agentlink.Events.
-func (e *engine) LinkFrame(a agentlink.Address, s *agentlink.Session, f *rhubarbsailv1.AgentFrame) {
+func (e *engine) LinkFrame(a agentlink.Agent, s *agentlink.Session, f *rhubarbsailv1.AgentFrame) {
 	e.postAlways(func(e *engine, now time.Time) {
 		ag := e.agents[a.ID]
 		if ag == nil || ag.session != s || ag.welcomed != ag.addr.Incarnation {
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -54,7 +54,7 @@
 	http    *http.Client
 	links   sync.WaitGroup
 	// dial starts the link to an agent and returns the function that ends it.
-	dial func(agentlink.Address) func()
+	dial func(agentlink.Agent) func()
 	// reachable is true while a majority of the listed agents confirms this
 	// gateway; the engine writes it, membership reads it.
 	reachable atomic.Bool
@@ -208,7 +208,7 @@
 
 // startLink keeps a stream to the agent open until the returned function is
 // called.
-func (e *engine) startLink(addr agentlink.Address) func() {
+func (e *engine) startLink(addr agentlink.Agent) func() {
 	ctx, cancel := context.WithCancel(e.ctx)
 	hello := &rhubarbsailv1.Hello{Gateway: e.opts.ID, GatewayIncarnation: uint64(e.opts.Incarnation)}
 	l := agentlink.New(addr, e.http, hello, e)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -46,7 +47,7 @@
 		now: g.started.Add(time.Minute), sessions: make(map[string]*agentlink.Session),
 		started: make(map[string][]*rhubarbsailv1.Start),
 	}
-	f.e.dial = func(agentlink.Address) func() { return func() {} }
+	f.e.dial = func(agentlink.Agent) func() { return func() {} }
 	cfg := inventory.New(
 		inventory.Inventory{Targets: []inventory.Target{{ID: "t1", Service: "work"}, {ID: "t2", Service: "work"}, {ID: "t3", Service: "work"}}},
 		inventory.Rules{Clients: []inventory.Client{{ID: "c", Share: 1}, {ID: "d", Share: 1}}, Services: []inventory.Service{{ID: "work"}}})
@@ -117,7 +118,7 @@
 }
 
 func (f *fixture) unlink(agent string) {
-	f.e.LinkDown(f.e.agents[agent].addr, f.sessions[agent])
+	f.e.LinkDown(f.e.agents[agent].addr, f.sessions[agent], io.EOF)
 	f.pump()
 }
 
