--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -25,9 +25,9 @@
 type boundServer struct {
 	listener net.Listener
 	http     *http.Server
-	// drained servers are those of callers: they answer what is in progress when
-	// the process stops, and look for callers that have gone.
-	drained bool
+	// callers marks the server of callers: it answers what is in progress when the
+	// process stops, and looks for callers that have gone.
+	callers bool
 }
 
 // headerTimeout and idleTimeout bound connections without a request.
@@ -57,7 +57,7 @@
 	return c, err
 }
 
-func (s *serverSet) add(address string, h http.Handler, drained bool) {
+func (s *serverSet) add(address string, h http.Handler, callers bool) {
 	if s.err != nil {
 		return
 	}
@@ -66,13 +66,13 @@
 		s.err = err
 		return
 	}
-	if drained {
+	if callers {
 		l = probingListener{l}
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	s.servers = append(s.servers, &boundServer{listener: l, drained: drained, http: &http.Server{
+	s.servers = append(s.servers, &boundServer{listener: l, callers: callers, http: &http.Server{
 		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: httpapi.DefaultServerLimits().HeaderBytes,
 	}})
@@ -89,7 +89,7 @@
 	}
 }
 
-// stop ends the drained servers without cutting a request, and then the
+// stop ends the callers' server without cutting a request, and then the
 // others. The whole takes no longer than the limit.
 func (s *serverSet) stop(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -97,7 +97,7 @@
 	wait.For(ctx, stopNotice)
 	var cut error
 	for _, b := range s.servers {
-		if b.drained {
+		if b.callers {
 			cut = errors.Join(cut, b.http.Shutdown(ctx))
 		}
 	}
