--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -114,11 +114,17 @@
 
 // Rejected implements platform.Jobs.
 func (g *PlatformGateway) Rejected(r platform.Rejection) {
-	events.RequestRejected.Log(g.log).Str("job", r.Job).Str("path", r.Path).Str("cause", string(r.Cause)).
+	events.RequestRejected.Log(g.log).Str("job", truncated(r.Job)).Str("path", truncated(r.Path)).Str("cause", string(r.Cause)).
 		Uint64("queues_version", g.queuesVersion()).Send()
 	telemetry.RequestsRejected.Counter(g.metrics.Scope, string(r.Cause)).Inc(1)
 }
 
+// loggedMax bounds what a log line takes from a request that is malformed, in
+// bytes.
+const loggedMax = 256
+
+func truncated(s string) string { return s[:min(len(s), loggedMax)] }
+
 // queuesVersion returns the version of the configuration in force, 0 without one.
 func (g *PlatformGateway) queuesVersion() uint64 {
 	if c := g.config.Get(); c != nil {
