Let the soak check while it runs, and keep the platform's names out of it

The soak wrote the platform's settings file itself, so that its names stood outside platform/. It checked runs only at the end, though the users ask for checks while it runs; a silent link told one end when the other closed; targets did not leave, and their clocks were right; some random numbers did not come from the seed; a field was unused, and the error of a dial was kept where the error of the call has it.

Change: platform/standin writes the settings file; runs are checked each second and again at rest; silent links stay silent; targets leave (a start 2 s after the acknowledged leave is a finding, unless the agent was disturbed in the 4 s before); half of the targets have clocks that are 2% slow; all random numbers come from the seed.

Ruled out: checking refusals while it runs; a later start would be missed.

No check is looser: at rest a run without an end still counts as overlapping.

--- a/integration/harness/cluster.go
+++ b/integration/harness/cluster.go
@@ -100,7 +100,7 @@
 	}
 	c.Net.Close()
 	for _, p := range c.processes() {
-		if log := p.stderr.String(); containsRace(log) {
+		if log := p.stderr.String(); ContainsRace(log) {
 			c.t.Errorf("data race in %s:\n%s", p.Name, log)
 		}
 	}
--- a/integration/harness/network.go
+++ b/integration/harness/network.go
@@ -13,7 +13,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/vishvananda/netlink"
-	"golang.org/x/sys/unix"
 )
 
 // Network relays the connections between the processes of a deployment, so that
@@ -40,7 +39,8 @@
 type relayed struct {
 	ends             pair
 	dialled, serving net.Conn
-	// silent connections lose all bytes from now on and stay open.
+	// silent connections lose all segments from now on, also those that would
+	// tell one end that the other has closed.
 	silent atomic.Bool
 }
 
@@ -137,7 +137,11 @@
 // pump copies one direction. Bytes that meet a cut are kept and delivered after
 // its repair, as TCP does with segments that were lost.
 func (n *Network) pump(r *relayed, from io.Reader, to io.Writer, direction pair) {
-	defer r.close()
+	defer func() {
+		if !r.silent.Load() {
+			r.close()
+		}
+	}()
 	chunks := make(chan chunk, chunksMax)
 	var failed atomic.Bool
 	go func() {
@@ -209,8 +213,8 @@
 	})
 }
 
-// Silence lets the open connections between two processes lose all bytes from
-// now on without an end. New connections work.
+// Silence lets the open connections between two processes lose all segments from
+// now on. New connections work.
 func (n *Network) Silence(a, b string) { n.each(a, b, func(r *relayed) { r.silent.Store(true) }) }
 
 // each calls a function for the open connections between two processes.
@@ -287,23 +291,6 @@
 	return false
 }
 
-// Vanish closes a connection without a segment to its peer, as if the reset had
-// been lost. It fails with EPERM unless run by root.
-func Vanish(c *net.TCPConn) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_REPAIR, 1)
-	})
-	if err := errors.Join(err, failed); err != nil {
-		return errors.Wrap(err, "set TCP_REPAIR")
-	}
-	return c.Close()
-}
-
 const (
 	// Ports below the range from which the kernel takes ports of outgoing
 	// connections, so that none of these can take a port between the choice
--- a/integration/harness/operate.go
+++ b/integration/harness/operate.go
@@ -158,4 +158,5 @@
 	c.kept = append(c.kept, r)
 }
 
-func containsRace(log string) bool { return strings.Contains(log, "WARNING: DATA RACE") }
+// ContainsRace tells whether the race detector has reported to a log.
+func ContainsRace(log string) bool { return strings.Contains(log, "WARNING: DATA RACE") }
--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -13,7 +13,9 @@
 	"syscall"
 	"time"
 
-	"github.com/rhubarbsail/rhubarbsail/integration/harness"
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 )
 
@@ -33,14 +35,21 @@
 	hopelessShare = 0.07
 )
 
+// Streams of random numbers of a seed: the callers' are numbered from 1 on.
+const (
+	burstStream = 1 << 32
+	callsStream = 2 << 32
+)
+
 // callers submit jobs as the platform's clients do: a caller keeps its
 // connection until the gateway closes it, and sends a job again after a missing
 // answer, to any gateway that takes connections.
 type callers struct {
 	site   *site
 	judge  *judge
-	prefix string
+	seed   uint64
 	next   atomic.Uint64
+	bursts atomic.Uint64
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -50,7 +59,7 @@
 }
 
 func startCallers(s *site, j *judge, seed uint64) *callers {
-	c := &callers{site: s, judge: j, prefix: fmt.Sprintf("%08x", seed&0xffffffff), conns: map[*node][]*callerConn{}}
+	c := &callers{site: s, judge: j, seed: seed, conns: map[*node][]*callerConn{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for i := range callersOfSite * *size {
 		r := rand.New(rand.NewPCG(seed, uint64(i)+1))
@@ -83,10 +92,10 @@
 func (c *callers) burst(n int) {
 	var wg sync.WaitGroup
 	for range n {
+		r := rand.New(rand.NewPCG(c.seed, c.bursts.Add(1)+burstStream))
 		wg.Go(func() {
 			cl := c.newClient()
 			defer cl.close()
-			r := rand.New(rand.NewPCG(rand.Uint64(), 0))
 			cl.run(c.newJob(r), r)
 		})
 	}
@@ -96,24 +105,22 @@
 // job is what one caller wants, and what came of it.
 type job struct {
 	standin.Job
-	fails bool
 	sends []*send
 }
 
 // send is one submission of a job.
 type send struct {
-	gateway    *node
-	at, ended  time.Time
-	answer     standin.Answer
-	err        error
-	connection error // the gateway could not be connected to
+	gateway   *node
+	at, ended time.Time
+	answer    standin.Answer
+	err       error
 }
 
 func (c *callers) newJob(r *rand.Rand) *job {
-	j := &job{Job: standin.Job{ID: fmt.Sprintf("%s%08x", c.prefix, c.next.Add(1)), Tasks: 1 + r.IntN(6), Wait: patience}}
+	j := &job{Job: standin.Job{ID: fmt.Sprintf("%08x%08x", uint32(c.seed), c.next.Add(1)), Tasks: 1 + r.IntN(6), Wait: patience}}
 	switch p := r.Float64(); {
 	case p < failShare:
-		j.Spec, j.fails = "fail", true
+		j.Spec = "fail"
 	case p < failShare+longShare:
 		j.Spec = fmt.Sprintf("ms=%d", 400+r.IntN(900))
 	case p < failShare+longShare+hopelessShare:
@@ -131,21 +138,6 @@
 	load    *callers
 	gateway *node
 	http    *http.Client
-
-	mu      sync.Mutex // owns dialErr
-	dialErr error
-}
-
-func (cl *client) setDialErr(err error) {
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	cl.dialErr = err
-}
-
-func (cl *client) getDialErr() error {
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	return cl.dialErr
 }
 
 func (c *callers) newClient() *client {
@@ -161,7 +153,6 @@
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, network, address)
 	if err != nil {
-		cl.setDialErr(err)
 		return nil, err
 	}
 	k := &callerConn{Conn: conn, closed: make(chan struct{})}
@@ -206,7 +197,6 @@
 }
 
 func (cl *client) send(j *job) *send {
-	cl.setDialErr(nil)
 	// The caller waits a little longer than it says, so that a late answer is
 	// seen as such.
 	ctx, cancel := context.WithTimeout(context.Background(), patience+slack)
@@ -215,7 +205,7 @@
 	caller := cl.load.site.caller(cl.gateway, jobQueue)
 	caller.Client = cl.http
 	s.answer, s.err = caller.Send(ctx, j.Job)
-	s.ended, s.connection = time.Now(), cl.getDialErr()
+	s.ended = time.Now()
 	return s
 }
 
@@ -261,10 +251,18 @@
 	_ = k.Close()
 }
 
-// loseConnection ends a connection without the gateway's notice. Where that is
-// not allowed, it resets it.
+// loseConnection ends a connection without a segment to the gateway, as if the
+// reset had been lost. Only root may do so; otherwise the reset arrives.
 func loseConnection(k *callerConn) {
-	if harness.Vanish(k.Conn.(*net.TCPConn)) != nil {
+	raw, err := k.Conn.(*net.TCPConn).SyscallConn()
+	if err == nil {
+		var failed error
+		err = raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_REPAIR, 1)
+		})
+		err = errors.Join(err, failed)
+	}
+	if err != nil {
 		resetConnection(k)
 		return
 	}
@@ -287,7 +285,4 @@
 }
 
 // refusedConnection tells whether nothing listened at the gateway.
-func (s *send) refusedConnection() bool {
-	errno, ok := asErrno(s.connection)
-	return ok && errno == syscall.ECONNREFUSED
-}
+func (s *send) refusedConnection() bool { return errors.Is(s.err, syscall.ECONNREFUSED) }
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -30,9 +31,11 @@
 // callFaults chooses which calls to a target fail.
 type callFaults struct {
 	// down is held while the target is down.
-	down  sync.Mutex
-	mu    sync.Mutex // owns share
-	share float64
+	down sync.Mutex
+
+	mu     sync.Mutex // owns the fields below
+	share  float64
+	random *rand.Rand
 }
 
 func (c *callFaults) set(share float64) {
@@ -44,10 +47,10 @@
 func (c *callFaults) draw(string) standin.Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if rand.Float64() >= c.share {
+	if c.random.Float64() >= c.share {
 		return standin.FaultNone
 	}
-	return []standin.Fault{standin.FaultAnswerLost, standin.FaultLate, standin.FaultBusy}[rand.IntN(3)]
+	return []standin.Fault{standin.FaultAnswerLost, standin.FaultLate, standin.FaultBusy}[c.random.IntN(3)]
 }
 
 // scene is a step with what it touches.
@@ -98,8 +101,9 @@
 	{"store drops history", 1, func(sc scene) { sc.site.store.Forget() }},
 	{"target starts again under its id", 2, func(sc scene) { restartTarget(sc.agent, "", sc.For) }},
 	{"target replaced", 1, func(sc scene) {
-		restartTarget(sc.agent, fmt.Sprintf("%s-%d", sc.agent.Name, sc.At.Milliseconds()), sc.For)
+		restartTarget(sc.agent, sc.name("i"), sc.For)
 	}},
+	{"target leaves", 2, func(sc scene) { sc.site.leave(sc.agent, sc.name("i"), sc.For) }},
 	{"target slow", 1, func(sc scene) {
 		sc.agent.target.SetSlowness(1 + sc.X*(slownessMax-1))
 		time.Sleep(sc.For)
@@ -126,6 +130,11 @@
 	{"burst of jobs", 1, func(sc scene) { sc.load.burst(burstJobs) }},
 }
 
+// name returns an id that no other step uses.
+func (sc scene) name(prefix string) string {
+	return fmt.Sprintf("%s-%s-%d", prefix, sc.agent.Name, sc.At.Milliseconds())
+}
+
 // during sets a fault for the length of the step.
 func (sc scene) during(set func(bool)) {
 	set(true)
@@ -228,6 +237,22 @@
 	a.target.Restart(id)
 }
 
+// leave lets a target announce that it leaves, say goodbye after a while, and
+// be replaced.
+func (s *site) leave(a *node, next string, d time.Duration) {
+	if !a.calls.down.TryLock() {
+		return
+	}
+	defer a.calls.down.Unlock()
+	a.target.Drain()
+	time.Sleep(d)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	a.target.Deregister(ctx, a.internal)
+	a.target.Crash()
+	a.target.Restart(next)
+}
+
 // repair ends what may still be at work of the faults.
 func (s *site) repair() {
 	s.net.HealAll()
--- a/integration/soak/judge_test.go
+++ b/integration/soak/judge_test.go
@@ -7,11 +7,8 @@
 	"sort"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 )
 
@@ -22,7 +19,12 @@
 	configTimeout = 6 * time.Second
 	// quietTimeout bounds how long tasks run after the last caller has left.
 	quietTimeout = 2 * time.Second
-	findingsMax  = 20
+	// drainMax is the users' bound for starts at a target whose leave is known.
+	drainMax = 2 * time.Second
+	// contact is the time for which a process must have run undisturbed before a
+	// bound holds for it.
+	contact     = 4 * time.Second
+	findingsMax = 20
 )
 
 // judge checks the promises to callers and targets by what they see.
@@ -31,10 +33,10 @@
 
 	mu       sync.Mutex // owns the fields below
 	jobs     []*job
-	findings int
+	reported map[string]bool
 }
 
-func newJudge(s *site) *judge { return &judge{site: s} }
+func newJudge(s *site) *judge { return &judge{site: s, reported: map[string]bool{}} }
 
 func (j *judge) add(done *job) {
 	j.mu.Lock()
@@ -42,13 +44,17 @@
 	j.jobs = append(j.jobs, done)
 }
 
-// report adds a finding, with the time at which it was made.
+// report adds a finding, with the time at which it was first made.
 func (j *judge) report(format string, args ...any) {
+	finding := fmt.Sprintf(format, args...)
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.findings++
-	if j.findings <= findingsMax {
-		j.site.t.Errorf("%s %s", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+	if j.reported[finding] {
+		return
+	}
+	j.reported[finding] = true
+	if len(j.reported) <= findingsMax {
+		j.site.t.Errorf("%s %s", time.Now().Format("15:04:05.000"), finding)
 	}
 }
 
@@ -99,8 +105,12 @@
 		r.Started.Format("15:04:05.000"), r.Ended.Format("15:04:05.000"), r.How)
 }
 
-// judge checks all jobs against all runs.
-func (j *judge) judge() {
+// checkRuns requires of all runs so far that no two of a task were at work at a
+// time, that no target was over its capacity, and that none was given work after
+// its leave was known. It returns the runs by job. Unless all is at rest, a run
+// that goes on while the targets are asked one after another may have ended
+// before the next one began elsewhere; it is left to a later check.
+func (j *judge) checkRuns(atRest bool) map[string][]taskRun {
 	byJob := map[string][]taskRun{}
 	for _, a := range j.site.agents {
 		for _, b := range a.target.Breaches() {
@@ -109,11 +119,33 @@
 		for _, r := range a.target.Runs() {
 			id, _, _ := strings.Cut(r.Task, ".")
 			byJob[id] = append(byJob[id], taskRun{r, a})
+			if r.AfterLeave > drainMax+lateAfter && !a.wasDisturbed(r.Started.Add(-contact), r.Started) {
+				j.report("%s: start of %s %v after the leave of its target was known", a.Name, r.Task, r.AfterLeave)
+			}
 		}
 	}
 	for _, runs := range byJob {
-		j.judgeOverlaps(runs)
+		j.checkOverlaps(runs, atRest)
 	}
+	return byJob
+}
+
+// checkOverlaps checks the runs of one job.
+func (j *judge) checkOverlaps(runs []taskRun, atRest bool) {
+	sort.Slice(runs, func(a, b int) bool { return runs[a].Started.Before(runs[b].Started) })
+	last := map[string]taskRun{}
+	for _, r := range runs {
+		before, ok := last[r.Task]
+		last[r.Task] = r
+		if goesOn := before.Ended.IsZero(); ok && (goesOn && atRest || r.Started.Before(before.Ended)) {
+			j.report("two runs at a time: %v and attempt %d at %s from %s", before, r.Attempt, r.agent.Name, r.Started.Format("15:04:05.000"))
+		}
+	}
+}
+
+// judge checks all jobs against all runs, none of which goes on any more.
+func (j *judge) judge() {
+	byJob := j.checkRuns(true)
 	counts := map[string]int{}
 	for _, done := range j.jobs {
 		for _, s := range done.sends {
@@ -124,21 +156,9 @@
 	j.site.t.Logf("%d jobs; submissions by outcome: %v", len(j.jobs), counts)
 }
 
-// judgeOverlaps requires that no two runs of a task are at work at a time.
-func (j *judge) judgeOverlaps(runs []taskRun) {
-	sort.Slice(runs, func(a, b int) bool { return runs[a].Started.Before(runs[b].Started) })
-	last := map[string]taskRun{}
-	for _, r := range runs {
-		if before, ok := last[r.Task]; ok && (before.Ended.IsZero() || r.Started.Before(before.Ended)) {
-			j.report("two runs at a time: %v and %v", before, r)
-		}
-		last[r.Task] = r
-	}
-}
-
 func (s *send) outcome() string {
 	switch {
-	case s.connection != nil:
+	case s.refusedConnection():
 		return "no connection"
 	case s.err != nil:
 		return "no answer"
@@ -233,9 +253,3 @@
 		j.report("job %s: %s has no log line for its answer %s", of.ID, s.gateway.Name, s.outcome())
 	}
 }
-
-func asErrno(err error) (syscall.Errno, bool) {
-	var errno syscall.Errno
-	ok := err != nil && errors.As(err, &errno)
-	return errno, ok
-}
--- a/integration/soak/main_test.go
+++ b/integration/soak/main_test.go
@@ -72,7 +72,7 @@
 
 // soak plays one seed.
 func soak(t *testing.T, seed uint64) {
-	s := startSite(t, *size)
+	s := startSite(t, *size, seed)
 	j := newJudge(s)
 	load := startCallers(s, j, seed)
 	watch := startWatch(s, j)
--- a/integration/soak/site_test.go
+++ b/integration/soak/site_test.go
@@ -1,15 +1,16 @@
 package soak
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/integration/harness"
+	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 )
@@ -24,8 +26,12 @@
 const (
 	gatewaysOfSite = 3
 	agentsOfSite   = 4
+	// seedsMax is the number of gateways that a process is told of.
+	seedsMax = 3
 	// targetCPU has room for eight tasks.
-	targetCPU      = 8000
+	targetCPU = 8000
+	// slowClock is the slowest that the platform allows for a target's clock.
+	slowClock      = 0.98
 	heartbeatEvery = 100 * time.Millisecond
 	startTimeout   = 20 * time.Second
 	// grace is the time between SIGTERM and the end of a process, as in the
@@ -104,7 +110,7 @@
 	return false
 }
 
-func startSite(t *testing.T, size int) *site {
+func startSite(t *testing.T, size int, seed uint64) *site {
 	s := &site{t: t, dir: t.TempDir(), store: standin.NewStore()}
 	s.net = harness.NewNetwork(s.processes)
 	t.Cleanup(s.close)
@@ -113,17 +119,29 @@
 	storeRelay := s.relay(storeAs, store)
 	var seeds []string
 	for i := range gatewaysOfSite * size {
-		g := &node{callers: s.address(), readiness: s.address(), internal: s.address()}
-		name := fmt.Sprintf("gateway-%d", i)
-		link := s.relay(name, g.internal)
-		seeds = append(seeds, link)
-		g.Process = s.process(name, "platform-gateway", g, storeRelay, "", seeds[:min(len(seeds), 3)], "--advertise-link", link)
+		n := platform.Node{
+			Name: fmt.Sprintf("gateway-%d", i), Callers: s.address(), Readiness: s.address(), Link: s.address(), Store: storeRelay,
+		}
+		relay := s.relay(n.Name, n.Link)
+		seeds = append(seeds, relay)
+		n.Seeds = seeds[:min(len(seeds), seedsMax)]
+		g := &node{callers: n.Callers, readiness: n.Readiness}
+		g.Process = s.process("platform-gateway", n, "--advertise-link", relay)
 		s.gateways = append(s.gateways, g)
 	}
 	for i := range agentsOfSite * size {
-		a := &node{internal: s.address(), calls: &callFaults{}, target: standin.NewExecutor(fmt.Sprintf("i-%d", i), targetCPU)}
+		a := &node{
+			internal: s.address(), target: standin.NewExecutor(fmt.Sprintf("i-%d", i), targetCPU),
+			calls: &callFaults{random: rand.New(rand.NewPCG(seed, uint64(i)+callsStream))},
+		}
 		a.target.Fault, a.target.LateAfter = a.calls.draw, lateAfter
-		a.Process = s.process(fmt.Sprintf("agent-%d", i), "platform-agent", a, storeRelay, s.serve(a.target.Handler()), seeds[:min(len(seeds), 3)])
+		if i%2 == 0 {
+			a.target.ClockRate = slowClock
+		}
+		a.Process = s.process("platform-agent", platform.Node{
+			Name: fmt.Sprintf("agent-%d", i), Internal: a.internal, Store: storeRelay, Target: s.serve(a.target.Handler()),
+			Seeds: seeds[:min(len(seeds), seedsMax)],
+		})
 		s.agents = append(s.agents, a)
 	}
 	for _, n := range s.nodes() {
@@ -182,34 +200,31 @@
 }
 
 // process writes the settings file of a process.
-func (s *site) process(name, program string, n *node, store, target string, seeds []string, args ...string) *harness.Process {
-	_, port, _ := net.SplitHostPort(n.internal)
-	number, _ := strconv.Atoi(port)
-	settings := map[string]any{
-		// The port of metrics is fixed, so that each process needs an address of
-		// its own.
-		"node_name": name, "ip": fmt.Sprintf("127.%d.%d.1", number>>8, number&0xff), "zone": "z",
-		"listen":   map[string]string{"frontend": n.callers, "readiness": n.readiness, "control": n.internal},
-		"seeds":    seeds,
-		"bounds":   map[string]float64{"grace_s": grace.Seconds(), "remote_factor": 1.5},
-		"app":      target,
-		"platform": map[string]string{"address": store},
-	}
-	data, err := json.Marshal(settings)
+func (s *site) process(program string, n platform.Node, args ...string) *harness.Process {
+	n.Zone, n.Bounds = "z", platform.Bounds{Grace: grace, RemoteFactor: 1.5}
+	n.Metrics = s.ownHost(cmp.Or(n.Link, n.Internal))
+	environment, err := standin.WriteSettings(filepath.Join(s.dir, n.Name+".json"), n)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	file := filepath.Join(s.dir, name+".json")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
-		s.t.Fatal(err)
-	}
-	p := harness.NewProcess(name, program, args, []string{"RHUBARBSAIL_NODE_FILE=" + file})
+	p := harness.NewProcess(n.Name, program, args, environment)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started = append(s.started, p)
 	return p
 }
 
+// ownHost returns an address on a loopback host that only the process with the
+// given address uses. The port of metrics is the same for all processes.
+func (s *site) ownHost(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	host := netip.AddrFrom4([4]byte{127, byte(a.Port() >> 8), byte(a.Port()), 1})
+	return netip.AddrPortFrom(host, a.Port()).String()
+}
+
 func (s *site) announce(a *node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -264,7 +279,7 @@
 	for _, p := range s.processes() {
 		p.Resume()
 		p.Kill()
-		if out, log := p.Output(); strings.Contains(log, "DATA RACE") || strings.Contains(log, "panic:") {
+		if out, log := p.Output(); harness.ContainsRace(log) || strings.Contains(log, "panic:") {
 			s.t.Errorf("%s: %s\n%s", p.Name, log, out[max(0, len(out)-logTail):])
 		}
 	}
--- a/integration/soak/watch_test.go
+++ b/integration/soak/watch_test.go
@@ -15,11 +15,12 @@
 	readyEvery  = time.Second
 	missesMax   = 2
 	configEvery = 150 * time.Millisecond
+	runsEvery   = time.Second
 	callTimeout = time.Second
 )
 
-// watch checks gateways' readiness, as the platform does, and that no gateway
-// goes back to an earlier configuration.
+// watch checks gateways' readiness, as the platform does, that no gateway goes
+// back to an earlier configuration, and the runs at targets.
 type watch struct {
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -33,6 +34,12 @@
 		w.wg.Go(func() { watchReadiness(ctx, g) })
 		w.wg.Go(func() { s.watchVersion(ctx, j, g) })
 	}
+	w.wg.Go(func() {
+		for ctx.Err() == nil {
+			j.checkRuns(false)
+			wait.For(ctx, runsEvery)
+		}
+	})
 	return w
 }
 
