Name the stand-in of a target by the project's word

Cause: by reading the change. Tests outside platform/ spoke of executors, and one knew the name of a topic of the store.

Change: standin.Target; the stand-in store writes a target's record.

--- a/daemon/platformagent_test.go
+++ b/daemon/platformagent_test.go
@@ -53,7 +53,7 @@
 	server := httptest.NewServer(store.Handler())
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
-	store.Put("keyed.targets", "agent-1", []byte("{"))
+	store.PutTargetRecord("agent-1", []byte("{"))
 	a := NewPlatformAgent(&platform.Node{Name: "agent-1", Store: address}, zerolog.Nop())
 	defer func() { _ = a.metrics.Close() }()
 	if kept, ok := a.loadRecord(t.Context()); !ok || kept.Learned != (runner.Learned{}) {
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -26,7 +26,7 @@
 	store     *standin.Store
 	storeAddr string
 	gateways  []*platformProcess
-	executors []*standin.Executor
+	targets   []*standin.Target
 }
 
 // platformProcess is one gateway or agent that can be stopped and started.
@@ -78,7 +78,7 @@
 	return l.Addr().String()
 }
 
-func newPlatformSite(t *testing.T, gateways, targets int, adjust ...func(x *standin.Executor)) *platformSite {
+func newPlatformSite(t *testing.T, gateways, targets int, adjust ...func(x *standin.Target)) *platformSite {
 	s := &platformSite{t: t, store: standin.NewStore()}
 	s.storeAddr = serveOn(t, s.store.Handler())
 	s.store.PutQueue(1, platformQueue)
@@ -96,11 +96,11 @@
 		p.start(t)
 	}
 	for i := range targets {
-		x := standin.NewExecutor(fmt.Sprintf("i-%d", i), 4000)
+		x := standin.NewTarget(fmt.Sprintf("i-%d", i), 4000)
 		for _, a := range adjust {
 			a(x)
 		}
-		s.executors = append(s.executors, x)
+		s.targets = append(s.targets, x)
 		n := &platform.Node{
 			Name: fmt.Sprintf("agent-%d", i), Zone: "z", Internal: freeAddress(t), Metrics: freeAddress(t),
 			Store: s.storeAddr, Seeds: seeds[:1], Target: serveOn(t, x.Handler()), Bounds: bounds,
@@ -115,8 +115,8 @@
 	return s
 }
 
-// announce sends the executor's heartbeats until the test ends.
-func (s *platformSite) announce(agent string, x *standin.Executor) {
+// announce sends the target's heartbeats until the test ends.
+func (s *platformSite) announce(agent string, x *standin.Target) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { x.KeepAnnouncing(ctx, agent, platformQueue.Service, 50*time.Millisecond) })
@@ -147,7 +147,7 @@
 
 func (s *platformSite) wantNoBreach() {
 	s.t.Helper()
-	for _, x := range s.executors {
+	for _, x := range s.targets {
 		for _, b := range x.Breaches() {
 			s.t.Errorf("%s: %s", x.ID, b)
 		}
@@ -172,13 +172,13 @@
 	s.wantNoBreach()
 }
 
-// Guards against executors that are brought over their capacity or run a task
+// Guards against targets that are brought over their capacity or run a task
 // twice while calls to them are lost, late or refused.
 func TestPlatformCallsFail(t *testing.T) {
 	faults := map[string]standin.Fault{"answer lost": standin.FaultAnswerLost, "late": standin.FaultLate, "busy": standin.FaultBusy}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			s := newPlatformSite(t, 1, 2, func(x *standin.Executor) {
+			s := newPlatformSite(t, 1, 2, func(x *standin.Target) {
 				var calls atomic.Int64
 				x.Fault = func(path string) standin.Fault {
 					if calls.Add(1)%5 == 0 {
@@ -245,12 +245,12 @@
 	if status, _ := s.caller(0).Submit(ctx, standin.Job{ID: "cc", Spec: "ms=2500", Tasks: 2}); status != 0 {
 		t.Fatalf("status %d before the tasks ended", status)
 	}
-	for end := time.Now().Add(20 * time.Second); s.executors[0].Running() > 0; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); s.targets[0].Running() > 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the tasks run on")
 		}
 	}
-	if got := len(s.executors[0].Starts()); got != 2 {
+	if got := len(s.targets[0].Starts()); got != 2 {
 		t.Fatalf("%d tasks started", got)
 	}
 }
--- a/integration/soak/site_test.go
+++ b/integration/soak/site_test.go
@@ -70,7 +70,7 @@
 	*harness.Process
 	callers, readiness, internal string
 	// target and calls belong to an agent.
-	target *standin.Executor
+	target *standin.Target
 	calls  *callFaults
 	// lifecycle is held while the process is stopped and started.
 	lifecycle sync.Mutex
@@ -131,7 +131,7 @@
 	}
 	for i := range agentsOfSite * size {
 		a := &node{
-			internal: s.address(), target: standin.NewExecutor(fmt.Sprintf("i-%d", i), targetCPU),
+			internal: s.address(), target: standin.NewTarget(fmt.Sprintf("i-%d", i), targetCPU),
 			calls: &callFaults{random: rand.New(rand.NewPCG(seed, uint64(i)+callsStream))},
 		}
 		a.target.Fault, a.target.LateAfter = a.calls.draw, lateAfter
