Bound the calls between gateways and what they tell of each other

Cause: each gateway called all others every 2 s and all others again for each gateway that became known, and each process told others its whole list with each new one. With 55 gateways that is 1,485 calls/s on new connections, and while a fleet starts a list of 55 on each link 55 times. While the store fails every gateway asked all others for a configuration twice a second. Tests, which fail on the code before: TestEachRoundCallsAFewGateways, TestOnlyNewGatewaysAreListed, TestGatewayNamedByOthersIsNotForgotten. Ruled out: gossip with ages, which saves the calls but not the lists.

--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,9 +21,19 @@
 
 const (
 	// introduceRetry is the time between two introductions to other gateways
-	// until one of them has answered, introduceEvery that afterwards.
+	// until one of them has answered and each has been tried, introduceEvery that
+	// afterwards.
 	introduceRetry = 200 * time.Millisecond
 	introduceEvery = 2 * time.Second
+	// introduceRounds is the number of rounds in which each other gateway is called
+	// once, and introduceMin the least number of calls of a round. The rounds take
+	// well below the time for which a gateway counts as reachable.
+	introduceRounds = 10
+	introduceMin    = 4
+	// configurationsAsked is the number of other gateways that are asked for a newer
+	// configuration at a time. With half of them turned away by the store as well,
+	// 1 in 64 questions finds none, and the next one follows at once.
+	configurationsAsked = 6
 	// registerRetry is the pause after a failed write of the gateway's record.
 	registerRetry = time.Second
 	// registerEvery is the time between two writes of the record, by which those
@@ -43,20 +56,30 @@
 	known     *link.Gateways
 	client    *http.Client
 	directory *platform.Directory
-	// lost are the gateways that did not answer the last introduction. The
-	// goroutine of introduce owns it.
-	lost map[string]bool
+	// introduced are the gateways that have been called, and whether the last call
+	// was answered; round counts the rounds. The goroutine of introduce owns both.
+	introduced map[string]lastIntroduction
+	round      int
 }
 
-// others returns the clients of the other gateways. Their calls are rare, and a
+// lastIntroduction is the last call to a gateway.
+type lastIntroduction struct {
+	round    int
+	answered bool
+}
+
+// others returns the addresses of the other gateways.
+func (p *gatewayPeers) others() []string {
+	return slices.DeleteFunc(p.known.All(), func(a string) bool { return a == p.address })
+}
+
+// clients returns the clients of gateways. Their calls are rare, and a
 // connection kept in between may have gone silent: it is closed after each.
-func (p *gatewayPeers) others() []otherGateway {
-	var out []otherGateway
-	for _, a := range p.known.All() {
-		if a != p.address {
-			out = append(out, otherGateway{a, restartv1connect.NewDispatchServiceClient(p.client, "http://"+a,
-				connect.WithAcceptCompression("gzip", nil, nil))})
-		}
+func (p *gatewayPeers) clients(addresses []string) []otherGateway {
+	out := make([]otherGateway, len(addresses))
+	for i, a := range addresses {
+		out[i] = otherGateway{a, restartv1connect.NewDispatchServiceClient(p.client, "http://"+a,
+			connect.WithAcceptCompression("gzip", nil, nil))}
 	}
 	return out
 }
@@ -67,13 +90,17 @@
 	restartv1connect.DispatchServiceClient
 }
 
-// Newer implements configsync.Peers. A gateway that does not answer is passed
+// Newer implements configsync.Peers. It asks some of the other gateways, drawn
+// anew each time, so that an outage of the store costs a call to each of them from
+// few others. A gateway that does not answer is passed
 // over here and logged by the introductions, which call it each 2 s.
 func (p *gatewayPeers) Newer(ctx context.Context, version uint64) []byte {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	defer p.client.CloseIdleConnections()
-	others := p.others()
+	addresses := p.others()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	others := p.clients(addresses[:min(len(addresses), configurationsAsked)])
 	replies := make(chan *pb.ConfigurationReply, len(others))
 	for _, o := range others {
 		go func() {
@@ -103,7 +130,11 @@
 func (p *gatewayPeers) introduce(ctx context.Context) {
 	gap := introduceRetry
 	for ctx.Err() == nil {
-		if p.introduceOnce(ctx) {
+		answered, again := p.introduceOnce(ctx)
+		switch {
+		case again:
+			gap = introduceRetry
+		case answered:
 			gap = introduceEvery
 		}
 		// A gateway that has just become known is introduced to at once.
@@ -122,14 +153,33 @@
 	err      error
 }
 
-// introduceOnce returns whether any other gateway has answered.
-func (p *gatewayPeers) introduceOnce(ctx context.Context) bool {
+// nextRound returns the gateways to call in the next round: those that have not
+// been called for the longest time. Unheard tells whether there are others that
+// have never been called.
+func (p *gatewayPeers) nextRound() (called []string, unheard bool) {
+	others := p.others()
+	kept := make(map[string]lastIntroduction, len(others))
+	for _, a := range others {
+		if last, ok := p.introduced[a]; ok {
+			kept[a] = last
+		}
+	}
+	p.introduced = kept
+	p.round++
+	n := min(len(others), max(introduceMin, (len(others)+introduceRounds-1)/introduceRounds))
+	slices.SortStableFunc(others, func(a, b string) int { return cmp.Compare(kept[a].round, kept[b].round) })
+	return others[:n], n < len(others) && kept[others[n]].round == 0
+}
+
+// introduceOnce calls the gateways of one round. It returns whether any has
+// answered, and whether others have not been called yet.
+func (p *gatewayPeers) introduceOnce(ctx context.Context) (answered, unheard bool) {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	defer p.client.CloseIdleConnections()
-	others := p.others()
-	outcomes := make(chan introduction, len(others))
-	for _, o := range others {
+	addresses, unheard := p.nextRound()
+	outcomes := make(chan introduction, len(addresses))
+	for _, o := range p.clients(addresses) {
 		go func() {
 			r, err := o.Introduce(call, connect.NewRequest(&pb.IntroduceRequest{Gateway: p.address}))
 			out := introduction{to: o.address, err: err}
@@ -139,27 +189,38 @@
 			outcomes <- out
 		}()
 	}
-	lost, answered := map[string]bool{}, false
-	for range others {
+	for range addresses {
 		out := <-outcomes
-		if out.err != nil {
-			lost[out.to] = true
-			if !p.lost[out.to] && ctx.Err() == nil {
-				events.GatewayLost.Log(p.log).Str("gateway", out.to).Err(out.err).Send()
-			}
+		if ctx.Err() != nil {
 			continue
 		}
-		if p.lost[out.to] {
-			events.GatewayRegained.Log(p.log).Str("gateway", out.to).Send()
+		p.note(out)
+		if out.err == nil {
+			answered = true
 		}
-		answered = true
-		p.known.Reached(out.to)
-		for _, a := range out.gateways {
-			p.known.Add(a)
+	}
+	return answered, unheard
+}
+
+// note takes in the outcome of an introduction and logs a gateway that is lost
+// or regained with it.
+func (p *gatewayPeers) note(out introduction) {
+	last, called := p.introduced[out.to]
+	lost := called && !last.answered
+	p.introduced[out.to] = lastIntroduction{round: p.round, answered: out.err == nil}
+	if out.err != nil {
+		if !lost {
+			events.GatewayLost.Log(p.log).Str("gateway", out.to).Err(out.err).Send()
 		}
+		return
+	}
+	if lost {
+		events.GatewayRegained.Log(p.log).Str("gateway", out.to).Send()
+	}
+	p.known.Reached(out.to)
+	for _, a := range out.gateways {
+		p.known.Add(a)
 	}
-	p.lost = lost
-	return answered
 }
 
 // register reads the other gateways' addresses from the store and writes this
--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -46,7 +46,7 @@
 		answered       bool
 	}{{false, 0, 0, true}, {true, 1, 0, false}, {true, 1, 0, false}, {false, 1, 1, true}, {false, 1, 1, true}} {
 		down.Store(c.down)
-		if answered := p.introduceOnce(t.Context()); answered != c.answered {
+		if answered, _ := p.introduceOnce(t.Context()); answered != c.answered {
 			t.Errorf("answered %v with the other gateway down: %v", answered, c.down)
 		}
 		if l, r := log.count("gateway_lost"), log.count("gateway_regained"); l != c.lost || r != c.regained {
@@ -88,3 +88,32 @@
 		t.Fatalf("%d records are left, %v", len(all), err)
 	}
 }
+
+// Guards against calls between gateways that grow with the square of their
+// number, and against gateways that are never called: 55 gateways.
+func TestEachRoundCallsAFewGateways(t *testing.T) {
+	const gateways, roundMax = 55, 6
+	known := link.NewGateways(boottime.Now, "g0:1")
+	p := &gatewayPeers{address: "g0:1", known: known}
+	for i := 1; i < gateways; i++ {
+		known.Add(fmt.Sprintf("g%d:1", i))
+	}
+	called := map[string]int{}
+	for range introduceRounds {
+		addresses, _ := p.nextRound()
+		if len(addresses) > roundMax {
+			t.Fatalf("%d calls in a round", len(addresses))
+		}
+		for _, a := range addresses {
+			called[a]++
+			p.note(introduction{to: a, err: nil})
+		}
+	}
+	if len(called) != gateways-1 || called["g0:1"] > 0 {
+		t.Fatalf("%d of %d others were called", len(called), gateways-1)
+	}
+	known.Add("new:1")
+	if addresses, _ := p.nextRound(); !slices.Contains(addresses, "new:1") {
+		t.Fatalf("the next round calls %v and not the gateway that has become known", addresses)
+	}
+}
--- a/restartable/link/gateways_test.go
+++ b/restartable/link/gateways_test.go
@@ -70,3 +70,41 @@
 		t.Fatal("a gateway is still known an hour after its link")
 	}
 }
+
+// Guards against lists of all gateways that go out with each one that becomes
+// known: while a fleet starts that is the square of their number on each link.
+func TestOnlyNewGatewaysAreListed(t *testing.T) {
+	clock := &fakeClock{}
+	g := link.NewGateways(clock.Now)
+	var version uint64
+	for i := range 50 {
+		g.Reached(fmt.Sprintf("g%d:1", i))
+		var listed []string
+		if version, listed = g.Since(version); len(listed) != 1 {
+			t.Fatalf("%d gateways are listed for one that is new", len(listed))
+		}
+	}
+	if n := len(g.Reachable()); n != 50 {
+		t.Fatalf("%d of 50 gateways are told to a new process", n)
+	}
+}
+
+// Guards against a gateway that is forgotten by processes that have no contact
+// of their own with it, while others reach it all the time.
+func TestGatewayNamedByOthersIsNotForgotten(t *testing.T) {
+	clock := &fakeClock{}
+	a, b := link.NewGateways(clock.Now), link.NewGateways(clock.Now)
+	a.Hold("up:1")
+	var version uint64
+	for range 3600 {
+		clock.now += time.Second
+		var listed []string
+		version, listed = a.Since(version)
+		for _, address := range listed {
+			b.Add(address)
+		}
+	}
+	if !slices.Contains(b.All(), "up:1") {
+		t.Fatal("a living gateway was forgotten")
+	}
+}
