Let each agent link to six gateways, chosen by rank

Change: restartable/subset ranks the gateways of an agent by rendezvous hashing and links to the first six that answer; the rate of dials is bounded while many do not. A link that moves is retired: the gateway is told, what runs goes on, and the stream ends once all reports have arrived. With six gateways or fewer nothing changes. Tests: restartable/subset (bounded and even links, loss of many gateways and their return, no storm of dials, links that stay); TestMovedLinksCutNoJob fails if a retired link ends at once; TestRetiredGatewayKeepsWhatItHas. Ruled out: subsets chosen by gateways (agents dial), two hops between gateways (one more link in the chain of leases); docs/decisions/0004.

--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -11,11 +11,12 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
-	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/subset"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -29,21 +30,28 @@
 	redialGone = 2 * time.Second
 )
 
-// Client is the agent's end of the links: it keeps one to each known gateway.
+// Client is the agent's end of the links: it keeps them to a subset of the known
+// gateways.
 type Client struct {
 	hello    *pb.AttachHello
 	runner   *runner.Runner
 	gateways *Gateways
+	now      boottime.Clock
 	log      zerolog.Logger
 	// dialled numbers the links, up counts those that are up.
 	dialled atomic.Uint64
 	up      atomic.Int64
+
+	// answered and ended tell the goroutine of Run of a link.
+	answered chan *agentLink
+	ended    chan string
 }
 
 // NewClient returns the links of an agent.
 func NewClient(name, zone string, r *runner.Runner, g *Gateways, log zerolog.Logger) *Client {
 	return &Client{
-		hello: &pb.AttachHello{Agent: name, Zone: zone}, runner: r, gateways: g, log: log,
+		hello: &pb.AttachHello{Agent: name, Zone: zone}, runner: r, gateways: g, now: boottime.Now, log: log,
+		answered: make(chan *agentLink), ended: make(chan string),
 	}
 }
 
@@ -54,48 +62,49 @@
 func (c *Client) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	dialled := map[string]bool{}
-	forgotten := make(chan string)
+	set := subset.New(c.hello.Agent, subset.Options{
+		Links: linksKept, RetryMin: redialMin, RetryMax: redialMax, GoneAfter: goneAfter, RetryGone: redialGone,
+	})
+	links := map[string]*agentLink{} // by address
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
-		for _, address := range c.gateways.All() {
-			if dialled[address] {
-				continue
-			}
-			dialled[address] = true
-			wg.Go(func() {
-				c.keep(ctx, address)
-				select {
-				case forgotten <- address:
-				case <-ctx.Done():
-				}
-			})
+		set.Know(c.now(), c.gateways.All())
+		now := c.now()
+		plan := set.Plan(now)
+		for _, address := range plan.Dial {
+			wg.Go(func() { c.dial(ctx, address) })
+		}
+		for _, address := range plan.Retire {
+			links[address].retire()
+		}
+		if plan.Next > 0 {
+			due.Reset(max(plan.Next-now, 0))
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-due.C:
 		case <-c.gateways.Changed():
-		case address := <-forgotten:
-			// It may have been added again since: the loop looks anew.
-			delete(dialled, address)
+		case l := <-c.answered:
+			links[l.address] = l
+			set.Answered(c.now(), l.address)
+		case address := <-c.ended:
+			delete(links, address)
+			set.Ended(c.now(), address)
 		}
 	}
 }
 
-// keep dials one gateway again and again until it is forgotten.
-func (c *Client) keep(ctx context.Context, address string) {
-	gap := redialMin
-	answered := time.Now()
-	for ctx.Err() == nil && c.gateways.Knows(address) {
-		served, err := c.serve(ctx, address)
-		if served {
-			gap, answered = redialMin, time.Now()
-			events.GatewayDetached.Log(c.log).Str("gateway", address).Err(err).Send()
-		}
-		wait.For(ctx, gap)
-		gap = min(2*gap, redialMax)
-		if time.Since(answered) > goneAfter {
-			gap = redialGone
-		}
+// dial runs one link to a gateway and tells of its end.
+func (c *Client) dial(ctx context.Context, address string) {
+	served, err := c.serve(ctx, address)
+	if served {
+		events.GatewayDetached.Log(c.log).Str("gateway", address).Err(err).Send()
+	}
+	select {
+	case c.ended <- address:
+	case <-ctx.Done():
 	}
 }
 
@@ -113,7 +122,7 @@
 		connect.WithReadMaxBytes(frameBytes), connect.WithAcceptCompression("gzip", nil, nil))
 	stream := service.Attach(ctx)
 	defer func() { _ = stream.CloseResponse() }()
-	l := newAgentLink(c, address+"#"+strconv.FormatUint(c.dialled.Add(1), 10), cancel)
+	l := newAgentLink(c, address, cancel)
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	written := make(chan struct{})
@@ -134,9 +143,16 @@
 				c.up.Add(1)
 				release = c.gateways.Hold(address)
 				c.runner.Attach(l.name, l)
+				select {
+				case c.answered <- l:
+				case <-ctx.Done():
+				}
 				events.GatewayAttached.Log(c.log).Str("gateway", address).Str("link", l.name).Send()
 			}
 			c.take(l, f)
+			if l.mayEnd(time.Duration(f.Stamp)) {
+				return errRetired
+			}
 		}
 	}()
 	if cause := context.Cause(ctx); cause != nil {
@@ -182,7 +198,7 @@
 		out = append(out, runner.Start{
 			Task: task.ID{StepID: step, Index: int(t.Index)}, Attempt: int(t.Attempt), Spec: s.Spec,
 			Needs: resourcesOf(s.Requirement), Expected: duration(s.ExpectedMs),
-			StartWithin: duration(s.StartWithinMs), DueWithin: duration(s.DueWithinMs),
+			StartWithin: duration(s.StartWithinMs), DueWithin: duration(s.DueWithinMs), AtOnce: s.AtOnce,
 			Priority: int(s.Priority), MaxPerTarget: int(s.MaxPerTarget),
 		})
 	}
@@ -191,19 +207,24 @@
 
 // agentLink is one gateway's stream at the agent.
 type agentLink struct {
-	client *Client
-	name   string
-	close  context.CancelCauseFunc
+	client  *Client
+	address string
+	name    string
+	close   context.CancelCauseFunc
 	// events wakes the writer at once, load after loadGap.
 	events, load chan struct{}
 
 	mu         sync.Mutex // owns the fields below
 	ends       []*pb.RunEvent
 	ordersSeen uint64
+	retirement retirement
 }
 
-func newAgentLink(c *Client, name string, cancel context.CancelCauseFunc) *agentLink {
-	return &agentLink{client: c, name: name, close: cancel, events: make(chan struct{}, 1), load: make(chan struct{}, 1)}
+func newAgentLink(c *Client, address string, cancel context.CancelCauseFunc) *agentLink {
+	return &agentLink{
+		client: c, address: address, name: address + "#" + strconv.FormatUint(c.dialled.Add(1), 10), close: cancel,
+		events: make(chan struct{}, 1), load: make(chan struct{}, 1),
+	}
 }
 
 var errLeaseLapsed = errors.New("the gateway's lease lapsed")
@@ -287,6 +308,9 @@
 	l.mu.Lock()
 	ends := l.ends
 	l.ends = nil
+	if l.retirement.sent(now) {
+		load.Accepting, load.Reason = false, task.ReasonUnlinked
+	}
 	l.mu.Unlock()
 	f := &pb.RunReport{Stamp: int64(now), Events: ends, Load: &pb.TargetLoad{
 		Accepting: load.Accepting, Reason: string(load.Reason), Committed: requirementOf(load.Committed),
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -24,28 +25,55 @@
 func (ignore) JobEnded(dispatch.Ended)    {}
 func (ignore) AttemptEnded(runner.Report) {}
 
-// quickTarget does every task at once.
+// runTime is how long a task takes on a quickTarget: longer than two frames of a
+// link are apart.
+const runTime = 200 * time.Millisecond
+
+// quickTarget does every task in runTime.
 type quickTarget struct {
-	mu   sync.Mutex
-	ends []runner.End
+	mu      sync.Mutex
+	running map[runner.Attempt]time.Time // with the time of the end
+	ends    []runner.End
 }
 
+func newQuickTarget() *quickTarget { return &quickTarget{running: map[runner.Attempt]time.Time{}} }
+
 func (q *quickTarget) Start(_ context.Context, _ runner.Target, s runner.Start, _, _ int64) (runner.StartResult, int64, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ends = append(q.ends, runner.End{Attempt: runner.Attempt{Task: s.Task, Number: s.Attempt}, Outcome: task.Done})
+	q.running[runner.Attempt{Task: s.Task, Number: s.Attempt}] = time.Now().Add(runTime)
 	return runner.StartAccepted, 1, nil
 }
 
-func (q *quickTarget) Stop(context.Context, runner.Target, runner.Attempt, int64) (int64, error) {
+func (q *quickTarget) Stop(_ context.Context, _ runner.Target, a runner.Attempt, _ int64) (int64, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.end(a, task.Stopped)
 	return 1, nil
 }
 
+// end runs with q.mu held.
+func (q *quickTarget) end(a runner.Attempt, o task.Outcome) {
+	if _, ok := q.running[a]; ok {
+		delete(q.running, a)
+		q.ends = append(q.ends, runner.End{Attempt: a, Outcome: o})
+	}
+}
+
 func (q *quickTarget) Look(_ context.Context, t runner.Target, l runner.LookQuery) (runner.LookReply, error) {
 	time.Sleep(time.Millisecond)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return runner.LookReply{Clock: 1, Born: t.Born, LastEnd: int64(len(q.ends)), Ended: q.ends[min(int(l.LastEnd), len(q.ends)):]}, nil
+	reply := runner.LookReply{Clock: 1, Born: t.Born}
+	for a, due := range q.running {
+		if time.Now().After(due) {
+			q.end(a, task.Done)
+			continue
+		}
+		reply.Running = append(reply.Running, a)
+	}
+	reply.LastEnd, reply.Ended = int64(len(q.ends)), q.ends[min(int(l.LastEnd), len(q.ends)):]
+	return reply, nil
 }
 
 // relay passes connections on until they are silenced: then it reads on, and
@@ -125,30 +153,37 @@
 	return d, l.Addr().String()
 }
 
-// startAgent returns an agent that links to the gateway at the address.
-func startAgent(t *testing.T, gateway string) {
-	r := runner.New(runner.NewCore(runner.DefaultOptions()), &quickTarget{}, 1, boottime.Now, zerolog.Nop(), ignore{}, runner.DefaultDriveOptions())
-	c := link.NewClient("agent", "z", r, link.NewGateways(boottime.Now, gateway), zerolog.Nop())
+// startAgent starts an agent that links to gateways and returns the set of them.
+func startAgent(t *testing.T, gateways ...string) *link.Gateways {
+	r := runner.New(runner.NewCore(runner.DefaultOptions()), newQuickTarget(), 1, boottime.Now, zerolog.Nop(), ignore{}, runner.DefaultDriveOptions())
+	known := link.NewGateways(boottime.Now, gateways...)
+	c := link.NewClient("agent", "z", r, known, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Run(ctx) })
 	wg.Go(func() { c.Run(ctx) })
-	r.Heartbeat(runner.Target{ID: "t", Born: 1, Service: "s", Capacity: task.Resources{CPUMillis: 4000, MemoryMB: 100}})
+	r.Heartbeat(runner.Target{ID: "t", Born: 1, Service: "s", Capacity: task.Resources{CPUMillis: 200_000, MemoryMB: 1000}})
 	t.Cleanup(func() {
 		cancel()
 		wg.Wait()
 	})
+	return known
+}
+
+// smallJob is a job of three short tasks.
+func smallJob(id string) dispatch.Submission {
+	return dispatch.Submission{
+		ID: id, Queue: queues.Queue{Name: "q", Service: "s", MaxAttempts: 3, Timeout: 3 * time.Second, Stretch: 2, TargetLatency: time.Second},
+		Wait:  3 * time.Second,
+		Steps: []dispatch.Step{{Tasks: 3, Needs: task.Resources{CPUMillis: 1000, MemoryMB: 1}, Estimate: runTime}},
+	}
 }
 
 // awaitWork waits until the gateway can run a job. The limit only ends a failed
 // test.
 func awaitWork(t *testing.T, d *dispatch.Dispatcher, id string) {
 	t.Helper()
-	s := dispatch.Submission{
-		ID: id, Queue: queues.Queue{Name: "q", Service: "s", MaxAttempts: 3, Timeout: 3 * time.Second, Stretch: 2, TargetLatency: time.Second},
-		Wait:  3 * time.Second,
-		Steps: []dispatch.Step{{Tasks: 3, Needs: task.Resources{CPUMillis: 1000, MemoryMB: 1}, Estimate: 20 * time.Millisecond}},
-	}
+	s := smallJob(id)
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if !d.CanPlace() {
 			continue
@@ -157,7 +192,7 @@
 			return
 		}
 	}
-	t.Fatal("no job was completed")
+	t.Error("no job was completed")
 }
 
 // Guards against a link that never works again since its connection has gone
@@ -173,3 +208,68 @@
 	}
 	awaitWork(t, d, "after")
 }
+
+// gatewaysLinked are twice as many gateways as an agent keeps links to.
+const gatewaysLinked = 12
+
+// Guards against jobs that are cut when an agent moves its link to another
+// gateway, and against links to more gateways than it keeps: half of the gateways
+// become known while jobs run at the others.
+func TestMovedLinksCutNoJob(t *testing.T) {
+	var all []*dispatch.Dispatcher
+	var addresses []string
+	for range gatewaysLinked {
+		d, address := startGateway(t)
+		all, addresses = append(all, d), append(addresses, address)
+	}
+	known := startAgent(t, addresses[:gatewaysLinked/2]...)
+	var working sync.WaitGroup
+	for i, d := range all[:gatewaysLinked/2] {
+		working.Go(func() { awaitWork(t, d, fmt.Sprintf("first-%d", i)) })
+	}
+	working.Wait()
+	ctx, stop := context.WithCancel(t.Context())
+	var submitters sync.WaitGroup
+	// Several at a time: a frame for one job finds another one at work.
+	for i := range 3 * len(all) {
+		submitters.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				a := all[i%len(all)].Submit(t.Context(), smallJob(fmt.Sprintf("%d-%d", i, n)))
+				if a.State != dispatch.Completed && a.State != dispatch.NotRun {
+					t.Errorf("gateway %d: %v, cause %s", i%len(all), a.State, a.Cause)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	for _, a := range addresses[gatewaysLinked/2:] {
+		known.Add(a)
+	}
+	settled := awaitMove(all[:gatewaysLinked/2], all[gatewaysLinked/2:])
+	stop()
+	submitters.Wait()
+	if !settled {
+		t.Fatal("the links have not moved, or the agent does not keep links to half of the gateways")
+	}
+}
+
+// awaitMove waits until some of the newer gateways have the agent, and as many
+// have it together as there were first. The limit only ends a failed test.
+func awaitMove(first, newer []*dispatch.Dispatcher) bool {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		old, moved := linked(first), linked(newer)
+		if moved > 0 && old+moved == len(first) {
+			return true
+		}
+	}
+	return false
+}
+
+// linked counts the agent's links.
+func linked(gateways []*dispatch.Dispatcher) int {
+	n := 0
+	for _, d := range gateways {
+		n += d.Status().Agents
+	}
+	return n
+}
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -90,7 +90,7 @@
 		Number: o.Number,
 		Job:    o.Step.Job, Occurrence: uint32(o.Step.Occurrence), Step: uint32(o.Step.Step), Spec: o.Spec,
 		Requirement: requirementOf(o.Needs), ExpectedMs: millis(o.Expected), StartWithinMs: millis(o.StartWithin),
-		DueWithinMs: millis(o.DueWithin), Priority: uint32(o.Priority), MaxPerTarget: uint32(o.MaxPerTarget),
+		DueWithinMs: millis(o.DueWithin), AtOnce: o.AtOnce, Priority: uint32(o.Priority), MaxPerTarget: uint32(o.MaxPerTarget),
 	}
 	for _, t := range o.Tasks {
 		m.Tasks = append(m.Tasks, &pb.TaskAttempt{Index: uint32(t.Index), Attempt: uint32(t.Number)})
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -36,15 +36,17 @@
 	used     task.Resources
 	waiting  task.Resources
 	leases   map[string]time.Duration
-	stats    statistics
-	out      Actions
+	// retired gateways start nothing more here.
+	retired map[string]bool
+	stats   statistics
+	out     Actions
 }
 
 // NewCore returns a core that knows no target yet.
 func NewCore(opts Options) *Core {
 	return &Core{
 		opts: opts, strangers: map[Attempt]bool{}, runs: map[task.ID]*run{}, finished: map[Attempt]time.Duration{},
-		leases: map[string]time.Duration{}, stats: newStatistics(opts.SlownessMax),
+		leases: map[string]time.Duration{}, retired: map[string]bool{}, stats: newStatistics(opts.SlownessMax),
 	}
 }
 
@@ -144,6 +146,9 @@
 	if ok && now-stamp > c.opts.OrderLifetime {
 		ok, reason = false, task.ReasonStale
 	}
+	if c.retired[gateway] {
+		ok, reason = false, task.ReasonUnlinked
+	}
 	for _, s := range starts {
 		switch {
 		case !ok:
@@ -155,6 +160,12 @@
 		}
 	}
 	c.pump(now)
+	for _, s := range starts {
+		r := c.runs[s.Task]
+		if s.AtOnce && r != nil && r.state == queued && r.Attempt == s.Attempt && r.gateway == gateway {
+			c.finish(now, r, task.NotStarted, task.ReasonBusy)
+		}
+	}
 }
 
 func (c *Core) refuse(gateway string, s Start, reason task.Reason) {
@@ -180,10 +191,25 @@
 	}
 }
 
+// Retire refuses what a gateway orders from now on; what it has queued and what
+// runs goes on.
+func (c *Core) Retire(gateway string) { c.retired[gateway] = true }
+
+// Unused tells whether nothing of a gateway is queued or on the target.
+func (c *Core) Unused(gateway string) bool {
+	for _, r := range c.runs {
+		if r.gateway == gateway {
+			return false
+		}
+	}
+	return true
+}
+
 // GatewayGone drops and stops everything of a gateway: its callers may submit
 // their jobs to another gateway.
 func (c *Core) GatewayGone(now time.Duration, gateway string) {
 	delete(c.leases, gateway)
+	delete(c.retired, gateway)
 	for _, r := range c.sortedRuns() {
 		if r.gateway == gateway {
 			c.revoke(now, r)
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -428,3 +428,43 @@
 		t.Fatalf("reported as started: %v", r.begun)
 	}
 }
+
+// Guards against a task that waits behind others while its gateway knows free
+// targets, and against one that is refused although it can begin.
+func TestAtOnceTaskBeginsOrIsRefused(t *testing.T) {
+	r := newRig(t)
+	fits, tooMuch, alsoFits := start("j", 0, 6000), start("j", 1, 6000), start("j", 2, 4000)
+	fits.AtOnce, tooMuch.AtOnce, alsoFits.AtOnce = true, true, true
+	r.order(fits, tooMuch, alsoFits)
+	if len(r.actions.Starts) != 2 || r.actions.Starts[0].Task != fits.Task || r.actions.Starts[1].Task != alsoFits.Task {
+		t.Fatalf("started %+v", r.actions.Starts)
+	}
+	if len(r.actions.Reports) != 1 {
+		t.Fatalf("reported %+v", r.actions.Reports)
+	}
+	if rep := r.actions.Reports[0]; rep.Task != tooMuch.Task || rep.Outcome != task.NotStarted || rep.Reason != task.ReasonBusy {
+		t.Fatalf("reported %+v", rep)
+	}
+}
+
+// Guards against a link that ends with work on it: what a retired gateway orders
+// is refused, and what it has queued or at work goes on.
+func TestRetiredGatewayKeepsWhatItHas(t *testing.T) {
+	r := newRig(t)
+	r.order(start("j", 0, 6000), start("j", 1, 6000))
+	r.core.Retire("g")
+	r.order(start("k", 0, 1000))
+	if len(r.actions.Reports) != 1 || r.actions.Reports[0].Reason != task.ReasonUnlinked {
+		t.Fatalf("reported %+v", r.actions.Reports)
+	}
+	if r.core.Unused("g") {
+		t.Fatal("unused with a run and a queued task")
+	}
+	r.core.Started(r.now, first("j", 0), StartAccepted)
+	r.ended(first("j", 0), task.Done)
+	r.core.Started(r.now, first("j", 1), StartAccepted)
+	r.ended(first("j", 1), task.Done)
+	if !r.core.Unused("g") {
+		t.Fatal("not unused after the end of all runs")
+	}
+}
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -65,8 +65,10 @@
 	Expected time.Duration
 	// StartWithin is the longest time in the queue, DueWithin the time in which
 	// the task ought to start.
-	StartWithin  time.Duration
-	DueWithin    time.Duration
+	StartWithin time.Duration
+	DueWithin   time.Duration
+	// AtOnce tasks do not wait in the queue: they begin or are refused.
+	AtOnce       bool
 	Priority     int
 	MaxPerTarget int
 }
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -269,6 +269,22 @@
 	})
 }
 
+// Retire makes the runner refuse what a gateway orders from now on.
+func (r *Runner) Retire(gateway string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sinks[gateway] != nil {
+		r.core.Retire(gateway)
+	}
+}
+
+// Unused tells whether nothing of a gateway is queued or on the target.
+func (r *Runner) Unused(gateway string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Unused(gateway)
+}
+
 // Order passes the content of a gateway's frame on.
 func (r *Runner) Order(gateway string, stamp time.Duration, starts []Start, stopJobs []string, stops []Attempt) {
 	r.do(func(c *Core, now time.Duration) {
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -82,10 +82,12 @@
 	ReasonStopping    Reason = "stopping"    // the agent is stopping
 	ReasonNoTarget    Reason = "no_target"   // no target has announced itself, or it does not answer
 	ReasonStale       Reason = "stale"       // the order was delayed on its way
+	ReasonBusy        Reason = "busy"        // it could not begin at once, as ordered
 	ReasonRevoked     Reason = "revoked"     // the gateway took it back
 	ReasonRefused     Reason = "refused"     // the target refused it
 	ReasonSuperseded  Reason = "superseded"  // the target has seen this attempt or a later one
 	ReasonUnanswered  Reason = "unanswered"  // the target did not answer and has been told to drop it
 	ReasonDuplicate   Reason = "duplicate"   // another run of the task has not ended
 	ReasonGatewayLost Reason = "gateway_out" // the gateway's lease lapsed
+	ReasonUnlinked    Reason = "unlinked"    // the agent is about to end its link to the gateway
 )
