Spread tasks over equal targets, and return those that find theirs full

Change: a target that is nearly full costs a little more, and a task that was expected to begin at once comes back if it cannot while others are free. Ruled out: a random part of the choice (0.02 to 0.1: nothing beside this), and loads that are fresher than 25 ms.

--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -18,8 +18,10 @@
 	Expected time.Duration
 	// StartWithin and DueWithin are times in the agent's queue.
 	StartWithin, DueWithin time.Duration
-	Priority               int
-	MaxPerTarget           int
+	// AtOnce makes the agent refuse tasks that cannot begin at once.
+	AtOnce       bool
+	Priority     int
+	MaxPerTarget int
 }
 
 // Attempt is one attempt of one task of an order.
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -208,6 +208,8 @@
 		switch e.Reason {
 		case task.ReasonSuperseded:
 			t.attempt += supersededSkip
+		case task.ReasonBusy:
+			t.returned++
 		case task.ReasonDuplicate:
 			// An earlier submission's run has not ended yet. Nothing may start beside
 			// it; the caller tries again when it has.
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -167,8 +167,10 @@
 	attempt int
 	failed  int
 	recalls int
-	agent   *agent
-	sentAt  time.Duration
+	// returned counts the attempts that could not begin at once.
+	returned int
+	agent    *agent
+	sentAt   time.Duration
 	// expected is the predicted run time on its target.
 	expected time.Duration
 	// overdueAt is when the run is taken to hang.
--- a/restartable/dispatch/load_test.go
+++ b/restartable/dispatch/load_test.go
@@ -282,3 +282,65 @@
 		}
 	}
 }
+
+// Many gateways choose among equal targets: the emptiest one, since others see
+// the same places and may take the last one of a fuller target first.
+func TestEmptiestOfEqualTargetsIsChosen(t *testing.T) {
+	r := newRig(t)
+	for i, committed := range []int64{24_000, 6_000, 15_000} {
+		name := fmt.Sprintf("t%d", i)
+		r.agent(name, 32_000)
+		r.report(name, func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: committed}, 40*ms })
+	}
+	r.submit(jobOf("j", 1, 100*ms))
+	if got := r.placed(); got["t1"] != 1 {
+		t.Fatalf("placed %v", got)
+	}
+}
+
+// Other gateways have filled a target since its last load: a task that cannot
+// begin there goes to a free target at once, and after two such targets waits for
+// its turn.
+func TestTaskOfAFilledTargetGoesToAFreeOne(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.agent(fmt.Sprintf("t%d", i), 32_000)
+	}
+	r.submit(jobOf("j", 1, 100*ms))
+	for n := 1; n <= 3; n++ {
+		if len(r.orders) != n {
+			t.Fatalf("%d orders after %d attempts", len(r.orders), n)
+		}
+		o := r.orders[n-1]
+		if want := n <= 2; o.AtOnce != want {
+			t.Fatalf("attempt %d: at once %v", n, o.AtOnce)
+		}
+		if n < 3 {
+			r.after(3 * ms)
+			r.report(o.Link, func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 32_000}, 100*ms },
+				eventOf("j", 0, n, task.NotStarted, task.ReasonBusy))
+		}
+	}
+	if r.orders[0].Link == r.orders[1].Link || r.orders[1].Link == r.orders[2].Link {
+		t.Fatalf("the task went back to a full target: %v", r.placed())
+	}
+}
+
+// No target has a free place: tasks wait at the best one and do not come back.
+func TestTasksWaitWhereAllTargetsAreFull(t *testing.T) {
+	r := newRig(t)
+	for i := range 3 {
+		name := fmt.Sprintf("t%d", i)
+		r.agent(name, 32_000)
+		r.report(name, func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 31_000}, 20*ms })
+	}
+	r.submit(jobOf("j", 2, 100*ms))
+	for _, o := range r.orders {
+		if o.AtOnce {
+			t.Fatalf("%+v comes back although all targets are full", o)
+		}
+	}
+	if len(r.orders) == 0 {
+		t.Fatal("no order")
+	}
+}
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
@@ -124,6 +125,7 @@
 func (p *plan) cost(s *slot, t *taskRecord, pr prediction) float64 {
 	cost := 1 - p.worth(pr.finish)
 	cost += timeWeight * pr.finish.Seconds()
+	cost += crowdingWeight * float64(s.needs.CPUMillis) / float64(s.agent.target.Capacity.CPUMillis)
 	if t.failedOn == s.agent.Name {
 		cost += failedPenalty
 	}
@@ -150,6 +152,10 @@
 	lateShare = 0.2
 	// timeWeight is the cost of a second.
 	timeWeight = 0.3
+	// crowdingWeight is the cost of a target that is full but for this task. Other
+	// gateways see the same free places: the emptier a target, the more of them can
+	// choose it before the next load arrives and still find a place.
+	crowdingWeight = 0.2
 	// failedPenalty sends a task that has failed to another target.
 	failedPenalty = 0.4
 	// probePreference makes sure that an avoided target is probed even while the
@@ -166,6 +172,12 @@
 	s.tasks++
 }
 
+// spare tells whether a target that the plan has not filled could begin a task
+// of the step at once.
+func (p *plan) spare() bool {
+	return slices.ContainsFunc(p.slots, func(s *slot) bool { return !s.agent.avoided && p.predict(s).wait == 0 })
+}
+
 // choice is one task with the slot that a plan has chosen for it.
 type choice struct {
 	task *taskRecord
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -49,7 +49,7 @@
 		c.withdraw(now, j, cause)
 		return false
 	}
-	c.send(now, j, step, choices)
+	c.send(now, j, step, choices, p.spare())
 	return true
 }
 
@@ -112,8 +112,9 @@
 // startGrace is the least time that a task may stay in an agent's queue.
 const startGrace = 20 * time.Millisecond
 
-// send hands the choices to the agents, one order to each.
-func (c *Core) send(now time.Duration, j *job, step int, choices []choice) {
+// send hands the choices to the agents, one order to each. With spare targets,
+// tasks that are expected to begin at once come back if they cannot.
+func (c *Core) send(now time.Duration, j *job, step int, choices []choice, spare bool) {
 	orders := map[*agent]*Order{}
 	var sequence []*Order
 	for _, ch := range choices {
@@ -123,6 +124,9 @@
 			orders[ch.agent] = o
 			sequence = append(sequence, o)
 		}
+		if !spare || ch.wait > 0 || ch.task.returned >= returnsMax {
+			o.AtOnce = false
+		}
 		c.place(now, j, ch, o)
 	}
 	for _, o := range sequence {
@@ -146,7 +150,7 @@
 	a.orders++
 	return &Order{
 		Link: a.Link, Number: a.orders, Step: task.StepID{Job: j.ID, Step: step}, Spec: j.Spec, Needs: st.Needs,
-		Expected: j.expected[step], StartWithin: within, DueWithin: due, Priority: j.Queue.Priority, MaxPerTarget: st.MaxPerTarget,
+		Expected: j.expected[step], StartWithin: within, AtOnce: true, DueWithin: due, Priority: j.Queue.Priority, MaxPerTarget: st.MaxPerTarget,
 	}
 }
 
@@ -166,6 +170,10 @@
 	o.Tasks = append(o.Tasks, Attempt{t.id.Index, t.attempt})
 }
 
+// returnsMax bounds how often a task comes back from targets that other gateways
+// have filled, before it waits for its turn.
+const returnsMax = 2
+
 const (
 	// overdueFactor and overdueSlack tell from the predicted run time when a run
 	// is taken to hang. Estimates are off by about 40%.
--- /dev/null
+++ b/restartable/fleet/fleet.go
@@ -0,0 +1,422 @@
+// Package fleet plays gateways and agents of restartable jobs in virtual time:
+// the decisions are those of the packages dispatch, runner and subset, network
+// and targets are modelled. A seed decides everything.
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/subset"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// Options describe a fleet and its load.
+type Options struct {
+	Seed              uint64
+	Gateways, Targets int
+	// Links is the number of gateways that an agent links to.
+	Links int
+	// LoadGap is the least time between two frames that only carry a load.
+	LoadGap time.Duration
+	// Load is the share of the targets' processors that the jobs need.
+	Load float64
+	// Jobs are the kinds of jobs, with equal shares of the load.
+	Jobs []JobKind
+	// Kinds are the kinds of targets, in turn.
+	Kinds []TargetKind
+	// Length is the time in which jobs arrive.
+	Length time.Duration
+}
+
+// JobKind is one kind of jobs.
+type JobKind struct {
+	Name string
+	// Tasks and Run are means; both vary from job to job.
+	Tasks int
+	Run   time.Duration
+	CPU   int64
+}
+
+// TargetKind is one kind of targets.
+type TargetKind struct {
+	Name string
+	// Slowness is the ratio of run times to those on a target of reference speed.
+	Slowness float64
+	CPU      int64
+}
+
+const (
+	service = "s"
+	// hop is the one-way delay of the network, callTime that of a call to a target.
+	hop      = 1400 * time.Microsecond
+	callTime = 500 * time.Microsecond
+	// reportEvery, echoEvery and the ticks are those of the daemons.
+	reportEvery = 100 * time.Millisecond
+	echoEvery   = 150 * time.Millisecond
+	tickEvery   = 20 * time.Millisecond
+	// timeSpread and estimateSpread are standard deviations of the logarithms of
+	// run times and of the errors of their estimates.
+	timeSpread     = 0.4
+	estimateSpread = 0.4
+	// settle is the time in which the links are set up before the first job.
+	settle = 500 * time.Millisecond
+)
+
+// Fleet is a running simulation.
+type Fleet struct {
+	opts     Options
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	sequence uint64
+	gateways []*gateway
+	targets  []*target
+	result   Result
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// after runs an event later. The fleet is started long after the zero of its
+// clock, which some decisions take as never.
+func (f *Fleet) after(d time.Duration, run func()) {
+	f.sequence++
+	heap.Push(&f.events, event{f.now + d, f.sequence, run})
+}
+
+type gateway struct {
+	name  string
+	core  *dispatch.Core
+	links map[string]*link
+}
+
+type target struct {
+	name string
+	kind TargetKind
+	core *runner.Core
+	// ends is the number of ended runs.
+	running map[runner.Attempt]bool
+	links   []*link
+}
+
+// link is one agent's stream to one gateway.
+type link struct {
+	name    string
+	gateway *gateway
+	target  *target
+	reports []dispatch.Event
+	seen    uint64
+	sentAt  time.Duration
+	// due is set while a frame with a load is planned, next counts the plans.
+	due  bool
+	next int
+	// stamp is the newest one that the gateway has.
+	stamp time.Duration
+}
+
+// Run plays a fleet.
+func Run(opts Options) Result {
+	f := &Fleet{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), now: time.Minute}
+	f.result.InTime = map[string]int{}
+	f.result.Offered = map[string]int{}
+	f.build()
+	start := f.now + settle
+	f.arrivals(start)
+	for f.events.Len() > 0 {
+		e := heap.Pop(&f.events).(event)
+		if e.at > start+opts.Length {
+			break
+		}
+		f.now = e.at
+		e.run()
+	}
+	f.finish()
+	return f.result
+}
+
+func (f *Fleet) build() {
+	byName := map[string]*gateway{}
+	var names []string
+	for i := range f.opts.Gateways {
+		g := &gateway{name: fmt.Sprintf("gateway-%d", i), core: dispatch.NewCore(dispatch.DefaultOptions("z")), links: map[string]*link{}}
+		f.gateways = append(f.gateways, g)
+		byName[g.name] = g
+		names = append(names, g.name)
+		f.every(tickEvery, func() { f.atGateway(g, func(c *dispatch.Core) { c.Tick(f.now) }) })
+	}
+	for i := range f.opts.Targets {
+		t := &target{
+			name: fmt.Sprintf("target-%d", i), kind: f.opts.Kinds[i%len(f.opts.Kinds)],
+			core: runner.NewCore(runner.DefaultOptions()), running: map[runner.Attempt]bool{},
+		}
+		f.targets = append(f.targets, t)
+		capacity := task.Resources{CPUMillis: t.kind.CPU, MemoryMB: 1 << 20}
+		life := runner.Target{ID: t.name, Born: 1, Service: service, Kind: t.kind.Name, Capacity: capacity}
+		t.core.Heartbeat(f.now, life)
+		t.core.Looked(f.now, runner.Look{Began: f.now, Born: 1})
+		// Speeds have been learned, as in a fleet that has run for a while.
+		t.core.Adopt(runner.Record{Target: life, Learned: runner.Learned{Slowness: t.kind.Slowness, Samples: 20}})
+		set := subset.New(t.name, subset.Options{Links: f.opts.Links})
+		set.Know(f.now, names)
+		for _, name := range set.Plan(f.now).Dial {
+			f.attach(t, byName[name], life)
+		}
+		f.every(tickEvery, func() { f.atTarget(t, func(c *runner.Core) { c.Tick(f.now) }) })
+	}
+}
+
+func (f *Fleet) attach(t *target, g *gateway, life runner.Target) {
+	l := &link{name: t.name + ">" + g.name, gateway: g, target: t, stamp: f.now}
+	t.links = append(t.links, l)
+	g.links[l.name] = l
+	t.core.Echo(l.name, f.now)
+	g.core.AgentUp(f.now, dispatch.AgentInfo{Link: l.name, Name: t.name, Zone: "z"})
+	g.core.AgentTarget(l.name, dispatch.TargetInfo{Target: t.name, Service: service, Kind: life.Kind, Capacity: life.Capacity})
+	f.every(echoEvery, func() {
+		stamp := l.stamp
+		f.after(hop, func() { t.core.Echo(l.name, stamp) })
+	})
+	f.send(l)
+}
+
+// every runs an event again and again, from a random time on.
+func (f *Fleet) every(d time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		f.after(d, again)
+	}
+	f.after(time.Duration(f.rng.Int64N(int64(d))), again)
+}
+
+// atGateway applies a change to a gateway and sends what follows from it.
+func (f *Fleet) atGateway(g *gateway, change func(c *dispatch.Core)) {
+	change(g.core)
+	a := g.core.Take()
+	for _, s := range a.Stops {
+		l := g.links[s.Link]
+		f.result.Frames++
+		f.after(hop, func() {
+			f.atTarget(l.target, func(c *runner.Core) {
+				if s.Attempt == 0 {
+					c.StopJobs(f.now, l.name, []string{s.Job})
+				} else {
+					c.StopAttempt(f.now, l.name, runner.Attempt{Task: s.Task, Number: s.Attempt})
+				}
+			})
+		})
+	}
+	for _, o := range a.Orders {
+		l := g.links[o.Link]
+		stamp := l.stamp
+		f.result.Frames++
+		f.after(hop, func() { f.order(l, stamp, o) })
+	}
+	for _, r := range a.Retries {
+		f.result.Retries++
+		if r.Recall {
+			f.result.Recalls++
+		}
+	}
+}
+
+func (f *Fleet) order(l *link, stamp time.Duration, o dispatch.Order) {
+	var starts []runner.Start
+	for _, t := range o.Tasks {
+		starts = append(starts, runner.Start{
+			Task: task.ID{StepID: o.Step, Index: t.Index}, Attempt: t.Number, Spec: o.Spec, Needs: o.Needs, Expected: o.Expected,
+			StartWithin: o.StartWithin, DueWithin: o.DueWithin, AtOnce: o.AtOnce, Priority: o.Priority, MaxPerTarget: o.MaxPerTarget,
+		})
+	}
+	f.atTarget(l.target, func(c *runner.Core) {
+		c.Echo(l.name, stamp)
+		c.Order(f.now, l.name, stamp, starts)
+	})
+	l.seen = max(l.seen, o.Number)
+	f.planLoad(l)
+}
+
+// atTarget applies a change to an agent and carries out what follows from it.
+func (f *Fleet) atTarget(t *target, change func(c *runner.Core)) {
+	change(t.core)
+	a := t.core.Take()
+	for _, s := range a.Starts {
+		f.after(callTime, func() { f.start(t, s) })
+	}
+	for _, at := range a.Stops {
+		f.after(callTime, func() { f.stop(t, at) })
+	}
+	for _, r := range a.Reports {
+		f.report(t, r)
+	}
+	if len(a.Starts)+len(a.Reports) > 0 {
+		for _, l := range t.links {
+			f.planLoad(l)
+		}
+	}
+}
+
+func (f *Fleet) start(t *target, s runner.Start) {
+	a := runner.Attempt{Task: s.Task, Number: s.Attempt}
+	t.running[a] = true
+	f.atTarget(t, func(c *runner.Core) { c.Started(f.now, a, runner.StartAccepted) })
+	run, err := time.ParseDuration(s.Spec)
+	if err != nil {
+		panic(err) // submit writes it
+	}
+	f.after(time.Duration(float64(run)*t.kind.Slowness), func() { f.end(t, a, task.Done) })
+}
+
+func (f *Fleet) stop(t *target, a runner.Attempt) {
+	f.atTarget(t, func(c *runner.Core) { c.StopAnswered(f.now, a, true) })
+	f.end(t, a, task.Stopped)
+}
+
+func (f *Fleet) end(t *target, a runner.Attempt, o task.Outcome) {
+	if !t.running[a] {
+		return
+	}
+	delete(t.running, a)
+	var left []runner.Attempt
+	for r := range t.running {
+		left = append(left, r)
+	}
+	f.after(callTime, func() {
+		f.atTarget(t, func(c *runner.Core) {
+			c.Looked(f.now, runner.Look{Began: f.now - 2*callTime, Born: 1, Running: left, Ended: []runner.End{{Attempt: a, Outcome: o}}})
+		})
+	})
+}
+
+func (f *Fleet) report(t *target, r runner.Report) {
+	for _, l := range t.links {
+		if l.name != r.Gateway {
+			continue
+		}
+		l.reports = append(l.reports, dispatch.Event{Task: r.Task, Attempt: r.Attempt, Outcome: r.Outcome, Reason: r.Reason, RunTime: r.RunTime})
+		if r.Outcome != task.Started {
+			f.send(l)
+		}
+	}
+}
+
+// planLoad sends a load soon, as the writer of a link does.
+func (f *Fleet) planLoad(l *link) {
+	if l.due {
+		return
+	}
+	l.due = true
+	l.next++
+	plan := l.next
+	f.after(max(0, f.opts.LoadGap-(f.now-l.sentAt)), func() {
+		if l.next == plan {
+			f.send(l)
+		}
+	})
+}
+
+// send sends a frame of an agent, and plans the next one.
+func (f *Fleet) send(l *link) {
+	l.due, l.sentAt = false, f.now
+	l.next++
+	plan := l.next
+	f.after(reportEvery, func() {
+		if l.next == plan {
+			f.send(l)
+		}
+	})
+	f.result.Frames++
+	reports, stamp, load := l.reports, f.now, l.target.core.Load(f.now)
+	l.reports = nil
+	m := &dispatch.Load{
+		Accepting: load.Accepting, Committed: load.Committed, Backlog: load.Backlog, Slowness: load.Slowness,
+		Anomaly: load.Anomaly, Samples: load.Samples, Failed: load.Failed, OrdersSeen: l.seen,
+	}
+	f.after(hop, func() {
+		l.stamp = stamp
+		f.atGateway(l.gateway, func(c *dispatch.Core) { c.Report(f.now, l.name, m, reports) })
+	})
+}
+
+// arrivals plans the jobs: at each gateway in turn by chance.
+func (f *Fleet) arrivals(start time.Duration) {
+	var capacity float64
+	for _, t := range f.targets {
+		capacity += float64(t.kind.CPU) / t.kind.Slowness
+	}
+	for _, k := range f.opts.Jobs {
+		perJob := float64(k.Tasks) * float64(k.CPU) * k.Run.Seconds()
+		gap := perJob * float64(len(f.opts.Jobs)) / (capacity * f.opts.Load)
+		n := 0
+		for at := f.rng.ExpFloat64() * gap; at < f.opts.Length.Seconds(); at += f.rng.ExpFloat64() * gap {
+			n++
+			id := fmt.Sprintf("%s-%d", k.Name, n)
+			wait := start - f.now + time.Duration(at*float64(time.Second))
+			f.after(wait, func() { f.submit(k, id) })
+		}
+	}
+}
+
+var queue = queues.Queue{Service: service, MaxAttempts: 4, Timeout: 1500 * time.Millisecond, Stretch: 1.6, TargetLatency: 60 * time.Millisecond}
+
+func (f *Fleet) submit(k JobKind, id string) {
+	g := f.gateways[f.rng.IntN(len(f.gateways))]
+	q := queue
+	q.Name = k.Name
+	run := time.Duration(float64(k.Run) * f.vary(timeSpread))
+	estimate := time.Duration(float64(run) * f.vary(estimateSpread))
+	tasks := max(1, int(math.Round(float64(k.Tasks)*f.vary(timeSpread))))
+	arrived := f.now
+	objective := time.Duration(q.Stretch*float64(run)) + q.TargetLatency
+	f.result.Offered[k.Name]++
+	s := dispatch.Submission{
+		ID: id, Queue: q, Spec: run.String(), Wait: q.Timeout,
+		Steps: []dispatch.Step{{Tasks: tasks, Needs: task.Resources{CPUMillis: k.CPU, MemoryMB: 64}, Estimate: estimate}},
+	}
+	caller := &dispatch.Caller{Answer: func(a dispatch.Answer) {
+		f.result.Attempts += a.Attempts
+		f.result.Tasks += tasks
+		if a.State != dispatch.Completed {
+			return
+		}
+		took := f.now - arrived
+		f.result.Stretches = append(f.result.Stretches, took.Seconds()/run.Seconds())
+		if took <= objective {
+			f.result.InTime[k.Name]++
+		}
+	}}
+	f.atGateway(g, func(c *dispatch.Core) { c.Submit(f.now, s, caller) })
+}
+
+// vary returns a factor of mean one.
+func (f *Fleet) vary(spread float64) float64 {
+	return math.Exp(spread*f.rng.NormFloat64() - spread*spread/2)
+}
