Share one queue of simulated events

Cause: the emulator of experiment, the model of ownership and the new simulation of fleets each had an event heap of their own.

--- a/experiment/gate.go
+++ b/experiment/gate.go
@@ -37,7 +37,7 @@
 	wake    time.Duration
 }
 
-func (g *gate) wall() time.Time { return time.Unix(0, int64(g.run.now)) }
+func (g *gate) wall() time.Time { return time.Unix(0, int64(g.run.Now)) }
 
 func (g *gate) delay(a *agent) time.Duration {
 	if a.Zone == g.zone {
@@ -63,12 +63,12 @@
 			continue
 		}
 		g.run.stats.count("probe", 2)
-		g.run.after(g.delay(a), func() {
+		g.run.After(g.delay(a), func() {
 			load := a.load()
-			g.run.after(g.delay(a), func() { g.policy.Report(g.wall(), load); g.decide() })
+			g.run.After(g.delay(a), func() { g.policy.Report(g.wall(), load); g.decide() })
 		})
 	}
-	g.run.after(probeInterval, g.probe)
+	g.run.After(probeInterval, g.probe)
 }
 
 func (g *gate) submit(index int, spec *JobSpec) {
@@ -82,7 +82,7 @@
 		return
 	}
 	g.jobs[h] = &live{spec: spec, index: index, left: len(spec.Tasks), at: map[int]*agent{}}
-	g.run.after(spec.Timeout, func() { g.giveUp(h, model.ReasonDeadline); g.decide() })
+	g.run.After(spec.Timeout, func() { g.giveUp(h, model.ReasonDeadline); g.decide() })
 	g.decide()
 }
 
@@ -112,7 +112,7 @@
 	for _, a := range g.run.agents {
 		if set := byAgent[a.index]; set != nil {
 			g.run.stats.count("cancel", 1)
-			g.run.after(g.delay(a), func() { a.cancel(g, set) })
+			g.run.After(g.delay(a), func() { a.cancel(g, set) })
 		}
 	}
 }
@@ -147,7 +147,7 @@
 		if l.left--; l.left == 0 {
 			delete(g.jobs, o.Task.Job)
 			g.policy.Remove(g.wall(), o.Task.Job)
-			g.run.stats.complete(l, g.run.now)
+			g.run.stats.complete(l, g.run.Now)
 		}
 	case scheduler.OutcomeFailed:
 		g.giveUp(o.Task.Job, model.ReasonTaskFailed)
@@ -179,7 +179,7 @@
 		if refs := revokes[a]; refs != nil {
 			g.run.stats.count("revoke", 1)
 			g.run.stats.Wasted += 2
-			g.run.after(g.delay(a), func() { a.revoke(g, refs) })
+			g.run.After(g.delay(a), func() { a.revoke(g, refs) })
 		}
 	}
 	g.wakeAt(d.Wake)
@@ -190,11 +190,11 @@
 		return
 	}
 	wake := time.Duration(at.UnixNano())
-	if g.wake > g.run.now && g.wake <= wake {
+	if g.wake > g.run.Now && g.wake <= wake {
 		return
 	}
 	g.wake = wake
-	g.run.after(max(0, wake-g.run.now), func() {
+	g.run.After(max(0, wake-g.run.Now), func() {
 		if g.wake == wake {
 			g.wake = 0
 			g.decide()
@@ -216,14 +216,14 @@
 	}
 	g.run.stats.count("start", 1)
 	g.run.stats.Starts += len(list)
-	g.run.after(g.delay(a), func() { a.start(g, list, batch[0].Report) })
+	g.run.After(g.delay(a), func() { a.start(g, list, batch[0].Report) })
 }
 
 // linkLost tells the policy that a target is gone; its outcomes are lost.
 func (g *gate) linkLost(a *agent) {
 	g.targets[a.index].Connected = false
 	g.policy.SetTargets(g.wall(), g.targets)
-	g.run.after(lostAfter, func() {
+	g.run.After(lostAfter, func() {
 		var refs []scheduler.TaskRef
 		for h, l := range g.jobs {
 			for i, at := range l.at {
--- a/experiment/node.go
+++ b/experiment/node.go
@@ -62,7 +62,7 @@
 			refused = append(refused, a.outcome(e, scheduler.OutcomeNotStarted))
 			continue
 		}
-		e.batch, e.arrived = b, a.run.now
+		e.batch, e.arrived = b, a.run.Now
 		a.entries[e.ref] = e
 		a.queue = append(a.queue, e)
 	}
@@ -79,7 +79,7 @@
 func (a *agent) outcome(e *entry, kind scheduler.OutcomeKind) scheduler.Outcome {
 	o := scheduler.Outcome{Task: e.ref, Target: a.ID, Kind: kind}
 	if e.running {
-		o.Run, o.Queue = a.run.now-e.started, e.started-e.arrived
+		o.Run, o.Queue = a.run.Now-e.started, e.started-e.arrived
 	}
 	return o
 }
@@ -90,9 +90,9 @@
 		e := a.queue[0]
 		a.queue = a.queue[1:]
 		a.running++
-		e.running, e.started = true, a.run.now
-		d, fails := a.runTime(a.run.now, e.work)
-		a.run.after(d, func() { a.end(e, fails || e.fails) })
+		e.running, e.started = true, a.run.Now
+		d, fails := a.runTime(a.run.Now, e.work)
+		a.run.After(d, func() { a.end(e, fails || e.fails) })
 	}
 }
 
@@ -134,7 +134,7 @@
 func (a *agent) send(g *gate, list []scheduler.Outcome) {
 	a.run.stats.count("report", 1)
 	load := a.load()
-	a.run.after(g.delay(a), func() { g.report(a, list, load) })
+	a.run.After(g.delay(a), func() { g.report(a, list, load) })
 }
 
 // revoke takes tasks back that have not started.
@@ -156,7 +156,7 @@
 	}
 	a.run.stats.count("revoke_reply", 1)
 	load := a.load()
-	a.run.after(g.delay(a), func() { g.report(a, list, load) })
+	a.run.After(g.delay(a), func() { g.report(a, list, load) })
 }
 
 func (a *agent) unqueue(e *entry) {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/virtualtime"
 	"github.com/rhubarbsail/rhubarbsail/scheduler"
 )
 
@@ -32,7 +33,7 @@
 
 // run is one policy in one case.
 type run struct {
-	clock
+	virtualtime.Clock
 	agents []*agent
 	byID   map[scheduler.TargetID]*agent
 	gates  []*gate
@@ -52,7 +53,7 @@
 		r.byID[n.ID] = a
 		for _, f := range n.Faults {
 			if f.Lost {
-				r.after(f.At, a.lose)
+				r.After(f.At, a.lose)
 			}
 		}
 	}
@@ -65,18 +66,18 @@
 	rng := rand.New(rand.NewPCG(seed, 0x9a7e))
 	for i := range jobs {
 		g := r.gates[rng.IntN(len(r.gates))]
-		r.after(jobs[i].At, func() { g.submit(i, &jobs[i]) })
+		r.After(jobs[i].At, func() { g.submit(i, &jobs[i]) })
 	}
 	if c.CancelEvery > 0 {
 		r.cancelWave(c, rng)
 	}
-	r.runAll(c.Load.Duration + drainTime)
+	r.RunUntil(c.Load.Duration + drainTime)
 	return r.stats.result(p.Name)
 }
 
 // cancelWave cancels half of the jobs in progress, again and again.
 func (r *run) cancelWave(c Case, rng *rand.Rand) {
-	r.after(c.CancelEvery, func() {
+	r.After(c.CancelEvery, func() {
 		for _, g := range r.gates {
 			var list []scheduler.JobHandle
 			for h := range g.jobs {
--- a/ownership/modeltest/agent_test.go
+++ b/ownership/modeltest/agent_test.go
@@ -54,10 +54,10 @@
 // recorded the departure, so the agent goes on only if a read of the log that
 // follows the renewal still lists it, and otherwise as a new incarnation.
 func (a *agent) renew() {
-	if a.w.cut(a.name, "lease") || a.w.now < a.w.takenUntil[a.name] {
+	if a.w.cut(a.name, "lease") || a.w.Now < a.w.takenUntil[a.name] {
 		return
 	}
-	a.w.leases[a.name] = a.w.now + leaseTTL
+	a.w.leases[a.name] = a.w.Now + leaseTTL
 	if a.lease != 0 && !a.leased() && a.w.mut != lapseForgotten {
 		if a.w.logDown || a.w.cut(a.name, "log") {
 			return
--- a/ownership/modeltest/model_test.go
+++ b/ownership/modeltest/model_test.go
@@ -26,7 +26,7 @@
 func newMachine(t *rapid.T, mut mutation) *machine {
 	w := newWorld(rapid.Int64().Draw(t, "seed"), mut, 3, rapid.IntRange(1, 4).Draw(t, "agents"))
 	if testing.Verbose() && os.Getenv("MODEL_TRACE") != "" {
-		w.trace = func(f string, args ...any) { t.Logf("%v: "+f, append([]any{w.now}, args...)...) }
+		w.trace = func(f string, args ...any) { t.Logf("%v: "+f, append([]any{w.Now}, args...)...) }
 	}
 	m := &machine{w: w}
 	w.advance(6 * s) // joins and the first claim
@@ -69,7 +69,7 @@
 	r := &request{
 		key:       model.JobKey{Client: "c", Key: fmt.Sprintf("k%03d", len(m.keys))},
 		tasks:     rapid.IntRange(1, 3).Draw(t, "tasks"),
-		submitted: epochStart.Add(m.w.now + skew),
+		submitted: epochStart.Add(m.w.Now + skew),
 	}
 	m.keys = append(m.keys, r)
 	for range rapid.IntRange(1, 3).Draw(t, "copies") {
@@ -159,7 +159,7 @@
 
 func (m *machine) PauseGateway(t *rapid.T) {
 	g := m.gateway(t)
-	g.pause = m.w.now + m.duration(t, 500*ms, 15*s)
+	g.pause = m.w.Now + m.duration(t, 500*ms, 15*s)
 	m.w.trace("pause %s until %v", g.name, g.pause)
 }
 
@@ -167,14 +167,14 @@
 func (m *machine) PauseOwner(t *rapid.T) {
 	for _, g := range m.w.gws {
 		if g.own != 0 {
-			g.pause = m.w.now + m.duration(t, 500*ms, 12*s)
+			g.pause = m.w.Now + m.duration(t, 500*ms, 12*s)
 			m.w.trace("pause %s until %v", g.name, g.pause)
 		}
 	}
 }
 
 func (m *machine) PauseAgent(t *rapid.T) {
-	m.agent(t).pause = m.w.now + m.duration(t, 200*ms, 8*s)
+	m.agent(t).pause = m.w.Now + m.duration(t, 200*ms, 8*s)
 }
 
 func (m *machine) RestartAgent(t *rapid.T) {
@@ -184,7 +184,7 @@
 }
 
 func (m *machine) LeaveAgent(t *rapid.T) {
-	if a := m.agent(t); m.w.now >= a.pause && !a.leaving {
+	if a := m.agent(t); m.w.Now >= a.pause && !a.leaving {
 		m.w.trace("leave %s", a.name)
 		a.leave()
 	}
@@ -198,9 +198,9 @@
 	w.cuts[pair(a.name, "lease")] = true
 	wait, pause := leaseTTL+m.duration(t, 0, 3*s), m.duration(t, 0, 5*s)
 	g.later(wait, func() {
-		if w.leases[a.name] < w.now && !w.cut(g.name, "lease") {
-			w.takenUntil[a.name] = w.now + s
-			before := w.now + s
+		if w.leases[a.name] < w.Now && !w.cut(g.name, "lease") {
+			w.takenUntil[a.name] = w.Now + s
+			before := w.Now + s
 			for _, ref := range g.view.listed() {
 				if ref.ID == a.name {
 					g.later(pause, func() { g.append(entry{kind: agentLeft, ag: ref, before: before}) })
@@ -208,7 +208,7 @@
 			}
 		}
 	})
-	w.after(wait+m.duration(t, 0, 3*s), func() { delete(w.cuts, pair(a.name, "lease")) })
+	w.After(wait+m.duration(t, 0, 3*s), func() { delete(w.cuts, pair(a.name, "lease")) })
 }
 
 func (m *machine) JoinAgents(t *rapid.T) {
@@ -240,15 +240,15 @@
 	for _, g := range m.w.gws {
 		if l := g.links[a.name]; l != nil && g.own != 0 {
 			m.w.trace("stall %s %s for %v", g.name, a.name, stall)
-			l.last[toAgent] = max(l.last[toAgent], m.w.now+stall)
-			m.w.after(m.duration(t, 100*ms, 4*s), func() { l.closed = true })
+			l.last[toAgent] = max(l.last[toAgent], m.w.Now+stall)
+			m.w.After(m.duration(t, 100*ms, 4*s), func() { l.closed = true })
 		}
 	}
 }
 
 // RivalClaim has a gateway claim although Plan does not ask for it.
 func (m *machine) RivalClaim(t *rapid.T) {
-	if g := m.gateway(t); g.view.epoch != 0 && g.view.owner != g.ref() && m.w.now >= g.pause {
+	if g := m.gateway(t); g.view.epoch != 0 && g.view.owner != g.ref() && m.w.Now >= g.pause {
 		m.w.trace("claim by %s", g.name)
 		g.claim(g.view.epoch)
 	}
@@ -264,7 +264,7 @@
 
 func (m *machine) Renew(t *rapid.T) {
 	for _, g := range m.w.gws {
-		if g.ready() && m.w.now >= g.pause {
+		if g.ready() && m.w.Now >= g.pause {
 			g.claim(g.own)
 		}
 	}
@@ -273,7 +273,7 @@
 func (m *machine) HandOver(t *rapid.T) {
 	to := m.gateway(t)
 	for _, g := range m.w.gws {
-		if g.own != 0 && m.w.now >= g.pause {
+		if g.own != 0 && m.w.Now >= g.pause {
 			g.handOver(to)
 		}
 	}
@@ -337,7 +337,7 @@
 	}
 	m.run(45 * s)
 	for i := range 20 {
-		r := request{key: model.JobKey{Client: "c", Key: fmt.Sprintf("last%d", i)}, tasks: 2, submitted: epochStart.Add(m.w.now)}
+		r := request{key: model.JobKey{Client: "c", Key: fmt.Sprintf("last%d", i)}, tasks: 2, submitted: epochStart.Add(m.w.Now)}
 		m.submit(m.w.gws[0], r)
 		m.run(3 * s)
 		m.Check(t)
--- a/ownership/modeltest/world_test.go
+++ b/ownership/modeltest/world_test.go
@@ -1,12 +1,12 @@
 package modeltest
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/virtualtime"
 	"github.com/rhubarbsail/rhubarbsail/ownership"
 )
 
@@ -31,12 +31,10 @@
 
 // world is the network, the log and the observer that checks the invariants.
 type world struct {
-	rng    *rand.Rand
-	mut    mutation
-	now    time.Duration
-	events eventQueue
-	seq    int
-	cuts   map[[2]string]bool
+	virtualtime.Clock
+	rng  *rand.Rand
+	mut  mutation
+	cuts map[[2]string]bool
 	// logDown refuses all reads and appends.
 	logDown bool
 	// calm ends the delays of the network.
@@ -55,27 +53,6 @@
 	trace      func(string, ...any)
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	fn  func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 func newWorld(seed int64, mut mutation, gateways, agents int) *world {
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), mut: mut, cuts: map[[2]string]bool{},
@@ -101,23 +78,15 @@
 }
 
 func (w *world) advance(d time.Duration) {
-	end := w.now + d
-	for w.violation == "" && len(w.events) > 0 && w.events[0].at <= end {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.fn()
+	end := w.Now + d
+	for w.violation == "" && w.Step(end) {
 	}
-	w.now = end
-}
-
-func (w *world) after(d time.Duration, fn func()) {
-	w.seq++
-	heap.Push(&w.events, event{w.now + d, w.seq, fn})
+	w.Now = end
 }
 
 func (w *world) fail(format string, args ...any) {
 	if w.violation == "" {
-		w.violation = fmt.Sprintf("%v: ", w.now) + fmt.Sprintf(format, args...)
+		w.violation = fmt.Sprintf("%v: ", w.Now) + fmt.Sprintf(format, args...)
 	}
 }
 
@@ -169,11 +138,11 @@
 func (p *proc) restart() {
 	p.run++
 	p.pause = 0
-	p.inc = model.Incarnation(p.w.now) + model.Incarnation(p.run)
+	p.inc = model.Incarnation(p.w.Now) + model.Incarnation(p.run)
 }
 
-func (p *proc) mono() time.Duration { return time.Duration(float64(p.w.now) * p.rate) }
-func (p *proc) wall() time.Time     { return epochStart.Add(p.w.now + p.skew) }
+func (p *proc) mono() time.Duration { return time.Duration(float64(p.w.Now) * p.rate) }
+func (p *proc) wall() time.Time     { return epochStart.Add(p.w.Now + p.skew) }
 func (p *proc) clock() ownership.Clock {
 	return ownership.Clock{Mono: p.mono(), Wall: p.wall()}
 }
@@ -182,14 +151,14 @@
 // process is paused, fn waits.
 func (p *proc) later(d time.Duration, fn func()) {
 	run := p.run
-	p.w.after(d, func() { p.now(run, fn) })
+	p.w.After(d, func() { p.now(run, fn) })
 }
 
 func (p *proc) now(run int, fn func()) {
 	switch {
 	case p.run != run:
-	case p.w.now < p.pause:
-		p.w.after(p.pause-p.w.now, func() { p.now(run, fn) })
+	case p.w.Now < p.pause:
+		p.w.After(p.pause-p.w.Now, func() { p.now(run, fn) })
 	default:
 		fn()
 	}
@@ -217,10 +186,10 @@
 		case !p.w.cut(p.name, dst.name):
 			dst.later(0, fn)
 		case !lost:
-			p.w.after(200*ms, arrive)
+			p.w.After(200*ms, arrive)
 		}
 	}
-	p.w.after(d, arrive)
+	p.w.After(d, arrive)
 }
 
 // link is one connection of a gateway and an agent. Frames of one direction
@@ -254,9 +223,9 @@
 	if l.closed || !l.alive() {
 		return
 	}
-	l.last[dir] = max(l.last[dir], w.now+w.delay(longFrame))
+	l.last[dir] = max(l.last[dir], w.Now+w.delay(longFrame))
 	l.queue[dir] = append(l.queue[dir], frame{l.last[dir], fn})
-	w.after(l.last[dir]-w.now, func() { l.pump(dir) })
+	w.After(l.last[dir]-w.Now, func() { l.pump(dir) })
 }
 
 func (l *link) pump(dir int) {
@@ -264,11 +233,11 @@
 	if dir == toGateway {
 		dst = &l.g.proc
 	}
-	for len(l.queue[dir]) > 0 && l.queue[dir][0].ready <= w.now && l.alive() {
-		if w.cut(l.g.name, l.a.name) || w.now < dst.pause {
+	for len(l.queue[dir]) > 0 && l.queue[dir][0].ready <= w.Now && l.alive() {
+		if w.cut(l.g.name, l.a.name) || w.Now < dst.pause {
 			if !l.retrying[dir] {
 				l.retrying[dir] = true
-				w.after(50*ms, func() { l.retrying[dir] = false; l.pump(dir) })
+				w.After(50*ms, func() { l.retrying[dir] = false; l.pump(dir) })
 			}
 			return
 		}
@@ -290,8 +259,8 @@
 			l.queue[dir][i].ready += stall
 		}
 	}
-	l.g.w.after(stall, func() { l.pump(toAgent) })
-	l.g.w.after(stall, func() { l.pump(toGateway) })
+	l.g.w.After(stall, func() { l.pump(toAgent) })
+	l.g.w.After(stall, func() { l.pump(toGateway) })
 }
 
 // Records of the log.
@@ -322,10 +291,10 @@
 // so each reply counts as lost.
 func (g *gateway) append(e entry) {
 	w := g.w
-	w.after(w.delay(longCall), func() {
-		late := e.before != 0 && w.now > e.before
+	w.After(w.delay(longCall), func() {
+		late := e.before != 0 && w.Now > e.before
 		if !w.logDown && !w.cut(g.name, "log") && !late {
-			e.at = epochStart.Add(w.now)
+			e.at = epochStart.Add(w.Now)
 			w.log = append(w.log, e)
 		}
 	})
--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -4,12 +4,12 @@
 package fleet
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/common/virtualtime"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
@@ -58,60 +58,30 @@
 	hop      = 1400 * time.Microsecond
 	callTime = 500 * time.Microsecond
 	// reportEvery, echoEvery and the ticks are those of the daemons.
-	reportEvery = 100 * time.Millisecond
-	echoEvery   = 150 * time.Millisecond
+	reportEvery = 150 * time.Millisecond
+	echoEvery   = 200 * time.Millisecond
 	tickEvery   = 20 * time.Millisecond
 	// timeSpread and estimateSpread are standard deviations of the logarithms of
 	// run times and of the errors of their estimates.
 	timeSpread     = 0.4
 	estimateSpread = 0.4
+	// beginning is the time of the clock at the start: some decisions take zero as
+	// never.
+	beginning = time.Minute
 	// settle is the time in which the links are set up before the first job.
 	settle = 500 * time.Millisecond
 )
 
 // Fleet is a running simulation.
 type Fleet struct {
+	virtualtime.Clock
 	opts     Options
 	rng      *rand.Rand
-	now      time.Duration
-	events   eventHeap
-	sequence uint64
 	gateways []*gateway
 	targets  []*target
 	result   Result
 }
 
-type event struct {
-	at       time.Duration
-	sequence uint64
-	run      func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].sequence < h[j].sequence
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
-// after runs an event later. The fleet is started long after the zero of its
-// clock, which some decisions take as never.
-func (f *Fleet) after(d time.Duration, run func()) {
-	f.sequence++
-	heap.Push(&f.events, event{f.now + d, f.sequence, run})
-}
-
 type gateway struct {
 	name  string
 	core  *dispatch.Core
@@ -144,20 +114,12 @@
 
 // Run plays a fleet.
 func Run(opts Options) Result {
-	f := &Fleet{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), now: time.Minute}
-	f.result.InTime = map[string]int{}
-	f.result.Offered = map[string]int{}
+	f := &Fleet{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), result: Result{Offered: map[string]int{}, InTime: map[string]int{}}}
+	f.Now = beginning
 	f.build()
-	start := f.now + settle
+	start := f.Now + settle
 	f.arrivals(start)
-	for f.events.Len() > 0 {
-		e := heap.Pop(&f.events).(event)
-		if e.at > start+opts.Length {
-			break
-		}
-		f.now = e.at
-		e.run()
-	}
+	f.RunUntil(start + opts.Length)
 	f.finish()
 	return f.result
 }
@@ -170,7 +132,7 @@
 		f.gateways = append(f.gateways, g)
 		byName[g.name] = g
 		names = append(names, g.name)
-		f.every(tickEvery, func() { f.atGateway(g, func(c *dispatch.Core) { c.Tick(f.now) }) })
+		f.every(tickEvery, func() { f.atGateway(g, func(c *dispatch.Core) { c.Tick(f.Now) }) })
 	}
 	for i := range f.opts.Targets {
 		t := &target{
@@ -180,29 +142,29 @@
 		f.targets = append(f.targets, t)
 		capacity := task.Resources{CPUMillis: t.kind.CPU, MemoryMB: 1 << 20}
 		life := runner.Target{ID: t.name, Born: 1, Service: service, Kind: t.kind.Name, Capacity: capacity}
-		t.core.Heartbeat(f.now, life)
-		t.core.Looked(f.now, runner.Look{Began: f.now, Born: 1})
+		t.core.Heartbeat(f.Now, life)
+		t.core.Looked(f.Now, runner.Look{Began: f.Now, Born: 1})
 		// Speeds have been learned, as in a fleet that has run for a while.
 		t.core.Adopt(runner.Record{Target: life, Learned: runner.Learned{Slowness: t.kind.Slowness, Samples: 20}})
 		set := subset.New(t.name, subset.Options{Links: f.opts.Links})
-		set.Know(f.now, names)
-		for _, name := range set.Plan(f.now).Dial {
+		set.Know(f.Now, names)
+		for _, name := range set.Plan(f.Now).Dial {
 			f.attach(t, byName[name], life)
 		}
-		f.every(tickEvery, func() { f.atTarget(t, func(c *runner.Core) { c.Tick(f.now) }) })
+		f.every(tickEvery, func() { f.atTarget(t, func(c *runner.Core) { c.Tick(f.Now) }) })
 	}
 }
 
 func (f *Fleet) attach(t *target, g *gateway, life runner.Target) {
-	l := &link{name: t.name + ">" + g.name, gateway: g, target: t, stamp: f.now}
+	l := &link{name: t.name + ">" + g.name, gateway: g, target: t, stamp: f.Now}
 	t.links = append(t.links, l)
 	g.links[l.name] = l
-	t.core.Echo(l.name, f.now)
-	g.core.AgentUp(f.now, dispatch.AgentInfo{Link: l.name, Name: t.name, Zone: "z"})
+	t.core.Echo(l.name, f.Now)
+	g.core.AgentUp(f.Now, dispatch.AgentInfo{Link: l.name, Name: t.name, Zone: "z"})
 	g.core.AgentTarget(l.name, dispatch.TargetInfo{Target: t.name, Service: service, Kind: life.Kind, Capacity: life.Capacity})
 	f.every(echoEvery, func() {
 		stamp := l.stamp
-		f.after(hop, func() { t.core.Echo(l.name, stamp) })
+		f.After(hop, func() { t.core.Echo(l.name, stamp) })
 	})
 	f.send(l)
 }
@@ -212,9 +174,9 @@
 	var again func()
 	again = func() {
 		run()
-		f.after(d, again)
+		f.After(d, again)
 	}
-	f.after(time.Duration(f.rng.Int64N(int64(d))), again)
+	f.After(time.Duration(f.rng.Int64N(int64(d))), again)
 }
 
 // atGateway applies a change to a gateway and sends what follows from it.
@@ -224,12 +186,12 @@
 	for _, s := range a.Stops {
 		l := g.links[s.Link]
 		f.result.Frames++
-		f.after(hop, func() {
+		f.After(hop, func() {
 			f.atTarget(l.target, func(c *runner.Core) {
 				if s.Attempt == 0 {
-					c.StopJobs(f.now, l.name, []string{s.Job})
+					c.StopJobs(f.Now, l.name, []string{s.Job})
 				} else {
-					c.StopAttempt(f.now, l.name, runner.Attempt{Task: s.Task, Number: s.Attempt})
+					c.StopAttempt(f.Now, l.name, runner.Attempt{Task: s.Task, Number: s.Attempt})
 				}
 			})
 		})
@@ -238,7 +200,7 @@
 		l := g.links[o.Link]
 		stamp := l.stamp
 		f.result.Frames++
-		f.after(hop, func() { f.order(l, stamp, o) })
+		f.After(hop, func() { f.order(l, stamp, o) })
 	}
 	for _, r := range a.Retries {
 		f.result.Retries++
@@ -258,7 +220,7 @@
 	}
 	f.atTarget(l.target, func(c *runner.Core) {
 		c.Echo(l.name, stamp)
-		c.Order(f.now, l.name, stamp, starts)
+		c.Order(f.Now, l.name, stamp, starts)
 	})
 	l.seen = max(l.seen, o.Number)
 	f.planLoad(l)
@@ -269,10 +231,10 @@
 	change(t.core)
 	a := t.core.Take()
 	for _, s := range a.Starts {
-		f.after(callTime, func() { f.start(t, s) })
+		f.After(callTime, func() { f.start(t, s) })
 	}
 	for _, at := range a.Stops {
-		f.after(callTime, func() { f.stop(t, at) })
+		f.After(callTime, func() { f.stop(t, at) })
 	}
 	for _, r := range a.Reports {
 		f.report(t, r)
@@ -287,16 +249,16 @@
 func (f *Fleet) start(t *target, s runner.Start) {
 	a := runner.Attempt{Task: s.Task, Number: s.Attempt}
 	t.running[a] = true
-	f.atTarget(t, func(c *runner.Core) { c.Started(f.now, a, runner.StartAccepted) })
+	f.atTarget(t, func(c *runner.Core) { c.Started(f.Now, a, runner.StartAccepted) })
 	run, err := time.ParseDuration(s.Spec)
 	if err != nil {
 		panic(err) // submit writes it
 	}
-	f.after(time.Duration(float64(run)*t.kind.Slowness), func() { f.end(t, a, task.Done) })
+	f.After(time.Duration(float64(run)*t.kind.Slowness), func() { f.end(t, a, task.Done) })
 }
 
 func (f *Fleet) stop(t *target, a runner.Attempt) {
-	f.atTarget(t, func(c *runner.Core) { c.StopAnswered(f.now, a, true) })
+	f.atTarget(t, func(c *runner.Core) { c.StopAnswered(f.Now, a, true) })
 	f.end(t, a, task.Stopped)
 }
 
@@ -309,9 +271,9 @@
 	for r := range t.running {
 		left = append(left, r)
 	}
-	f.after(callTime, func() {
+	f.After(callTime, func() {
 		f.atTarget(t, func(c *runner.Core) {
-			c.Looked(f.now, runner.Look{Began: f.now - 2*callTime, Born: 1, Running: left, Ended: []runner.End{{Attempt: a, Outcome: o}}})
+			c.Looked(f.Now, runner.Look{Began: f.Now - 2*callTime, Born: 1, Running: left, Ended: []runner.End{{Attempt: a, Outcome: o}}})
 		})
 	})
 }
@@ -336,7 +298,7 @@
 	l.due = true
 	l.next++
 	plan := l.next
-	f.after(max(0, f.opts.LoadGap-(f.now-l.sentAt)), func() {
+	f.After(max(0, f.opts.LoadGap-(f.Now-l.sentAt)), func() {
 		if l.next == plan {
 			f.send(l)
 		}
@@ -345,24 +307,24 @@
 
 // send sends a frame of an agent, and plans the next one.
 func (f *Fleet) send(l *link) {
-	l.due, l.sentAt = false, f.now
+	l.due, l.sentAt = false, f.Now
 	l.next++
 	plan := l.next
-	f.after(reportEvery, func() {
+	f.After(reportEvery, func() {
 		if l.next == plan {
 			f.send(l)
 		}
 	})
 	f.result.Frames++
-	reports, stamp, load := l.reports, f.now, l.target.core.Load(f.now)
+	reports, stamp, load := l.reports, f.Now, l.target.core.Load(f.Now)
 	l.reports = nil
 	m := &dispatch.Load{
 		Accepting: load.Accepting, Committed: load.Committed, Backlog: load.Backlog, Slowness: load.Slowness,
 		Anomaly: load.Anomaly, Samples: load.Samples, Failed: load.Failed, OrdersSeen: l.seen,
 	}
-	f.after(hop, func() {
+	f.After(hop, func() {
 		l.stamp = stamp
-		f.atGateway(l.gateway, func(c *dispatch.Core) { c.Report(f.now, l.name, m, reports) })
+		f.atGateway(l.gateway, func(c *dispatch.Core) { c.Report(f.Now, l.name, m, reports) })
 	})
 }
 
@@ -379,8 +341,8 @@
 		for at := f.rng.ExpFloat64() * gap; at < f.opts.Length.Seconds(); at += f.rng.ExpFloat64() * gap {
 			n++
 			id := fmt.Sprintf("%s-%d", k.Name, n)
-			wait := start - f.now + time.Duration(at*float64(time.Second))
-			f.after(wait, func() { f.submit(k, id) })
+			wait := start - f.Now + time.Duration(at*float64(time.Second))
+			f.After(wait, func() { f.submit(k, id) })
 		}
 	}
 }
@@ -394,7 +356,7 @@
 	run := time.Duration(float64(k.Run) * f.vary(timeSpread))
 	estimate := time.Duration(float64(run) * f.vary(estimateSpread))
 	tasks := max(1, int(math.Round(float64(k.Tasks)*f.vary(timeSpread))))
-	arrived := f.now
+	arrived := f.Now
 	objective := time.Duration(q.Stretch*float64(run)) + q.TargetLatency
 	f.result.Offered[k.Name]++
 	s := dispatch.Submission{
@@ -407,13 +369,13 @@
 		if a.State != dispatch.Completed {
 			return
 		}
-		took := f.now - arrived
+		took := f.Now - arrived
 		f.result.Stretches = append(f.result.Stretches, took.Seconds()/run.Seconds())
 		if took <= objective {
 			f.result.InTime[k.Name]++
 		}
 	}}
-	f.atGateway(g, func(c *dispatch.Core) { c.Submit(f.now, s, caller) })
+	f.atGateway(g, func(c *dispatch.Core) { c.Submit(f.Now, s, caller) })
 }
 
 // vary returns a factor of mean one.
