Look at a target once at a time unless a look had no answer

Change: the second look begins after one without an answer and goes on for 5 s, since the targets that lose answers do so for seconds. Test: TestSecondLookOnlyAfterSilence, fails on the code before; TestSingleUnansweredLooksAreNoOutage still holds.

--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -112,6 +112,10 @@
 // lookFailed counts the target as unreachable if no look has been answered for
 // a while. A single one may have lost its answer.
 func (r *Runner) lookFailed(err error) {
+	select {
+	case r.silent <- struct{}{}:
+	default:
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
--- a/restartable/runner/client.go
+++ b/restartable/runner/client.go
@@ -48,9 +48,11 @@
 	Lease time.Duration
 	// LeaseMax is the target's own bound of a lease, with the error of its clock.
 	LeaseMax time.Duration
-	// Lookers is the number of looks at a time, so that one without an answer
-	// holds nothing up.
-	Lookers int
+	// Lookers is the number of looks at a time for SilentFor after a look had no
+	// answer, so that the next one without an answer holds nothing up. Otherwise
+	// there is one: each look that waits is answered at each end.
+	Lookers   int
+	SilentFor time.Duration
 	// LookWait is the time between two renewals while nothing ends.
 	LookWait time.Duration
 	// CallTimeout bounds a start or a stop; a look has LookWait more.
@@ -69,7 +71,7 @@
 func DefaultDriveOptions() DriveOptions {
 	return DriveOptions{
 		Lease: 900 * time.Millisecond, LeaseMax: 1050 * time.Millisecond,
-		Lookers: 2, LookWait: 100 * time.Millisecond, CallTimeout: 60 * time.Millisecond,
+		Lookers: 2, SilentFor: 5 * time.Second, LookWait: 100 * time.Millisecond, CallTimeout: 60 * time.Millisecond,
 		SilentAfter: 350 * time.Millisecond,
 		RetryAfter:  20 * time.Millisecond, TickEvery: 25 * time.Millisecond,
 	}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -31,6 +31,8 @@
 	observer Observer
 	// announced wakes the look loop after a heartbeat.
 	announced chan struct{}
+	// silent wakes the lookers that only look after a look without an answer.
+	silent chan struct{}
 	// calls ends all calls to the target when Run ends.
 	calls context.Context
 	end   context.CancelFunc
@@ -57,7 +59,7 @@
 	return &Runner{
 		calls: calls, end: end,
 		opts: opts, client: client, now: now, log: log, observer: observer, core: core, token: token,
-		sinks: map[string]Sink{}, announced: make(chan struct{}, 1),
+		sinks: map[string]Sink{}, announced: make(chan struct{}, 1), silent: make(chan struct{}, 1),
 	}
 }
 
@@ -66,8 +68,9 @@
 func (r *Runner) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { r.tick(ctx) })
-	for range r.opts.Lookers {
-		wg.Go(func() { r.keepLooking(ctx) })
+	wg.Go(func() { r.keepLooking(ctx) })
+	for range r.opts.Lookers - 1 {
+		wg.Go(func() { r.lookAfterSilence(ctx) })
 	}
 	<-ctx.Done()
 	r.mu.Lock()
@@ -79,18 +82,37 @@
 
 func (r *Runner) keepLooking(ctx context.Context) {
 	for ctx.Err() == nil {
-		t, known := r.Target()
-		if !known {
-			r.awaitHeartbeat(ctx)
-			continue
+		r.lookOnce(ctx)
+	}
+}
+
+// lookAfterSilence looks beside the other lookers for SilentFor after a look had
+// no answer: the next one may have none either.
+func (r *Runner) lookAfterSilence(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.silent:
 		}
-		if err := r.look(ctx, t, r.wait()); err != nil {
-			r.lookFailed(err)
-			wait.For(ctx, r.opts.RetryAfter)
+		for until := r.now() + r.opts.SilentFor; ctx.Err() == nil && r.now() < until; {
+			r.lookOnce(ctx)
 		}
 	}
 }
 
+func (r *Runner) lookOnce(ctx context.Context) {
+	t, known := r.Target()
+	if !known {
+		r.awaitHeartbeat(ctx)
+		return
+	}
+	if err := r.look(ctx, t, r.wait()); err != nil {
+		r.lookFailed(err)
+		wait.For(ctx, r.opts.RetryAfter)
+	}
+}
+
 // wait returns how long the target may wait for an end. The first look of a
 // life does not wait.
 func (r *Runner) wait() time.Duration {
--- a/restartable/runner/runner_test.go
+++ b/restartable/runner/runner_test.go
@@ -22,8 +22,10 @@
 type fakeTarget struct {
 	mu    sync.Mutex
 	looks int
-	stops int
-	fails func(n int) bool
+	// looking is the number of looks at present, lookingMost the largest one.
+	looking, lookingMost int
+	stops                int
+	fails                func(n int) bool
 	// stranger is listed as running if it is set.
 	stranger *Attempt
 	began    time.Time
@@ -45,7 +47,14 @@
 	f.mu.Lock()
 	f.looks++
 	n := f.looks
+	f.looking++
+	f.lookingMost = max(f.lookingMost, f.looking)
 	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.looking--
+	}()
 	if f.fails(n) {
 		<-ctx.Done()
 		return LookReply{}, errors.New("no answer")
@@ -64,6 +73,13 @@
 	return f.looks
 }
 
+// most returns the largest number of looks at a time.
+func (f *fakeTarget) most() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lookingMost
+}
+
 // Guards against a target that counts as unreachable, which returns its whole
 // queue, for single looks without an answer: on ljuska-split scale-1 a fifteenth
 // of them had none, and three quarters of the jobs were late or refused.
@@ -91,6 +107,32 @@
 	}
 }
 
+// Guards against two looks at a time at a target that answers all of them, each
+// of which is answered at each end: they were most of what an agent and its target
+// had to do. After one without an answer there are two.
+func TestSecondLookOnlyAfterSilence(t *testing.T) {
+	f := &fakeTarget{began: time.Now(), fails: func(n int) bool { return n == 20 }}
+	r := New(NewCore(DefaultOptions()), f, 1, boottime.Now, zerolog.Nop(), ignoreAttempts{}, DefaultDriveOptions())
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { r.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	r.Heartbeat(smallTarget)
+	for f.count() < 20 {
+		time.Sleep(time.Millisecond)
+	}
+	if n := f.most(); n > 1 {
+		t.Fatalf("%d looks at a time before any had no answer", n)
+	}
+	// The limit only ends a failed test.
+	for end := time.Now().Add(20 * time.Second); f.most() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("one look at a time after one had no answer")
+		}
+	}
+}
+
 // Guards against calls that are repeated without an end after the runner has
 // ended.
 func TestNoCallOutlivesTheRunner(t *testing.T) {
