Take the age of the configuration from the clock of leases

Cause: queues_confirmed_seconds was reckoned with the time of day, which jumps by seconds on some machines (clock_step); the metric that operators read during an outage was then wrong by as much. It was the only use of the time of day on the restartable path besides the fencing token, which is raised when it is refused. Test: TestAgeFollowsTheGivenClock. Ruled out: the other uses of time.Now there; they are monotonic. Result: tests of configsync, daemon and the platform's path pass.

--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -59,7 +59,7 @@
 		opts.RemoteFactor = n.Bounds.RemoteFactor
 	}
 	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
-	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, log, configsync.DefaultOptions())
+	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, boottime.Now, log, configsync.DefaultOptions())
 	return g
 }
 
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
@@ -60,8 +61,9 @@
 	peers   Peers
 	current *queues.Current
 	log     zerolog.Logger
-	// confirmed is when the store or another gateway last answered, in Unix
-	// nanoseconds; 0 before the first answer.
+	now     boottime.Clock
+	// confirmed is when the store or another gateway last answered, in nanoseconds
+	// of now; 0 before the first answer.
 	confirmed atomic.Int64
 	// failing is set while the store does not answer; owned by the goroutine of
 	// Run.
@@ -69,8 +71,8 @@
 }
 
 // New returns a syncer that installs into current.
-func New(source Source, peers Peers, current *queues.Current, log zerolog.Logger, opts Options) *Syncer {
-	return &Syncer{opts: opts, source: source, peers: peers, current: current, log: log}
+func New(source Source, peers Peers, current *queues.Current, now boottime.Clock, log zerolog.Logger, opts Options) *Syncer {
+	return &Syncer{opts: opts, source: source, peers: peers, current: current, now: now, log: log}
 }
 
 // Age returns the time since the store or another gateway last answered about
@@ -80,7 +82,7 @@
 	if at == 0 {
 		return 0
 	}
-	return time.Since(time.Unix(0, at))
+	return s.now() - time.Duration(at)
 }
 
 // Run follows the store until ctx ends.
@@ -122,7 +124,7 @@
 }
 
 func (s *Syncer) storeAnswers() {
-	s.confirmed.Store(time.Now().UnixNano())
+	s.confirmed.Store(int64(s.now()))
 	if s.failing {
 		s.failing = false
 		events.StoreAnswers.Log(s.log).Send()
@@ -156,7 +158,7 @@
 			version = c.Version
 		}
 		if document := s.peers.Newer(ctx, version); document != nil {
-			s.confirmed.Store(time.Now().UnixNano())
+			s.confirmed.Store(int64(s.now()))
 			s.install(document, "gateway")
 		}
 		next.Reset(s.opts.PeersEvery)
--- a/restartable/configsync/configsync_test.go
+++ b/restartable/configsync/configsync_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 )
 
@@ -90,7 +91,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		New(s, p, current, zerolog.Nop(), opts).Run(ctx)
+		New(s, p, current, boottime.Now, zerolog.Nop(), opts).Run(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -148,3 +149,18 @@
 	s.set(func(f *fakeSource) { f.documents = append(f.documents, "2") })
 	await(t, c, 2)
 }
+
+// Guards against an age that shows an outage after a step of the time of day:
+// only the clock that was handed in counts.
+func TestAgeFollowsTheGivenClock(t *testing.T) {
+	now := time.Hour
+	s := New(&fakeSource{}, fakePeers{}, &queues.Current{}, func() time.Duration { return now }, zerolog.Nop(), DefaultOptions())
+	if age := s.Age(); age != 0 {
+		t.Fatalf("age %v before the first answer", age)
+	}
+	s.storeAnswers()
+	now += 3 * time.Second
+	if age := s.Age(); age != 3*time.Second {
+		t.Fatalf("age %v after 3 s", age)
+	}
+}
