Find the few gateways that are left sooner; split the links by role

Cause: with six links in place of the 12 of the first tests, an agent found only two of three gateways that were left of 55 within a second: each dial of a VM without power blocks a place for 150 ms. While nothing answers, the doubling wait let 15.3 dials a second through, more than the 15 of six gateways. Change: a dial without an answer after 75 ms no longer counts as a link, so that the next in rank is dialled; with more gateways down than links, the wait is at once the one for their number. The numbers of links and dials stand in subset.DefaultOptions, which link, fleet and their tests share. Ruled out: more links, which cost frames at all times for a rare case.

--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -21,7 +21,8 @@
 type Options struct {
 	Seed              uint64
 	Gateways, Targets int
-	// Links is the number of gateways that an agent links to.
+	// Links is the number of gateways that an agent links to, the daemons' one if
+	// it is 0.
 	Links int
 	// LoadGap is the least time between two frames that only carry a load.
 	LoadGap time.Duration
@@ -35,13 +36,27 @@
 	Length time.Duration
 }
 
+// Mixed returns a fleet of targets of two speeds with three kinds of jobs. Two of
+// three targets are fast, and they have just the room for the long jobs and most
+// of the others: places are scarce, though not all are taken.
+func Mixed(gateways, targets int) Options {
+	return Options{
+		Seed: 1, Gateways: gateways, Targets: targets, LoadGap: 50 * time.Millisecond, Load: 0.65, Length: 3 * time.Second,
+		Jobs: []JobKind{
+			{"short", 8, 60 * time.Millisecond, 7600}, {"long", 4, 900 * time.Millisecond, 7600}, {"pair", 2, 200 * time.Millisecond, 7600},
+		},
+		Kinds: []TargetKind{{"fast", 0.7, 32_000}, {"fast", 0.7, 32_000}, {"slow", 1.7, 48_000}},
+	}
+}
+
 // JobKind is one kind of jobs.
 type JobKind struct {
 	Name string
 	// Tasks and Run are means; both vary from job to job.
 	Tasks int
 	Run   time.Duration
-	CPU   int64
+	// CPU is what a task takes, in thousandths of a core.
+	CPU int64
 }
 
 // TargetKind is one kind of targets.
@@ -49,7 +64,8 @@
 	Name string
 	// Slowness is the ratio of run times to those on a target of reference speed.
 	Slowness float64
-	CPU      int64
+	// CPU is the capacity, in thousandths of a core.
+	CPU int64
 }
 
 const (
@@ -92,7 +108,7 @@
 	name string
 	kind TargetKind
 	core *runner.Core
-	// ends is the number of ended runs.
+	// running has the runs at work.
 	running map[runner.Attempt]bool
 	links   []*link
 }
@@ -125,6 +141,10 @@
 }
 
 func (f *Fleet) build() {
+	links := subset.DefaultOptions()
+	if f.opts.Links > 0 {
+		links.Links = f.opts.Links
+	}
 	byName := map[string]*gateway{}
 	var names []string
 	for i := range f.opts.Gateways {
@@ -146,7 +166,7 @@
 		t.core.Looked(f.Now, runner.Look{Began: f.Now, Born: 1})
 		// Speeds have been learned, as in a fleet that has run for a while.
 		t.core.Adopt(runner.Record{Target: life, Learned: runner.Learned{Slowness: t.kind.Slowness, Samples: 20}})
-		set := subset.New(t.name, subset.Options{Links: f.opts.Links})
+		set := subset.New(t.name, links)
 		set.Know(f.Now, names)
 		for _, name := range set.Plan(f.Now).Dial {
 			f.attach(t, byName[name], life)
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/subset"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -209,8 +210,8 @@
 	awaitWork(t, d, "after")
 }
 
-// gatewaysLinked are twice as many gateways as an agent keeps links to.
-const gatewaysLinked = 12
+// gatewaysKnown are twice as many gateways as an agent keeps links to.
+var gatewaysKnown = 2 * subset.DefaultOptions().Links
 
 // Guards against jobs that are cut when an agent moves its link to another
 // gateway, and against links to more gateways than it keeps: half of the gateways
@@ -218,13 +219,13 @@
 func TestMovedLinksCutNoJob(t *testing.T) {
 	var all []*dispatch.Dispatcher
 	var addresses []string
-	for range gatewaysLinked {
+	for range gatewaysKnown {
 		d, address := startGateway(t)
 		all, addresses = append(all, d), append(addresses, address)
 	}
-	known := startAgent(t, addresses[:gatewaysLinked/2]...)
+	known := startAgent(t, addresses[:gatewaysKnown/2]...)
 	var working sync.WaitGroup
-	for i, d := range all[:gatewaysLinked/2] {
+	for i, d := range all[:gatewaysKnown/2] {
 		working.Go(func() { awaitWork(t, d, fmt.Sprintf("first-%d", i)) })
 	}
 	working.Wait()
@@ -242,10 +243,10 @@
 			}
 		})
 	}
-	for _, a := range addresses[gatewaysLinked/2:] {
+	for _, a := range addresses[gatewaysKnown/2:] {
 		known.Add(a)
 	}
-	settled := awaitMove(all[:gatewaysLinked/2], all[gatewaysLinked/2:])
+	settled := awaitMove(all[:gatewaysKnown/2], all[gatewaysKnown/2:])
 	stop()
 	submitters.Wait()
 	if !settled {
--- a/restartable/link/wire.go
+++ b/restartable/link/wire.go
@@ -25,9 +25,6 @@
 	loadGap = 50 * time.Millisecond
 	// silence is the time without a frame after which a link is closed.
 	silence = 700 * time.Millisecond
-	// linksKept is the number of gateways that an agent links to. Each adds a
-	// decider that sees the agent's load late, and each lost one takes work along.
-	linksKept = 6
 	// frameBytes bounds a frame.
 	frameBytes = 4 << 20
 )
--- a/restartable/subset/subset.go
+++ b/restartable/subset/subset.go
@@ -23,11 +23,25 @@
 	// not answer, while no more than Links gateways do not. With more of them the
 	// wait grows in proportion, which bounds the rate of dials.
 	RetryMin, RetryMax time.Duration
+	// SlowAfter is the time without an answer to a dial after which the next gateway
+	// in rank is dialled as well.
+	SlowAfter time.Duration
 	// GoneAfter is the time without an answer after which a gateway may have been
 	// replaced; it is then dialled each RetryGone.
 	GoneAfter, RetryGone time.Duration
 }
 
+// DefaultOptions suit cells of up to hundreds of gateways.
+func DefaultOptions() Options {
+	return Options{
+		// Each link adds a gateway that sees the agent's load late. With six, half of
+		// an agent's gateways may go at once (docs/decisions/0004-large-fleets.md).
+		Links:    6,
+		RetryMin: 30 * time.Millisecond, RetryMax: 400 * time.Millisecond, SlowAfter: 75 * time.Millisecond,
+		GoneAfter: 20 * time.Second, RetryGone: 2 * time.Second,
+	}
+}
+
 // state is how far the link to a gateway has come.
 type state int
 
@@ -46,9 +60,9 @@
 	state   state
 	// failing is set from an end of the link until the next answer.
 	failing bool
-	// gap is the wait before the next dial, which is due at retryAt.
-	gap, retryAt time.Duration
-	answeredAt   time.Duration
+	// gap is the wait before the dial that is due at retryAt; it doubles.
+	gap, retryAt          time.Duration
+	dialledAt, answeredAt time.Duration
 }
 
 // Set is the set of gateways that an agent knows. It is not safe for concurrent
@@ -66,7 +80,7 @@
 type Plan struct {
 	// Dial are gateways to dial and Retire those whose link is to end.
 	Dial, Retire []string
-	// Next is when the next dial is due; 0 if none is.
+	// Next is when to ask for the next plan if nothing happens; 0 for never.
 	Next time.Duration
 }
 
@@ -83,7 +97,7 @@
 		return !known && g.state == idle
 	})
 	for a := range listed {
-		s.gateways = append(s.gateways, &gateway{address: a, rank: rank(s.agent, a), gap: s.opts.RetryMin, answeredAt: now})
+		s.gateways = append(s.gateways, &gateway{address: a, rank: rank(s.agent, a), gap: s.opts.RetryMin / 2, answeredAt: now})
 	}
 	slices.SortFunc(s.gateways, func(a, b *gateway) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.address, b.address))
@@ -119,7 +133,7 @@
 // Answered notes that a dialled gateway has answered.
 func (s *Set) Answered(now time.Duration, address string) {
 	if g := s.find(address); g != nil && g.state == dialling {
-		g.state, g.failing, g.gap, g.answeredAt = up, false, s.opts.RetryMin, now
+		g.state, g.failing, g.gap, g.answeredAt = up, false, s.opts.RetryMin/2, now
 	}
 }
 
@@ -134,8 +148,12 @@
 	}
 	g.failing = g.state != retiring
 	g.state = idle
+	most := s.retryMax()
+	g.gap = min(2*g.gap, most)
+	if most > s.opts.RetryMax {
+		g.gap = most
+	}
 	g.retryAt = now + g.gap
-	g.gap = min(2*g.gap, s.retryMax())
 	if now-g.answeredAt > s.opts.GoneAfter {
 		g.retryAt = now + max(g.gap, s.opts.RetryGone)
 	}
@@ -164,14 +182,20 @@
 		case g.state == up:
 			linked++
 		case g.state == idle && now >= g.retryAt:
-			g.state = dialling
+			g.state, g.dialledAt = dialling, now
 			p.Dial = append(p.Dial, g.address)
-		case g.state == idle && (p.Next == 0 || g.retryAt < p.Next):
-			p.Next = g.retryAt
+		case g.state == idle:
+			p.wakeAt(g.retryAt)
 		}
-		// One that does not answer is dialled on, and the next in rank takes its
-		// place meanwhile.
-		if !g.failing {
+		// One that does not answer, or not soon, is dialled on, and the next in rank
+		// takes its place meanwhile.
+		slowAt := g.dialledAt + s.opts.SlowAfter
+		switch {
+		case g.failing || g.state == dialling && now >= slowAt:
+		case g.state == dialling:
+			p.wakeAt(slowAt)
+			counted++
+		default:
 			counted++
 		}
 	}
@@ -181,6 +205,12 @@
 	return p
 }
 
+func (p *Plan) wakeAt(at time.Duration) {
+	if p.Next == 0 || at < p.Next {
+		p.Next = at
+	}
+}
+
 // retireOthers ends the links beyond the first Links that are up.
 func (s *Set) retireOthers() []string {
 	var out []string
--- a/restartable/subset/subset_test.go
+++ b/restartable/subset/subset_test.go
@@ -9,13 +9,13 @@
 
 const (
 	ms     = time.Millisecond
-	links  = 12
 	agents = 240
 )
 
-var options = Options{
-	Links: links, RetryMin: 30 * ms, RetryMax: 400 * ms, GoneAfter: 20 * time.Second, RetryGone: 2 * time.Second,
-}
+var (
+	options = DefaultOptions()
+	links   = options.Links
+)
 
 // fleet plays agents against gateways that answer or do not. An answer takes
 // one step, a dial without one as long as dialTime.
