End a retired link only after the report of a late refusal

Cause, found by reading the diff: a gateway may return the stamp of the frame that tells it that nothing is accepted before it has taken the frame in, and send one more order. The agent refuses it, but the time at which the link was seen without runs is older, so that the link could end before the refusal was sent: the gateway counted the task as lost and answered 502 for a job that had not run. Change: each report that is queued sets that time anew. Ruled out: a second run or a false refusal, which the order of frames excludes. Also: plainer words for the rounds of introductions.

--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -32,7 +32,7 @@
 	introduceMin    = 4
 	// configurationsAsked is the number of other gateways that are asked for a newer
 	// configuration at a time. With half of them turned away by the store as well,
-	// 1 in 64 questions finds none, and the next one follows at once.
+	// 1 in 64 questions finds none, and the next one follows within a second.
 	configurationsAsked = 6
 	// registerRetry is the pause after a failed write of the gateway's record.
 	registerRetry = time.Second
@@ -91,9 +91,8 @@
 }
 
 // Newer implements configsync.Peers. It asks some of the other gateways, drawn
-// anew each time, so that an outage of the store costs a call to each of them from
-// few others. A gateway that does not answer is passed
-// over here and logged by the introductions, which call it each 2 s.
+// anew each time: in an outage of the store all gateways ask at once. One that does
+// not answer is passed over here and logged by the introductions.
 func (p *gatewayPeers) Newer(ctx context.Context, version uint64) []byte {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -130,9 +129,9 @@
 func (p *gatewayPeers) introduce(ctx context.Context) {
 	gap := introduceRetry
 	for ctx.Err() == nil {
-		answered, again := p.introduceOnce(ctx)
+		answered, more := p.introduceOnce(ctx)
 		switch {
-		case again:
+		case more:
 			gap = introduceRetry
 		case answered:
 			gap = introduceEvery
@@ -154,9 +153,9 @@
 }
 
 // nextRound returns the gateways to call in the next round: those that have not
-// been called for the longest time. Unheard tells whether there are others that
+// been called for the longest time. More tells whether there are others that
 // have never been called.
-func (p *gatewayPeers) nextRound() (called []string, unheard bool) {
+func (p *gatewayPeers) nextRound() (addresses []string, more bool) {
 	others := p.others()
 	kept := make(map[string]lastIntroduction, len(others))
 	for _, a := range others {
@@ -173,11 +172,11 @@
 
 // introduceOnce calls the gateways of one round. It returns whether any has
 // answered, and whether others have not been called yet.
-func (p *gatewayPeers) introduceOnce(ctx context.Context) (answered, unheard bool) {
+func (p *gatewayPeers) introduceOnce(ctx context.Context) (answered, more bool) {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	defer p.client.CloseIdleConnections()
-	addresses, unheard := p.nextRound()
+	addresses, more := p.nextRound()
 	outcomes := make(chan introduction, len(addresses))
 	for _, o := range p.clients(addresses) {
 		go func() {
@@ -199,7 +198,7 @@
 			answered = true
 		}
 	}
-	return answered, unheard
+	return answered, more
 }
 
 // note takes in the outcome of an introduction and logs a gateway that is lost
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -47,6 +47,7 @@
 		Job: r.Task.Job, Occurrence: uint32(r.Task.Occurrence), Step: uint32(r.Task.Step), Index: uint32(r.Task.Index),
 		Attempt: uint32(r.Attempt), Outcome: outcomes[r.Outcome], Reason: string(r.Reason), RunMs: millis(r.RunTime),
 	})
+	l.retirement.reported()
 	l.mu.Unlock()
 	if r.Outcome != task.Started {
 		signal(l.events)
--- a/restartable/link/retirement.go
+++ b/restartable/link/retirement.go
@@ -17,8 +17,9 @@
 	begun bool
 	// told is the stamp of the first frame that told the gateway.
 	told time.Duration
-	// emptyAt is when the link was first seen to have no runs after the gateway
-	// had returned told; reports of earlier ends are in frames with stamps up to it.
+	// emptyAt is when the link was seen to have no runs after the gateway had
+	// returned told, 0 if an end was reported since; the reports of earlier ends are
+	// in frames with stamps up to it.
 	emptyAt time.Duration
 }
 
@@ -31,6 +32,11 @@
 	return r.begun
 }
 
+// reported notes that the report of an end waits to be sent: an order may have
+// been refused that the gateway decided on before it took in that nothing is
+// accepted.
+func (r *retirement) reported() { r.emptyAt = 0 }
+
 // complete takes in the newest stamp that the gateway has returned, and whether
 // the link has no runs at a time. It returns whether the link may end: the
 // gateway has sent no more orders since it was told, and has received the ends of
