One rendezvous hash for owners of partitions and links of agents

restartable/subset hashed by FNV with a mixing step of its own, since the high bits of FNV hardly depend on the last bytes; ownership used xxhash. Gateways.Knows had no caller left.

--- a/ownership/rendezvous.go
+++ b/ownership/rendezvous.go
@@ -4,14 +4,13 @@
 	"encoding/binary"
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/rendezvous"
 )
 
 // Order returns the gateways in the order in which they should own the
-// partition (highest random weight; Thaler and Ravishankar 1998). The weight
-// depends on the id only, so a restarted gateway gets its partitions back.
+// partition. Their weights depend on the id only, so a restarted gateway gets its
+// partitions back.
 func Order(p model.Partition, gateways []GatewayRef) []GatewayRef {
 	type weighted struct {
 		g GatewayRef
@@ -48,11 +47,7 @@
 }
 
 func weight(p model.Partition, id string) uint64 {
-	var b [4]byte
-	binary.LittleEndian.PutUint32(b[:], uint32(p))
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.Write(b[:])
-	_, _ = d.WriteString(id)
-	return d.Sum64()
+	var key [4]byte
+	binary.LittleEndian.PutUint32(key[:], uint32(p))
+	return rendezvous.Weight(key[:], id)
 }
--- a/restartable/link/gateways.go
+++ b/restartable/link/gateways.go
@@ -158,14 +158,6 @@
 	return addresses(g.known)
 }
 
-// Knows tells whether an address is in the set.
-func (g *Gateways) Knows(address string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.forget()
-	return g.find(address) != nil
-}
-
 // Reachable returns the addresses that others are told of.
 func (g *Gateways) Reachable() []string {
 	_, all := g.Since(0)
--- a/restartable/subset/subset.go
+++ b/restartable/subset/subset.go
@@ -9,9 +9,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/rendezvous"
 )
 
 // Options are the size of a subset and the times between dials.
@@ -105,21 +106,7 @@
 }
 
 // rank orders the gateways of an agent.
-func rank(agent, address string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(agent + "\x00" + address)) // never fails
-	return mix(h.Sum64())
-}
-
-// mix spreads a hash over all bits: the high bits of FNV hardly depend on the
-// last bytes, in which addresses differ.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+func rank(agent, address string) uint64 { return rendezvous.Weight(agent+"\x00", address) }
 
 func (s *Set) find(address string) *gateway {
 	for _, g := range s.gateways {
