Keep what is known of a target's speed when it comes back as another kind

Ruled out: a real change of speed, the ratio of run times to estimates of each VM is the same before and after.

Change: a record counts for a target of the same size; for another kind it counts for 8 runs, so that a few runs outweigh it if the label did mean another speed.

--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -78,8 +78,10 @@
 	}
 	if c.known && !t.sameLife(c.target) {
 		c.endLife(now)
-		if !t.sameHardware(c.target) {
+		learned := c.Learned(now).forTarget(c.target, t)
+		if learned.Samples < c.stats.samples {
 			c.stats = newStatistics(c.opts.SlownessMax)
+			c.stats.adopt(learned)
 		}
 	}
 	if !c.known {
@@ -89,11 +91,11 @@
 	c.pump(now)
 }
 
-// Adopt takes in the speed that an earlier process of this agent has learned,
-// if the target still has the hardware of the one that it knew.
+// Adopt takes in the speed that an earlier process of this agent has learned of
+// a target of this VM.
 func (c *Core) Adopt(kept Record) {
-	if c.known && c.target.sameHardware(kept.Target) {
-		c.stats.adopt(kept.Learned)
+	if c.known {
+		c.stats.adopt(kept.Learned.forTarget(kept.Target, c.target))
 	}
 }
 
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -51,8 +51,9 @@
 		t.Draining == o.Draining && slices.Equal(t.Labels, o.Labels)
 }
 
-// sameHardware tells whether two targets may be expected to be as fast.
-func (t Target) sameHardware(o Target) bool { return t.Kind == o.Kind && t.Capacity == o.Capacity }
+// sameSize tells whether two targets of one VM may be expected to be about as
+// fast, whatever kind they say they are of.
+func (t Target) sameSize(o Target) bool { return t.Capacity == o.Capacity }
 
 func (t Target) sameLife(o Target) bool { return t.ID == o.ID && t.Born == o.Born }
 
--- a/restartable/runner/record.go
+++ b/restartable/runner/record.go
@@ -20,17 +20,28 @@
 	// learnedSamples is the least number of runs after which a speed is worth
 	// keeping, and the most that a kept one counts: a target may have changed.
 	learnedSamples = 20
+	// relabelledSamples is the most that it counts for a target of another kind:
+	// the VM is the same, but a kind may stand for its speed.
+	relabelledSamples = 8
 	// learnedRatio is how far a speed has to be from the kept one to replace it.
 	learnedRatio = 1.25
 )
 
+// forTarget returns what is to be expected of a target of the same VM.
+func (l Learned) forTarget(learnedOf, t Target) Learned {
+	switch {
+	case !t.sameSize(learnedOf):
+		return Learned{}
+	case t.Kind != learnedOf.Kind:
+		l.Samples = min(l.Samples, relabelledSamples)
+	}
+	return l
+}
+
 // Update returns the record of a target with a speed. A kept speed stays until
-// one is learned that differs clearly, or until a target of other hardware comes.
+// one is learned that differs clearly, or until a target of another size comes.
 func (r Record) Update(t Target, l Learned) Record {
-	kept := r.Learned
-	if !t.sameHardware(r.Target) {
-		kept = Learned{}
-	}
+	kept := r.Learned.forTarget(r.Target, t)
 	if l.Samples >= learnedSamples && (kept.Samples == 0 || math.Abs(math.Log(l.Slowness/kept.Slowness)) > math.Log(learnedRatio)) {
 		kept = l
 	}
