Count unserved jobs by what bound them, from the logs of gateways

rhubarbsail unserved-logs sorts the answers other than completed by event 6008: refused for lack of room or of time, expected too long from the start, ran longer than expected or over twice as long, no target, lost agents. The reading of log files is shared with explain-logs.

--- a/command/app.go
+++ b/command/app.go
@@ -110,6 +110,7 @@
 	add(p, "status", "Show the deployment, or one job", statusExamples, &statusCommand{app: a})
 	add(p, "explain", "Show what was decided about a job, and why", explainExamples, &explainCommand{app: a})
 	add(p, "explain-logs", "Show what the logs of all processes say of one restartable job", explainLogsExamples, &explainLogsCommand{app: a})
+	add(p, "unserved-logs", "Count the restartable jobs that gateways did not complete, by what bound them", unservedLogsExamples, &unservedLogsCommand{app: a})
 	a.addParts(p)
 	add(p, "drain", "Stop or resume new work for a target", drainExamples, &drainCommand{app: a})
 	add(p, "local", "Run a whole deployment in this process and submit a job to it", localExamples, &localCommand{app: a})
--- a/command/explainlogs.go
+++ b/command/explainlogs.go
@@ -1,16 +1,11 @@
 package command
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 	"slices"
 	"strings"
-
-	"github.com/go-faster/errors"
 )
 
 const explainLogsExamples = `  rhubarbsail explain-logs 764cd956621a1590 gateway-1.log agent-*.log
@@ -31,24 +26,13 @@
 		return exitf(ExitInvalid, "the id of the job is empty")
 	}
 	var found []logLine
-	for _, name := range c.Args.Files {
-		f, err := os.Open(name)
-		if err != nil {
-			return errors.Wrap(err, "open a log")
-		}
-		lines, err := linesOfJob(f, c.Args.Job)
-		_ = f.Close()
-		if err != nil {
-			return errors.Wrapf(err, "read %s", name)
-		}
-		found = append(found, lines...)
-	}
-	if len(c.Args.Files) == 0 {
-		lines, err := linesOfJob(c.app.Stdin, c.Args.Job)
-		if err != nil {
-			return errors.Wrap(err, "read the logs")
+	err := c.app.eachLogLine(c.Args.Files, func(line []byte) {
+		if l, ok := lineOfJob(line, c.Args.Job); ok {
+			found = append(found, l)
 		}
-		found = lines
+	})
+	if err != nil {
+		return err
 	}
 	if len(found) == 0 {
 		return exitf(ExitNotFound, "no log line names the job %s", c.Args.Job)
@@ -72,29 +56,14 @@
 	detail string
 }
 
-// logLineMax is the longest line that is read.
-const logLineMax = 1 << 20
-
-// linesOfJob returns the lines that name the job. Text before the first brace
-// of a line is passed over, since log collectors put their own fields there.
-func linesOfJob(r io.Reader, job string) ([]logLine, error) {
-	var out []logLine
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, logLineMax)
-	for s.Scan() {
-		at := bytes.IndexByte(s.Bytes(), '{')
-		if at < 0 || !bytes.Contains(s.Bytes(), []byte(job)) {
-			continue
-		}
-		var l logLine
-		content := s.Bytes()[at:]
-		if json.Unmarshal(content, &l) != nil || l.Job != job {
-			continue
-		}
-		l.detail = details(content)
-		out = append(out, l)
+// lineOfJob decodes a line if it is one of the job.
+func lineOfJob(line []byte, job string) (logLine, bool) {
+	var l logLine
+	if !bytes.Contains(line, []byte(job)) || json.Unmarshal(line, &l) != nil || l.Job != job {
+		return logLine{}, false
 	}
-	return out, s.Err()
+	l.detail = details(line)
+	return l, true
 }
 
 // commonFields are those that each line has, or that have a column.
