Believe the label of a kind only as far as its targets are alike

Cause: the slowness of a target was mixed with the mean of its kind, which counted for 60 runs of its own. Ruled out: a change of the speeds themselves, the ratios of each VM stayed.

Change: the runs that a kind counts for are the variance of a run over that of the kind's targets, 60 at most. The speeds have a file of their own, speed.go.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -54,7 +54,7 @@
 	byLink map[string]*agent
 	jobs   map[string]*job
 	// kinds has the speeds of kinds as of kindsAt.
-	kinds   map[kindKey]kindSpeed
+	kinds   map[kindKey]speeds
 	kindsAt time.Duration
 	// estimators are those of the queues by name.
 	estimators map[string]*estimator
@@ -132,15 +132,6 @@
 	c.proceed(now, j)
 }
 
-func (c *Core) estimator(queue string) *estimator {
-	e := c.estimators[queue]
-	if e == nil {
-		e = &estimator{}
-		c.estimators[queue] = e
-	}
-	return e
-}
-
 // Leave notes that a caller has gone. With the last one the job is given up:
 // its callers may submit it to another gateway.
 func (c *Core) Leave(now time.Duration, id string, caller *Caller) {
@@ -199,8 +190,7 @@
 		a.probesDone++
 		j.left[e.Task.Step]--
 		st := &j.Steps[e.Task.Step]
-		run := time.Duration(float64(e.RunTime) / c.slowness(now, a))
-		c.estimator(j.Queue.Name).observe(st.Estimate, run, 1/float64(st.Tasks))
+		c.learn(j.Queue.Name, st.Estimate, e.RunTime, a, now, 1/float64(st.Tasks))
 	case task.Failed:
 		t.failed++
 		t.failedOn = a.Name
