Expect run times as on a typical target of the service

Cause: runs show only the product of a job's length and a target's slowness.

Change: a gateway learns lengths for the typical target of the service, the weighted geometric mean of their slownesses.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -53,9 +53,11 @@
 	agents []*agent
 	byLink map[string]*agent
 	jobs   map[string]*job
-	// kinds has the speeds of kinds as of kindsAt.
-	kinds   map[kindKey]speeds
-	kindsAt time.Duration
+	// kinds and services have the speeds of kinds and of all targets of a service,
+	// as of kindsAt.
+	kinds    map[kindKey]speeds
+	services map[string]speeds
+	kindsAt  time.Duration
 	// estimators are those of the queues by name.
 	estimators map[string]*estimator
 	// tickedAt is the time of the last tick; jobs are taken again from settledAt
--- a/restartable/dispatch/speed.go
+++ b/restartable/dispatch/speed.go
@@ -34,15 +34,26 @@
 	if c.kinds != nil && now-c.kindsAt < kindsEvery {
 		return
 	}
-	c.kinds, c.kindsAt = map[kindKey]speeds{}, now
+	c.kinds, c.services, c.kindsAt = map[kindKey]speeds{}, map[string]speeds{}, now
 	for _, a := range c.agents {
 		key := kindKey{a.target.Service, a.target.Kind}
 		w := a.kindWeight()
 		a.ofKind = speeds{}.plus(a.logSlowness(), w)
 		c.kinds[key] = c.kinds[key].plus(a.logSlowness(), w)
+		c.services[key.service] = c.services[key.service].plus(a.logSlowness(), w)
 	}
 }
 
+// typical returns the slowness of a typical target of a service. Run times are
+// expected for a target of slowness one, and runs show only the product of both:
+// that the typical target is the one of slowness one holds by what is learned.
+func (c *Core) typical(service string) float64 {
+	if s := c.services[service]; s.weight > 0 {
+		return math.Exp(s.mean())
+	}
+	return 1
+}
+
 // slowness returns the ratio of measured to expected run times that is to be
 // expected of the agent's target. What its own runs show is mixed with what
 // those of other targets of its kind show.
@@ -87,8 +98,8 @@
 	return e
 }
 
-// learn takes in the time of a run that was done.
+// learn takes in the time of a run that was done, as that of a typical target.
 func (c *Core) learn(queue string, estimate, run time.Duration, a *agent, now time.Duration, weight float64) {
-	slowness := c.slowness(now, a)
+	slowness := c.slowness(now, a) / c.typical(a.target.Service)
 	c.estimator(queue).observe(estimate, time.Duration(float64(run)/slowness), weight)
 }
--- a/restartable/dispatch/speed_test.go
+++ b/restartable/dispatch/speed_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
 // Return after a loss of power: targets of two speeds come back under labels that
@@ -46,3 +49,45 @@
 		t.Errorf("a new target is expected to be %.2f times as slow as usual, those of its kind are 1.95 times", got)
 	}
 }
+
+// Runs show only the product of a job's length and a target's slowness. Guards
+// against expected run times that drift away from those on a typical target: the
+// objectives of all jobs were then too tight by a fifth.
+func TestExpectedTimesAreThoseOfATypicalTarget(t *testing.T) {
+	const (
+		jobs   = 3000
+		weight = 0.02
+		work   = 100 * time.Millisecond
+	)
+	speeds := []float64{0.7, 0.7, 1.7}
+	// The agents have learned them from run times that were expected too short.
+	learned := []float64{0.85, 0.85, 2.06}
+	r := newRig(t)
+	load := func(i int) {
+		r.report(fmt.Sprintf("t%d", i), func(l *Load) { l.Slowness, l.Samples = learned[i], 100 })
+	}
+	for i := range speeds {
+		name := fmt.Sprintf("t%d", i)
+		r.agent(name, 32_000)
+		r.core.AgentTarget(name, TargetInfo{Target: name, Service: "s", Kind: name, Capacity: task.Resources{CPUMillis: 32_000, MemoryMB: 60_000}})
+		load(i)
+	}
+	// The targets of another service have no part in it.
+	r.agent("other", 32_000)
+	r.core.AgentTarget("other", TargetInfo{Target: "other", Service: "o", Capacity: task.Resources{CPUMillis: 32_000, MemoryMB: 60_000}})
+	r.report("other", func(l *Load) { l.Slowness = 5 })
+	for n := range jobs {
+		i := n % len(speeds)
+		r.after(10 * ms)
+		expected := r.core.estimator("q").predict(work)
+		run := time.Duration(float64(work) * speeds[i])
+		r.core.learn("q", work, run, r.core.byLink[fmt.Sprintf("t%d", i)], r.now, 1)
+		learned[i] *= math.Exp(weight * (math.Log(float64(run)/float64(expected)) - math.Log(learned[i])))
+		load(i)
+	}
+	typical := math.Pow(0.7*0.7*1.7, 1.0/3)
+	got := r.core.estimator("q").predict(work).Seconds() / work.Seconds()
+	if math.Abs(got/typical-1) > 0.05 {
+		t.Errorf("a run that takes %.2f times the estimate on a typical target is expected to take %.2f times", typical, got)
+	}
+}
