Refuse no job for lack of targets until the agents have dialled

Change: for 300 ms after its start a gateway keeps jobs of which nothing has run in place of refusing them; each tick looks for places anew. Later a gateway without agents refuses at once as before.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -29,6 +29,9 @@
 	// as having been suspended, SettleAfter how long it then takes no job: requests
 	// that had waited in its connections may have been sent again elsewhere.
 	SuspendedAfter, SettleAfter time.Duration
+	// AttachWithin is how long after its start a gateway keeps jobs for which it
+	// knows no target with room: most agents dial it within this time.
+	AttachWithin time.Duration
 	// RetryAfter is what a refused caller is told to wait at least.
 	RetryAfter time.Duration
 	// UnsupportedRetry is what the caller of a job that this release does not run
@@ -42,7 +45,7 @@
 		Zone: zone, NearHop: 300 * time.Microsecond, FarHop: 1500 * time.Microsecond,
 		ReturnTrip: 10 * time.Millisecond, SuspectAfter: 350 * time.Millisecond,
 		SuspendedAfter: 400 * time.Millisecond, SettleAfter: 250 * time.Millisecond,
-		ProbeEvery: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second, UnsupportedRetry: time.Minute,
+		AttachWithin: 300 * time.Millisecond, ProbeEvery: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second, UnsupportedRetry: time.Minute,
 	}
 }
 
@@ -60,6 +63,8 @@
 	kindsAt  time.Duration
 	// estimators are those of the queues by name.
 	estimators map[string]*estimator
+	// startedAt is when this process began to take jobs.
+	startedAt time.Duration
 	// tickedAt is the time of the last tick; jobs are taken again from settledAt
 	// on.
 	tickedAt, settledAt time.Duration
@@ -226,6 +231,12 @@
 	}
 }
 
+// Start notes when this process begins to take jobs.
+func (c *Core) Start(now time.Duration) { c.startedAt = now }
+
+// awaitsAgents tells whether more agents are to be expected than have dialled.
+func (c *Core) awaitsAgents(now time.Duration) bool { return now-c.startedAt < c.opts.AttachWithin }
+
 // Tick gives up what is past its deadline, and recalls runs that hang.
 func (c *Core) Tick(now time.Duration) {
 	c.checkSuspension(now)
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -36,6 +36,7 @@
 
 // New returns a dispatcher without agents.
 func New(core *Core, now boottime.Clock, log zerolog.Logger, observer Observer) *Dispatcher {
+	core.Start(now())
 	return &Dispatcher{now: now, log: log, observer: observer, core: core, links: map[string]Link{}}
 }
 
--- a/restartable/dispatch/load_test.go
+++ b/restartable/dispatch/load_test.go
@@ -211,6 +211,38 @@
 	}
 }
 
+// Return after a loss of power: jobs reach a gateway before the first agents have
+// dialled it. Guards against a refusal of jobs that have a target 100 ms later;
+// without any agent they are refused all the same, long before their deadline.
+func TestJobsWaitForTheFirstAgentsAfterAStart(t *testing.T) {
+	for _, attached := range []bool{true, false} {
+		r := newRig(t)
+		r.core.Start(r.now)
+		r.submit(jobOf("j", 2, 200*ms))
+		if len(r.answers) != 0 {
+			t.Fatalf("answers %v before agents can have dialled", r.answers)
+		}
+		for range 10 {
+			r.after(10 * ms)
+			r.core.Tick(r.now)
+		}
+		if attached {
+			r.agent("a", 32_000)
+		}
+		for range 45 {
+			r.after(10 * ms)
+			r.core.Tick(r.now)
+		}
+		r.collect()
+		if attached && len(r.orders) != 1 {
+			t.Errorf("orders %+v after an agent has attached", r.orders)
+		}
+		if !attached {
+			r.wantAnswer("j", NotRun, CauseNoTarget)
+		}
+	}
+}
+
 // All targets look slow, as when a kind of task has changed: they are not all
 // avoided.
 func TestAvoidsAtMostHalf(t *testing.T) {
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -45,6 +45,9 @@
 	p := c.newPlan(now, j, step)
 	choices := p.placeAll(tasks)
 	if cause, last := c.refusal(now, j, step, tasks, choices); cause != CauseNone {
+		if c.awaitsAgents(now) && !j.begun {
+			return true
+		}
 		j.basis = c.basis(now, j, step, last)
 		c.withdraw(now, j, cause)
 		return false
