--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -46,6 +46,7 @@
 	choices := p.placeAll(tasks)
 	if cause, last := c.refusal(now, j, step, tasks, choices); cause != CauseNone {
 		if c.awaitsAgents(now) && !j.begun {
+			// The next tick looks for places anew.
 			return true
 		}
 		j.basis = c.basis(now, j, step, last)
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -78,6 +78,8 @@
 	}
 	if c.known && !t.sameLife(c.target) {
 		c.endLife(now)
+		// Statistics of a target of another size or kind begin anew, with what may be
+		// expected to hold on.
 		learned := c.Learned(now).forTarget(c.target, t)
 		if learned.Samples < c.stats.samples {
 			c.stats = newStatistics(c.opts.SlownessMax)
--- a/restartable/runner/record.go
+++ b/restartable/runner/record.go
@@ -27,7 +27,7 @@
 	learnedRatio = 1.25
 )
 
-// forTarget returns what is to be expected of a target of the same VM.
+// forTarget returns what of it is to be expected of a target t of the same VM.
 func (l Learned) forTarget(learnedOf, t Target) Learned {
 	switch {
 	case !t.sameSize(learnedOf):
