Confirm a kept speed of a relabelled target once its own runs are enough

Cause, found by reading: after a change of the label the record counted for 8 runs, and since the speed did not differ from the kept one it stayed at 8 however many runs confirmed it; the next restart knew less than it could. The test wants the record to count fully after 90 runs.

--- a/restartable/runner/record.go
+++ b/restartable/runner/record.go
@@ -38,11 +38,11 @@
 	return l
 }
 
-// Update returns the record of a target with a speed. A kept speed stays until
+// Update returns the record of a target with a speed. A well-known speed stays until
 // one is learned that differs clearly, or until a target of another size comes.
 func (r Record) Update(t Target, l Learned) Record {
 	kept := r.Learned.forTarget(r.Target, t)
-	if l.Samples >= learnedSamples && (kept.Samples == 0 || math.Abs(math.Log(l.Slowness/kept.Slowness)) > math.Log(learnedRatio)) {
+	if l.Samples >= learnedSamples && (kept.Samples < learnedSamples || math.Abs(math.Log(l.Slowness/kept.Slowness)) > math.Log(learnedRatio)) {
 		kept = l
 	}
 	return Record{Target: t, Learned: kept}
--- a/restartable/runner/record_test.go
+++ b/restartable/runner/record_test.go
@@ -80,6 +80,7 @@
 	}{
 		{target, usual, usual}, {target, near, usual}, {target, far, far}, {target, few, far},
 		{Target{ID: "i-2", Kind: "b"}, few, Learned{1.6, relabelledSamples}},
+		{Target{ID: "i-2", Kind: "b"}, Learned{1.5, 90}, Learned{1.5, 90}},
 		{Target{ID: "i-3", Kind: "b", Capacity: task.Resources{CPUMillis: 1}}, few, Learned{}},
 	} {
 		kept = kept.Update(c.target, c.learned)
