Ask peers again soon after records were lost to retention

Cause: a gateway that finds records missing, and no peer ahead of it just then, waited for a whole long poll (10 s) before it asked again, or for 5 s since the last question.

Change: after a gap reads do not wait for records, and peers are asked at the pauses of the backoff. The new test has a peer that can help a second after the gap; before, the state was not there six seconds later.

--- a/control/tail.go
+++ b/control/tail.go
@@ -17,7 +17,8 @@
 	// failed.
 	readMargin = 5 * time.Second
 	// peerTimeout bounds one request to the peers, peerInterval is the time
-	// between requests while the log is down and the state is usable.
+	// between requests while the log is down and the state is usable. After a gap
+	// they follow each other at the pauses of the backoff.
 	peerTimeout  = 3 * time.Second
 	peerInterval = 5 * time.Second
 )
@@ -47,12 +48,16 @@
 	status        Status
 }
 
+// gap tells whether records between the state and the position are missing.
+func (t *tail) gap() bool { return t.next > t.machine.Applied()+1 }
+
 // step reads once and applies what it got. An error asks for a pause.
 func (l *Loop) step(ctx context.Context) error {
 	t := &l.tail
 	wait := l.opts.PollWait
-	if !t.ready || t.down {
-		// Without records to wait for, the end of the log is reached at once.
+	if !t.ready || t.down || t.gap() {
+		// Without records to wait for, the end of the log is reached at once. After a
+		// gap no record helps but a snapshot, and a peer may be asked again.
 		wait = 0
 	}
 	readCtx, cancel := context.WithTimeout(ctx, wait+readMargin)
@@ -145,14 +150,14 @@
 	t := &l.tail
 	defer l.publishStatus()
 	atEnd := t.next >= page.Next
-	switch gap := t.next > t.machine.Applied()+1; {
+	switch {
 	case page.Next < t.next:
 		if !t.behind {
 			l.opts.Report(Event{Kind: EventLogBehind, Offset: page.Next, Err: errLogBehind})
 		}
 		t.behind = true
 		return errLogBehind
-	case gap && atEnd:
+	case t.gap() && atEnd:
 		if !t.stuck {
 			l.opts.Report(Event{Kind: EventGap, Offset: t.next, Err: errNoSnapshot})
 		}
@@ -176,7 +181,7 @@
 func (l *Loop) askPeers(ctx context.Context) bool {
 	t := &l.tail
 	now := l.opts.Now()
-	if l.opts.PeerState == nil || t.ready && now.Sub(t.lastPeer) < peerInterval {
+	if l.opts.PeerState == nil || t.ready && !t.stuck && now.Sub(t.lastPeer) < peerInterval {
 		return false
 	}
 	t.lastPeer = now
--- a/control/tail_test.go
+++ b/control/tail_test.go
@@ -118,6 +118,42 @@
 	}
 }
 
+// Guards against a gateway that has lost records to retention and asks its peers
+// only once in a long poll: the peer that was ahead had just been replaced, and a
+// configuration was not in force six seconds after its acceptance.
+func TestPeersAreAskedAgainSoonAfterAGap(t *testing.T) {
+	const inForceWithin = 6 * time.Second
+	bubble(t, func(t *testing.T, store *logservicetest.Fake) {
+		var helpful atomic.Bool
+		a := start(t, store, "g1", nil)
+		late := start(t, store, "g2", func(o *control.Options) {
+			o.PeerState = func(ctx context.Context) (uint64, []byte, error) {
+				if !helpful.Load() {
+					return 0, nil, nil
+				}
+				return peer(a)(ctx)
+			}
+		})
+		<-late.Ready()
+		late.link.cut.Store(true)
+		time.Sleep(30 * time.Second) // beyond the long poll in progress
+		for i := range 5 {
+			drain(t, a, fmt.Sprint("t", i))
+		}
+		store.Trim(stream, a.Status().Applied+1)
+		late.link.cut.Store(false)
+		for late.saw(control.EventGap) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		helpful.Store(true)
+		time.Sleep(inForceWithin)
+		if encoded(t, late) != encoded(t, a) {
+			t.Errorf("%v after a peer could help: events %v, status %+v", inForceWithin, late.seen(), late.Status())
+		}
+	})
+}
+
 // A process that starts during an outage must serve with the state of a peer,
 // keep it if a peer offers an older one, and go on with the log.
 func TestProcessReplacedDuringOutage(t *testing.T) {
