--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -63,7 +63,7 @@
 	kindsAt  time.Duration
 	// estimators are those of the queues by name.
 	estimators map[string]*estimator
-	// startedAt is when this process began to take jobs.
+	// startedAt is when this process started.
 	startedAt time.Duration
 	// tickedAt is the time of the last tick; jobs are taken again from settledAt
 	// on.
@@ -231,7 +231,7 @@
 	}
 }
 
-// Start notes when this process begins to take jobs.
+// Start notes when this process started.
 func (c *Core) Start(now time.Duration) { c.startedAt = now }
 
 // awaitsAgents tells whether more agents are to be expected than have dialled.
--- a/restartable/dispatch/speed.go
+++ b/restartable/dispatch/speed.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// kindKey names the targets of one service that are about as fast.
+// kindKey names the targets of one service that say to be of one kind.
 type kindKey struct{ service, kind string }
 
 // speeds is a weighted sample of the logarithms of slownesses.
@@ -81,8 +81,10 @@
 	// kind differ: a label need not name what makes a target fast.
 	kindSamples = 60
 	// runVariance is the variance of the logarithm of the ratio of a run time to
-	// the expected one, the error that the tasks of a job share among it.
-	runVariance     = 0.2
+	// the expected one that a run counts with: about twice that of single runs,
+	// since the tasks of a job share the error of their estimate.
+	runVariance = 0.2
+	// kindVarianceMin is the variance at which a kind counts for kindSamples.
 	kindVarianceMin = runVariance / kindSamples
 	// slownessMin keeps a target that ended a few short runs from looking as if
 	// it needed no time.
