Start nothing in a drained availability zone

Change: package restartable/zones holds the drained zones as of a revision, which is the offset in the platform's store up to which all records are included. Gateways read them beside the configuration, and before the first one; while the store does not answer, they ask other gateways for both. Each gateway tells its agents, on a new link before the first task, and the state with the highest revision applies. An agent of a drained zone accepts nothing, returns what is queued and lets runs end. A malformed record is logged and changes nothing.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -36,8 +36,9 @@
 	ConfigAccepted        = define(1201, "config_accepted", infoLevel, "a configuration change was accepted", noAction)
 	OperatorChangeRefused = define(1202, "operator_change_refused", warnLevel, "an operator's change was refused",
 		"See the error; repeat the change from the version in force.")
-	DrainChanged = define(1203, "drain_changed", infoLevel, "an operator's drain of a target was set or cleared", noAction)
-	ReadyChanged = define(1204, "ready_changed", infoLevel, "readiness changed", "See the reason if it stays false.")
+	DrainChanged     = define(1203, "drain_changed", infoLevel, "an operator's drain of a target was set or cleared", noAction)
+	ZoneDrainChanged = define(1205, "zone_drain_changed", infoLevel, "an operator's drain of an availability zone was set or cleared", noAction)
+	ReadyChanged     = define(1204, "ready_changed", infoLevel, "readiness changed", "See the reason if it stays false.")
 )
 
 // Events of the control state and the platform's log (2000 to 2099).
@@ -159,6 +160,10 @@
 	GatewayLost         = define(6028, "gateway_lost", warnLevel, "another gateway does not answer", "Nothing if it was stopped or replaced; otherwise check the network between the gateways.")
 	GatewayRegained     = define(6029, "gateway_regained", infoLevel, "another gateway answers again", noAction)
 	GatewayRetired      = define(6030, "gateway_retired", infoLevel, "the agent has links to higher-ranked gateways and accepts no more tasks from this one; the link is closed once its runs have ended", noAction)
+	ZoneDrainsApplied   = define(6031, "zone_drains_applied", infoLevel, "the drained availability zones changed; zones lists all that are drained now", noAction)
+	ZoneDrainMalformed  = define(6032, "zone_drain_malformed", errorLevel, "a record on a drained availability zone cannot be read; the zone keeps its state", "Write the record again.")
+	ZoneDrained         = define(6033, "zone_drained", infoLevel, "the availability zone of this agent was drained; no task is started, and queued tasks are returned", noAction)
+	ZoneReturned        = define(6034, "zone_returned", infoLevel, "the drain of this agent's availability zone ended", noAction)
 	LinesDropped        = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided       = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted       = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -18,6 +18,7 @@
 	accepting, avoided := telemetry.AgentsAccepting.Gauge(scope), telemetry.AgentsAvoided.Gauge(scope)
 	capacity, committed := telemetry.CapacityCPU.Gauge(scope), telemetry.CommittedCPU.Gauge(scope)
 	version, confirmed := telemetry.QueuesVersion.Gauge(scope), telemetry.QueuesConfirmed.Gauge(scope)
+	drained := telemetry.ZonesDrained.Gauge(scope)
 	for ctx.Err() == nil {
 		s := g.dispatcher.Status()
 		jobs.Update(float64(s.Jobs))
@@ -27,6 +28,7 @@
 		capacity.Update(float64(s.Capacity))
 		committed.Update(float64(s.Committed))
 		version.Update(float64(g.queuesVersion()))
+		drained.Update(float64(len(g.drains.Get().Zones())))
 		confirmed.Update(g.syncer.Age().Seconds())
 		wait.For(ctx, gaugeInterval)
 	}
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
 const (
@@ -34,6 +35,7 @@
 	log        zerolog.Logger
 	metrics    *telemetry.Metrics
 	config     *queues.CurrentConfig
+	drains     *zones.Current
 	dispatcher *dispatch.Dispatcher
 	gateways   *link.Gateways
 	peers      *gatewayPeers
@@ -47,7 +49,7 @@
 	store := platform.NewStore(n.StoreAddr)
 	g := &PlatformGateway{
 		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log), config: &queues.CurrentConfig{},
-		gateways: link.NewGateways(boottime.Now, append([]string{address}, n.Seeds...)...),
+		drains: &zones.Current{}, gateways: link.NewGateways(boottime.Now, append([]string{address}, n.Seeds...)...),
 	}
 	// The gateways that agents are told about always include this one.
 	g.gateways.MarkLinked(address)
@@ -60,7 +62,7 @@
 		opts.RemoteFactor = n.Bounds.RemoteFactor
 	}
 	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
-	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, boottime.Now, log, configsync.DefaultOptions())
+	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, g.drains, boottime.Now, log, configsync.DefaultOptions())
 	return g
 }
 
@@ -96,7 +98,7 @@
 	set := &serverSet{env: env}
 	set.add(g.node.ClientAddr, platform.ClientHandler(g.config, g), true)
 	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), false)
-	set.add(g.node.LinkAddr, link.NewServer(g.dispatcher, g.config, g.gateways).Handler(), false)
+	set.add(g.node.LinkAddr, link.NewServer(g.dispatcher, g.config, g.drains, g.gateways).Handler(), false)
 	set.add(g.node.MetricsAddr, g.metrics.Handler, false)
 	return set, set.err
 }
--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -16,7 +16,9 @@
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
 	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
 const (
@@ -94,7 +96,7 @@
 // Newer implements configsync.Peers. It asks configurationFanOut peers, chosen at
 // random each time, to limit the load when all gateways ask during an outage of
 // the store. Peers that do not answer are skipped; introduce logs them.
-func (p *gatewayPeers) Newer(ctx context.Context, version uint64) []byte {
+func (p *gatewayPeers) Newer(ctx context.Context, version, revision uint64) configsync.Newer {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	defer p.client.CloseIdleConnections()
@@ -104,7 +106,7 @@
 	replies := make(chan *pb.ConfigurationReply, len(others))
 	for _, o := range others {
 		go func() {
-			r, err := o.Configuration(ctx, connect.NewRequest(&pb.ConfigurationRequest{NewerThan: version}))
+			r, err := o.Configuration(ctx, connect.NewRequest(&pb.ConfigurationRequest{NewerThan: version, DrainsNewerThan: revision}))
 			if err != nil {
 				replies <- nil
 				return
@@ -112,17 +114,20 @@
 			replies <- r.Msg
 		}()
 	}
-	var newest *pb.ConfigurationReply
+	var newest configsync.Newer
 	for range others {
 		r := <-replies
-		if r != nil && len(r.Document) > 0 && (newest == nil || r.Version > newest.Version) {
-			newest = r
+		if r == nil {
+			continue
+		}
+		if len(r.Document) > 0 && r.Version > version {
+			version, newest.Document = r.Version, r.Document
+		}
+		if r.DrainsRevision > revision {
+			revision, newest.Drains = r.DrainsRevision, zones.New(r.DrainsRevision, r.DrainedZones...)
 		}
 	}
-	if newest == nil {
-		return nil
-	}
-	return newest.Document
+	return newest
 }
 
 // introduce announces this gateway to its peers, which pass its address on to
--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
 // Guards against a gateway that loses its peers without logging it, and against
@@ -23,7 +24,7 @@
 func TestPeerFailureAndRecoveryAreLoggedOnce(t *testing.T) {
 	var log logBuffer
 	var down atomic.Bool
-	handler := link.NewServer(nil, &queues.CurrentConfig{}, link.NewGateways(boottime.Now)).Handler()
+	handler := link.NewServer(nil, &queues.CurrentConfig{}, &zones.Current{}, link.NewGateways(boottime.Now)).Handler()
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/gen/rhubarbsail/restart/v1/restartv1connect/dispatch.connect.go
+++ b/gen/rhubarbsail/restart/v1/restartv1connect/dispatch.connect.go
@@ -48,8 +48,8 @@
 	// Attach carries all task traffic between one agent and one gateway. The agent
 	// opens the stream.
 	Attach(context.Context) *connect.BidiStreamForClient[v1.RunReport, v1.RunOrder]
-	// Configuration returns the gateway's configuration if it is newer than the
-	// requested version. Gateways use it when the platform's store rejects their
+	// Configuration returns the gateway's configuration and drained availability zones
+	// as far as they are newer than those of the request. Gateways use it when the platform's store rejects their
 	// requests.
 	Configuration(context.Context, *connect.Request[v1.ConfigurationRequest]) (*connect.Response[v1.ConfigurationReply], error)
 	// Introduce adds a gateway to the list of gateways that is sent to agents, which
@@ -117,8 +117,8 @@
 	// Attach carries all task traffic between one agent and one gateway. The agent
 	// opens the stream.
 	Attach(context.Context, *connect.BidiStream[v1.RunReport, v1.RunOrder]) error
-	// Configuration returns the gateway's configuration if it is newer than the
-	// requested version. Gateways use it when the platform's store rejects their
+	// Configuration returns the gateway's configuration and drained availability zones
+	// as far as they are newer than those of the request. Gateways use it when the platform's store rejects their
 	// requests.
 	Configuration(context.Context, *connect.Request[v1.ConfigurationRequest]) (*connect.Response[v1.ConfigurationReply], error)
 	// Introduce adds a gateway to the list of gateways that is sent to agents, which
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -59,6 +59,10 @@
 	TargetLatency: 500 * time.Millisecond, StretchFactor: 2,
 }
 
+// targetZone returns the availability zone of the target with an index. Each target
+// has its own.
+func targetZone(i int) string { return fmt.Sprintf("z%d", i) }
+
 // freeAddress returns an address on loopback that no outgoing connection can take
 // before the daemon listens on it.
 func freeAddress(t *testing.T) string {
@@ -105,7 +109,7 @@
 		}
 		s.targets = append(s.targets, x)
 		n := &platform.Node{
-			Name: fmt.Sprintf("agent-%d", i), Zone: "z", InternalAddr: freeAddress(t), MetricsAddr: freeAddress(t),
+			Name: fmt.Sprintf("agent-%d", i), Zone: targetZone(i), InternalAddr: freeAddress(t), MetricsAddr: freeAddress(t),
 			StoreAddr: s.storeAddr, Seeds: seeds[:1], TargetAddr: serve(t, x.Handler()), Bounds: bounds,
 		}
 		p := &platformDaemon{node: n, run: daemon.RunPlatformAgent}
@@ -271,3 +275,58 @@
 	p.start(t)
 	s.awaitReady(p)
 }
+
+// startsAt returns the number of tasks that have started on each target.
+func (s *platformDeployment) startsAt() []int {
+	var out []int
+	for _, x := range s.targets {
+		out = append(out, len(x.Starts()))
+	}
+	return out
+}
+
+// Guards against tasks that start in a drained zone, for whichever gateway takes the
+// job and after a gateway has restarted, against jobs that are kept waiting although
+// all zones are drained, and against a returned zone that gets no work.
+func TestPlatformDrainedZones(t *testing.T) {
+	s := newPlatformDeployment(t, 2, 2)
+	drain := func(drained bool, targets ...int) {
+		t.Helper()
+		for _, i := range targets {
+			s.store.DrainZone(targetZone(i), drained)
+		}
+		time.Sleep(time.Second)
+	}
+	submitAll := func(name string, want int) {
+		t.Helper()
+		for i := range 10 {
+			if status, _ := s.submit(i%2, fmt.Sprintf("%s-%d", name, i), "ms=20", 3); status != want {
+				t.Errorf("%s: status %d, want %d", name, status, want)
+			}
+		}
+	}
+	drain(true, 1)
+	before := s.startsAt()
+	submitAll("one drained", 200)
+	s.gateways[0].stop()
+	<-s.gateways[0].done
+	s.gateways[0].start(t)
+	s.awaitReady(s.gateways[0])
+	submitAll("after a restart", 200)
+	if after := s.startsAt(); after[1] != before[1] || after[0] == before[0] {
+		t.Fatalf("%v tasks had started before, %v after the jobs; target 1 is drained", before, after)
+	}
+	drain(true, 0)
+	began := time.Now()
+	submitAll("all drained", 503)
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("ten refusals took %v", took)
+	}
+	drain(false, 0, 1)
+	s.awaitReady(s.gateways[0])
+	submitAll("returned", 200)
+	if after := s.startsAt(); after[1] == before[1] {
+		t.Errorf("no task started in the returned zone")
+	}
+	s.checkNoViolations()
+}
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -1,6 +1,6 @@
-// Package configsync keeps a gateway's configuration of queues up to date. It
-// reads the configuration from the platform's store and, while the store fails or
-// rejects this gateway, from other gateways.
+// Package configsync keeps a gateway's configuration of queues and its drained
+// availability zones up to date. It reads them from the platform's store and, while
+// the store fails or rejects this gateway, from other gateways.
 package configsync
 
 import (
@@ -15,24 +15,40 @@
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
-// Source is the platform's store of configurations.
+// Source is the platform's store of what operators publish.
 type Source interface {
-	// Newest returns the newest document, or nil if there is none, and the offset
-	// from which to wait for later ones.
-	Newest(ctx context.Context) (document []byte, next uint64, err error)
-	// Next waits up to wait for documents from an offset on. It returns the
-	// newest one, or nil if there is none, and the next offset.
-	Next(ctx context.Context, from uint64, wait time.Duration) (document []byte, next uint64, err error)
+	// Newest returns everything that is in force.
+	Newest(ctx context.Context) (Published, error)
+	// Next waits up to wait for records from an offset on and returns them.
+	Next(ctx context.Context, from uint64, wait time.Duration) (Published, error)
 	// Parse decodes a document.
 	Parse(document []byte) (*queues.Config, error)
 }
 
-// Peers asks other gateways for a document that is newer than a version. Newer
-// returns nil if none of them has one.
+// Published is what a read of the store returned.
+type Published struct {
+	// Document is the newest configuration document, or nil if there is none.
+	Document []byte
+	// Drains are the records on drained zones, in the order of their offsets.
+	Drains []zones.Change
+	// Next is the offset from which to wait for later records.
+	Next uint64
+}
+
+// Peers asks other gateways for what is newer than a version of the configuration
+// and a revision of the drained zones.
 type Peers interface {
-	Newer(ctx context.Context, version uint64) []byte
+	Newer(ctx context.Context, version, revision uint64) Newer
+}
+
+// Newer is what other gateways returned; a field is nil if none of them has anything
+// newer.
+type Newer struct {
+	Document []byte
+	Drains   *zones.Drains
 }
 
 // Options holds the timeouts and intervals of a Syncer.
@@ -56,29 +72,31 @@
 	}
 }
 
-// Syncer installs configurations as they are published.
+// Syncer installs configurations and drains of zones as they are published.
 type Syncer struct {
 	opts    Options
 	source  Source
 	peers   Peers
 	current *queues.CurrentConfig
+	drains  *zones.Current
 	log     zerolog.Logger
 	now     boottime.Clock
 	// lastAnswer is when the store last answered or another gateway last returned
-	// a newer configuration, in nanoseconds of now; 0 before the first time.
+	// something newer, in nanoseconds of now; 0 before the first time.
 	lastAnswer atomic.Int64
 	// storeFailing is set while the store does not answer; owned by the goroutine
 	// of Run.
 	storeFailing bool
 }
 
-// New returns a syncer that installs configurations in current.
-func New(source Source, peers Peers, current *queues.CurrentConfig, now boottime.Clock, log zerolog.Logger, opts Options) *Syncer {
-	return &Syncer{opts: opts, source: source, peers: peers, current: current, now: now, log: log}
+// New returns a syncer that installs configurations in current and drains of zones
+// in drains.
+func New(source Source, peers Peers, current *queues.CurrentConfig, drains *zones.Current, now boottime.Clock, log zerolog.Logger, opts Options) *Syncer {
+	return &Syncer{opts: opts, source: source, peers: peers, current: current, drains: drains, now: now, log: log}
 }
 
 // Age returns the time since the store last answered or another gateway last
-// returned a newer configuration; zero before the first time.
+// returned something newer; zero before the first time.
 func (s *Syncer) Age() time.Duration {
 	at := s.lastAnswer.Load()
 	if at == 0 {
@@ -109,22 +127,31 @@
 	}
 }
 
-// watchStore installs the newest configuration and then each later one, until a
-// call fails.
+// watchStore installs what is in force and then each later change, until a call
+// fails.
 func (s *Syncer) watchStore(ctx context.Context, answered func()) error {
-	document, next, err := s.source.Newest(ctx)
+	p, err := s.source.Newest(ctx)
 	if err != nil {
 		return err
 	}
+	// The drains come first: the gateway takes jobs once it has a configuration.
+	s.installDrains(p.Drains, fromStore, func(c *zones.Current) bool { return c.Replace(p.Next, p.Drains) })
 	for {
+		s.install(p.Document, fromStore)
 		answered()
-		s.install(document, "store")
-		if document, next, err = s.source.Next(ctx, next, s.opts.PollWait); err != nil {
+		if p, err = s.source.Next(ctx, p.Next, s.opts.PollWait); err != nil {
 			return err
 		}
+		s.installDrains(p.Drains, fromStore, func(c *zones.Current) bool { return c.Apply(p.Drains) })
 	}
 }
 
+// Sources of what is installed, for logs.
+const (
+	fromStore   = "store"
+	fromGateway = "gateway"
+)
+
 func (s *Syncer) storeAnswered() {
 	s.lastAnswer.Store(int64(s.now()))
 	if s.storeFailing {
@@ -159,14 +186,34 @@
 		if c := s.current.Get(); c != nil {
 			version = c.Version
 		}
-		if document := s.peers.Newer(ctx, version); document != nil {
+		newer := s.peers.Newer(ctx, version, s.drains.Get().Revision)
+		if newer.Drains != nil {
+			s.installDrains(nil, fromGateway, func(c *zones.Current) bool { return c.Install(newer.Drains) })
+		}
+		s.install(newer.Document, fromGateway)
+		if newer.Drains != nil || newer.Document != nil {
 			s.lastAnswer.Store(int64(s.now()))
-			s.install(document, "gateway")
 		}
 		timer.Reset(s.opts.PeerPollInterval)
 	}
 }
 
+// installDrains changes the drains in force. It logs malformed records and a change
+// of the drained zones.
+func (s *Syncer) installDrains(records []zones.Change, from string, change func(*zones.Current) bool) {
+	for _, r := range records {
+		if r.Err != nil {
+			events.ZoneDrainMalformed.Log(s.log).Str("zone", r.Zone).Uint64("offset", r.Offset).Err(r.Err).Send()
+		}
+	}
+	age := s.Age()
+	if change(s.drains) {
+		d := s.drains.Get()
+		events.ZoneDrainsApplied.Log(s.log).Strs("zones", d.Zones()).Uint64("revision", d.Revision).Str("from", from).
+			Int64("known_age_ms", age.Milliseconds()).Send()
+	}
+}
+
 func (s *Syncer) install(document []byte, from string) {
 	if document == nil {
 		return
--- a/restartable/configsync/configsync_test.go
+++ b/restartable/configsync/configsync_test.go
@@ -1,9 +1,15 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"runtime"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +18,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
 var errUnavailable = errors.New("down")
@@ -20,10 +27,23 @@
 // version numbers in decimal.
 type fakeSource struct {
 	mu          sync.Mutex
-	documents   []string
+	records     []fakeRecord
 	unavailable bool
 	trimmed     bool
-	newest      int
+}
+
+// fakeRecord is a document or, if drain is set, a change of drained zones.
+type fakeRecord struct {
+	document string
+	drain    *zones.Change
+}
+
+func newFakeSource(documents ...string) *fakeSource {
+	f := &fakeSource{}
+	for _, d := range documents {
+		f.publish(d)
+	}
+	return f
 }
 
 func (f *fakeSource) set(change func(f *fakeSource)) {
@@ -32,40 +52,66 @@
 	change(f)
 }
 
-func (f *fakeSource) Newest(context.Context) ([]byte, uint64, error) {
+func (f *fakeSource) publish(document string) {
+	f.set(func(f *fakeSource) { f.records = append(f.records, fakeRecord{document: document}) })
+}
+
+// drain starts or ends the drain of a zone.
+func (f *fakeSource) drain(zone string, drained bool) {
+	f.set(func(f *fakeSource) {
+		f.records = append(f.records, fakeRecord{drain: &zones.Change{Zone: zone, Drained: drained, Offset: uint64(len(f.records))}})
+	})
+}
+
+// published returns the records from an offset on. The caller holds f.mu.
+func (f *fakeSource) published(from uint64) Published {
+	p := Published{Next: uint64(len(f.records))}
+	for _, r := range f.records[from:] {
+		if r.drain != nil {
+			p.Drains = append(p.Drains, *r.drain)
+		} else {
+			p.Document = []byte(r.document)
+		}
+	}
+	return p
+}
+
+func (f *fakeSource) Newest(context.Context) (Published, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.newest++
 	if f.unavailable {
-		return nil, 0, errUnavailable
+		return Published{}, errUnavailable
 	}
 	f.trimmed = false
-	n := len(f.documents)
-	if n == 0 {
-		return nil, 0, nil
+	p := f.published(0)
+	newest := map[string]zones.Change{}
+	for _, c := range p.Drains {
+		newest[c.Zone] = c
+	}
+	p.Drains = nil
+	for _, c := range newest {
+		if c.Drained {
+			p.Drains = append(p.Drains, c)
+		}
 	}
-	return []byte(f.documents[n-1]), uint64(n), nil
+	return p, nil
 }
 
-func (f *fakeSource) Next(ctx context.Context, from uint64, wait time.Duration) ([]byte, uint64, error) {
+func (f *fakeSource) Next(ctx context.Context, from uint64, wait time.Duration) (Published, error) {
 	end := time.Now().Add(wait)
 	for ctx.Err() == nil && time.Now().Before(end) {
 		f.mu.Lock()
-		fails, n := f.unavailable || f.trimmed, len(f.documents)
-		var d string
-		if uint64(n) > from {
-			d = f.documents[n-1]
-		}
+		fails, p := f.unavailable || f.trimmed, f.published(from)
 		f.mu.Unlock()
 		if fails {
-			return nil, 0, errUnavailable
+			return Published{}, errUnavailable
 		}
-		if d != "" {
-			return []byte(d), uint64(n), nil
+		if p.Next > from {
+			return p, nil
 		}
 		time.Sleep(time.Millisecond)
 	}
-	return nil, from, ctx.Err()
+	return Published{Next: from}, ctx.Err()
 }
 
 func (f *fakeSource) Parse(document []byte) (*queues.Config, error) {
@@ -73,89 +119,120 @@
 	return queues.New(v, nil, queues.Limits{}, document), err
 }
 
-// fakePeers offers one document.
-type fakePeers struct{ document string }
+// fakePeers offers one document and one set of drained zones.
+type fakePeers struct {
+	document string
+	drains   *zones.Drains
+}
 
-func (f fakePeers) Newer(_ context.Context, version uint64) []byte {
-	if v, err := strconv.ParseUint(f.document, 10, 64); err != nil || v <= version {
-		return nil
+func (f fakePeers) Newer(_ context.Context, version, revision uint64) Newer {
+	var n Newer
+	if v, err := strconv.ParseUint(f.document, 10, 64); err == nil && v > version {
+		n.Document = []byte(f.document)
+	}
+	if f.drains != nil && f.drains.Revision > revision {
+		n.Drains = f.drains
 	}
-	return []byte(f.document)
+	return n
 }
 
-func startSyncer(t *testing.T, s *fakeSource, p Peers) *queues.CurrentConfig {
+// syncerRig is a running syncer with what it installs.
+type syncerRig struct {
+	t      *testing.T
+	config *queues.CurrentConfig
+	drains *zones.Current
+	log    *bytes.Buffer
+	stop   func()
+}
+
+func startSyncer(t *testing.T, s *fakeSource, p Peers) *syncerRig {
 	t.Helper()
-	current := &queues.CurrentConfig{}
+	r := &syncerRig{t: t, config: &queues.CurrentConfig{}, drains: &zones.Current{}, log: &bytes.Buffer{}}
 	opts := Options{PollWait: 20 * time.Millisecond, RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond, PeerPollInterval: 5 * time.Millisecond}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		New(s, p, current, boottime.Now, zerolog.Nop(), opts).Run(ctx)
-	}()
-	t.Cleanup(func() {
+	var wg sync.WaitGroup
+	log := zerolog.New(zerolog.SyncWriter(r.log))
+	wg.Go(func() { New(s, p, r.config, r.drains, boottime.Now, log, opts).Run(ctx) })
+	r.stop = func() {
 		cancel()
-		<-done
-	})
-	return current
+		wg.Wait()
+	}
+	t.Cleanup(r.stop)
+	return r
 }
 
-// awaitVersion waits until the version is active. The time limit is only
-// reached if the test fails.
-func awaitVersion(t *testing.T, c *queues.CurrentConfig, version uint64) {
-	t.Helper()
+// await waits until the condition holds. The time limit is only reached if the test
+// fails.
+func (r *syncerRig) await(what string, condition func() bool) {
+	r.t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if got := c.Get(); got != nil && got.Version == version {
+		if condition() {
 			return
 		}
 	}
-	t.Fatalf("version %d is not active; the active configuration is %+v", version, c.Get())
+	r.t.Fatalf("not true: %s; the configuration is %+v, the drained zones are %+v", what, r.config.Get(), r.drains.Get())
+}
+
+func (r *syncerRig) awaitDrained(want ...string) {
+	r.t.Helper()
+	r.await(fmt.Sprintf("the drained zones are %v", want), func() bool { return slices.Equal(r.drains.Get().Zones(), want) })
+}
+
+func (r *syncerRig) awaitVersion(version uint64) {
+	r.t.Helper()
+	r.await(fmt.Sprintf("version %d is active", version), func() bool {
+		c := r.config.Get()
+		return c != nil && c.Version == version
+	})
 }
 
 // Guards against missing a change that is published while the syncer waits, while
 // the store is unavailable, or together with the removal of older documents.
 func TestPublishedConfigurationsBecomeActive(t *testing.T) {
-	s := &fakeSource{documents: []string{"1"}}
-	c := startSyncer(t, s, fakePeers{})
-	awaitVersion(t, c, 1)
-	s.set(func(f *fakeSource) { f.documents = append(f.documents, "2") })
-	awaitVersion(t, c, 2)
+	s := newFakeSource("1")
+	r := startSyncer(t, s, fakePeers{})
+	r.awaitVersion(1)
+	s.publish("2")
+	r.awaitVersion(2)
 	s.set(func(f *fakeSource) { f.unavailable = true })
-	s.set(func(f *fakeSource) { f.documents = append(f.documents, "3"); f.unavailable = false })
-	awaitVersion(t, c, 3)
-	s.set(func(f *fakeSource) { f.documents = []string{"4"}; f.trimmed = true })
-	awaitVersion(t, c, 4)
+	s.publish("3")
+	s.set(func(f *fakeSource) { f.unavailable = false })
+	r.awaitVersion(3)
+	s.set(func(f *fakeSource) { f.trimmed = true })
+	s.publish("4")
+	r.awaitVersion(4)
 }
 
 // Guards against a gateway that keeps an outdated configuration, or has none,
 // while the store is unavailable to this gateway only.
 func TestConfigurationOfAnotherGatewayWhileTheStoreFails(t *testing.T) {
-	s := &fakeSource{documents: []string{"1"}, unavailable: true}
-	c := startSyncer(t, s, fakePeers{"7"})
-	awaitVersion(t, c, 7)
+	s := newFakeSource("1")
+	s.unavailable = true
+	r := startSyncer(t, s, fakePeers{document: "7"})
+	r.awaitVersion(7)
 	s.set(func(f *fakeSource) { f.unavailable = false })
 	time.Sleep(10 * time.Millisecond)
-	if got := c.Get().Version; got != 7 {
+	if got := r.config.Get().Version; got != 7 {
 		t.Fatalf("version %d is active after 7", got)
 	}
 }
 
 // Guards against a malformed document that stops later updates.
 func TestMalformedDocumentIsSkipped(t *testing.T) {
-	s := &fakeSource{documents: []string{"1"}}
-	c := startSyncer(t, s, fakePeers{})
-	awaitVersion(t, c, 1)
-	s.set(func(f *fakeSource) { f.documents = append(f.documents, "no number") })
+	s := newFakeSource("1")
+	r := startSyncer(t, s, fakePeers{})
+	r.awaitVersion(1)
+	s.publish("no number")
 	time.Sleep(5 * time.Millisecond)
-	s.set(func(f *fakeSource) { f.documents = append(f.documents, "2") })
-	awaitVersion(t, c, 2)
+	s.publish("2")
+	r.awaitVersion(2)
 }
 
 // Guards against an age that suggests an outage after the wall clock was changed:
 // only the clock passed to New counts.
 func TestAgeFollowsTheGivenClock(t *testing.T) {
 	now := time.Hour
-	s := New(&fakeSource{}, fakePeers{}, &queues.CurrentConfig{}, func() time.Duration { return now }, zerolog.Nop(), DefaultOptions())
+	s := New(&fakeSource{}, fakePeers{}, &queues.CurrentConfig{}, &zones.Current{}, func() time.Duration { return now }, zerolog.Nop(), DefaultOptions())
 	if age := s.Age(); age != 0 {
 		t.Fatalf("age %v before the first answer", age)
 	}
@@ -165,3 +242,113 @@
 		t.Fatalf("age %v after 3 s", age)
 	}
 }
+
+// Guards against a drained zone that gets work again, or a returned one that gets
+// none, because a change was missed: published while the syncer waits, while the store
+// is unavailable, together with the removal of older records, or undone in the same
+// read.
+func TestPublishedDrainsTakeEffect(t *testing.T) {
+	s := newFakeSource("1")
+	s.drain("a", true)
+	r := startSyncer(t, s, fakePeers{})
+	r.awaitDrained("a")
+	s.drain("b", true)
+	r.awaitDrained("a", "b")
+	s.set(func(f *fakeSource) { f.unavailable = true })
+	s.drain("a", false)
+	s.set(func(f *fakeSource) { f.unavailable = false })
+	r.awaitDrained("b")
+	s.set(func(f *fakeSource) { f.trimmed = true })
+	s.drain("b", false)
+	s.drain("c", true)
+	r.awaitDrained("c")
+	s.drain("c", false)
+	r.awaitDrained()
+}
+
+// Guards against a starting gateway that takes jobs, which it does once it has a
+// configuration, before it knows the drained zones.
+func TestDrainsAreInForceBeforeTheFirstConfiguration(t *testing.T) {
+	cases := map[string]struct {
+		unavailable bool
+		peers       fakePeers
+	}{
+		"from the store":         {false, fakePeers{}},
+		"from another gateway":   {true, fakePeers{document: "7", drains: zones.New(2, "a")}},
+		"from both at some time": {false, fakePeers{document: "7", drains: zones.New(2, "a")}},
+	}
+	for name, k := range cases {
+		for range 50 {
+			s := newFakeSource("1")
+			s.drain("a", true)
+			s.unavailable = k.unavailable
+			r := startSyncer(t, s, k.peers)
+			for r.config.Get() == nil {
+				runtime.Gosched()
+			}
+			if !r.drains.Get().Contains("a") {
+				t.Fatalf("%s: a configuration is active, but the drained zones are %v", name, r.drains.Get().Zones())
+			}
+			r.stop()
+		}
+	}
+}
+
+// Guards against a gateway that keeps sending work to a drained zone, or none to a
+// returned one, while the store rejects it, and against an older state of another
+// gateway that reverts a newer one.
+func TestDrainsOfAnotherGatewayWhileTheStoreFails(t *testing.T) {
+	cases := map[string]struct {
+		known []string // drained one after another in the store before it fails
+		peer  *zones.Drains
+		want  []string
+	}{
+		"a drain":           {nil, zones.New(9, "a"), []string{"a"}},
+		"the end of one":    {[]string{"a", "b"}, zones.New(9, "b"), []string{"b"}},
+		"an older drain":    {[]string{"b"}, zones.New(1, "a"), []string{"b"}},
+		"no newer revision": {[]string{"b"}, nil, []string{"b"}},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newFakeSource("1")
+			for _, zone := range k.known {
+				s.drain(zone, true)
+			}
+			p := &switchedPeers{}
+			r := startSyncer(t, s, p)
+			r.awaitDrained(k.known...)
+			s.set(func(f *fakeSource) { f.unavailable = true })
+			p.answer.Store(&fakePeers{document: "7", drains: k.peer})
+			r.awaitVersion(7)
+			r.awaitDrained(k.want...)
+		})
+	}
+}
+
+// switchedPeers answer nothing until answer is set.
+type switchedPeers struct{ answer atomic.Pointer[fakePeers] }
+
+func (p *switchedPeers) Newer(ctx context.Context, version, revision uint64) Newer {
+	if a := p.answer.Load(); a != nil {
+		return a.Newer(ctx, version, revision)
+	}
+	return Newer{}
+}
+
+// Guards against a malformed record that ends a drain or stops later changes, and
+// against one that nobody hears of.
+func TestMalformedDrainIsLoggedAndChangesNothing(t *testing.T) {
+	s := newFakeSource("1")
+	s.drain("a", true)
+	r := startSyncer(t, s, fakePeers{})
+	r.awaitDrained("a")
+	s.set(func(f *fakeSource) {
+		f.records = append(f.records, fakeRecord{drain: &zones.Change{Zone: "a", Drained: true, Offset: uint64(len(f.records)), Err: errUnavailable}})
+	})
+	s.drain("b", true)
+	r.awaitDrained("a", "b")
+	r.stop()
+	if n := strings.Count(r.log.String(), `"name":"zone_drain_malformed"`); n != 1 {
+		t.Fatalf("%d lines on a malformed record in\n%s", n, r.log)
+	}
+}
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -161,6 +161,9 @@
 	for _, g := range f.Gateways {
 		c.gateways.Add(g)
 	}
+	if d := f.ZoneDrain; d != nil {
+		c.runner.SetZoneDrain(d.Revision, d.Drained, l.address)
+	}
 	var starts []runner.Start
 	for _, s := range f.Starts {
 		starts = append(starts, startsFromProto(s)...)
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
 	"github.com/rhubarbsail/rhubarbsail/restartable/subset"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
 type nopObserver struct{}
@@ -138,6 +139,13 @@
 // startGateway starts a gateway and returns its dispatcher and the address for
 // links.
 func startGateway(t *testing.T) (*dispatch.Dispatcher, string) {
+	d, address, _ := startGatewayWithDrains(t)
+	return d, address
+}
+
+// startGatewayWithDrains also returns the drained zones that the gateway knows.
+func startGatewayWithDrains(t *testing.T) (*dispatch.Dispatcher, string, *zones.Current) {
+	drains := &zones.Current{}
 	d := dispatch.New(dispatch.NewCore(dispatch.DefaultOptions("z")), boottime.Now, zerolog.Nop(), nopObserver{})
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.Run(ctx)
@@ -147,13 +155,13 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	s := &http.Server{Handler: link.NewServer(d, &queues.CurrentConfig{}, link.NewGateways(boottime.Now)).Handler(), Protocols: protocols}
+	s := &http.Server{Handler: link.NewServer(d, &queues.CurrentConfig{}, drains, link.NewGateways(boottime.Now)).Handler(), Protocols: protocols}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() {
 		cancel()
 		_ = s.Close()
 	})
-	return d, l.Addr().String()
+	return d, l.Addr().String(), drains
 }
 
 // startAgent starts an agent that links to gateways, and returns its set of known
@@ -279,3 +287,52 @@
 	}
 	return n
 }
+
+// awaitPlacement waits until each gateway can place tasks, or none can. The time limit
+// is only reached if the test fails.
+func awaitPlacement(t *testing.T, want bool, gateways ...*dispatch.Dispatcher) {
+	t.Helper()
+	for _, d := range gateways {
+		end := time.Now().Add(20 * time.Second)
+		for d.CanPlace() != want {
+			if time.Now().After(end) {
+				t.Fatalf("a gateway's ability to place tasks is still %v", !want)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// Guards against a gateway that starts tasks in a drained zone because it alone cannot
+// read the store: its agents have learned of the drain, and of its end, from others.
+func TestAgentTellsAllGatewaysOfItsDrainedZone(t *testing.T) {
+	informed, first, drains := startGatewayWithDrains(t)
+	cutOff, second, _ := startGatewayWithDrains(t)
+	startAgent(t, first, second)
+	awaitPlacement(t, true, informed, cutOff)
+	drains.Install(zones.New(5, "other"))
+	drains.Install(zones.New(7, "other", "z"))
+	awaitPlacement(t, false, informed, cutOff)
+	if a := cutOff.Submit(t.Context(), smallJob("drained")); a.State != dispatch.NotRun {
+		t.Fatalf("a job at a gateway without placeable targets: %v, cause %s", a.State, a.Cause)
+	}
+	drains.Install(zones.New(9, "other"))
+	awaitPlacement(t, true, informed, cutOff)
+	awaitCompletedJob(t, cutOff, "returned")
+}
+
+// Guards against an agent that starts tasks before it knows of the drain of its zone,
+// after all processes were restarted: the first frame of a link tells it.
+func TestNewLinkTellsOfADrainBeforeTheFirstTask(t *testing.T) {
+	d, address, drains := startGatewayWithDrains(t)
+	drains.Install(zones.New(7, "z"))
+	startAgent(t, address)
+	for range 20 {
+		if a := d.Submit(t.Context(), smallJob("drained")); a.State != dispatch.NotRun {
+			t.Fatalf("a job for a drained zone: %v, cause %s", a.State, a.Cause)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	drains.Install(zones.New(8))
+	awaitCompletedJob(t, d, "returned")
+}
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
 var errReceiveTimeout = errors.New("no frame was received in time")
@@ -25,14 +26,15 @@
 type Server struct {
 	dispatcher *dispatch.Dispatcher
 	config     *queues.CurrentConfig
+	drains     *zones.Current
 	gateways   *Gateways
 	// lastLinkNumber is the number of the newest link.
 	lastLinkNumber atomic.Uint64
 }
 
 // NewServer returns the dispatch service of a gateway.
-func NewServer(d *dispatch.Dispatcher, config *queues.CurrentConfig, gateways *Gateways) *Server {
-	return &Server{dispatcher: d, config: config, gateways: gateways}
+func NewServer(d *dispatch.Dispatcher, config *queues.CurrentConfig, drains *zones.Current, gateways *Gateways) *Server {
+	return &Server{dispatcher: d, config: config, drains: drains, gateways: gateways}
 }
 
 // Handler returns the HTTP handler of the service.
@@ -42,8 +44,8 @@
 	return streamend.Handler(h)
 }
 
-// Configuration returns the active configuration if it is newer than the
-// caller's.
+// Configuration returns the active configuration and the drained zones as far as they
+// are newer than the caller's.
 func (s *Server) Configuration(_ context.Context, r *connect.Request[pb.ConfigurationRequest]) (*connect.Response[pb.ConfigurationReply], error) {
 	reply := &pb.ConfigurationReply{}
 	if c := s.config.Get(); c != nil {
@@ -52,6 +54,11 @@
 			reply.Document = c.Document
 		}
 	}
+	d := s.drains.Get()
+	reply.DrainsRevision = d.Revision
+	if d.Revision > r.Msg.DrainsNewerThan {
+		reply.DrainedZones = d.Zones()
+	}
 	return connect.NewResponse(reply), nil
 }
 
@@ -84,7 +91,7 @@
 	s.handleFrame(info.Link, first)
 	endReceive, endSend := streamend.Functions(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { cancel(s.write(ctx, stream, l)) })
+	wg.Go(func() { cancel(s.write(ctx, stream, l, info.Zone)) })
 	wg.Go(func() { cancel(s.read(stream, l, info.Link, cancel)) })
 	<-ctx.Done()
 	s.dispatcher.AgentDown(info, context.Cause(ctx))
@@ -137,10 +144,10 @@
 	s.dispatcher.Report(link, load, runEvents)
 }
 
-func (s *Server) write(ctx context.Context, stream *attachStream, l *gatewayLink) error {
+func (s *Server) write(ctx context.Context, stream *attachStream, l *gatewayLink, zone string) error {
 	echo := time.NewTimer(0)
 	defer echo.Stop()
-	var sentVersion uint64
+	var sentVersion, sentRevision uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -152,6 +159,9 @@
 		if version, all := s.gateways.ChangesSince(sentVersion); version != sentVersion {
 			sentVersion, f.Gateways = version, all
 		}
+		if d := s.drains.Get(); d.Revision != sentRevision {
+			sentRevision, f.ZoneDrain = d.Revision, &pb.ZoneDrain{Revision: d.Revision, Drained: d.Contains(zone)}
+		}
 		if err := stream.Send(f); err != nil {
 			return err
 		}
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -42,8 +42,12 @@
 	leaseExpiry map[string]time.Duration
 	// retired gateways may not start new tasks.
 	retired map[string]bool
-	stats   statistics
-	out     Actions
+	// zoneDrained is whether operators have drained the agent's availability zone, as
+	// of drainRevision.
+	zoneDrained   bool
+	drainRevision uint64
+	stats         statistics
+	out           Actions
 }
 
 // NewCore returns a core without a target.
@@ -71,10 +75,25 @@
 		return false, task.ReasonNoTarget
 	case c.target.Draining:
 		return false, task.ReasonDraining
+	case c.zoneDrained:
+		return false, task.ReasonZoneDrained
 	}
 	return true, ""
 }
 
+// SetZoneDrain records whether the agent's availability zone is drained as of a
+// revision, and returns queued tasks if it is. Older revisions have no effect. It
+// reports whether the state has changed.
+func (c *Core) SetZoneDrain(now time.Duration, revision uint64, drained bool) bool {
+	if revision <= c.drainRevision {
+		return false
+	}
+	changed := drained != c.zoneDrained
+	c.drainRevision, c.zoneDrained = revision, drained
+	c.processQueue(now)
+	return changed
+}
+
 // Heartbeat processes a heartbeat of the target. It ignores heartbeats of earlier
 // incarnations and those that arrive after a newer one.
 func (c *Core) Heartbeat(now time.Duration, t Target) {
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -468,3 +468,42 @@
 		t.Fatal("gateway not idle after the end of all runs")
 	}
 }
+
+// Guards against work that starts in a drained zone or waits there for a start that
+// never comes, against runs that a drain interrupts, and against an older revision
+// that a gateway cut off from the store sends.
+func TestDrainedZoneReturnsQueuedTasksAndKeepsRuns(t *testing.T) {
+	r := newCoreHarness(t)
+	r.submit(newStart("runs", 0, 10_000), newStart("waits", 0, 10_000))
+	r.answerStart(firstAttempt("runs", 0), StartAccepted)
+	drain := func(revision uint64, drained, changed bool) {
+		t.Helper()
+		if got := r.core.SetZoneDrain(r.now, revision, drained); got != changed {
+			t.Fatalf("revision %d, drained %v: changed %v", revision, drained, got)
+		}
+		r.collect()
+	}
+	wantAccepting := func(want bool, reason task.Reason) {
+		t.Helper()
+		if ok, why := r.core.Accepting(); ok != want || why != reason {
+			t.Fatalf("accepting %v (%s), want %v (%s)", ok, why, want, reason)
+		}
+	}
+	drain(7, true, true)
+	r.wantReport("waits", task.NotStarted, task.ReasonZoneDrained)
+	drain(6, false, false)
+	drain(7, false, false)
+	wantAccepting(false, task.ReasonZoneDrained)
+	r.submit(newStart("late", 0, 1_000))
+	r.wantReport("late", task.NotStarted, task.ReasonZoneDrained)
+	if len(r.actions.Stops) != 0 {
+		t.Fatalf("stops %v after a drain", r.actions.Stops)
+	}
+	r.applyEnd(firstAttempt("runs", 0), task.Done)
+	r.wantReport("runs", task.Done, "")
+	drain(8, true, false)
+	drain(9, false, true)
+	wantAccepting(true, "")
+	r.submit(newStart("again", 0, 1_000))
+	r.wantStarted("runs", "again")
+}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -313,6 +313,21 @@
 	return r.core.GatewayIdle(gateway)
 }
 
+// SetZoneDrain applies what a gateway knows of the agent's availability zone.
+func (r *Runner) SetZoneDrain(revision uint64, drained bool, gateway string) {
+	r.apply(func(c *Core, now time.Duration) {
+		if !c.SetZoneDrain(now, revision, drained) {
+			return
+		}
+		event := events.ZoneReturned
+		if drained {
+			event = events.ZoneDrained
+		}
+		event.Log(r.log).Uint64("revision", revision).Str("gateway", gateway).Send()
+		r.notifyLoadChanged()
+	})
+}
+
 // HandleOrder applies a frame received from a gateway.
 func (r *Runner) HandleOrder(gateway string, stamp time.Duration, starts []Start, stopJobs []string, stops []Attempt) {
 	r.apply(func(c *Core, now time.Duration) {
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -81,17 +81,18 @@
 
 // Reasons for NotStarted.
 const (
-	ReasonExpired     Reason = "expired"     // it waited too long in the agent's queue
-	ReasonDraining    Reason = "draining"    // the target is draining
-	ReasonStopping    Reason = "stopping"    // the agent is shutting down
-	ReasonNoTarget    Reason = "no_target"   // the agent's target has not registered or does not respond
-	ReasonStale       Reason = "stale"       // the order was delayed in transit
-	ReasonBusy        Reason = "busy"        // the order required an immediate start, which was not possible
-	ReasonRevoked     Reason = "revoked"     // the gateway revoked it
-	ReasonRefused     Reason = "refused"     // the target rejected it
-	ReasonSuperseded  Reason = "superseded"  // the target has already seen this attempt or a later one
-	ReasonUnanswered  Reason = "unanswered"  // the target did not answer the start request and was told to drop the task
-	ReasonDuplicate   Reason = "duplicate"   // another run of the task has not ended yet
-	ReasonGatewayLost Reason = "gateway_out" // the gateway's lease expired
-	ReasonUnlinked    Reason = "unlinked"    // the agent is closing its link to the gateway
+	ReasonExpired     Reason = "expired"      // it waited too long in the agent's queue
+	ReasonDraining    Reason = "draining"     // the target is draining
+	ReasonStopping    Reason = "stopping"     // the agent is shutting down
+	ReasonNoTarget    Reason = "no_target"    // the agent's target has not registered or does not respond
+	ReasonStale       Reason = "stale"        // the order was delayed in transit
+	ReasonBusy        Reason = "busy"         // the order required an immediate start, which was not possible
+	ReasonRevoked     Reason = "revoked"      // the gateway revoked it
+	ReasonRefused     Reason = "refused"      // the target rejected it
+	ReasonSuperseded  Reason = "superseded"   // the target has already seen this attempt or a later one
+	ReasonUnanswered  Reason = "unanswered"   // the target did not answer the start request and was told to drop the task
+	ReasonDuplicate   Reason = "duplicate"    // another run of the task has not ended yet
+	ReasonGatewayLost Reason = "gateway_out"  // the gateway's lease expired
+	ReasonUnlinked    Reason = "unlinked"     // the agent is closing its link to the gateway
+	ReasonZoneDrained Reason = "zone_drained" // the agent's availability zone is drained
 )
