Drain an availability zone through the operators' API

The targets of the zone count as drained, which agents and placement already know how to handle; status lists the drained zones.

--- a/command/app.go
+++ b/command/app.go
@@ -114,7 +114,7 @@
 	addSubcommand(p, "explain-logs", "Show what the logs of all processes say of one restartable job", explainLogsExamples, &explainLogsCommand{app: a})
 	addSubcommand(p, "unserved-logs", "Count the restartable jobs that gateways did not complete, by what bound them", unservedLogsExamples, &unservedLogsCommand{app: a})
 	a.addDocumentCommands(p)
-	addSubcommand(p, "drain", "Stop or resume new work for a target", drainExamples, &drainCommand{app: a})
+	addSubcommand(p, "drain", "Stop or resume new work for a target or an availability zone", drainExamples, &drainCommand{app: a})
 	addSubcommand(p, "local", "Run a whole deployment in this process and submit a job to it", localExamples, &localCommand{app: a})
 }
 
--- a/command/config_test.go
+++ b/command/config_test.go
@@ -126,6 +126,23 @@
 	x.want(ExitNotFound, "unknown_target", "drain", "t9")
 }
 
+// Guards against a zone that is drained in place of a target or the reverse, and
+// against a command that names both or neither.
+func TestDrainCommandOfAZone(t *testing.T) {
+	x := newTool(t)
+	x.want(ExitOK, "draining", "drain", "--zone", "z1")
+	if !x.ops.drained["zone z1"] {
+		t.Error("z1 is not draining")
+	}
+	x.want(ExitOK, "in use", "drain", "--zone", "z1", "--undo")
+	if x.ops.drained["zone z1"] {
+		t.Error("z1 is draining")
+	}
+	x.want(ExitNotFound, "unknown_zone", "drain", "--zone", "z9")
+	x.want(ExitInvalid, "name either", "drain")
+	x.want(ExitInvalid, "name either", "drain", "t1", "--zone", "z1")
+}
+
 // The walkthrough in README.md loads these files, as CSV or as JSON.
 func TestExampleInventoriesAreEqual(t *testing.T) {
 	x := newTool(t)
--- a/command/fakes_test.go
+++ b/command/fakes_test.go
@@ -73,6 +73,14 @@
 	return nil
 }
 
+func (f *fakeOperations) SetZoneDrain(_ context.Context, zone string, drain bool) error {
+	if zone != "z1" {
+		return httpapi.ErrUnknownZone
+	}
+	f.drained = map[string]bool{"zone " + zone: drain}
+	return nil
+}
+
 func (f *fakeOperations) Ready() (bool, string) { return true, "" }
 
 // tool runs the command-line tool against fakes of a gateway's APIs.
--- a/command/status.go
+++ b/command/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
@@ -71,6 +72,11 @@
 	}
 	t.row(s.Gateway, ready, s.ConfigVersion, fmt.Sprintf("%s, offset %d", log, s.AppliedOffset),
 		fmt.Sprintf("%d, %d serving", s.Partitions, s.Serving), s.Jobs, s.Queued)
+	if len(s.DrainedZones) > 0 {
+		t.row()
+		t.row("DRAINED ZONES")
+		t.row(strings.Join(s.DrainedZones, ", "))
+	}
 	t.row()
 	t.row("GATEWAY", "ADDRESS", "ZONE", "ALIVE", "PARTITIONS")
 	for _, g := range s.Gateways {
--- a/control/changes.go
+++ b/control/changes.go
@@ -34,6 +34,11 @@
 	return l.change(ctx, state.KindTargetDrain, state.TargetDrain{Target: target, Drain: drain})
 }
 
+// DrainZone sets or clears an operator's drain of an availability zone.
+func (l *Loop) DrainZone(ctx context.Context, zone string, drain bool) error {
+	return l.change(ctx, state.KindZoneDrain, state.ZoneDrain{Zone: zone, Drain: drain})
+}
+
 func (l *Loop) change(ctx context.Context, kind state.Kind, body any) error {
 	r, err := l.Append(ctx, kind, body)
 	if err != nil {
--- a/gateway/agentstate.go
+++ b/gateway/agentstate.go
@@ -159,7 +159,7 @@
 			AvailabilityZone: a.AvailabilityZone,
 			Delay:            e.opts.delayTo(a.AvailabilityZone),
 			Connected:        ag.acceptsStarts(),
-			Draining:         e.snapshot.Drained[a.Target] || ag.load.Leaving || !ag.load.Accepting,
+			Draining:         e.snapshot.DrainedAgent(id) || ag.load.Leaving || !ag.load.Accepting,
 		}
 		if cfg, ok := e.snapshot.Config.Target(a.Target); ok {
 			t.DeclaredSpeed = cfg.Speed
--- a/gateway/collect.go
+++ b/gateway/collect.go
@@ -33,7 +33,7 @@
 			// earlier link and reports it as not started, so that it can be placed
 			// again.
 			e.revokeAll(ag)
-			e.sendDrain(ag, e.snapshot.Drained[string(ag.target)])
+			e.sendDrain(ag, e.snapshot.DrainedAgent(a.ID))
 			e.probe(now, ag)
 		}
 		events.LinkUp.Log(e.log).Str("agent", a.ID).Send()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -177,13 +177,12 @@
 	}
 }
 
-// syncDrains informs agents of changes to the drain state of their targets. While
+// syncDrains informs agents of changes to the drain state of their targets and zones. While
 // drained, an agent refuses starts from all gateways, and this gateway revokes the
 // tasks that it has queued there.
 func (e *engine) syncDrains(old *state.Snapshot) {
 	for _, ag := range e.agents {
-		target := string(ag.target)
-		if drain := e.snapshot.Drained[target]; drain != old.Drained[target] {
+		if drain := e.snapshot.DrainedAgent(ag.listed.ID); drain != old.DrainedAgent(ag.listed.ID) {
 			e.sendDrain(ag, drain)
 			if drain {
 				e.revokeAll(ag)
--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -121,6 +123,25 @@
 	return g.toAPIError(g.control.Drain(ctx, target, drain))
 }
 
+// SetZoneDrain implements httpapi.Operations.
+func (g *Gateway) SetZoneDrain(ctx context.Context, zone string, drain bool) error {
+	v := g.control.Snapshot()
+	// The drain of a zone that no longer has targets can be ended.
+	known := v.DrainedZones[zone]
+	for _, t := range v.Config.Targets() {
+		known = known || t.AvailabilityZone == zone
+	}
+	for _, a := range v.Agents {
+		known = known || a.AvailabilityZone == zone
+	}
+	if !known {
+		return httpapi.ErrUnknownZone
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	return g.toAPIError(g.control.DrainZone(ctx, zone, drain))
+}
+
 // Ready implements httpapi.Operations.
 func (g *Gateway) Ready() (bool, string) {
 	switch {
@@ -146,6 +167,7 @@
 	st.Gateway, st.Incarnation, st.AvailabilityZone = g.opts.ID, g.opts.Incarnation, g.opts.AvailabilityZone
 	st.Ready, st.NotReadyReason = g.Ready()
 	st.ConfigVersion, st.AppliedOffset = v.ConfigVersion, v.Applied
+	st.DrainedZones = slices.Sorted(maps.Keys(v.DrainedZones))
 	st.LogReachable = g.control.Status().LogAvailable
 	owned := make(map[string]int)
 	for _, o := range v.Owners {
@@ -181,7 +203,7 @@
 		out.Targets = append(out.Targets, httpapi.TargetStatus{
 			ID: string(t.ID), Service: a.Service, AvailabilityZone: a.AvailabilityZone, Worker: a.Worker,
 			Connected: ag.acceptsStarts(), Accepting: ag.load.Accepting, Leaving: ag.load.Leaving,
-			Draining: e.snapshot.Drained[string(t.ID)], Ejected: t.Ejected, Reason: t.EjectionReason,
+			Draining: e.snapshot.DrainedAgent(ag.listed.ID), Ejected: t.Ejected, Reason: t.EjectionReason,
 			Slots: t.Slots, Outstanding: t.Outstanding, Speed: t.Speed,
 		})
 	}
--- a/httpapi/api.go
+++ b/httpapi/api.go
@@ -87,6 +87,9 @@
 	// SetDrain sets or clears an operator's drain of a target. It fails with
 	// ErrUnknownTarget, *UnknownOutcomeError or ErrUnavailable.
 	SetDrain(ctx context.Context, target string, drain bool) error
+	// SetZoneDrain sets or clears an operator's drain of an availability zone. It
+	// fails with ErrUnknownZone, *UnknownOutcomeError or ErrUnavailable.
+	SetZoneDrain(ctx context.Context, zone string, drain bool) error
 	// Ready reports whether the gateway accepts requests, and the reason if it does
 	// not.
 	Ready() (bool, string)
@@ -133,7 +136,9 @@
 	Queued     int             `json:"queued_tasks"`
 	Gateways   []GatewayStatus `json:"gateways"`
 	Targets    []TargetStatus  `json:"targets"`
-	Clients    []ClientStatus  `json:"clients,omitempty"`
+	// DrainedZones lists the availability zones that an operator has drained.
+	DrainedZones []string       `json:"drained_zones,omitempty"`
+	Clients      []ClientStatus `json:"clients,omitempty"`
 }
 
 // GatewayStatus is the status of a gateway as the responding gateway sees it.
@@ -240,4 +245,6 @@
 	ErrUnavailable = errors.New("the platform's log is unavailable; nothing was changed")
 	// ErrUnknownTarget means that there is no target with this name.
 	ErrUnknownTarget = errors.New("unknown target")
+	// ErrUnknownZone means that no target is in the availability zone.
+	ErrUnknownZone = errors.New("unknown availability zone")
 )
--- a/httpapi/operators.go
+++ b/httpapi/operators.go
@@ -36,6 +36,8 @@
 	e.GET("/v1/status", h.status)
 	e.POST("/v1/targets/:target/drain", func(c echo.Context) error { return h.drain(c, true) })
 	e.DELETE("/v1/targets/:target/drain", func(c echo.Context) error { return h.drain(c, false) })
+	e.POST("/v1/zones/:zone/drain", func(c echo.Context) error { return h.drainZone(c, true) })
+	e.DELETE("/v1/zones/:zone/drain", func(c echo.Context) error { return h.drainZone(c, false) })
 	e.GET("/live", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
 	e.GET("/ready", h.ready)
 	if m, ok := o.Metrics.(interface{ OnScrape(func(telemetry.Set)) }); ok {
@@ -123,6 +125,8 @@
 		b.Message = fmt.Sprintf("%d findings; nothing was changed", len(b.Findings))
 	case errors.As(err, &conflict):
 		code, b.Reason, b.Version, b.Operator = http.StatusConflict, "version_conflict", conflict.Current, conflict.Operator
+	case errors.Is(err, ErrUnknownZone):
+		code, b.Reason = http.StatusNotFound, "unknown_zone"
 	case errors.Is(err, ErrUnknownTarget):
 		code, b.Reason = http.StatusNotFound, "unknown_target"
 	case errors.Is(err, ErrUnavailable):
@@ -151,3 +155,22 @@
 	events.DrainChanged.Log(h.options.Log).Str("target", target).Bool("drain", drain).Send()
 	return c.JSON(http.StatusOK, DrainBody{Target: target, Drain: drain})
 }
+
+// ZoneDrainBody is the response body after the drain of an availability zone was set
+// or cleared.
+type ZoneDrainBody struct {
+	Zone  string `json:"zone"`
+	Drain bool   `json:"drain"`
+}
+
+func (h *operatorsHandler) drainZone(c echo.Context, drain bool) error {
+	zone, err := pathParam(c, "zone")
+	if err != nil {
+		return writeError(c, http.StatusBadRequest, ErrorBody{Reason: string(model.ReasonInvalid), Message: err.Error()})
+	}
+	if err := h.ops.SetZoneDrain(c.Request().Context(), zone, drain); err != nil {
+		return h.writeOperationError(c, err)
+	}
+	events.ZoneDrainChanged.Log(h.options.Log).Str("zone", zone).Bool("drain", drain).Send()
+	return c.JSON(http.StatusOK, ZoneDrainBody{Zone: zone, Drain: drain})
+}
--- a/httpapi/operators_test.go
+++ b/httpapi/operators_test.go
@@ -34,6 +34,11 @@
 	return f.err
 }
 
+func (f *fakeOperations) SetZoneDrain(_ context.Context, zone string, drain bool) error {
+	f.drained = map[string]bool{"zone " + zone: drain}
+	return f.err
+}
+
 func (f *fakeOperations) Ready() (bool, string) { return f.notReady == "", f.notReady }
 
 const validChange = `{"base":7,"operator":"ana","inventory":{"workers":[]},"rules":{}}`
@@ -113,6 +118,24 @@
 	}
 }
 
+// Guards against setting the drain of a zone when it should be cleared or the reverse,
+// and against accepting the drain of an unknown zone.
+func TestZoneDrain(t *testing.T) {
+	for method, want := range map[string]bool{http.MethodPost: true, http.MethodDelete: false} {
+		ops := &fakeOperations{}
+		var got ZoneDrainBody
+		w := call(t, NewOperatorsHandler(ops, Options{}), method, "/v1/zones/z1/drain", "", &got)
+		if w.Code != 200 || ops.drained["zone z1"] != want || got != (ZoneDrainBody{Zone: "z1", Drain: want}) {
+			t.Errorf("%s: %d %+v, drained %v", method, w.Code, got, ops.drained)
+		}
+	}
+	ops := &fakeOperations{err: ErrUnknownZone}
+	var refused ErrorBody
+	if w := call(t, NewOperatorsHandler(ops, Options{}), http.MethodPost, "/v1/zones/z9/drain", "", &refused); w.Code != 404 || refused.Reason != "unknown_zone" {
+		t.Errorf("unknown zone: %d %+v", w.Code, refused)
+	}
+}
+
 // Load balancers stop sending requests only after a failed readiness check.
 // Guards against a process that is not live meanwhile, which the platform would
 // restart.
--- a/integration/harness/operate.go
+++ b/integration/harness/operate.go
@@ -96,11 +96,20 @@
 
 // Drain sets or clears the drain of a target through a gateway.
 func (c *Cluster) Drain(i, target int, drain bool) error {
+	return c.drain(i, "/v1/targets/"+targetName(target), drain)
+}
+
+// DrainZone sets or clears the drain of a target's availability zone through a gateway.
+func (c *Cluster) DrainZone(i, target int, drain bool) error {
+	return c.drain(i, "/v1/zones/"+zoneName(target), drain)
+}
+
+func (c *Cluster) drain(i int, path string, drain bool) error {
 	method := http.MethodPost
 	if !drain {
 		method = http.MethodDelete
 	}
-	return request(context.Background(), method, c.operatorURL(i, "/v1/targets/"+targetName(target)+"/drain"), nil, nil)
+	return request(context.Background(), method, c.operatorURL(i, path+"/drain"), nil, nil)
 }
 
 // SetLogFaults replaces the injected faults of the log stand-in.
--- a/integration/leave_test.go
+++ b/integration/leave_test.go
@@ -27,13 +27,16 @@
 	ways := []struct {
 		name  string
 		leave func(c *harness.Cluster) error
+		// byOperator is set for a change through the operators' API.
+		byOperator bool
 	}{
 		{"own leave", func(c *harness.Cluster) error {
 			c.SetTargetMode(0, target.ModeChange{Mode: target.ModeLeave})
 			return nil
-		}},
-		{"drain", func(c *harness.Cluster) error { return c.Drain(1, 0, true) }},
-		{"SIGTERM to the agent", func(c *harness.Cluster) error { return c.Agents[0].Terminate() }},
+		}, false},
+		{"drain", func(c *harness.Cluster) error { return c.Drain(1, 0, true) }, true},
+		{"SIGTERM to the agent", func(c *harness.Cluster) error { return c.Agents[0].Terminate() }, false},
+		{"drain of its zone", func(c *harness.Cluster) error { return c.DrainZone(1, 0, true) }, true},
 	}
 	states := []struct {
 		name   string
@@ -61,7 +64,7 @@
 				if way.name == ways[2].name {
 					accepted = began
 				}
-				refused := way.name == "drain" && state.refusesDrain
+				refused := way.byOperator && state.refusesDrain
 				time.Sleep(leaveTimeout + time.Second)
 				stop()
 				var status *harness.StatusError
--- a/state/encode.go
+++ b/state/encode.go
@@ -31,6 +31,7 @@
 	Departed      []DepartedAgent  `json:"departed"`
 	Owners        []ownedPartition `json:"owners"`
 	Drained       []string         `json:"drained"`
+	DrainedZones  []string         `json:"drained_zones,omitempty"`
 	Recent        []recentRecord   `json:"recent"`
 }
 
@@ -47,6 +48,7 @@
 		ConfigVersion: s.ConfigVersion, Config: s.encodedConfig, Operator: s.ConfigOperator, ChangedAt: s.ConfigChangedAt,
 		Gateways: sortedValues(s.Gateways), Agents: sortedValues(s.Agents),
 		Departed: s.Departed, Drained: slices.Sorted(maps.Keys(s.Drained)), Recent: s.recent,
+		DrainedZones: slices.Sorted(maps.Keys(s.DrainedZones)),
 	}
 	for _, p := range slices.Sorted(maps.Keys(s.Owners)) {
 		b.Owners = append(b.Owners, ownedPartition{p, s.Owners[p]})
@@ -73,7 +75,8 @@
 		Gateways: make(map[string]Gateway, len(b.Gateways)), Agents: make(map[string]Agent, len(b.Agents)),
 		Departed: b.Departed, recent: b.Recent,
 		Owners: make(map[model.Partition]Ownership, len(b.Owners)), Drained: make(map[string]bool, len(b.Drained)),
-		Config: inventory.New(inventory.Inventory{}, inventory.Rules{}),
+		DrainedZones: make(map[string]bool, len(b.DrainedZones)),
+		Config:       inventory.New(inventory.Inventory{}, inventory.Rules{}),
 	}
 	for _, g := range b.Gateways {
 		s.Gateways[g.ID] = g
@@ -87,6 +90,9 @@
 	for _, t := range b.Drained {
 		s.Drained[t] = true
 	}
+	for _, z := range b.DrainedZones {
+		s.DrainedZones[z] = true
+	}
 	if len(b.Config) == 0 {
 		return s, nil
 	}
--- a/state/machine.go
+++ b/state/machine.go
@@ -50,7 +50,7 @@
 	published *Snapshot
 	// The shared flags mark the maps of cur that a snapshot also refers to.
 	// Such a map is copied before it is modified (copy-on-write).
-	sharedGateways, sharedAgents, sharedOwners, sharedDrained bool
+	sharedGateways, sharedAgents, sharedOwners, sharedDrained, sharedDrainedZones bool
 	// recentByID indexes cur.recent by ID.
 	recentByID map[string]recentRecord
 	// departedIncarnations holds the newest incarnation of each agent in
@@ -66,11 +66,12 @@
 		m.retention = DefaultRetention
 	}
 	m.reset(Snapshot{
-		Config:   inventory.New(inventory.Inventory{}, inventory.Rules{}),
-		Gateways: map[string]Gateway{},
-		Agents:   map[string]Agent{},
-		Owners:   map[model.Partition]Ownership{},
-		Drained:  map[string]bool{},
+		Config:       inventory.New(inventory.Inventory{}, inventory.Rules{}),
+		Gateways:     map[string]Gateway{},
+		Agents:       map[string]Agent{},
+		Owners:       map[model.Partition]Ownership{},
+		Drained:      map[string]bool{},
+		DrainedZones: map[string]bool{},
 	})
 	return m
 }
@@ -79,7 +80,7 @@
 // indexes.
 func (m *Machine) reset(s Snapshot) {
 	m.cur, m.published = s, nil
-	m.sharedGateways, m.sharedAgents, m.sharedOwners, m.sharedDrained = false, false, false, false
+	m.setShared(false)
 	m.recentByID = make(map[string]recentRecord, len(s.recent))
 	for _, r := range s.recent {
 		m.recentByID[r.ID] = r
@@ -90,6 +91,12 @@
 	}
 }
 
+// setShared marks whether a snapshot refers to the maps of cur.
+func (m *Machine) setShared(shared bool) {
+	m.sharedGateways, m.sharedAgents, m.sharedOwners = shared, shared, shared
+	m.sharedDrained, m.sharedDrainedZones = shared, shared
+}
+
 // Snapshot returns the current state. It does not copy the maps; each one is
 // copied when a later record modifies it.
 func (m *Machine) Snapshot() *Snapshot {
@@ -99,7 +106,7 @@
 		m.cur.Departed = slices.Clip(m.cur.Departed)
 		s := m.cur
 		m.published = &s
-		m.sharedGateways, m.sharedAgents, m.sharedOwners, m.sharedDrained = true, true, true, true
+		m.setShared(true)
 	}
 	return m.published
 }
@@ -184,7 +191,7 @@
 	}
 	m.reset(*s)
 	// The caller may still use s, so its maps and slices must not be modified.
-	m.sharedGateways, m.sharedAgents, m.sharedOwners, m.sharedDrained = true, true, true, true
+	m.setShared(true)
 	m.cur.Departed, m.cur.recent = slices.Clip(s.Departed), slices.Clip(s.recent)
 	return true
 }
@@ -232,7 +239,11 @@
 	case KindAgentLeft:
 		return decodeAndApply(rec, m.agentsLeft)
 	case KindTargetDrain:
-		return decodeAndApply(rec, m.setDrain)
+		return decodeAndApply(rec, func(d TargetDrain) Result { return setMember(d.Target, d.Drain, &m.cur.Drained, &m.sharedDrained) })
+	case KindZoneDrain:
+		return decodeAndApply(rec, func(d ZoneDrain) Result {
+			return setMember(d.Zone, d.Drain, &m.cur.DrainedZones, &m.sharedDrainedZones)
+		})
 	case KindClaim:
 		return decodeAndApply(rec, func(c Claim) Result { return m.applyClaim(rec.Writer, c) })
 	case KindSnapshot:
@@ -269,18 +280,19 @@
 	return Result{}
 }
 
-func (m *Machine) setDrain(d TargetDrain) Result {
-	if d.Target == "" {
+// setMember adds a name to a set or removes it. An empty name is malformed.
+func setMember(name string, member bool, set *map[string]bool, shared *bool) Result {
+	if name == "" {
 		return rejected(ReasonMalformed)
 	}
-	if m.cur.Drained[d.Target] == d.Drain {
+	if (*set)[name] == member {
 		return Result{}
 	}
-	drained := cloneIfShared(&m.cur.Drained, &m.sharedDrained)
-	if d.Drain {
-		drained[d.Target] = true
+	names := cloneIfShared(set, shared)
+	if member {
+		names[name] = true
 	} else {
-		delete(drained, d.Target)
+		delete(names, name)
 	}
 	return Result{}
 }
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -93,6 +93,17 @@
 		{"m", "target_drain", "g2", state.TargetDrain{Target: "t1", Drain: true}, 9 * time.Minute},
 		{"n", "target_drain", "g2", state.TargetDrain{Target: "t1"}, time.Minute},
 	},
+	// A zone that was drained twice is in use after one return, and records on zones and
+	// on targets of the same name do not mix.
+	"drains": {
+		{"a", "zone_drain", "g1", state.ZoneDrain{Zone: "x", Drain: true}, 0},
+		{"b", "zone_drain", "g1", state.ZoneDrain{Zone: "x", Drain: true}, 0},
+		{"c", "target_drain", "g1", state.TargetDrain{Target: "x"}, 0},
+		{"d", "zone_drain", "g1", state.ZoneDrain{Zone: "y", Drain: true}, 0},
+		{"e", "zone_drain", "g1", state.ZoneDrain{Zone: "x"}, 0},
+		{"f", "zone_drain", "g1", `{}`, 0},
+		{"g", "zone_drain", "g1", `[]`, 0},
+	},
 	// Concurrent claims are decided by log order, separately for each partition,
 	// and only the owner can hand over a partition.
 	"claims": {
--- a/state/property_test.go
+++ b/state/property_test.go
@@ -35,14 +35,15 @@
 			agents(small("first", 2), small("last", 5), inc),
 			agentsLeft(inc, "agent-00000", "agent-00001"),
 			state.TargetDrain{Target: gw, Drain: inc > 1},
+			state.ZoneDrain{Zone: gw, Drain: inc > 1},
 			claim(gw, inc, inc == 3, uint64(small("partition", 2)), uint64(replaces)),
 			"{}", "7",
 			// A snapshot record must have no effect if no record is missing.
-			`{"format":1,"applied":9,"config_version":9,"drained":["g1"]}`,
+			`{"format":1,"applied":9,"config_version":9,"drained":["g1"],"drained_zones":["g2"]}`,
 		}
 		kinds := []state.Kind{
 			state.KindConfigChange, state.KindGatewayJoined, state.KindGatewayLeft, state.KindAgentJoined,
-			state.KindAgentLeft, state.KindTargetDrain, state.KindClaim, "unknown", state.KindClaim,
+			state.KindAgentLeft, state.KindTargetDrain, state.KindZoneDrain, state.KindClaim, "unknown", state.KindClaim,
 			state.KindSnapshot,
 		}
 		k := small("kind", len(kinds)-1)
--- a/state/record.go
+++ b/state/record.go
@@ -21,6 +21,7 @@
 	KindAgentJoined   Kind = "agent_joined"
 	KindAgentLeft     Kind = "agent_left"
 	KindTargetDrain   Kind = "target_drain"
+	KindZoneDrain     Kind = "zone_drain"
 	KindClaim         Kind = "claim"
 	KindSnapshot      Kind = "snapshot"
 )
@@ -127,6 +128,12 @@
 	Drain  bool   `json:"drain"`
 }
 
+// ZoneDrain sets or clears an operator's drain of an availability zone.
+type ZoneDrain struct {
+	Zone  string `json:"zone"`
+	Drain bool   `json:"drain"`
+}
+
 // Claim makes a gateway incarnation the owner of partitions. It takes effect for
 // those partitions whose current epoch equals PartitionClaim.Replaces.
 type Claim struct {
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -36,6 +36,8 @@
 	Owners map[model.Partition]Ownership
 	// Drained holds the targets that an operator has drained.
 	Drained map[string]bool
+	// DrainedZones holds the availability zones that an operator has drained.
+	DrainedZones map[string]bool
 
 	// encodedConfig is the encoding of Config as stored in the log. It preserves keys
 	// that this version does not know.
@@ -51,6 +53,13 @@
 	return g, ok && g.Incarnation == inc && !g.Left
 }
 
+// DrainedAgent reports whether an operator has drained the target of a listed agent,
+// or the agent's availability zone.
+func (s *Snapshot) DrainedAgent(id string) bool {
+	a, listed := s.Agents[id]
+	return listed && (s.Drained[a.Target] || s.DrainedZones[a.AvailabilityZone])
+}
+
 // Listed reports whether the given incarnation of the agent is a current member.
 func (s *Snapshot) Listed(id string, inc model.Incarnation) bool {
 	a, ok := s.Agents[id]
