--- a/integration/soak/checker_test.go
+++ b/integration/soak/checker_test.go
@@ -24,6 +24,9 @@
 	// drainMax is the bound that users require on the time after the acknowledgment
 	// of a target's drain in which tasks may still start there.
 	drainMax = 2 * time.Second
+	// zoneDrainMax is the bound that users require on the time after the acknowledgment
+	// of a zone's drain in which tasks may still start there.
+	zoneDrainMax = 5 * time.Second
 	// faultFreeTime is how long an agent must have been free of faults before
 	// drainMax applies to it.
 	faultFreeTime = 4 * time.Second
@@ -127,6 +130,9 @@
 			if r.AfterDrainAck > drainMax+lateCallDelay && !a.hadFault(r.Started.Add(-faultFreeTime), r.Started) {
 				c.report("%s: task %s started %v after the drain of its target was acknowledged", a.Name, r.Task, r.AfterDrainAck)
 			}
+			if c.system.inDrainedZone(a.zone, r.Started) && !a.hadFault(r.Started.Add(-faultFreeTime), r.Started) {
+				c.report("%s: task %s started in the drained zone %s", a.Name, r.Task, a.zone)
+			}
 		}
 	}
 	for _, runs := range byJob {
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -100,7 +101,10 @@
 	}},
 	{"reset links", 1, func(sc stepContext) { sc.system.net.Reset(sc.agent.Name, sc.gateway.Name) }},
 	{"silence links", 1, func(sc stepContext) { sc.system.net.Silence(sc.agent.Name, sc.gateway.Name) }},
-	{"store down", 1, func(sc stepContext) { sc.during(sc.system.store.SetDown) }},
+	{"store down", 1, func(sc stepContext) {
+		defer sc.system.beginStoreOutage()()
+		sc.during(sc.system.store.SetDown)
+	}},
 	{"store loses answers", 1, func(sc stepContext) { sc.during(sc.system.store.SetLoseReplies) }},
 	{"store drops history", 1, func(sc stepContext) { sc.system.store.TrimHistory() }},
 	{"target starts again under its id", 2, func(sc stepContext) { restartTarget(sc.agent, "", sc.Duration) }},
@@ -132,6 +136,8 @@
 	{"silence callers", 1, func(sc stepContext) { sc.load.breakConnections(sc.gateway, silenceConnection) }},
 	{"callers end without notice", 1, func(sc stepContext) { sc.load.breakConnections(sc.gateway, loseConnection) }},
 	{"burst of jobs", 1, func(sc stepContext) { sc.load.burst(burstJobs) }},
+	{"zone drained", 2, func(sc stepContext) { sc.system.drainZone(sc.agent.zone, zoneDrainMax+sc.Duration) }},
+	{"zone drained and returned", 1, func(sc stepContext) { sc.system.drainZone(sc.agent.zone, sc.Duration) }},
 }
 
 // uniqueID returns a target id that no other step uses.
@@ -146,6 +152,58 @@
 	set(false)
 }
 
+// drainZone drains an availability zone for d. It does nothing while another fault
+// has the zone drained.
+func (s *system) drainZone(zone string, d time.Duration) {
+	s.mu.Lock()
+	for _, z := range s.zoneDrains {
+		if z.zone == zone && z.to.IsZero() {
+			s.mu.Unlock()
+			return
+		}
+	}
+	s.store.DrainZone(zone, true)
+	i := len(s.zoneDrains)
+	s.zoneDrains = append(s.zoneDrains, zoneDrain{zone, interval{from: time.Now()}})
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.zoneDrains[i].to = time.Now()
+	s.store.DrainZone(zone, false)
+}
+
+// beginStoreOutage records that the store answers nobody until the returned function
+// is called.
+func (s *system) beginStoreOutage() (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.storeOutages)
+	s.storeOutages = append(s.storeOutages, interval{time.Now(), time.Now().Add(time.Hour)})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.storeOutages[i].to = time.Now()
+	}
+}
+
+// inDrainedZone reports whether a task that starts in a zone at the given time breaks
+// the bound on the time since the zone's drain. The bound starts anew at the end of an
+// outage of the store.
+func (s *system) inDrainedZone(zone string, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.zoneDrains, func(z zoneDrain) bool {
+		from := z.from
+		for _, o := range s.storeOutages {
+			if o.from.Before(at) && o.to.After(from) {
+				from = o.to
+			}
+		}
+		return z.zone == zone && at.After(from.Add(zoneDrainMax+lateCallDelay)) && (z.to.IsZero() || at.Before(z.to))
+	})
+}
+
 // cut holds back the bytes from a to b, from b to a or both for the duration of
 // the step.
 func (sc stepContext) cut(a, b string, aToB, bToA bool) {
--- a/integration/soak/system_test.go
+++ b/integration/soak/system_test.go
@@ -26,6 +26,8 @@
 const (
 	gatewayCount = 3
 	agentCount   = 4
+	// zoneCount is the number of availability zones of the agents.
+	zoneCount = 2
 	// seedsMax bounds the number of seed gateways in the settings of a process.
 	seedsMax = 3
 	// targetCPU is the CPU capacity of a target, enough for eight concurrent tasks.
@@ -65,13 +67,18 @@
 	created []*harness.Process
 	version uint64
 	queues  []queues.Queue
+	// zoneDrains are the drains of zones so far, storeOutages the times in which the
+	// store answered nobody.
+	zoneDrains   []zoneDrain
+	storeOutages []interval
 }
 
 // node is a gateway or an agent with its addresses and its faults.
 type node struct {
 	*harness.Process
 	clientAddr, readinessAddr, internalAddr string
-	// target and calls are set for agents only.
+	// zone, target and calls are set for agents only.
+	zone   string
 	target *standin.Target
 	calls  *callFaults
 	// lifecycle is held while the process is stopped and restarted.
@@ -86,6 +93,13 @@
 
 type interval struct{ from, to time.Time }
 
+// zoneDrain is one drain of an availability zone, from the store's acknowledgment of
+// its start to just before its end is written; to is zero while it lasts.
+type zoneDrain struct {
+	zone string
+	interval
+}
+
 // beginFault marks the process as affected by a fault. The returned function marks
 // the end of the fault; the process counts as affected for slack after it.
 func (n *node) beginFault() (end func()) {
@@ -133,7 +147,7 @@
 	}
 	for i := range agentCount * size {
 		a := &node{
-			internalAddr: s.freeAddress(), target: standin.NewTarget(fmt.Sprintf("i-%d", i), targetCPU),
+			zone: fmt.Sprintf("z%d", i%zoneCount), internalAddr: s.freeAddress(), target: standin.NewTarget(fmt.Sprintf("i-%d", i), targetCPU),
 			calls: &callFaults{random: rand.New(rand.NewPCG(seed, uint64(i)+callsStream))},
 		}
 		a.target.Fault, a.target.FaultDelay = a.calls.draw, lateCallDelay
@@ -141,7 +155,7 @@
 			a.target.ClockRate = slowClock
 		}
 		a.Process = s.newProcess("platform-agent", platform.Node{
-			Name: fmt.Sprintf("agent-%d", i), InternalAddr: a.internalAddr, StoreAddr: storeRelay, TargetAddr: s.serve(a.target.Handler()),
+			Name: fmt.Sprintf("agent-%d", i), Zone: a.zone, InternalAddr: a.internalAddr, StoreAddr: storeRelay, TargetAddr: s.serve(a.target.Handler()),
 			Seeds: seeds[:min(len(seeds), seedsMax)],
 		})
 		s.agents = append(s.agents, a)
@@ -204,7 +218,7 @@
 // newProcess writes the settings file of a process and returns the process, which
 // has not been started.
 func (s *system) newProcess(program string, n platform.Node, args ...string) *harness.Process {
-	n.Zone, n.Bounds = "z", platform.Bounds{GracePeriod: grace, RemoteFactor: 1.5}
+	n.Zone, n.Bounds = cmp.Or(n.Zone, "z0"), platform.Bounds{GracePeriod: grace, RemoteFactor: 1.5}
 	n.MetricsAddr = s.metricsAddress(cmp.Or(n.LinkAddr, n.InternalAddr))
 	environment, err := standin.WriteSettings(filepath.Join(s.dir, n.Name+".json"), n)
 	if err != nil {
