Emulator: a mix with more long jobs, and what any dispatcher could serve

For each kind of jobs it prints the share that idle fastest targets would complete within objective and deadline, which no dispatcher can exceed, how jobs were answered, and the tenth with the most work. The last jobs are played to their end, which the old figures left out.

--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/virtualtime"
@@ -29,10 +30,13 @@
 	MinLoadInterval time.Duration
 	// Load is the fraction of the targets' processor capacity that the jobs need.
 	Load float64
-	// Jobs are the kinds of jobs. The load is divided equally among them.
+	// Jobs are the kinds of jobs.
 	Jobs []JobKind
 	// Kinds are the kinds of targets, assigned to the targets in turn.
 	Kinds []TargetKind
+	// TaskSigma is the standard deviation of the logarithm of the run times of the
+	// tasks of one job.
+	TaskSigma float64
 	// Duration is the time during which jobs arrive.
 	Duration time.Duration
 }
@@ -44,12 +48,24 @@
 	return Options{
 		Seed: 1, Gateways: gateways, Targets: targets, MinLoadInterval: 50 * time.Millisecond, Load: 0.65, Duration: 3 * time.Second,
 		Jobs: []JobKind{
-			{"short", 8, 60 * time.Millisecond, 7600}, {"long", 4, 900 * time.Millisecond, 7600}, {"pair", 2, 200 * time.Millisecond, 7600},
+			{"short", 8, 60 * time.Millisecond, 7600, 0}, {"long", 4, 900 * time.Millisecond, 7600, 0}, {"pair", 2, 200 * time.Millisecond, 7600, 0},
 		},
 		Kinds: []TargetKind{{"fast", 0.7, 32_000}, {"fast", 0.7, 32_000}, {"slow", 1.7, 48_000}},
 	}
 }
 
+// LongJobsOptions returns a fleet like that of MixedOptions under more long jobs: two
+// fifths of a load that leaves half of the capacity free. The run times of the tasks of
+// a job differ.
+func LongJobsOptions(gateways, targets int) Options {
+	o := MixedOptions(gateways, targets)
+	o.Load, o.TaskSigma = 0.51, 0.15
+	o.Jobs = []JobKind{
+		{"short", 8, 60 * time.Millisecond, 3600, 0.17}, {"long", 4, 900 * time.Millisecond, 3600, 0.41}, {"pair", 2, 200 * time.Millisecond, 3600, 0.42},
+	}
+	return o
+}
+
 // JobKind is a kind of jobs.
 type JobKind struct {
 	Name string
@@ -58,6 +74,9 @@
 	RunTime time.Duration
 	// CPU is the requirement of a task, in thousandths of a core.
 	CPU int64
+	// LoadShare is the kind's share of the load; 0 in all kinds divides the load
+	// equally.
+	LoadShare float64
 }
 
 // TargetKind is a kind of targets.
@@ -100,7 +119,12 @@
 	rng      *rand.Rand
 	gateways []*gateway
 	targets  []*target
-	result   Result
+	// runTimes holds the run times of the tasks of each job on a target of reference
+	// speed.
+	runTimes map[string][]time.Duration
+	// fastest is the lowest slowness of any target.
+	fastest float64
+	result  Result
 }
 
 type gateway struct {
@@ -136,12 +160,13 @@
 
 // Run simulates a fleet and returns the result.
 func Run(opts Options) Result {
-	f := &Fleet{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), result: Result{Offered: map[string]int{}, InTime: map[string]int{}}}
+	f := &Fleet{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), runTimes: map[string][]time.Duration{}}
 	f.Now = startTime
 	f.build()
 	start := f.Now + linkSetupTime
 	f.scheduleJobs(start)
-	f.RunUntil(start + opts.Duration)
+	// The last jobs need their whole timeout.
+	f.RunUntil(start + opts.Duration + queue.Timeout)
 	f.finishResult()
 	return f.result
 }
@@ -151,6 +176,10 @@
 	if f.opts.Links > 0 {
 		links.Links = f.opts.Links
 	}
+	f.fastest = math.Inf(1)
+	for _, k := range f.opts.Kinds {
+		f.fastest = min(f.fastest, k.Slowness)
+	}
 	byName := map[string]*gateway{}
 	var names []string
 	for i := range f.opts.Gateways {
@@ -279,10 +308,7 @@
 	a := runner.Attempt{Task: s.Task, Number: s.Attempt}
 	t.running[a] = true
 	f.atTarget(t, func(c *runner.Core) { c.StartAnswered(f.Now, a, runner.StartAccepted) })
-	run, err := time.ParseDuration(s.Spec)
-	if err != nil {
-		panic(err) // submit sets a valid duration
-	}
+	run := f.runTimes[s.Task.Job][s.Task.Index]
 	f.After(time.Duration(float64(run)*t.kind.Slowness), func() { f.endRun(t, a, task.Done) })
 }
 
@@ -366,7 +392,11 @@
 	}
 	for _, k := range f.opts.Jobs {
 		cpuTimePerJob := float64(k.Tasks) * float64(k.CPU) * k.RunTime.Seconds()
-		meanInterval := cpuTimePerJob * float64(len(f.opts.Jobs)) / (capacity * f.opts.Load)
+		share := k.LoadShare
+		if share == 0 {
+			share = 1 / float64(len(f.opts.Jobs))
+		}
+		meanInterval := cpuTimePerJob / (capacity * f.opts.Load * share)
 		n := 0
 		for at := f.rng.ExpFloat64() * meanInterval; at < f.opts.Duration.Seconds(); at += f.rng.ExpFloat64() * meanInterval {
 			n++
@@ -386,28 +416,41 @@
 	run := time.Duration(float64(k.RunTime) * f.logNormal(jobSigma))
 	estimate := time.Duration(float64(run) * f.logNormal(estimateSigma))
 	tasks := max(1, int(math.Round(float64(k.Tasks)*f.logNormal(jobSigma))))
+	runTimes := f.drawRunTimes(run, tasks)
+	f.runTimes[id] = runTimes
+	longest := slices.Max(runTimes)
 	arrived := f.Now
-	objective := time.Duration(q.StretchFactor*float64(run)) + q.TargetLatency
-	f.result.Offered[k.Name]++
+	objective := time.Duration(q.StretchFactor*float64(longest)) + q.TargetLatency
+	job := f.result.add(k, run*time.Duration(tasks))
+	job.Possible = time.Duration(float64(longest)*f.fastest) <= min(objective, q.Timeout)
 	s := dispatch.Submission{
-		ID: id, Queue: q, Spec: run.String(), Wait: q.Timeout,
+		ID: id, Queue: q, Wait: q.Timeout,
 		Steps: []dispatch.Step{{Tasks: tasks, Needs: task.Resources{CPUMillis: k.CPU, MemoryMB: 64}, Estimate: estimate}},
 	}
 	caller := &dispatch.Caller{Answer: func(a dispatch.Answer) {
 		f.result.Attempts += a.Attempts
 		f.result.Tasks += tasks
-		if a.State != dispatch.Completed {
-			return
-		}
-		took := f.Now - arrived
-		f.result.Stretches = append(f.result.Stretches, took.Seconds()/run.Seconds())
-		if took <= objective {
-			f.result.InTime[k.Name]++
+		job.State, job.Elapsed = a.State, f.Now-arrived
+		if a.State == dispatch.Completed {
+			f.result.Stretches = append(f.result.Stretches, job.Elapsed.Seconds()/run.Seconds())
+			job.InTime = job.Elapsed <= objective
 		}
 	}}
 	f.atGateway(g, func(c *dispatch.Core) { c.Submit(f.Now, s, caller) })
 }
 
+// drawRunTimes returns the run times of the tasks of one job.
+func (f *Fleet) drawRunTimes(run time.Duration, tasks int) []time.Duration {
+	out := make([]time.Duration, tasks)
+	for i := range out {
+		out[i] = run
+		if f.opts.TaskSigma > 0 {
+			out[i] = time.Duration(float64(run) * f.logNormal(f.opts.TaskSigma))
+		}
+	}
+	return out
+}
+
 // logNormal returns a log-normally distributed factor with a mean of one.
 func (f *Fleet) logNormal(sigma float64) float64 {
 	return math.Exp(sigma*f.rng.NormFloat64() - sigma*sigma/2)
