Raise the cost of the last places of a target with the square of its use

Cause: at a busy hour short tasks take the fast targets, on which alone long jobs end by their deadline, while slow targets have room.

Change: 0.6 times the square of the use. A job's worth is about what it consumes, so that the same cost holds for short and long tasks.

--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -139,7 +139,8 @@
 func (p *plan) cost(cand *candidate, t *taskRecord, pr prediction) float64 {
 	cost := 1 - p.utility(pr.finish)
 	cost += timeWeight * pr.finish.Seconds()
-	cost += utilizationWeight * float64(cand.needs.CPUMillis) / float64(cand.agent.target.Capacity.CPUMillis)
+	used := float64(cand.needs.CPUMillis) / float64(cand.agent.target.Capacity.CPUMillis)
+	cost += utilizationWeight * used * used
 	if t.failedOn == cand.agent.Name {
 		cost += failedPenalty
 	}
@@ -167,10 +168,11 @@
 	lateUtility = 0.2
 	// timeWeight is the cost of each second until the end.
 	timeWeight = 0.3
-	// utilizationWeight is the cost of a target whose capacity is fully committed.
-	// Other gateways see the same free capacity: the emptier a target, the more of
-	// them can choose it before its next load report without overcommitting it.
-	utilizationWeight = 0.2
+	// utilizationWeight is the cost of a target whose capacity is fully committed; it
+	// grows with the square of what is committed. The last places of a target are worth
+	// most: on fast targets to tasks that would be late on slow ones, and on all targets
+	// to other gateways, which see the same free capacity until the next load report.
+	utilizationWeight = 0.6
 	// failedPenalty is the cost of the target on which an attempt of the task last
 	// failed or was recalled.
 	failedPenalty = 0.4
--- a/restartable/fleet/fleet_test.go
+++ b/restartable/fleet/fleet_test.go
@@ -30,6 +30,33 @@
 	}
 }
 
+// longJobsFor returns LongJobsOptions at a load, with jobs arriving for a duration.
+func longJobsFor(load float64, length time.Duration) Options {
+	o := LongJobsOptions(14, 76)
+	o.Load, o.Duration = load, length
+	return o
+}
+
+// possibleShare returns the share of the jobs of a kind that were completed in time,
+// among those that any dispatcher could complete in time.
+func possibleShare(r Result, kind string) float64 {
+	return share(r.Jobs[kind], inTime) / share(r.Jobs[kind], func(j *Job) bool { return j.Possible })
+}
+
+// Guards against short tasks that fill the fast targets at a busy hour, on which alone
+// long jobs end by their deadline, while slow targets have room: 85% of the targets'
+// processors are needed, two fifths of them by long jobs.
+func TestLongJobsFindFastTargetsAtABusyHour(t *testing.T) {
+	const minShare = 0.95
+	r := Run(longJobsFor(0.85, 6*time.Second))
+	t.Logf("%v", r)
+	for kind := range r.Jobs {
+		if got := possibleShare(r, kind); got < minShare {
+			t.Errorf("%.3f of the %s jobs that can be completed in time are, want %.2f", got, kind, minShare)
+		}
+	}
+}
+
 // Guards against numbers of messages and links per process that grow with the
 // fleet.
 func TestFramesAndLinksPerProcessDoNotGrowWithTheFleet(t *testing.T) {
