Count a run as overdue from its reported start

A run counted as overdue from the predicted wait on; with full targets tasks wait longer than predicted, and those that had just started, or were next in the queue, were stopped and lost their place.

Change: the time starts anew with the report of the start.

Result: the new test failed before.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -189,6 +189,7 @@
 		if j != nil {
 			j.started = true
 		}
+		t.overdueAt = overdueTime(now, t.expected)
 		return j
 	}
 	delete(a.placed, e.Task)
--- a/restartable/dispatch/core_test.go
+++ b/restartable/dispatch/core_test.go
@@ -323,6 +323,34 @@
 	}
 }
 
+// Guards against a run that is recalled although it takes no longer than others: its
+// task waited longer in the agent's queue than predicted, as at a busy hour.
+func TestWaitBeforeTheStartDoesNotMakeARunOverdue(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	r.addAgent("b", 32_000)
+	r.submit(newSubmission("j", 1, 100*ms))
+	tickFor := func(d time.Duration) {
+		for end := r.now + d; r.now < end; {
+			r.advance(20 * ms)
+			r.report("a", func(*Load) {})
+			r.report("b", func(*Load) {})
+			r.core.Tick(r.now)
+			r.collect()
+		}
+	}
+	tickFor(240 * ms)
+	r.reportEvent(r.orders[0].Link, newEvent("j", 0, 1, task.Started, ""))
+	tickFor(240 * ms)
+	if len(r.stops) != 0 {
+		t.Fatalf("stops %v after a run of 240 ms that was predicted to take 100 ms", r.stops)
+	}
+	tickFor(120 * ms)
+	if len(r.stops) != 1 {
+		t.Fatalf("stops %v after a run of 360 ms, want one", r.stops)
+	}
+}
+
 // Guards against tasks that are placed on an agent that sends no reports although
 // its link is up.
 func TestSilentAgentGetsNoWork(t *testing.T) {
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -171,7 +171,7 @@
 	a, t := ch.agent, ch.task
 	t.attempt++
 	t.state, t.agent, t.sentAt, t.expected = placed, a, now, ch.run
-	t.overdueAt = now + ch.wait + time.Duration(overdueFactor*float64(ch.run)) + overdueSlack
+	t.overdueAt = overdueTime(now+ch.wait, ch.run)
 	j.attempts++
 	j.inFlight++
 	j.agents[a] = true
@@ -187,8 +187,14 @@
 const maxBusyRefusals = 2
 
 const (
-	// A run is overdue after its predicted wait plus overdueFactor times its
-	// predicted run time plus overdueSlack. Estimates are off by about 40%.
+	// A run is overdue overdueFactor times its predicted run time plus overdueSlack
+	// after its start. Estimates are off by about 40%.
 	overdueFactor = 2.5
 	overdueSlack  = 50 * time.Millisecond
 )
+
+// overdueTime returns the time from which a run that starts at the given time is
+// overdue. Until the start is reported it is the predicted one.
+func overdueTime(start, expected time.Duration) time.Duration {
+	return start + time.Duration(overdueFactor*float64(expected)) + overdueSlack
+}
