Refuse a job that would wait unless it probably ends in time

Cause: when targets are full, a job that had not started was accepted although it would have to wait and had odds of only 0.4 to end within its objective. Most accepted jobs then are late or run until their deadline, and each takes the place of one that could have been in time.

Change: odds of 0.6. The refusal is immediate and true, nothing of the job has run.

--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -88,7 +88,7 @@
 	// minObjectiveProbability is the probability of meeting the objective below which
 	// a job that has not started is refused if it would have to wait for a target:
 	// other jobs make better use of the capacity.
-	minObjectiveProbability = 0.4
+	minObjectiveProbability = 0.6
 )
 
 // refusalDetails describes a refusal. last is the choice that decided it, or nil.
--- a/restartable/fleet/fleet_test.go
+++ b/restartable/fleet/fleet_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// Guards against an hour with too much work in which most jobs are accepted, wait for
+// full targets and are late: 95% of the targets' processors are needed, more than the
+// targets give that are fast enough for long jobs. Each kind of jobs has to be served
+// three times in four.
+func TestEachKindOfJobsIsServedWhenTargetsAreFull(t *testing.T) {
+	const minShare = 0.75
+	r := Run(longJobsFor(0.95, 10*time.Second))
+	t.Logf("%v", r)
+	for kind, jobs := range r.Jobs {
+		if got := share(jobs, inTime); got < minShare {
+			t.Errorf("%.3f of the %s jobs are completed in time, want %.2f", got, kind, minShare)
+		}
+	}
+}
+
 // Guards against numbers of messages and links per process that grow with the
 // fleet.
 func TestFramesAndLinksPerProcessDoNotGrowWithTheFleet(t *testing.T) {
