--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -103,10 +103,11 @@
 	addresses := p.peerAddresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	others := p.peerClients(addresses[:min(len(addresses), configurationFanOut)])
+	request := &pb.ConfigurationRequest{NewerThan: version, DrainsNewerThan: revision}
 	replies := make(chan *pb.ConfigurationReply, len(others))
 	for _, o := range others {
 		go func() {
-			r, err := o.Configuration(ctx, connect.NewRequest(&pb.ConfigurationRequest{NewerThan: version, DrainsNewerThan: revision}))
+			r, err := o.Configuration(ctx, connect.NewRequest(request))
 			if err != nil {
 				replies <- nil
 				return
--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -56,6 +56,35 @@
 	}
 }
 
+// Guards against a newer configuration or newer drains that are lost because another
+// gateway, asked at the same time, is ahead in the other one.
+func TestNewestConfigurationAndDrainsOfSeveralPeers(t *testing.T) {
+	known := link.NewGateways(boottime.Now, "g:1")
+	for i := range configurationFanOut {
+		config, drains := &queues.CurrentConfig{}, &zones.Current{}
+		config.Install(queues.New(uint64(10+i), nil, queues.Limits{}, fmt.Append(nil, 10+i)))
+		drains.Install(zones.New(uint64(20-i), fmt.Sprintf("zone-%d", i)))
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		server := httptest.NewUnstartedServer(link.NewServer(nil, config, drains, link.NewGateways(boottime.Now)).Handler())
+		server.Config.Protocols = protocols
+		server.Start()
+		defer server.Close()
+		known.Add(strings.TrimPrefix(server.URL, "http://"))
+	}
+	p := &gatewayPeers{name: "g", address: "g:1", log: zerolog.Nop(), client: link.NewHTTPClient(), known: known}
+	newer := p.Newer(t.Context(), 9, 9)
+	if want := fmt.Sprint(10 + configurationFanOut - 1); string(newer.Document) != want {
+		t.Errorf("document %q, want %q", newer.Document, want)
+	}
+	if newer.Drains == nil || newer.Drains.Revision != 20 || !slices.Equal(newer.Drains.Zones(), []string{"zone-0"}) {
+		t.Errorf("drains %+v, want those of revision 20", newer.Drains)
+	}
+	if newer = p.Newer(t.Context(), 100, 100); newer.Document != nil || newer.Drains != nil {
+		t.Errorf("%+v, want nothing that is newer", newer)
+	}
+}
+
 // Guards against records of replaced gateways that accumulate in the store, so
 // that a new gateway reads only those and finds no running gateway.
 func TestRecordsOfReplacedGatewaysAreRemoved(t *testing.T) {
