Weigh the use of fast targets by what jobs gain from them

Change: each gateway measures how much utility a job has more on the fastest suitable target than on the slowest, both idle, as an average weighted by work.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -72,6 +72,8 @@
 	statsAt      time.Duration
 	// estimators predict run times, by queue name.
 	estimators map[string]*estimator
+	// speedGains tell, by service, how much its jobs gain from fast targets.
+	speedGains map[string]*speedGain
 	// startedAt is when this process started.
 	startedAt time.Duration
 	// lastTickAt is the time of the last tick. Until resumeAt all jobs are refused
@@ -83,7 +85,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}}
 }
 
 // Take returns the actions that were decided since the last call.
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -140,7 +140,7 @@
 	cost := 1 - p.utility(pr.finish)
 	cost += timeWeight * pr.finish.Seconds()
 	used := float64(cand.needs.CPUMillis) / float64(cand.agent.target.Capacity.CPUMillis)
-	cost += utilizationWeight * used * used
+	cost += utilizationWeight*used + speedWeight*p.core.speedGains[p.job.Queue.Service].mean()*used*used
 	if t.failedOn == cand.agent.Name {
 		cost += failedPenalty
 	}
@@ -168,11 +168,15 @@
 	lateUtility = 0.2
 	// timeWeight is the cost of each second until the end.
 	timeWeight = 0.3
-	// utilizationWeight is the cost of a target whose capacity is fully committed; it
-	// grows with the square of what is committed. The last places of a target are worth
-	// most: on fast targets to tasks that would be late on slow ones, and on all targets
-	// to other gateways, which see the same free capacity until the next load report.
-	utilizationWeight = 0.6
+	// utilizationWeight is the cost of a target whose capacity is fully committed.
+	// Other gateways see the same free capacity: the emptier a target, the more of
+	// them can choose it before its next load report without overcommitting it.
+	utilizationWeight = 0.2
+	// speedWeight is the cost of a target whose capacity is fully committed, for each
+	// unit of utility that the service's jobs gain from a fast target. It grows with the
+	// square of what is committed: the last places of fast targets are worth most to
+	// tasks that would be late on slow ones.
+	speedWeight = 1.0
 	// failedPenalty is the cost of the target on which an attempt of the task last
 	// failed or was recalled.
 	failedPenalty = 0.4
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -44,6 +44,9 @@
 		return true
 	}
 	p := c.newPlan(now, j, step)
+	if j.attempts == 0 {
+		c.observeSpeedGain(p)
+	}
 	choices := p.placeAll(tasks)
 	if cause, last := c.refusalCause(now, j, step, tasks, choices); cause != CauseNone {
 		if c.inStartupGrace(now) && !j.started {
