Share the handlers and the publication of target and zone drains

Change: one pair of handlers for what the path parameter names; Gateway.publish for both changes. No change of behaviour.

--- a/gateway/operations.go
+++ b/gateway/operations.go
@@ -118,9 +118,7 @@
 	if !known {
 		return httpapi.ErrUnknownTarget
 	}
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	return g.toAPIError(g.control.Drain(ctx, target, drain))
+	return g.publish(ctx, func(ctx context.Context) error { return g.control.Drain(ctx, target, drain) })
 }
 
 // SetZoneDrain implements httpapi.Operations.
@@ -137,9 +135,14 @@
 	if !known {
 		return httpapi.ErrUnknownZone
 	}
+	return g.publish(ctx, func(ctx context.Context) error { return g.control.DrainZone(ctx, zone, drain) })
+}
+
+// publish records an operator's change within changeTimeout.
+func (g *Gateway) publish(ctx context.Context, change func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	return g.toAPIError(g.control.DrainZone(ctx, zone, drain))
+	return g.toAPIError(change(ctx))
 }
 
 // Ready implements httpapi.Operations.
--- a/httpapi/operators.go
+++ b/httpapi/operators.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -34,10 +35,12 @@
 	e.GET("/v1/config", h.config)
 	e.PUT("/v1/config", h.changeConfig)
 	e.GET("/v1/status", h.status)
-	e.POST("/v1/targets/:target/drain", func(c echo.Context) error { return h.drain(c, true) })
-	e.DELETE("/v1/targets/:target/drain", func(c echo.Context) error { return h.drain(c, false) })
-	e.POST("/v1/zones/:zone/drain", func(c echo.Context) error { return h.drainZone(c, true) })
-	e.DELETE("/v1/zones/:zone/drain", func(c echo.Context) error { return h.drainZone(c, false) })
+	setDrain, clearDrain := h.drainHandlers("target", ops.SetDrain, h.targetDrained)
+	e.POST("/v1/targets/:target/drain", setDrain)
+	e.DELETE("/v1/targets/:target/drain", clearDrain)
+	setZoneDrain, clearZoneDrain := h.drainHandlers("zone", ops.SetZoneDrain, h.zoneDrained)
+	e.POST("/v1/zones/:zone/drain", setZoneDrain)
+	e.DELETE("/v1/zones/:zone/drain", clearZoneDrain)
 	e.GET("/live", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
 	e.GET("/ready", h.ready)
 	if m, ok := o.Metrics.(interface{ OnScrape(func(telemetry.Set)) }); ok {
@@ -144,18 +147,6 @@
 	Drain  bool   `json:"drain"`
 }
 
-func (h *operatorsHandler) drain(c echo.Context, drain bool) error {
-	target, err := pathParam(c, "target")
-	if err != nil {
-		return writeError(c, http.StatusBadRequest, ErrorBody{Reason: string(model.ReasonInvalid), Message: err.Error()})
-	}
-	if err := h.ops.SetDrain(c.Request().Context(), target, drain); err != nil {
-		return h.writeOperationError(c, err)
-	}
-	events.DrainChanged.Log(h.options.Log).Str("target", target).Bool("drain", drain).Send()
-	return c.JSON(http.StatusOK, DrainBody{Target: target, Drain: drain})
-}
-
 // ZoneDrainBody is the response body after the drain of an availability zone was set
 // or cleared.
 type ZoneDrainBody struct {
@@ -163,14 +154,33 @@
 	Drain bool   `json:"drain"`
 }
 
-func (h *operatorsHandler) drainZone(c echo.Context, drain bool) error {
-	zone, err := pathParam(c, "zone")
-	if err != nil {
-		return writeError(c, http.StatusBadRequest, ErrorBody{Reason: string(model.ReasonInvalid), Message: err.Error()})
-	}
-	if err := h.ops.SetZoneDrain(c.Request().Context(), zone, drain); err != nil {
-		return h.writeOperationError(c, err)
+// drainHandlers returns the handlers that set and clear a drain of what the path
+// parameter names. record stores the change, and reply logs it and returns the body of
+// the response.
+func (h *operatorsHandler) drainHandlers(param string, record func(ctx context.Context, name string, drain bool) error,
+	reply func(name string, drain bool) any,
+) (set, clear echo.HandlerFunc) {
+	handler := func(drain bool) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			name, err := pathParam(c, param)
+			if err != nil {
+				return writeError(c, http.StatusBadRequest, ErrorBody{Reason: string(model.ReasonInvalid), Message: err.Error()})
+			}
+			if err := record(c.Request().Context(), name, drain); err != nil {
+				return h.writeOperationError(c, err)
+			}
+			return c.JSON(http.StatusOK, reply(name, drain))
+		}
 	}
+	return handler(true), handler(false)
+}
+
+func (h *operatorsHandler) targetDrained(target string, drain bool) any {
+	events.DrainChanged.Log(h.options.Log).Str("target", target).Bool("drain", drain).Send()
+	return DrainBody{Target: target, Drain: drain}
+}
+
+func (h *operatorsHandler) zoneDrained(zone string, drain bool) any {
 	events.ZoneDrainChanged.Log(h.options.Log).Str("zone", zone).Bool("drain", drain).Send()
-	return c.JSON(http.StatusOK, ZoneDrainBody{Zone: zone, Drain: drain})
+	return ZoneDrainBody{Zone: zone, Drain: drain}
 }
