--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -37,8 +37,8 @@
 	OperatorChangeRefused = define(1202, "operator_change_refused", warnLevel, "an operator's change was refused",
 		"See the error; repeat the change from the version in force.")
 	DrainChanged     = define(1203, "drain_changed", infoLevel, "an operator's drain of a target was set or cleared", noAction)
-	ZoneDrainChanged = define(1205, "zone_drain_changed", infoLevel, "an operator's drain of an availability zone was set or cleared", noAction)
 	ReadyChanged     = define(1204, "ready_changed", infoLevel, "readiness changed", "See the reason if it stays false.")
+	ZoneDrainChanged = define(1205, "zone_drain_changed", infoLevel, "an operator's drain of an availability zone was set or cleared", noAction)
 )
 
 // Events of the control state and the platform's log (2000 to 2099).
