Leave avoided targets and repeated tries out of the gain from fast targets

Cause: found by reading. A job that a starting gateway keeps was counted again at each tick, and one with a single suitable target not at all.

Change: avoided targets do not count; a job counts once, when it is placed or refused; a single target has no gain.

Ruled out: a mean over all candidates in place of the slowest, which would change what was measured.

--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -44,15 +44,16 @@
 		return true
 	}
 	p := c.newPlan(now, j, step)
+	choices := p.placeAll(tasks)
+	cause, last := c.refusalCause(now, j, step, tasks, choices)
+	if cause != CauseNone && c.inStartupGrace(now) && !j.started {
+		// The next tick tries again.
+		return true
+	}
 	if j.attempts == 0 {
 		c.observeSpeedGain(p)
 	}
-	choices := p.placeAll(tasks)
-	if cause, last := c.refusalCause(now, j, step, tasks, choices); cause != CauseNone {
-		if c.inStartupGrace(now) && !j.started {
-			// The next tick tries again.
-			return true
-		}
+	if cause != CauseNone {
 		j.refusal = c.refusalDetails(now, j, step, last)
 		c.revoke(now, j, cause)
 		return false
--- a/restartable/dispatch/speedgain.go
+++ b/restartable/dispatch/speedgain.go
@@ -27,20 +27,24 @@
 	return g.sum / g.work
 }
 
-// observeSpeedGain adds the plan's step to the gain of its service.
+// observeSpeedGain adds the plan's step to the gain of its service. Avoided targets do
+// not count: a target that hangs would make all others look fast.
 func (c *Core) observeSpeedGain(p *plan) {
-	if len(p.candidates) < 2 {
-		return
-	}
-	fastest, slowest := p.candidates[0], p.candidates[0]
+	var fastest, slowest *candidate
 	for _, cand := range p.candidates {
-		if cand.run < fastest.run {
+		if cand.agent.avoided {
+			continue
+		}
+		if fastest == nil || cand.run < fastest.run {
 			fastest = cand
 		}
-		if cand.run > slowest.run {
+		if slowest == nil || cand.run > slowest.run {
 			slowest = cand
 		}
 	}
+	if fastest == nil {
+		return
+	}
 	idle := func(cand *candidate) time.Duration { return cand.run + 2*c.networkDelay(cand.agent) }
 	step := &p.job.Steps[p.step]
 	work := float64(step.Tasks) * float64(step.Needs.CPUMillis) * p.job.expected[p.step].Seconds()
--- a/restartable/dispatch/speedgain_test.go
+++ b/restartable/dispatch/speedgain_test.go
@@ -36,6 +36,37 @@
 	}
 }
 
+// Guards against a gain that follows a broken target, which is only probed, and against
+// a job that counts again and again while a starting gateway keeps it.
+func TestSpeedGainCountsUsableTargetsAndEachJobOnce(t *testing.T) {
+	r := newRig(t)
+	r.core.SetStartTime(r.now)
+	for _, agent := range []string{"a", "b", "hanging"} {
+		r.addAgent(agent, 32_000)
+	}
+	r.advance(2 * time.Second)
+	r.report("hanging", func(l *Load) { l.Anomaly = 9 })
+	r.report("a", func(*Load) {})
+	r.report("b", func(*Load) {})
+	r.submit(newSubmission("first", 2, 900*ms))
+	gain := r.core.speedGains["s"]
+	if got := gain.mean(); got > 0.01 {
+		t.Errorf("gain %.3f of two equal targets beside one that hangs", got)
+	}
+	r.core.SetStartTime(r.now)
+	for _, agent := range []string{"a", "b", "hanging"} {
+		r.report(agent, func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 320_000}, 20*time.Second })
+	}
+	before := gain.work
+	r.submit(newSubmission("kept", 2, 900*ms))
+	for range 5 {
+		r.core.Tick(r.now)
+	}
+	if len(r.answers) != 0 || gain.work != before {
+		t.Errorf("work %.0f, %.0f before a job that waits for more agents; answers %v", gain.work, before, r.answers)
+	}
+}
+
 // Guards against a gain that is decided by many small jobs, which hardly use the
 // targets, in place of a few large ones.
 func TestSpeedGainIsWeightedByWork(t *testing.T) {
