Log what ran on a target that went down, and how each run was lost

Cause: a run lost with its target, one whose lease lapsed and one that the target no longer lists were all reported as lost without a reason, and the run time counted until the loss was noticed. No decision changes.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -164,11 +164,13 @@
 	ZoneDrainMalformed  = define(6032, "zone_drain_malformed", errorLevel, "a record on a drained availability zone cannot be read; the zone keeps its state", "Write the record again.")
 	ZoneDrained         = define(6033, "zone_drained", infoLevel, "the availability zone of this agent was drained; no task is started, and queued tasks are returned", noAction)
 	ZoneReturned        = define(6034, "zone_returned", infoLevel, "the drain of this agent's availability zone ended", noAction)
-	LinesDropped        = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
-	TargetAvoided       = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
-	TargetTrusted       = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
-	TargetState         = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
-	Suspended           = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
+	TargetDown          = define(6035, "target_down", warnLevel, "the target went down with runs on it; latest lists its last starts and their age at the first sign of it",
+		"If one task or queue stands in many of these lines, it crashes its targets: see docs/OPERATIONS.md.")
+	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
+	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
+	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
+	TargetState   = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
+	Suspended     = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
 )
 
 // Events of the stand-ins (9000 to 9099).
--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -71,6 +71,7 @@
 var (
 	Attempts        = define(KindCounter, "attempts_total", "attempts", "Attempts ended, by outcome and reason.", "outcome", "reason")
 	AttemptDuration = define(KindHistogram, "attempt_duration_seconds", "seconds", "Time of a run on the target, by outcome.", "outcome")
+	TargetCrashes   = define(KindCounter, "target_crashes_total", "crashes", "Crashes of the target with runs on it, by reason.", "reason")
 	RunsAtWork      = define(KindGauge, "runs_at_work", "runs", "Runs on the target.")
 	RunsQueued      = define(KindGauge, "runs_queued", "runs", "Tasks that wait for room on the target.")
 	TargetSlowness  = define(KindGauge, "target_slowness_ratio", "ratio", "Measured to expected run times, with the present anomaly.")
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
 // outcomeMetrics counts jobs or attempts by two labels and records their
@@ -68,13 +69,19 @@
 	o.metrics.observe(a.State.String(), string(a.Cause), a.Elapsed)
 }
 
-// attemptObserver counts ended attempts. It is guarded by the runner's lock.
+// attemptObserver counts ended attempts and crashes of the target. It is guarded
+// by the runner's lock.
 type attemptObserver struct{ metrics outcomeMetrics }
 
 func newAttemptObserver(scope tally.Scope) *attemptObserver {
 	return &attemptObserver{outcomeMetrics{scope, telemetry.Attempts, telemetry.AttemptDuration, map[[2]string]outcomeInstruments{}}}
 }
 
+// TargetCrashed implements runner.Observer.
+func (o *attemptObserver) TargetCrashed(reason task.Reason) {
+	telemetry.TargetCrashes.Counter(o.metrics.scope, string(reason)).Inc(1)
+}
+
 // AttemptEnded implements runner.Observer.
 func (o *attemptObserver) AttemptEnded(r runner.Report) {
 	o.metrics.observe(r.Outcome.String(), string(r.Reason), r.RunTime)
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -26,6 +26,7 @@
 
 func (nopObserver) JobEnded(dispatch.FinishedJob) {}
 func (nopObserver) AttemptEnded(runner.Report)    {}
+func (nopObserver) TargetCrashed(task.Reason)     {}
 
 // runTime is the run time of a task on a fakeTarget. It is longer than the time
 // between two frames of a link.
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -122,6 +122,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	r.core.CallFailed(now)
 	if now-r.lastPollAnswer < r.opts.UnreachableAfter {
 		return
 	}
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -23,7 +23,10 @@
 	// ended.
 	hasTarget bool
 	reachable bool
-	stopping  bool
+	// silent is set while calls get no answer, since silentSince.
+	silent      bool
+	silentSince time.Duration
+	stopping    bool
 	// foreignRuns are runs on the target that this core did not start. Their
 	// resource usage is unknown, so nothing starts while there are any.
 	foreignRuns map[Attempt]bool
@@ -145,11 +148,7 @@
 // endIncarnation reports all started runs as lost: a new incarnation of a target
 // has no runs.
 func (c *Core) endIncarnation(now time.Duration) {
-	for _, r := range c.sortedRuns() {
-		if r.state != queued {
-			c.finish(now, r, task.Lost, "")
-		}
-	}
+	c.loseRuns(now, task.ReasonTargetRestarted, func(*run) bool { return true })
 	clear(c.foreignRuns)
 	c.hasTarget, c.synced = false, false
 }
@@ -293,12 +292,12 @@
 // once they can no longer begin because the deadline that they carried has passed
 // on the target's clock.
 func (c *Core) expireUnanswered(now time.Duration) {
-	for _, r := range c.sortedRuns() {
-		late := now-r.startedAt > c.opts.UnansweredTimeout
-		if r.state == unanswered && late && !c.reachable {
-			c.finish(now, r, task.Lost, "")
-		}
+	if c.reachable {
+		return
 	}
+	c.loseRuns(now, task.ReasonTargetSilent, func(r *run) bool {
+		return r.state == unanswered && now-r.startedAt > c.opts.UnansweredTimeout
+	})
 }
 
 // finish removes an attempt, releases its resources and reports its outcome.
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -44,6 +44,7 @@
 		}
 		r.actions.Reports = append(r.actions.Reports, rep)
 	}
+	r.actions.Crashes = append(r.actions.Crashes, a.Crashes...)
 	r.actions.Disconnect = append(r.actions.Disconnect, a.Disconnect...)
 }
 
@@ -283,7 +284,7 @@
 	restarted.Incarnation, restarted.Capacity.CPUMillis = 2, 4000
 	r.core.Heartbeat(r.now, restarted)
 	r.collect()
-	r.wantReport("a", task.Lost, "")
+	r.wantReport("a", task.Lost, task.ReasonTargetRestarted)
 	old := smallTarget
 	old.Draining = true
 	r.core.Heartbeat(r.now, old)
@@ -315,7 +316,7 @@
 	}
 	r.core.Unreachable(r.now, true)
 	r.collect()
-	r.wantReport("a", task.Lost, "")
+	r.wantReport("a", task.Lost, task.ReasonTargetSilent)
 }
 
 // Guards against a second run of a task next to one that has not ended on this
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -131,6 +131,7 @@
 	Starts  []Start
 	Stops   []Attempt
 	Reports []Report
+	Crashes []Crash
 	// Disconnect lists the gateways whose lease has expired.
 	Disconnect []string
 }
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -167,6 +167,11 @@
 	for _, s := range a.Stops {
 		r.goCall(func() { r.stop(r.callCtx, target, s) })
 	}
+	for _, crash := range a.Crashes {
+		r.observer.TargetCrashed(crash.Reason)
+		events.TargetDown.Log(r.log).Str("target", crash.Target.ID).Int64("born", crash.Target.Incarnation).Str("reason", string(crash.Reason)).
+			Int("runs", len(crash.Runs)).Array("latest", latestRuns(crash.Runs)).Send()
+	}
 	for _, rep := range a.Reports {
 		r.reportEnd(rep)
 		if s := r.sinks[rep.Gateway]; s != nil {
@@ -192,10 +197,25 @@
 	}
 }
 
-// Observer is notified of ended attempts. It is called with the runner's lock
-// held and must not block.
+// Observer is notified of ended attempts and of crashes of the target. It is
+// called with the runner's lock held and must not block.
 type Observer interface {
 	AttemptEnded(r Report)
+	TargetCrashed(reason task.Reason)
+}
+
+// maxLoggedRuns is the maximum number of lost runs that the log line of a crash
+// lists.
+const maxLoggedRuns = 8
+
+// latestRuns encodes the latest starts among the runs that a crash ended.
+type latestRuns []LostRun
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l latestRuns) MarshalZerologArray(a *zerolog.Array) {
+	for _, run := range l[:min(len(l), maxLoggedRuns)] {
+		a.Dict(zerolog.Dict().Stringer("task", run.Attempt.Task).Int("attempt", run.Attempt.Number).Int64("age_ms", run.Age.Milliseconds()))
+	}
 }
 
 func (r *Runner) reportEnd(rep Report) {
--- a/restartable/runner/runner_test.go
+++ b/restartable/runner/runner_test.go
@@ -16,7 +16,8 @@
 
 type nopObserver struct{}
 
-func (nopObserver) AttemptEnded(Report) {}
+func (nopObserver) AttemptEnded(Report)       {}
+func (nopObserver) TargetCrashed(task.Reason) {}
 
 // fakeTarget answers polls immediately, except those that the test lets fail.
 type fakeTarget struct {
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -96,6 +96,7 @@
 	if !c.reachable {
 		return false
 	}
+	c.silent = false
 	for _, e := range s.Ended {
 		c.applyEnd(now, e)
 	}
@@ -111,7 +112,11 @@
 	if r == nil || r.state == queued {
 		return
 	}
-	c.finish(now, r, e.Outcome, "")
+	var reason task.Reason
+	if e.Outcome == task.Lost {
+		reason = task.ReasonLeaseLapsed
+	}
+	c.finish(now, r, e.Outcome, reason)
 }
 
 // reconcile finds listed runs that the core did not start, and attempts of the
@@ -140,7 +145,7 @@
 		}
 		switch {
 		case r.state == running, r.state == stopping && r.stopAcknowledged:
-			c.finish(now, r, task.Lost, "")
+			c.finish(now, r, task.Lost, task.ReasonNotListed)
 		case r.state == unanswered && (r.stopAcknowledged || now-r.startedAt > c.opts.UnansweredTimeout):
 			c.finish(now, r, task.NotStarted, task.ReasonUnanswered)
 		}
@@ -153,11 +158,7 @@
 func (c *Core) Unreachable(now time.Duration, leasesExpired bool) {
 	c.reachable = false
 	if leasesExpired {
-		for _, r := range c.sortedRuns() {
-			if r.state != queued && r.state != starting {
-				c.finish(now, r, task.Lost, "")
-			}
-		}
+		c.loseRuns(now, task.ReasonTargetSilent, func(r *run) bool { return r.state != starting })
 		clear(c.foreignRuns)
 		c.synced = false
 	}
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -76,7 +76,7 @@
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// Reason says why an attempt did not start.
+// Reason says why an attempt did not start, or how a run was lost.
 type Reason string
 
 // Reasons for NotStarted.
@@ -96,3 +96,11 @@
 	ReasonUnlinked    Reason = "unlinked"     // the agent is closing its link to the gateway
 	ReasonZoneDrained Reason = "zone_drained" // the agent's availability zone is drained
 )
+
+// Reasons for Lost.
+const (
+	ReasonTargetRestarted Reason = "target_restarted" // another incarnation of the target has announced itself
+	ReasonTargetSilent    Reason = "target_silent"    // the target has not answered until its leases had expired
+	ReasonLeaseLapsed     Reason = "lease_lapsed"     // the target lists the run as ended with its lease
+	ReasonNotListed       Reason = "not_listed"       // the target lists the run neither as running nor as ended
+)
