--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -108,9 +110,14 @@
 			a(x)
 		}
 		s.targets = append(s.targets, x)
+		server, err := standin.ServeTarget(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
 		n := &platform.Node{
 			Name: fmt.Sprintf("agent-%d", i), Zone: targetZone(i), InternalAddr: freeAddress(t), MetricsAddr: freeAddress(t),
-			StoreAddr: s.storeAddr, Seeds: seeds[:1], TargetAddr: serve(t, x.Handler()), Bounds: bounds,
+			StoreAddr: s.storeAddr, Seeds: seeds[:1], TargetAddr: server.Address(), Bounds: bounds,
 		}
 		p := &platformDaemon{node: n, run: daemon.RunPlatformAgent}
 		p.start(t)
@@ -152,6 +159,15 @@
 	return s.client(gateway).Submit(s.t.Context(), standin.Job{ID: id, Spec: spec, Tasks: tasks})
 }
 
+// crashes returns the number of crashes of all targets.
+func (s *platformDeployment) crashes() int {
+	n := 0
+	for _, x := range s.targets {
+		n += x.Crashes()
+	}
+	return n
+}
+
 func (s *platformDeployment) checkNoViolations() {
 	s.t.Helper()
 	for _, x := range s.targets {
@@ -325,3 +341,61 @@
 	s.awaitJobs("returned", 200, 1, func(int) bool { return len(s.targets[1].Starts()) > before })
 	s.checkNoViolations()
 }
+
+// Guards against a task that crashes target after target (a poison pill): attempts that
+// are lost with their target have to count, also for a job that comes again at another
+// gateway. A queue with a long timeout leaves the time for many attempts.
+func TestPlatformTaskThatCrashesTargetsIsGivenUp(t *testing.T) {
+	const maxCrashes = 2
+	s := newPlatformDeployment(t, 2, 6)
+	q := platformQueue
+	q.Timeout = 10 * time.Second
+	s.store.PutQueue(2, q)
+	s.awaitQueueVersion(2)
+	for g := range s.gateways {
+		status, state := s.submit(g, "deadly", "crash", 1)
+		if status != http.StatusOK || state != "failed" {
+			t.Errorf("gateway %d: %d %s, want the job to be answered as failed", g, status, state)
+		}
+		if n := s.crashes(); n > maxCrashes {
+			t.Errorf("%d targets crashed until the answer of gateway %d, want at most %d", n, g, maxCrashes)
+		}
+	}
+	if status, _ := s.submit(0, "other", "ms=20", 4); status != http.StatusOK {
+		t.Errorf("status %d for a later job", status)
+	}
+	s.checkNoViolations()
+}
+
+// awaitQueueVersion waits until all gateways have applied a version of the
+// configuration.
+func (s *platformDeployment) awaitQueueVersion(version int) {
+	s.t.Helper()
+	want := regexp.MustCompile(fmt.Sprintf(`queues_version(\{.*\})? %d\b`, version))
+	for _, g := range s.gateways {
+		for end := time.Now().Add(30 * time.Second); !want.MatchString(s.metrics(g)); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				s.t.Fatalf("%s has not applied version %d within 30 s", g.node.Name, version)
+			}
+		}
+	}
+}
+
+// metrics returns what a daemon serves on its metrics address, or nothing if that
+// fails.
+func (s *platformDeployment) metrics(p *platformDaemon) string {
+	r, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+p.node.MetricsAddr+"/metrics", nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
