Give up a task under which targets crash, at whichever gateway it comes

Callers saw: a job with such a task was tried again until its deadline, and each try took a target down with all other runs on it; a caller that sent it again began anew at another gateway. Cause: only failed attempts counted towards a limit. Attempts that were lost with their target, or in any other way, did not (poison pill, retries without a budget), and what was counted was known to one gateway for one submission. Change: an agent reports each crash of its target to all its gateways, and for a minute to those that attach later, with the runs that were lost and how suspect each job is: the later its last start, the more. A gateway gives a job up once two targets have crashed under a suspect task, three under one that is hardly suspect, or once four attempts were lost in any way. It answers failed if the processes are known to have ended, else that the job is unfinished. Ruled out: a count in the store; it would be a call for each crash and fail with the store. Result: the number of crashes under one task is bounded; how many targets a kind of jobs takes down is not yet.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -74,6 +74,7 @@
 	estimators map[string]*estimator
 	// speedGains tell, by service, how much its jobs gain from fast targets.
 	speedGains map[string]*speedGain
+	crashes    crashLog
 	// startedAt is when this process started.
 	startedAt time.Duration
 	// lastTickAt is the time of the last tick. Until resumeAt all jobs are refused
@@ -85,7 +86,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog()}
 }
 
 // Take returns the actions that were decided since the last call.
@@ -219,6 +220,10 @@
 	case task.Failed:
 		t.failures++
 		t.failedOn = a.Name
+	case task.Lost:
+		t.losses++
+		j.lost = true
+		t.failedOn = a.Name
 	case task.NotStarted:
 		switch e.Reason {
 		case task.ReasonSuperseded:
@@ -262,6 +267,7 @@
 func (c *Core) Tick(now time.Duration) {
 	c.detectSuspension(now)
 	c.lastTickAt = now
+	c.crashes.prune(now)
 	for _, j := range sortedJobs(c.jobs) {
 		if now >= j.deadline-c.opts.AnswerMargin {
 			c.abort(now, j, CauseDeadline)
--- /dev/null
+++ b/restartable/dispatch/crashes.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// Crash is an agent's report that its target went down with runs on it.
+type Crash struct {
+	// Incarnation is that of the target. Together with the agent's name it identifies
+	// the crash, which an agent reports once on each link.
+	Incarnation int64
+	// Certain is set if the process of the target is known to have ended.
+	Certain bool
+	Runs    []LostRun
+}
+
+// LostRun is a run that ended because its target went down.
+type LostRun struct {
+	Task    task.ID
+	Attempt int
+	// Suspicion is the likelihood that the run's job caused the crash.
+	Suspicion float64
+}
+
+const (
+	// maxCrashes is the number of crashes under a suspect task after which its job is
+	// given up, maxInnocentCrashes that under a task which is hardly suspect: it
+	// probably only ran beside the one that caused them.
+	maxCrashes         = 2
+	maxInnocentCrashes = 3
+	// minJobSuspicion is the number of crashes that a job must have caused in all
+	// likelihood to count as suspect.
+	minJobSuspicion = 1.0
+	// maxLosses is the number of attempts of a task that were lost in any way after
+	// which its job is given up.
+	maxLosses = 4
+	// crashMemory is how long crashes count. It is longer than callers try a job again.
+	crashMemory = time.Minute
+)
+
+// crashID identifies a run that was lost in a crash.
+type crashID struct {
+	agent       string
+	incarnation int64
+	task        task.ID
+}
+
+// jobCrashes are the crashes under tasks of one job, of this submission and of earlier
+// ones at any gateway.
+type jobCrashes struct {
+	// seen holds the crashes that are counted.
+	seen map[crashID]bool
+	// byTask counts the crashes under each task.
+	byTask map[task.ID]int
+	// suspicion is the number of crashes that the job has probably caused.
+	suspicion float64
+	// uncertain is set if any of the targets may only have been out of reach.
+	uncertain bool
+	lastAt    time.Duration
+}
+
+// crashLog remembers the crashes of the last minute by job.
+type crashLog struct {
+	jobs map[string]*jobCrashes
+	// prunedAt is when outdated entries were last removed.
+	prunedAt time.Duration
+}
+
+func newCrashLog() crashLog { return crashLog{jobs: map[string]*jobCrashes{}} }
+
+// add counts a crash of an agent's target.
+func (l *crashLog) add(now time.Duration, agent string, crash Crash) {
+	blamed := map[string]bool{}
+	for _, r := range crash.Runs {
+		id := crashID{agent, crash.Incarnation, r.Task}
+		jc := l.jobs[r.Task.Job]
+		if jc == nil {
+			jc = &jobCrashes{seen: map[crashID]bool{}, byTask: map[task.ID]int{}}
+			l.jobs[r.Task.Job] = jc
+		}
+		if jc.seen[id] {
+			continue
+		}
+		jc.seen[id], jc.lastAt = true, now
+		jc.byTask[r.Task]++
+		jc.uncertain = jc.uncertain || !crash.Certain
+		if !blamed[r.Task.Job] {
+			blamed[r.Task.Job] = true
+			jc.suspicion += r.Suspicion
+		}
+	}
+}
+
+// prune removes jobs without a crash in the last crashMemory.
+func (l *crashLog) prune(now time.Duration) {
+	if now-l.prunedAt < crashMemory/10 {
+		return
+	}
+	l.prunedAt = now
+	for id, jc := range l.jobs {
+		if now-jc.lastAt > crashMemory {
+			delete(l.jobs, id)
+		}
+	}
+}
+
+// exhausted reports whether so many targets have crashed under a task of the job that
+// it is not tried again.
+func (jc *jobCrashes) exhausted() bool {
+	if jc == nil {
+		return false
+	}
+	limit := maxInnocentCrashes
+	if jc.suspicion >= minJobSuspicion {
+		limit = maxCrashes
+	}
+	for _, n := range jc.byTask {
+		if n >= limit {
+			return true
+		}
+	}
+	return false
+}
+
+// TargetCrashed counts a crash of an agent's target. The reports of the lost runs,
+// which follow, place their tasks again.
+func (c *Core) TargetCrashed(now time.Duration, link string, crash Crash) {
+	if a := c.byLink[link]; a != nil {
+		c.crashes.add(now, a.Name, crash)
+	}
+}
+
+// giveUpCrashing answers a job whose tasks crash their targets or whose attempts are
+// lost time after time. It reports whether it did.
+func (c *Core) giveUpCrashing(now time.Duration, j *job) bool {
+	jc := c.crashes.jobs[j.ID]
+	switch {
+	case jc.exhausted() && !jc.uncertain:
+		c.stopAll(j)
+		c.finish(now, j, Answer{State: Failed, Cause: CauseCrashes})
+	case jc.exhausted():
+		c.abort(now, j, CauseCrashes)
+	case j.lost && j.maxLosses() >= maxLosses:
+		c.abort(now, j, CauseLost)
+	default:
+		return false
+	}
+	return true
+}
+
+// maxLosses returns the highest number of lost attempts of any task.
+func (j *job) maxLosses() int {
+	most := 0
+	for _, step := range j.tasks {
+		for _, t := range step {
+			most = max(most, t.losses)
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/restartable/dispatch/crashes_test.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// longSubmission returns a job whose queue leaves the time for many attempts.
+func longSubmission(id string, tasks int) Submission {
+	s := newSubmission(id, tasks, 50*ms)
+	s.Queue.Timeout = time.Minute
+	return s
+}
+
+// placedOn returns the agent and the number of the last attempt of a task.
+func (r *rig) placedOn(job string, index int) (string, int) {
+	agent, attempt := "", 0
+	for _, o := range r.orders {
+		for _, t := range o.Tasks {
+			if o.Step.Job == job && t.Index == index && t.Number > attempt {
+				agent, attempt = o.Link, t.Number
+			}
+		}
+	}
+	return agent, attempt
+}
+
+// crash reports the crash of an agent's target under a task of a job, with the
+// suspicion against the job.
+func (r *rig) crash(job string, index int, suspicion float64, certain bool) {
+	r.advance(ms)
+	agent, attempt := r.placedOn(job, index)
+	e := newEvent(job, index, attempt, task.Lost, task.ReasonTargetRestarted)
+	r.core.TargetCrashed(r.now, agent, Crash{Incarnation: int64(r.now), Certain: certain, Runs: []LostRun{{e.Task, attempt, suspicion}}})
+	r.core.Report(r.now, agent, nil, []AttemptEvent{e})
+	r.collect()
+}
+
+// tickFor ticks the core for a time, with reports of all agents.
+func (r *rig) tickFor(d time.Duration, agents int) {
+	for end := r.now + d; r.now < end; {
+		r.advance(20 * ms)
+		for i := range agents {
+			r.report(agentName(i), func(*Load) {})
+		}
+		r.core.Tick(r.now)
+		r.collect()
+	}
+}
+
+func agentName(i int) string { return fmt.Sprintf("agent-%d", i) }
+
+// newCrashRig returns a rig with idle agents.
+func newCrashRig(t *testing.T, agents int) *rig {
+	r := newRig(t)
+	for i := range agents {
+		r.addAgent(agentName(i), 32_000)
+	}
+	return r
+}
+
+// Guards against a task that crashes one target after another (a poison pill): only
+// failed attempts counted towards a limit, those lost with their target did not.
+func TestTaskThatCrashesTargetsIsGivenUp(t *testing.T) {
+	cases := map[string]struct {
+		suspicion float64
+		certain   bool
+		crashes   int
+		state     State
+	}{
+		"suspect":                 {0.9, true, maxCrashes, Failed},
+		"hardly suspect":          {0.1, true, maxInnocentCrashes, Failed},
+		"targets only unanswered": {0.9, false, maxCrashes, Unfinished},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashRig(t, 6)
+			r.submit(longSubmission("j", 1))
+			for n := range k.crashes {
+				if len(r.answers) != 0 {
+					t.Fatalf("answers %v after %d crashes", r.answers, n)
+				}
+				r.crash("j", 0, k.suspicion, k.certain)
+				r.tickFor(100*ms, 6)
+			}
+			r.wantAnswer("j", k.state, CauseCrashes)
+			if _, attempt := r.placedOn("j", 0); attempt != k.crashes {
+				t.Errorf("%d attempts, want %d", attempt, k.crashes)
+			}
+		})
+	}
+}
+
+// Guards against a job that crashes as many targets again when it comes to another
+// gateway, and against crashes that count twice since an agent reports them on each
+// new link.
+func TestCrashesUnderEarlierSubmissionsCount(t *testing.T) {
+	r := newCrashRig(t, 4)
+	id := task.ID{StepID: task.StepID{Job: "j"}}
+	crash := Crash{Incarnation: 1, Certain: true, Runs: []LostRun{{Task: id, Attempt: 1, Suspicion: 0.8}}}
+	for range 3 {
+		r.core.TargetCrashed(r.now, agentName(0), crash)
+	}
+	r.submit(longSubmission("j", 1))
+	if len(r.answers) != 0 {
+		t.Fatalf("answers %v after one crash that was reported three times", r.answers)
+	}
+	r.crash("j", 0, 0.8, true)
+	r.wantAnswer("j", Failed, CauseCrashes)
+	orders := len(r.orders)
+	r.answers = map[string]Answer{}
+	r.submit(longSubmission("j", 1))
+	r.wantAnswer("j", Failed, CauseCrashes)
+	if len(r.orders) != orders {
+		t.Error("a task was sent after two targets had crashed under it")
+	}
+}
+
+// Guards against attempts without an end: a task whose runs are lost in other ways than
+// with their target was tried until its deadline.
+func TestAttemptsThatAreLostAreLimited(t *testing.T) {
+	r := newCrashRig(t, 6)
+	r.submit(longSubmission("j", 1))
+	for range maxLosses {
+		if len(r.answers) != 0 {
+			t.Fatalf("answers %v, want none yet", r.answers)
+		}
+		agent, attempt := r.placedOn("j", 0)
+		r.reportEvent(agent, newEvent("j", 0, attempt, task.Lost, task.ReasonLeaseLapsed))
+		r.tickFor(100*ms, 6)
+	}
+	r.wantAnswer("j", Unfinished, CauseLost)
+}
+
+// Guards against crashes that are remembered for ever.
+func TestCrashesAreForgotten(t *testing.T) {
+	r := newCrashRig(t, 2)
+	r.core.TargetCrashed(r.now, agentName(0), Crash{Incarnation: 1, Certain: true, Runs: []LostRun{{Task: task.ID{StepID: task.StepID{Job: "j"}}, Attempt: 1, Suspicion: 1}}})
+	r.advance(2 * crashMemory)
+	r.core.Tick(r.now)
+	if n := len(r.core.crashes.jobs); n != 0 {
+		t.Errorf("%d jobs remembered, want none", n)
+	}
+}
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -148,6 +148,11 @@
 	d.apply(func(c *Core, _ time.Duration) { c.AgentTarget(link, t) })
 }
 
+// TargetCrashed applies an agent's report of a crash.
+func (d *Dispatcher) TargetCrashed(link string, crash Crash) {
+	d.apply(func(c *Core, now time.Duration) { c.TargetCrashed(now, link, crash) })
+}
+
 // Report applies a report of an agent: its load, unless nil, and the events of
 // attempts.
 func (d *Dispatcher) Report(link string, load *Load, attemptEvents []AttemptEvent) {
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -60,7 +60,8 @@
 const (
 	// Completed means that every task has succeeded.
 	Completed State = iota + 1
-	// Failed means that a task has failed as often as its queue allows.
+	// Failed means that a task has failed as often as its queue allows, or that too
+	// many targets have crashed under it.
 	Failed
 	// NotRun means that no task has started and none will start.
 	NotRun
@@ -81,6 +82,8 @@
 const (
 	CauseNone        Cause = ""
 	CauseAttempts    Cause = "attempts"    // a task has failed too often
+	CauseCrashes     Cause = "crashes"     // too many targets went down under a task
+	CauseLost        Cause = "lost"        // too many attempts of a task were lost
 	CauseOverload    Cause = "overload"    // it was not expected to end in time
 	CauseNoTarget    Cause = "no_target"   // no suitable target accepts tasks
 	CauseTooLarge    Cause = "too_large"   // no target of the service is large enough for a task and has the required label
@@ -179,8 +182,10 @@
 	state taskState
 	// attempt is the number of the latest attempt.
 	attempt int
-	// failures counts the failed attempts, recalls the recalled ones.
+	// failures counts the failed attempts, losses the lost ones, recalls the recalled
+	// ones.
 	failures int
+	losses   int
 	recalls  int
 	// busyRefusals counts the attempts that were refused because they could not start
 	// immediately.
@@ -192,7 +197,7 @@
 	expected time.Duration
 	// overdueAt is the time from which the run is considered to hang.
 	overdueAt time.Duration
-	// failedOn is the agent of the last failed or recalled attempt. The next attempt
+	// failedOn is the agent of the last failed, lost or recalled attempt. The next attempt
 	// avoids it.
 	failedOn string
 }
@@ -210,8 +215,10 @@
 	// expected holds, by step, the predicted run time of a task on a target of
 	// slowness 1.
 	expected []time.Duration
-	// started is set once a task is known to have started.
+	// started is set once a task is known to have started, lost once an attempt was
+	// lost.
 	started bool
+	lost    bool
 	// inFlight counts the tasks that were sent to an agent and have not ended.
 	inFlight int
 	attempts int
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -20,6 +20,9 @@
 		c.finish(now, j, Answer{State: Completed})
 		return
 	}
+	if c.giveUpCrashing(now, j) {
+		return
+	}
 	for step := range j.Steps {
 		for _, t := range j.tasks[step] {
 			if t.failures >= j.Queue.MaxAttempts {
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -22,10 +22,11 @@
 	// eventsReady wakes the writer immediately, loadReady after minLoadInterval.
 	eventsReady, loadReady chan struct{}
 
-	mu            sync.Mutex // guards the fields below
-	pendingEvents []*pb.RunEvent
-	ordersSeen    uint64
-	retirement    retirement
+	mu             sync.Mutex // guards the fields below
+	pendingEvents  []*pb.RunEvent
+	pendingCrashes []*pb.TargetCrash
+	ordersSeen     uint64
+	retirement     retirement
 }
 
 func newAgentLink(c *Client, address string, cancel context.CancelCauseFunc) *agentLink {
@@ -54,6 +55,22 @@
 	}
 }
 
+// Crashed queues the report of a crash, which is sent with the next frame.
+func (l *agentLink) Crashed(c runner.Crash) {
+	m := &pb.TargetCrash{Incarnation: c.Target.Incarnation, Certain: c.Certain()}
+	for _, r := range c.Runs {
+		id := r.Attempt.Task
+		m.Runs = append(m.Runs, &pb.LostRun{
+			Job: id.Job, Occurrence: uint32(id.Occurrence), Step: uint32(id.Step), Index: uint32(id.Index), Attempt: uint32(r.Attempt.Number),
+			SuspicionPermille: uint32(r.Suspicion * 1000),
+		})
+	}
+	l.mu.Lock()
+	l.pendingCrashes = append(l.pendingCrashes, m)
+	l.mu.Unlock()
+	notify(l.eventsReady)
+}
+
 // LoadChanged makes the writer send the load soon.
 func (l *agentLink) LoadChanged() { notify(l.loadReady) }
 
@@ -116,13 +133,13 @@
 	l.mu.Unlock()
 	target, load, now := l.client.runner.Load()
 	l.mu.Lock()
-	runEvents := l.pendingEvents
-	l.pendingEvents = nil
+	runEvents, crashes := l.pendingEvents, l.pendingCrashes
+	l.pendingEvents, l.pendingCrashes = nil, nil
 	if l.retirement.frameSent(now) {
 		load.Accepting, load.Reason = false, task.ReasonUnlinked
 	}
 	l.mu.Unlock()
-	f := &pb.RunReport{Stamp: int64(now), Events: runEvents, Load: &pb.TargetLoad{
+	f := &pb.RunReport{Stamp: int64(now), Events: runEvents, Crashes: crashes, Load: &pb.TargetLoad{
 		Accepting: load.Accepting, Reason: string(load.Reason), Committed: resourcesToProto(load.Committed),
 		BacklogMs: toMillis(load.Backlog), SlownessPermille: uint32(load.Slowness * 1000),
 		AnomalyPermille: uint32(load.Anomaly * 1000), Samples: uint32(load.Samples),
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -141,9 +141,23 @@
 			Attempt: int(e.Attempt), Outcome: outcomeFromProto(e.Outcome), Reason: task.Reason(e.Reason), RunTime: fromMillis(e.RunMs),
 		})
 	}
+	for _, m := range f.Crashes {
+		s.dispatcher.TargetCrashed(link, crashFromProto(m))
+	}
 	s.dispatcher.Report(link, load, runEvents)
 }
 
+func crashFromProto(m *pb.TargetCrash) dispatch.Crash {
+	c := dispatch.Crash{Incarnation: m.Incarnation, Certain: m.Certain}
+	for _, r := range m.Runs {
+		c.Runs = append(c.Runs, dispatch.LostRun{
+			Task:    task.ID{StepID: task.StepID{Job: r.Job, Occurrence: int(r.Occurrence), Step: int(r.Step)}, Index: int(r.Index)},
+			Attempt: int(r.Attempt), Suspicion: float64(r.SuspicionPermille) / 1000,
+		})
+	}
+	return c
+}
+
 func (s *Server) write(ctx context.Context, stream *attachStream, l *gatewayLink, zone string) error {
 	echo := time.NewTimer(0)
 	defer echo.Stop()
--- a/restartable/runner/crash.go
+++ b/restartable/runner/crash.go
@@ -18,11 +18,48 @@
 	Runs []LostRun
 }
 
+// Certain reports whether the process of the target is known to have ended. A
+// silent target may only be out of reach.
+func (c *Crash) Certain() bool { return c.Reason != task.ReasonTargetSilent }
+
 // LostRun is a run that ended because its target went down.
 type LostRun struct {
 	Attempt Attempt
-	// Age is the time from the run's start to the first sign of the crash.
+	// Age is the time from the run's start to the first sign of the crash. It is
+	// negative if the run was started after that sign.
 	Age time.Duration
+	// Suspicion is the likelihood that a task of the run's job caused the crash.
+	Suspicion float64
+}
+
+const (
+	// suspicionHalfLife is the age at which a run is half as suspect as one that was
+	// started immediately before a crash. It covers the time that may pass between a
+	// crash and the next call to the target.
+	suspicionHalfLife = 30 * time.Millisecond
+	// minSuspicionWeight is the weight of the oldest runs: a task may also crash its
+	// target late.
+	minSuspicionWeight = 0.01
+)
+
+// assignSuspicion divides the blame for a crash among the jobs that had runs on the
+// target: the later its last start, the more suspect is a job.
+func assignSuspicion(runs []LostRun) {
+	weights := map[string]float64{}
+	for _, r := range runs {
+		weight := minSuspicionWeight
+		if r.Age >= 0 {
+			weight = max(weight, decayFactor(r.Age, suspicionHalfLife))
+		}
+		weights[r.Attempt.Task.Job] = max(weights[r.Attempt.Task.Job], weight)
+	}
+	var sum float64
+	for _, w := range weights {
+		sum += w
+	}
+	for i := range runs {
+		runs[i].Suspicion = weights[runs[i].Attempt.Task.Job] / sum
+	}
 }
 
 // CallFailed records that a call to the target got no answer. The first one since
@@ -45,12 +82,13 @@
 		if r.state == queued || !lost(r) {
 			continue
 		}
-		crash.Runs = append(crash.Runs, LostRun{Attempt{r.Task, r.Attempt}, max(signAt-r.startedAt, 0)})
+		crash.Runs = append(crash.Runs, LostRun{Attempt{r.Task, r.Attempt}, signAt - r.startedAt, 0})
 		c.finish(now, r, task.Lost, reason)
 	}
 	if len(crash.Runs) == 0 {
 		return
 	}
 	slices.SortStableFunc(crash.Runs, func(a, b LostRun) int { return cmp.Compare(a.Age, b.Age) })
+	assignSuspicion(crash.Runs)
 	c.out.Crashes = append(c.out.Crashes, crash)
 }
--- a/restartable/runner/crash_test.go
+++ b/restartable/runner/crash_test.go
@@ -32,9 +32,33 @@
 	if c.Target.ID != smallTarget.ID || c.Reason != task.ReasonTargetSilent || len(c.Runs) != 2 {
 		t.Fatalf("crash %+v", c)
 	}
-	for i, want := range []LostRun{{firstAttempt("young", 0), signAt - youngStartedAt}, {firstAttempt("old", 0), signAt - oldStartedAt}} {
-		if c.Runs[i] != want {
-			t.Errorf("run %d: %+v, want %+v", i, c.Runs[i], want)
+	for i, want := range []LostRun{{Attempt: firstAttempt("young", 0), Age: signAt - youngStartedAt}, {Attempt: firstAttempt("old", 0), Age: signAt - oldStartedAt}} {
+		if got := c.Runs[i]; got.Attempt != want.Attempt || got.Age != want.Age {
+			t.Errorf("run %d: %+v, want %+v", i, got, want)
 		}
 	}
 }
+
+// Guards against innocent tasks that are given up because they ran beside one that
+// crashes its targets, and against a run that cannot be the cause since it was started
+// after the crash.
+func TestLastStartBeforeACrashIsTheMostSuspect(t *testing.T) {
+	runs := []LostRun{
+		{Attempt: firstAttempt("after", 0), Age: -5 * ms},
+		{Attempt: firstAttempt("culprit", 0), Age: 10 * ms},
+		{Attempt: firstAttempt("culprit", 1), Age: 10 * ms},
+		{Attempt: firstAttempt("old", 0), Age: 400 * ms},
+	}
+	assignSuspicion(runs)
+	if runs[1].Suspicion < 0.9 || runs[2].Suspicion != runs[1].Suspicion {
+		t.Errorf("the last start: %v and %v, want the same of at least 0.9", runs[1].Suspicion, runs[2].Suspicion)
+	}
+	for _, i := range []int{0, 3} {
+		if s := runs[i].Suspicion; s <= 0 || s > 0.05 {
+			t.Errorf("%s: %v, want above 0 and at most 0.05", runs[i].Attempt.Task.Job, s)
+		}
+	}
+	if sum := runs[0].Suspicion + runs[1].Suspicion + runs[3].Suspicion; sum < 0.999 || sum > 1.001 {
+		t.Errorf("the suspicions of the jobs add up to %v, want 1", sum)
+	}
+}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 // Sink sends reports to one gateway. Its methods do not block.
 type Sink interface {
 	Report(r Report)
+	// Crashed reports a crash of the target. The reports of its runs follow.
+	Crashed(c Crash)
 	// LoadChanged signals that the load differs from the one last sent.
 	LoadChanged()
 	// Close closes the link.
@@ -56,8 +59,24 @@
 	leaseSentAt time.Duration
 	// lastPollAnswer is when the target last answered a poll.
 	lastPollAnswer time.Duration
+	// crashes are the last crashes of the target, for gateways that attach later.
+	crashes []recentCrash
 }
 
+// recentCrash is a crash with the time at which it was reported.
+type recentCrash struct {
+	Crash
+	at time.Duration
+}
+
+const (
+	// crashRetention is how long a crash is reported to gateways that attach. It is
+	// longer than callers try a job again.
+	crashRetention = time.Minute
+	// maxRecentCrashes bounds the memory for these crashes.
+	maxRecentCrashes = 32
+)
+
 // New returns a runner that uses token as its first fencing token.
 func New(core *Core, client TargetClient, token int64, now boottime.Clock, log zerolog.Logger, observer Observer, opts Options) *Runner {
 	callCtx, cancelCalls := context.WithCancel(context.Background())
@@ -168,9 +187,7 @@
 		r.goCall(func() { r.stop(r.callCtx, target, s) })
 	}
 	for _, crash := range a.Crashes {
-		r.observer.TargetCrashed(crash.Reason)
-		events.TargetDown.Log(r.log).Str("target", crash.Target.ID).Int64("born", crash.Target.Incarnation).Str("reason", string(crash.Reason)).
-			Int("runs", len(crash.Runs)).Array("latest", latestRuns(crash.Runs)).Send()
+		r.reportCrash(crash)
 	}
 	for _, rep := range a.Reports {
 		r.reportEnd(rep)
@@ -204,6 +221,23 @@
 	TargetCrashed(reason task.Reason)
 }
 
+// reportCrash logs a crash and reports it to all gateways. The caller holds r.mu.
+func (r *Runner) reportCrash(c Crash) {
+	r.observer.TargetCrashed(c.Reason)
+	events.TargetDown.Log(r.log).Str("target", c.Target.ID).Int64("born", c.Target.Incarnation).Str("reason", string(c.Reason)).
+		Int("runs", len(c.Runs)).Array("latest", latestRuns(c.Runs)).Send()
+	r.crashes = append(r.recentCrashes(), recentCrash{c, r.now()})
+	for _, s := range r.sinks {
+		s.Crashed(c)
+	}
+}
+
+// recentCrashes returns the crashes that are still reported. The caller holds r.mu.
+func (r *Runner) recentCrashes() []recentCrash {
+	recent := slices.DeleteFunc(slices.Clone(r.crashes), func(c recentCrash) bool { return r.now()-c.at > crashRetention })
+	return recent[max(0, len(recent)-maxRecentCrashes+1):]
+}
+
 // maxLoggedRuns is the maximum number of lost runs that the log line of a crash
 // lists.
 const maxLoggedRuns = 8
@@ -214,7 +248,8 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (l latestRuns) MarshalZerologArray(a *zerolog.Array) {
 	for _, run := range l[:min(len(l), maxLoggedRuns)] {
-		a.Dict(zerolog.Dict().Stringer("task", run.Attempt.Task).Int("attempt", run.Attempt.Number).Int64("age_ms", run.Age.Milliseconds()))
+		a.Dict(zerolog.Dict().Stringer("task", run.Attempt.Task).Int("attempt", run.Attempt.Number).Int64("age_ms", run.Age.Milliseconds()).
+			Float64("suspicion", run.Suspicion))
 	}
 }
 
@@ -306,6 +341,9 @@
 	defer r.mu.Unlock()
 	r.sinks[gateway] = s
 	r.core.RenewGatewayLease(gateway, r.now())
+	for _, c := range r.recentCrashes() {
+		s.Crashed(c.Crash)
+	}
 }
 
 // Detach removes the link of a gateway and cancels the gateway's tasks.
--- a/restartable/runner/runner_test.go
+++ b/restartable/runner/runner_test.go
@@ -169,8 +169,9 @@
 		close(s.lost)
 	}
 }
-func (s *lostRunSink) LoadChanged() {}
-func (s *lostRunSink) Close()       {}
+func (s *lostRunSink) Crashed(Crash) {}
+func (s *lostRunSink) LoadChanged()  {}
+func (s *lostRunSink) Close()        {}
 
 // Guards against runs of an unreachable target that keep their capacity and block
 // their jobs until the target returns: every unanswered poll counted as a renewal
