End the runs of a target at once when its address refuses connections

Callers saw: tasks on a crashed target were held for 1.1 to 1.4 s, and gateways went on sending there for up to 355 ms; starts that met a refused connection counted as possibly running for 1.2 s although they cannot have begun. Cause: a refused connection was handled like a lost answer. The target is on the agent's own VM: if nothing listens there, its process has ended. Change: such a start is reported as not started, the target takes no more work, and its runs are reported as lost at once. A start whose answer is missing stays open as before.

--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -46,6 +46,9 @@
 		r.setTargetClock(clock)
 		r.raiseTokenIfFenced(err)
 		c.StartAnswered(now, a, result)
+		if errors.Is(err, ErrNotListening) {
+			r.targetDown(now, err)
+		}
 	})
 }
 
@@ -123,16 +126,28 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.core.CallFailed(now)
-	if now-r.lastPollAnswer < r.opts.UnreachableAfter {
-		return
+	switch {
+	case errors.Is(err, ErrNotListening):
+		r.targetDown(now, err)
+	case now-r.lastPollAnswer >= r.opts.UnreachableAfter:
+		r.loseContact(err, func(c *Core) { c.Unreachable(now, now-r.leaseSentAt > r.opts.LeaseMax) })
 	}
+	r.execute(r.core.Take())
+}
+
+// targetDown handles a refused connection. The caller holds r.mu and carries out
+// the core's actions.
+func (r *Runner) targetDown(now time.Duration, err error) {
+	r.loseContact(err, func(c *Core) { c.TargetDown(now) })
+}
+
+// loseContact calls change, which makes the target unreachable, and tells the
+// gateways if it was reachable before. The caller holds r.mu.
+func (r *Runner) loseContact(err error, change func(c *Core)) {
 	wasReachable := r.core.reachable
-	r.core.Unreachable(now, now-r.leaseSentAt > r.opts.LeaseMax)
+	change(r.core)
 	if wasReachable {
 		events.TargetUnanswering.Log(r.log).Err(err).Send()
-	}
-	r.execute(r.core.Take())
-	if wasReachable {
 		r.notifyLoadChanged()
 	}
 }
--- a/restartable/runner/client.go
+++ b/restartable/runner/client.go
@@ -10,12 +10,17 @@
 // ErrFenced is returned by a target that has seen a higher fencing token.
 var ErrFenced = errors.New("the target has seen a higher fencing token")
 
+// ErrNotListening is returned by calls that were not sent, since nothing listens at
+// the target's address. The target is on the agent's own VM, so its process has
+// ended.
+var ErrNotListening = errors.New("nothing listens at the target's address")
+
 // TargetClient calls a target. Deadlines and clock readings are on the target's
 // own clock, in milliseconds.
 type TargetClient interface {
 	// Start starts a task. It returns StartUnanswered for every failure after
-	// which the task may still start, and ErrFenced if the token is too low. The
-	// second result is the target's clock, or 0 if it is unknown.
+	// which the task may still start, StartUndelivered with ErrNotListening, and
+	// ErrFenced if the token is too low. The second result is the target's clock, or 0 if it is unknown.
 	Start(ctx context.Context, t Target, s Start, token, deadline int64) (StartResult, int64, error)
 	// Stop stops a task. After an error the stop may not have been carried out.
 	Stop(ctx context.Context, t Target, a Attempt, token int64) (clock int64, err error)
--- a/restartable/runner/crash.go
+++ b/restartable/runner/crash.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// TargetDown records that the target's process has ended. Its runs have ended with
+// it. A start without an answer stays open until it can no longer take effect: it
+// may reach the next incarnation.
+func (c *Core) TargetDown(now time.Duration) {
+	c.CallFailed(now)
+	c.reachable, c.synced = false, false
+	c.loseRuns(now, task.ReasonTargetDown, func(r *run) bool { return r.state == running || r.state == stopping })
+	clear(c.foreignRuns)
+	c.processQueue(now)
+}
+
 // loseRuns reports the started runs that lost selects as lost, and the crash of
 // their target.
 func (c *Core) loseRuns(now time.Duration, reason task.Reason, lost func(*run) bool) {
--- a/restartable/runner/crash_test.go
+++ b/restartable/runner/crash_test.go
@@ -62,3 +62,41 @@
 		t.Errorf("the suspicions of the jobs add up to %v, want 1", sum)
 	}
 }
+
+// Guards against tasks that are held for a second after their target's process has
+// ended, and against a start whose outcome is unknown that counts as ended while it
+// can still take effect.
+func TestRefusedConnectionEndsTheRunsOfTheTarget(t *testing.T) {
+	r := newCoreHarness(t)
+	for _, job := range []string{"running", "unanswered", "undelivered"} {
+		r.submit(newStart(job, 0, 1000))
+	}
+	r.answerStart(firstAttempt("running", 0), StartAccepted)
+	r.answerStart(firstAttempt("unanswered", 0), StartUnanswered)
+	r.answerStart(firstAttempt("undelivered", 0), StartUndelivered)
+	r.core.TargetDown(r.now)
+	r.collect()
+	r.wantReport("running", task.Lost, task.ReasonTargetDown)
+	r.wantReport("undelivered", task.NotStarted, task.ReasonNoTarget)
+	if n := len(r.actions.Reports); n != 2 {
+		t.Fatalf("%d reports, want none on the unanswered start: %v", n, r.actions.Reports)
+	}
+	r.submit(newStart("next", 0, 1000))
+	r.wantReport("next", task.NotStarted, task.ReasonNoTarget)
+	r.advance(DefaultCoreOptions().UnansweredTimeout + ms)
+	r.core.Tick(r.now)
+	r.collect()
+	r.wantReport("unanswered", task.Lost, task.ReasonTargetSilent)
+}
+
+// Guards against a target that stays unused although it answers again.
+func TestTargetIsUsedAgainAfterItAnswers(t *testing.T) {
+	r := newCoreHarness(t)
+	r.core.TargetDown(r.now)
+	r.applyRunning()
+	r.core.RenewGatewayLease("g", r.now)
+	r.submit(newStart("a", 0, 1000))
+	if n := len(r.actions.Starts); n != 1 {
+		t.Fatalf("%d starts, want 1", n)
+	}
+}
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -19,6 +19,8 @@
 	// StartUnanswered means that the outcome is unknown: the task may have
 	// started or may still start.
 	StartUnanswered
+	// StartUndelivered means that the target did not get the request.
+	StartUndelivered
 )
 
 // StartAnswered processes the answer to a start.
@@ -39,6 +41,8 @@
 		c.finish(now, r, task.NotStarted, task.ReasonRefused)
 	case StartSuperseded:
 		c.finish(now, r, task.NotStarted, task.ReasonSuperseded)
+	case StartUndelivered:
+		c.finish(now, r, task.NotStarted, task.ReasonNoTarget)
 	case StartUnanswered:
 		r.state = unanswered
 		c.out.Stops = append(c.out.Stops, a)
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -99,6 +99,7 @@
 
 // Reasons for Lost.
 const (
+	ReasonTargetDown      Reason = "target_down"      // the target's process has ended
 	ReasonTargetRestarted Reason = "target_restarted" // another incarnation of the target has announced itself
 	ReasonTargetSilent    Reason = "target_silent"    // the target has not answered until its leases had expired
 	ReasonLeaseLapsed     Reason = "lease_lapsed"     // the target lists the run as ended with its lease
