Confine a queue whose jobs crash their targets to a part of them

Callers saw: while a tenth of the jobs of one kind crashed their targets, half of the jobs of all other kinds were refused or lost. Cause: each crashing job is given up after two targets, but the next one comes a third of a second later, and any target may get it. Nothing limits what one queue can take down (no bulkhead). Change: the agents name the queue of each lost run. Once two jobs of a queue have crashed two targets each within some seconds, gateways place its tasks only on about its share of the targets: those that rank first for it, so that gateways agree without talking. Other queues avoid these. It is released some 8 s after the last such job.

--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -14,8 +14,10 @@
 	Number uint64
 	Step   task.StepID
 	Tasks  []Attempt
-	Spec   string
-	Needs  task.Resources
+	// Queue is the name of the job's queue.
+	Queue string
+	Spec  string
+	Needs task.Resources
 	// Expected is the run time expected on a target of slowness 1.
 	Expected time.Duration
 	// StartWithin is the longest time that a task may wait in the agent's queue.
@@ -54,6 +56,17 @@
 	FailedShare, Anomaly float64
 }
 
+// ConfinementChange says that a queue is now confined to a part of the targets or no
+// longer, for logs.
+type ConfinementChange struct {
+	Service, Queue string
+	Confined       bool
+	// CrashingJobs is the decaying number of its jobs that have crashed their targets.
+	CrashingJobs float64
+	// Targets is the number of targets to which the queue is confined.
+	Targets int
+}
+
 // Retry describes an attempt that did not complete its task, for logs.
 type Retry struct {
 	Agent   string
@@ -77,7 +90,9 @@
 	Stops            []Stop
 	FinishedJobs     []FinishedJob
 	AvoidanceChanges []AvoidanceChange
-	Retries          []Retry
+	// ConfinementChanges are those of queues whose jobs crash their targets.
+	ConfinementChanges []ConfinementChange
+	Retries            []Retry
 	// Suspended is the length of a suspension of this process that was detected, or
 	// 0.
 	Suspended time.Duration
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -70,6 +70,8 @@
 	lastPlacedAt time.Duration
 	// avoided is set while the target looks broken or slow and gets only probes.
 	avoided bool
+	// reservedFor is the queue that is confined to this target and some others, if any.
+	reservedFor string
 	// doneSinceAvoided counts the successful runs since the target became avoided.
 	doneSinceAvoided int
 	// kindContribution is the target's contribution to the current statistics of its
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -75,6 +75,7 @@
 	// speedGains tell, by service, how much its jobs gain from fast targets.
 	speedGains map[string]*speedGain
 	crashes    crashLog
+	bulkheads  bulkheads
 	// startedAt is when this process started.
 	startedAt time.Duration
 	// lastTickAt is the time of the last tick. Until resumeAt all jobs are refused
@@ -86,7 +87,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog()}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads()}
 }
 
 // Take returns the actions that were decided since the last call.
@@ -153,6 +154,7 @@
 		return
 	}
 	c.jobs[s.ID] = j
+	c.bulkheads.jobArrived(now, j)
 	c.advance(now, j)
 }
 
@@ -268,6 +270,7 @@
 	c.detectSuspension(now)
 	c.lastTickAt = now
 	c.crashes.prune(now)
+	c.updateBulkheads(now)
 	for _, j := range sortedJobs(c.jobs) {
 		if now >= j.deadline-c.opts.AnswerMargin {
 			c.abort(now, j, CauseDeadline)
--- a/restartable/dispatch/crashes.go
+++ b/restartable/dispatch/crashes.go
@@ -13,26 +13,29 @@
 	Incarnation int64
 	// Certain is set if the process of the target is known to have ended.
 	Certain bool
-	Runs    []LostRun
+	// Age is the time since the agent noticed the crash.
+	Age  time.Duration
+	Runs []LostRun
 }
 
 // LostRun is a run that ended because its target went down.
 type LostRun struct {
 	Task    task.ID
 	Attempt int
+	Queue   string
 	// Suspicion is the likelihood that the run's job caused the crash.
 	Suspicion float64
 }
 
 const (
-	// maxCrashes is the number of crashes under a suspect task after which its job is
-	// given up, maxInnocentCrashes that under a task which is hardly suspect: it
-	// probably only ran beside the one that caused them.
+	// maxCrashes is the number of crashes under a suspect task from which its job counts
+	// as crashing its targets and is given up, maxInnocentCrashes that under a task which
+	// is hardly suspect: it probably only ran beside the one that caused them.
 	maxCrashes         = 2
 	maxInnocentCrashes = 3
-	// minJobSuspicion is the number of crashes that a job must have caused in all
-	// likelihood to count as suspect.
-	minJobSuspicion = 1.0
+	// minCausedCrashes is the number of crashes under one task that its job must have
+	// caused in all likelihood to count as crashing its targets.
+	minCausedCrashes = 1.0
 	// maxLosses is the number of attempts of a task that were lost in any way after
 	// which its job is given up.
 	maxLosses = 4
@@ -52,13 +55,20 @@
 type jobCrashes struct {
 	// seen holds the crashes that are counted.
 	seen map[crashID]bool
-	// byTask counts the crashes under each task.
-	byTask map[task.ID]int
-	// suspicion is the number of crashes that the job has probably caused.
-	suspicion float64
+	// byTask holds the crashes under each task.
+	byTask map[task.ID]taskCrashes
 	// uncertain is set if any of the targets may only have been out of reach.
 	uncertain bool
-	lastAt    time.Duration
+	// crashing is set once the job has crashed its targets in all likelihood.
+	crashing bool
+	lastAt   time.Duration
+}
+
+// taskCrashes are the crashes under one task: their number, and the number of those that
+// its job has probably caused.
+type taskCrashes struct {
+	number int
+	caused float64
 }
 
 // crashLog remembers the crashes of the last minute by job.
@@ -70,27 +80,32 @@
 
 func newCrashLog() crashLog { return crashLog{jobs: map[string]*jobCrashes{}} }
 
-// add counts a crash of an agent's target.
-func (l *crashLog) add(now time.Duration, agent string, crash Crash) {
-	blamed := map[string]bool{}
+// add counts a crash of an agent's target at a time. It returns the runs of jobs that
+// are known to crash their targets since this crash, one of each job.
+func (l *crashLog) add(at time.Duration, agent string, crash Crash) []LostRun {
+	var crashing []LostRun
 	for _, r := range crash.Runs {
 		id := crashID{agent, crash.Incarnation, r.Task}
 		jc := l.jobs[r.Task.Job]
 		if jc == nil {
-			jc = &jobCrashes{seen: map[crashID]bool{}, byTask: map[task.ID]int{}}
+			jc = &jobCrashes{seen: map[crashID]bool{}, byTask: map[task.ID]taskCrashes{}}
 			l.jobs[r.Task.Job] = jc
 		}
 		if jc.seen[id] {
 			continue
 		}
-		jc.seen[id], jc.lastAt = true, now
-		jc.byTask[r.Task]++
+		jc.seen[id], jc.lastAt = true, max(jc.lastAt, at)
 		jc.uncertain = jc.uncertain || !crash.Certain
-		if !blamed[r.Task.Job] {
-			blamed[r.Task.Job] = true
-			jc.suspicion += r.Suspicion
+		tc := jc.byTask[r.Task]
+		tc.number++
+		tc.caused += r.Suspicion
+		jc.byTask[r.Task] = tc
+		if !jc.crashing && tc.number >= maxCrashes && tc.caused >= minCausedCrashes {
+			jc.crashing = true
+			crashing = append(crashing, r)
 		}
 	}
+	return crashing
 }
 
 // prune removes jobs without a crash in the last crashMemory.
@@ -112,12 +127,11 @@
 	if jc == nil {
 		return false
 	}
-	limit := maxInnocentCrashes
-	if jc.suspicion >= minJobSuspicion {
-		limit = maxCrashes
+	if jc.crashing {
+		return true
 	}
-	for _, n := range jc.byTask {
-		if n >= limit {
+	for _, tc := range jc.byTask {
+		if tc.number >= maxInnocentCrashes {
 			return true
 		}
 	}
@@ -127,8 +141,16 @@
 // TargetCrashed counts a crash of an agent's target. The reports of the lost runs,
 // which follow, place their tasks again.
 func (c *Core) TargetCrashed(now time.Duration, link string, crash Crash) {
-	if a := c.byLink[link]; a != nil {
-		c.crashes.add(now, a.Name, crash)
+	a := c.byLink[link]
+	if a == nil {
+		return
+	}
+	at := now - crash.Age
+	for _, r := range c.crashes.add(at, a.Name, crash) {
+		// Gateways of earlier releases do not name the queue.
+		if r.Queue != "" {
+			c.bulkheads.jobCrashes(at, queueKey{a.target.Service, r.Queue})
+		}
 	}
 }
 
@@ -137,7 +159,7 @@
 func (c *Core) giveUpCrashing(now time.Duration, j *job) bool {
 	jc := c.crashes.jobs[j.ID]
 	switch {
-	case jc.exhausted() && !jc.uncertain:
+	case jc.exhausted() && jc.crashing && !jc.uncertain:
 		c.stopAll(j)
 		c.finish(now, j, Answer{State: Failed, Cause: CauseCrashes})
 	case jc.exhausted():
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -83,6 +83,13 @@
 	for _, r := range a.Retries {
 		d.logRetry(r)
 	}
+	for _, ch := range a.ConfinementChanges {
+		event := events.QueueReleased
+		if ch.Confined {
+			event = events.QueueConfined
+		}
+		event.Log(d.log).Str("queue", ch.Queue).Str("service", ch.Service).Float64("crashing_jobs", ch.CrashingJobs).Int("targets", ch.Targets).Send()
+	}
 	for _, ch := range a.AvoidanceChanges {
 		event := events.TargetTrusted
 		if ch.Avoided {
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -36,6 +36,7 @@
 	job        *job
 	step       int
 	candidates []*candidate
+	placed     int
 }
 
 // newPlan returns a plan whose candidates are the agents that could run a task of
@@ -43,6 +44,7 @@
 func (c *Core) newPlan(now time.Duration, j *job, step int) *plan {
 	p := &plan{core: c, now: now, job: j, step: step}
 	s := &j.Steps[step]
+	confined := c.bulkheads.isConfined(j.Queue.Service, j.Queue.Name)
 	for _, a := range c.agents {
 		if !a.load.Accepting || a.target.Service != j.Queue.Service || now-a.reportedAt > c.opts.SuspectAfter {
 			continue
@@ -53,6 +55,9 @@
 		if a.avoided && !c.mayProbe(now, a) {
 			continue
 		}
+		if confined && a.reservedFor != j.Queue.Name {
+			continue
+		}
 		needs, work := a.committed()
 		p.candidates = append(p.candidates, &candidate{agent: a, run: p.runTime(a), needs: needs, work: work})
 	}
@@ -144,6 +149,9 @@
 	if t.failedOn == cand.agent.Name {
 		cost += failedPenalty
 	}
+	if reserved := cand.agent.reservedFor; reserved != "" && reserved != p.job.Queue.Name {
+		cost += confinedPenalty
+	}
 	if cand.agent.avoided {
 		// An avoided target is a candidate only when a probe is due.
 		cost -= probeBonus
--- /dev/null
+++ b/restartable/fleet/crash_test.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+)
+
+// crashingOptions returns a fleet of eleven targets under three kinds of jobs, of which
+// a share of the short ones crash the targets that start them.
+func crashingOptions(seed uint64, crashShare float64) Options {
+	return Options{
+		Seed: seed, Gateways: 4, Targets: 11, MinLoadInterval: 50 * time.Millisecond, Load: 0.65, Duration: 10 * time.Second,
+		Jobs: []JobKind{
+			{Name: "short", Tasks: 8, RunTime: 60 * time.Millisecond, CPU: 3100, LoadShare: 0.2, CrashShare: crashShare},
+			{Name: "long", Tasks: 4, RunTime: 900 * time.Millisecond, CPU: 3100, LoadShare: 0.3},
+			{Name: "pair", Tasks: 2, RunTime: 200 * time.Millisecond, CPU: 3100, LoadShare: 0.5},
+		},
+		Kinds: []TargetKind{{"even", 1, 32_000}},
+	}
+}
+
+// Guards against jobs of one kind that take down target after target until no other kind
+// is served: a tenth of the short jobs crash the targets that start them, three times a
+// second on eleven targets that are down for three seconds each time.
+func TestOtherKindsAreServedWhileOneCrashesItsTargets(t *testing.T) {
+	const minShare = 0.75
+	for _, seed := range []uint64{1, 2, 3} {
+		r := Run(crashingOptions(seed, 0.1))
+		t.Logf("seed %d: %d crashes, %v", seed, r.Crashes, r)
+		for _, kind := range []string{"long", "pair"} {
+			if got := possibleShare(r, kind); got < minShare {
+				t.Errorf("seed %d: %.3f of the %s jobs that can be completed in time are, want %.2f", seed, got, kind, minShare)
+			}
+			for _, j := range r.Jobs[kind] {
+				if j.State == dispatch.Failed {
+					t.Errorf("seed %d: a %s job was answered as failed, since it ran beside others that crashed its targets", seed, kind)
+				}
+			}
+		}
+	}
+}
--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -39,6 +39,9 @@
 	TaskSigma float64
 	// Duration is the time during which jobs arrive.
 	Duration time.Duration
+	// OneCrashingJobAfter is the time from which the next job of the first kind crashes
+	// its targets; 0 for none.
+	OneCrashingJobAfter time.Duration
 }
 
 // MixedOptions returns a fleet of targets of two speeds with three kinds of jobs.
@@ -48,7 +51,7 @@
 	return Options{
 		Seed: 1, Gateways: gateways, Targets: targets, MinLoadInterval: 50 * time.Millisecond, Load: 0.65, Duration: 3 * time.Second,
 		Jobs: []JobKind{
-			{"short", 8, 60 * time.Millisecond, 7600, 0}, {"long", 4, 900 * time.Millisecond, 7600, 0}, {"pair", 2, 200 * time.Millisecond, 7600, 0},
+			{"short", 8, 60 * time.Millisecond, 7600, 0, 0}, {"long", 4, 900 * time.Millisecond, 7600, 0, 0}, {"pair", 2, 200 * time.Millisecond, 7600, 0, 0},
 		},
 		Kinds: []TargetKind{{"fast", 0.7, 32_000}, {"fast", 0.7, 32_000}, {"slow", 1.7, 48_000}},
 	}
@@ -61,7 +64,7 @@
 	o := MixedOptions(gateways, targets)
 	o.Load, o.TaskSigma = 0.51, 0.15
 	o.Jobs = []JobKind{
-		{"short", 8, 60 * time.Millisecond, 3600, 0.17}, {"long", 4, 900 * time.Millisecond, 3600, 0.41}, {"pair", 2, 200 * time.Millisecond, 3600, 0.42},
+		{"short", 8, 60 * time.Millisecond, 3600, 0.17, 0}, {"long", 4, 900 * time.Millisecond, 3600, 0.41, 0}, {"pair", 2, 200 * time.Millisecond, 3600, 0.42, 0},
 	}
 	return o
 }
@@ -77,6 +80,9 @@
 	// LoadShare is the kind's share of the load; 0 in all kinds divides the load
 	// equally.
 	LoadShare float64
+	// CrashShare is the share of its jobs whose tasks crash the target that starts
+	// them.
+	CrashShare float64
 }
 
 // TargetKind is a kind of targets.
@@ -122,6 +128,10 @@
 	// runTimes holds the run times of the tasks of each job on a target of reference
 	// speed.
 	runTimes map[string][]time.Duration
+	// crashing holds the jobs whose tasks crash their targets.
+	crashing map[string]bool
+	// crashed is set once the job of OneCrashingJobAfter has arrived.
+	crashed bool
 	// fastest is the lowest slowness of any target.
 	fastest float64
 	result  Result
@@ -137,6 +147,9 @@
 	name string
 	kind TargetKind
 	core *runner.Core
+	// description is what the heartbeats say.
+	description runner.Target
+	down        bool
 	// running holds the running attempts.
 	running map[runner.Attempt]bool
 	links   []*link
@@ -148,6 +161,7 @@
 	gateway    *gateway
 	target     *target
 	reports    []dispatch.AttemptEvent
+	crashes    []dispatch.Crash
 	ordersSeen uint64
 	sentAt     time.Duration
 	// loadScheduled is set while a frame with a load is scheduled. sendSeq
@@ -160,7 +174,7 @@
 
 // Run simulates a fleet and returns the result.
 func Run(opts Options) Result {
-	f := &Fleet{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), runTimes: map[string][]time.Duration{}}
+	f := &Fleet{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), runTimes: map[string][]time.Duration{}, crashing: map[string]bool{}}
 	f.Now = startTime
 	f.build()
 	start := f.Now + linkSetupTime
@@ -197,6 +211,7 @@
 		f.targets = append(f.targets, t)
 		capacity := task.Resources{CPUMillis: t.kind.CPU, MemoryMB: 1 << 20}
 		description := runner.Target{ID: t.name, Incarnation: 1, Service: service, Kind: t.kind.Name, Capacity: capacity}
+		t.description = description
 		t.core.Heartbeat(f.Now, description)
 		t.core.ApplySnapshot(f.Now, runner.Snapshot{RequestedAt: f.Now, Incarnation: 1})
 		// Start with known speeds, as in a fleet that has run for a while.
@@ -271,7 +286,7 @@
 	var starts []runner.Start
 	for _, t := range o.Tasks {
 		starts = append(starts, runner.Start{
-			Task: task.ID{StepID: o.Step, Index: t.Index}, Attempt: t.Number, Spec: o.Spec, Needs: o.Needs, Expected: o.Expected,
+			Task: task.ID{StepID: o.Step, Index: t.Index}, Attempt: t.Number, Queue: o.Queue, Spec: o.Spec, Needs: o.Needs, Expected: o.Expected,
 			StartWithin: o.StartWithin, DueWithin: o.DueWithin, AtOnce: o.AtOnce, Priority: o.Priority, MaxPerTarget: o.MaxPerTarget,
 		})
 	}
@@ -294,6 +309,11 @@
 	for _, at := range a.Stops {
 		f.After(targetCallDelay, func() { f.stopRun(t, at) })
 	}
+	for _, crash := range a.Crashes {
+		for _, l := range t.links {
+			l.crashes = append(l.crashes, toDispatch(crash))
+		}
+	}
 	for _, r := range a.Reports {
 		f.report(t, r)
 	}
@@ -306,7 +326,21 @@
 
 func (f *Fleet) startRun(t *target, s runner.Start) {
 	a := runner.Attempt{Task: s.Task, Number: s.Attempt}
+	if t.down {
+		f.atTarget(t, func(c *runner.Core) {
+			c.StartAnswered(f.Now, a, runner.StartUndelivered)
+			c.TargetDown(f.Now)
+		})
+		return
+	}
 	t.running[a] = true
+	if f.crashing[s.Task.Job] {
+		f.After(crashDelay, func() {
+			if t.running[a] {
+				f.crash(t)
+			}
+		})
+	}
 	f.atTarget(t, func(c *runner.Core) { c.StartAnswered(f.Now, a, runner.StartAccepted) })
 	run := f.runTimes[s.Task.Job][s.Task.Index]
 	f.After(time.Duration(float64(run)*t.kind.Slowness), func() { f.endRun(t, a, task.Done) })
@@ -322,13 +356,14 @@
 		return
 	}
 	delete(t.running, a)
+	incarnation := t.description.Incarnation
 	var stillRunning []runner.Attempt
 	for r := range t.running {
 		stillRunning = append(stillRunning, r)
 	}
 	f.After(targetCallDelay, func() {
 		f.atTarget(t, func(c *runner.Core) {
-			c.ApplySnapshot(f.Now, runner.Snapshot{RequestedAt: f.Now - 2*targetCallDelay, Incarnation: 1, Running: stillRunning, Ended: []runner.End{{Attempt: a, Outcome: o}}})
+			c.ApplySnapshot(f.Now, runner.Snapshot{RequestedAt: f.Now - 2*targetCallDelay, Incarnation: incarnation, Running: stillRunning, Ended: []runner.End{{Attempt: a, Outcome: o}}})
 		})
 	})
 }
@@ -371,15 +406,20 @@
 		}
 	})
 	f.result.Frames++
-	reports, stamp, load := l.reports, f.Now, l.target.core.Load(f.Now)
-	l.reports = nil
+	reports, crashes, stamp, load := l.reports, l.crashes, f.Now, l.target.core.Load(f.Now)
+	l.reports, l.crashes = nil, nil
 	m := &dispatch.Load{
 		Accepting: load.Accepting, Committed: load.Committed, Backlog: load.Backlog, Slowness: load.Slowness,
 		Anomaly: load.Anomaly, Samples: load.Samples, FailedShare: load.FailedShare, OrdersSeen: l.ordersSeen,
 	}
 	f.After(networkDelay, func() {
 		l.stamp = stamp
-		f.atGateway(l.gateway, func(c *dispatch.Core) { c.Report(f.Now, l.name, m, reports) })
+		f.atGateway(l.gateway, func(c *dispatch.Core) {
+			for _, crash := range crashes {
+				c.TargetCrashed(f.Now, l.name, crash)
+			}
+			c.Report(f.Now, l.name, m, reports)
+		})
 	})
 }
 
@@ -413,6 +453,7 @@
 	g := f.gateways[f.rng.IntN(len(f.gateways))]
 	q := queue
 	q.Name = k.Name
+	f.crashing[id] = f.crashes(k)
 	run := time.Duration(float64(k.RunTime) * f.logNormal(jobSigma))
 	estimate := time.Duration(float64(run) * f.logNormal(estimateSigma))
 	tasks := max(1, int(math.Round(float64(k.Tasks)*f.logNormal(jobSigma))))
@@ -422,6 +463,7 @@
 	arrived := f.Now
 	objective := time.Duration(q.StretchFactor*float64(longest)) + q.TargetLatency
 	job := f.result.add(k, run*time.Duration(tasks))
+	job.Crashing = f.crashing[id]
 	job.Possible = time.Duration(float64(longest)*f.fastest) <= min(objective, q.Timeout)
 	s := dispatch.Submission{
 		ID: id, Queue: q, Wait: q.Timeout,
@@ -430,6 +472,7 @@
 	caller := &dispatch.Caller{Answer: func(a dispatch.Answer) {
 		f.result.Attempts += a.Attempts
 		f.result.Tasks += tasks
+
 		job.State, job.Elapsed = a.State, f.Now-arrived
 		if a.State == dispatch.Completed {
 			f.result.Stretches = append(f.result.Stretches, job.Elapsed.Seconds()/run.Seconds())
--- a/restartable/fleet/result.go
+++ b/restartable/fleet/result.go
@@ -22,6 +22,8 @@
 	// attempts that did not complete their task, Recalls those of them that were
 	// stopped because they were overdue.
 	Tasks, Attempts, Retries, Recalls int
+	// Crashes counts the crashes of targets.
+	Crashes int
 	// Frames counts the frames on all links.
 	Frames int
 	// MaxLinks is the largest number of links of a gateway.
@@ -41,6 +43,8 @@
 	Elapsed time.Duration
 	// InTime is set if it was completed within its objective.
 	InTime bool
+	// Crashing is set if its tasks crash their targets.
+	Crashing bool
 }
 
 // add adds a job of a kind.
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -57,12 +57,12 @@
 
 // Crashed queues the report of a crash, which is sent with the next frame.
 func (l *agentLink) Crashed(c runner.Crash) {
-	m := &pb.TargetCrash{Incarnation: c.Target.Incarnation, Certain: c.Certain()}
+	m := &pb.TargetCrash{Incarnation: c.Target.Incarnation, Certain: c.Certain(), AgeMs: toMillis(l.client.now() - c.At)}
 	for _, r := range c.Runs {
 		id := r.Attempt.Task
 		m.Runs = append(m.Runs, &pb.LostRun{
 			Job: id.Job, Occurrence: uint32(id.Occurrence), Step: uint32(id.Step), Index: uint32(id.Index), Attempt: uint32(r.Attempt.Number),
-			SuspicionPermille: uint32(r.Suspicion * 1000),
+			SuspicionPermille: uint32(r.Suspicion * 1000), Queue: r.Queue,
 		})
 	}
 	l.mu.Lock()
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -188,7 +188,7 @@
 	out := make([]runner.Start, 0, len(s.Tasks))
 	for _, t := range s.Tasks {
 		out = append(out, runner.Start{
-			Task: task.ID{StepID: step, Index: int(t.Index)}, Attempt: int(t.Attempt), Spec: s.Spec,
+			Task: task.ID{StepID: step, Index: int(t.Index)}, Attempt: int(t.Attempt), Queue: s.Queue, Spec: s.Spec,
 			Needs: resourcesFromProto(s.Requirement), Expected: fromMillis(s.ExpectedMs),
 			StartWithin: fromMillis(s.StartWithinMs), DueWithin: fromMillis(s.DueWithinMs), AtOnce: s.AtOnce,
 			Priority: int(s.Priority), MaxPerTarget: int(s.MaxPerTarget),
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -148,11 +148,11 @@
 }
 
 func crashFromProto(m *pb.TargetCrash) dispatch.Crash {
-	c := dispatch.Crash{Incarnation: m.Incarnation, Certain: m.Certain}
+	c := dispatch.Crash{Incarnation: m.Incarnation, Certain: m.Certain, Age: fromMillis(m.AgeMs)}
 	for _, r := range m.Runs {
 		c.Runs = append(c.Runs, dispatch.LostRun{
 			Task:    task.ID{StepID: task.StepID{Job: r.Job, Occurrence: int(r.Occurrence), Step: int(r.Step)}, Index: int(r.Index)},
-			Attempt: int(r.Attempt), Suspicion: float64(r.SuspicionPermille) / 1000,
+			Attempt: int(r.Attempt), Queue: r.Queue, Suspicion: float64(r.SuspicionPermille) / 1000,
 		})
 	}
 	return c
--- a/restartable/runner/crash.go
+++ b/restartable/runner/crash.go
@@ -12,6 +12,8 @@
 // target has not answered until all of its leases had expired.
 type Crash struct {
 	Target Target
+	// At is when the loss of the runs was noticed.
+	At time.Duration
 	// Reason is that of the lost runs.
 	Reason task.Reason
 	// Runs are the lost runs, the latest start first.
@@ -25,6 +27,7 @@
 // LostRun is a run that ended because its target went down.
 type LostRun struct {
 	Attempt Attempt
+	Queue   string
 	// Age is the time from the run's start to the first sign of the crash. It is
 	// negative if the run was started after that sign.
 	Age time.Duration
@@ -36,7 +39,7 @@
 	// suspicionHalfLife is the age at which a run is half as suspect as one that was
 	// started immediately before a crash. It covers the time that may pass between a
 	// crash and the next call to the target.
-	suspicionHalfLife = 30 * time.Millisecond
+	suspicionHalfLife = 20 * time.Millisecond
 	// minSuspicionWeight is the weight of the oldest runs: a task may also crash its
 	// target late.
 	minSuspicionWeight = 0.01
@@ -88,12 +91,12 @@
 	if c.silent {
 		signAt = c.silentSince
 	}
-	crash := Crash{Target: c.target, Reason: reason}
+	crash := Crash{Target: c.target, At: now, Reason: reason}
 	for _, r := range c.sortedRuns() {
 		if r.state == queued || !lost(r) {
 			continue
 		}
-		crash.Runs = append(crash.Runs, LostRun{Attempt{r.Task, r.Attempt}, signAt - r.startedAt, 0})
+		crash.Runs = append(crash.Runs, LostRun{Attempt: Attempt{r.Task, r.Attempt}, Queue: r.Queue, Age: signAt - r.startedAt})
 		c.finish(now, r, task.Lost, reason)
 	}
 	if len(crash.Runs) == 0 {
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -67,8 +67,10 @@
 type Start struct {
 	Task    task.ID
 	Attempt int
-	Spec    string
-	Needs   task.Resources
+	// Queue is the name of the job's queue.
+	Queue string
+	Spec  string
+	Needs task.Resources
 	// Expected is the run time expected on a target of slowness 1.
 	Expected time.Duration
 	// StartWithin is the maximum time in the queue. DueWithin is the time within
--- a/restartable/runner/queue.go
+++ b/restartable/runner/queue.go
@@ -42,13 +42,13 @@
 			c.finish(now, r, task.NotStarted, task.ReasonGatewayLost)
 		case now > r.queueUntil:
 			c.finish(now, r, task.NotStarted, task.ReasonExpired)
-		case c.fits(r):
+		case c.fits(now, r):
 			c.startRun(now, r)
 		}
 	}
 }
 
-func (c *Core) fits(r *run) bool {
+func (c *Core) fits(now time.Duration, r *run) bool {
 	if !c.synced || len(c.foreignRuns) > 0 {
 		return false
 	}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -60,13 +60,7 @@
 	// lastPollAnswer is when the target last answered a poll.
 	lastPollAnswer time.Duration
 	// crashes are the last crashes of the target, for gateways that attach later.
-	crashes []recentCrash
-}
-
-// recentCrash is a crash with the time at which it was reported.
-type recentCrash struct {
-	Crash
-	at time.Duration
+	crashes []Crash
 }
 
 const (
@@ -226,15 +220,15 @@
 	r.observer.TargetCrashed(c.Reason)
 	events.TargetDown.Log(r.log).Str("target", c.Target.ID).Int64("born", c.Target.Incarnation).Str("reason", string(c.Reason)).
 		Int("runs", len(c.Runs)).Array("latest", latestRuns(c.Runs)).Send()
-	r.crashes = append(r.recentCrashes(), recentCrash{c, r.now()})
+	r.crashes = append(r.recentCrashes(), c)
 	for _, s := range r.sinks {
 		s.Crashed(c)
 	}
 }
 
 // recentCrashes returns the crashes that are still reported. The caller holds r.mu.
-func (r *Runner) recentCrashes() []recentCrash {
-	recent := slices.DeleteFunc(slices.Clone(r.crashes), func(c recentCrash) bool { return r.now()-c.at > crashRetention })
+func (r *Runner) recentCrashes() []Crash {
+	recent := slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool { return r.now()-c.At > crashRetention })
 	return recent[max(0, len(recent)-maxRecentCrashes+1):]
 }
 
@@ -342,7 +336,7 @@
 	r.sinks[gateway] = s
 	r.core.RenewGatewayLease(gateway, r.now())
 	for _, c := range r.recentCrashes() {
-		s.Crashed(c.Crash)
+		s.Crashed(c)
 	}
 }
 
