Try jobs that are suspected of crashing their targets alone

Callers saw: jobs that ran beside a crashing one were lost two and three times, some were answered as failed, and the crashing one was found late. Cause: all tasks that were lost in a crash were placed on the target that looked best next, together. The guilty one took that down as well, the blame was shared again, and an innocent job that was spread over several crashed targets added up their suspicions. Change: tasks of a suspect job are placed one at a time, those under which a target has crashed first; gateways keep suspect jobs apart, and an agent starts one suspect job at a time for 100 ms. The suspicion before a crash counts as prior in the next one. Evidence: TestSuspectJobsAreTriedOneAtATime, TestEarlierSuspicionCounts, TestTasksOfASuspectJobAreTriedOneAtATime.

--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -27,6 +27,9 @@
 	AtOnce       bool
 	Priority     int
 	MaxPerTarget int
+	// Suspicion is the likelihood that a task of the job crashes its target; 0 if
+	// nothing speaks for it.
+	Suspicion float64
 }
 
 // Attempt identifies one attempt of a task of an order by the index of the task in
--- a/restartable/dispatch/crashes.go
+++ b/restartable/dispatch/crashes.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
@@ -36,6 +37,12 @@
 	// minCausedCrashes is the number of crashes under one task that its job must have
 	// caused in all likelihood to count as crashing its targets.
 	minCausedCrashes = 1.0
+	// minTrialSuspicion is the suspicion against a job from which its tasks are tried one
+	// at a time. trialTime is how long a run
+	// has to go on until the next one is tried: a task that crashes its target usually
+	// does so soon after its start.
+	minTrialSuspicion = 0.1
+	trialTime         = 100 * time.Millisecond
 	// maxLosses is the number of attempts of a task that were lost in any way after
 	// which its job is given up.
 	maxLosses = 4
@@ -57,6 +64,8 @@
 	seen map[crashID]bool
 	// byTask holds the crashes under each task.
 	byTask map[task.ID]taskCrashes
+	// suspicion is the highest suspicion against the job in any of them.
+	suspicion float64
 	// uncertain is set if any of the targets may only have been out of reach.
 	uncertain bool
 	// crashing is set once the job has crashed its targets in all likelihood.
@@ -96,6 +105,7 @@
 		}
 		jc.seen[id], jc.lastAt = true, max(jc.lastAt, at)
 		jc.uncertain = jc.uncertain || !crash.Certain
+		jc.suspicion = max(jc.suspicion, r.Suspicion)
 		tc := jc.byTask[r.Task]
 		tc.number++
 		tc.caused += r.Suspicion
@@ -172,6 +182,52 @@
 	return true
 }
 
+// isSuspect reports whether a job is suspected of crashing its targets.
+func (c *Core) isSuspect(j *job) bool {
+	jc := c.crashes.jobs[j.ID]
+	return jc != nil && jc.suspicion >= minTrialSuspicion
+}
+
+// crashSuspicion returns the likelihood that a task of a suspect job crashes its target,
+// and 0 for other jobs.
+func (c *Core) crashSuspicion(j *job) float64 {
+	if !c.isSuspect(j) {
+		return 0
+	}
+	return c.crashes.jobs[j.ID].suspicion
+}
+
+// hasSuspectOnTrial reports whether a task of another suspect job was sent to the agent
+// within trialTime.
+func (c *Core) hasSuspectOnTrial(now time.Duration, a *agent, j *job) bool {
+	for _, other := range a.jobs {
+		if t := other.trial; t != nil && other != j && t.agent == a && now-t.sentAt < trialTime {
+			return true
+		}
+	}
+	return false
+}
+
+// onTrial returns those of a job's waiting tasks that are to be placed now: all, unless
+// the job is suspected of crashing its targets. Then its tasks are tried one at a time,
+// those under which a target has crashed first, so that it takes down one more target
+// at most.
+func (c *Core) onTrial(now time.Duration, j *job, tasks []*taskRecord) []*taskRecord {
+	if len(tasks) == 0 || !c.isSuspect(j) {
+		return tasks
+	}
+	if t := j.trial; t != nil && t.state == placed && now-t.sentAt < trialTime {
+		return nil
+	}
+	next := tasks[0]
+	jc := c.crashes.jobs[j.ID]
+	if i := slices.IndexFunc(tasks, func(t *taskRecord) bool { return jc.byTask[t.id].number > 0 }); i > 0 {
+		next = tasks[i]
+	}
+	j.trial = next
+	return []*taskRecord{next}
+}
+
 // maxLosses returns the highest number of lost attempts of any task.
 func (j *job) maxLosses() int {
 	most := 0
--- a/restartable/dispatch/crashes_test.go
+++ b/restartable/dispatch/crashes_test.go
@@ -145,3 +145,44 @@
 		t.Errorf("%d jobs remembered, want none", n)
 	}
 }
+
+// Guards against a suspect job that takes down several targets at its next attempt, since
+// its tasks are placed on all of them at once.
+func TestTasksOfASuspectJobAreTriedOneAtATime(t *testing.T) {
+	r := newCrashRig(t, 6)
+	r.submit(longSubmission("j", 4))
+	for i := range 4 {
+		if i != 2 {
+			agent, attempt := r.placedOn("j", i)
+			r.reportEvent(agent, newEvent("j", i, attempt, task.NotStarted, task.ReasonNoTarget))
+		}
+		if i == 0 {
+			// The crash is known before the other tasks are placed again.
+			r.crash("j", 2, 0.6, true)
+		}
+	}
+	inFlight := func() (n int) {
+		for _, a := range r.core.agents {
+			n += len(a.placed)
+		}
+		return n
+	}
+	r.tickFor(60*ms, 6)
+	before := len(r.orders)
+	if _, attempt := r.placedOn("j", 2); attempt != 2 {
+		t.Fatalf("attempt %d of the task under which a target crashed, want it to be tried first", attempt)
+	}
+	r.tickFor(20*ms, 6)
+	if len(r.orders) != before {
+		t.Fatalf("%d more orders while the first task is on trial", len(r.orders)-before)
+	}
+	r.tickFor(4*trialTime, 6)
+	if n := inFlight(); n != 4 {
+		t.Fatalf("%d tasks placed after their trials, want all 4", n)
+	}
+	for _, o := range r.orders[before:] {
+		if o.Suspicion == 0 || len(o.Tasks) != 1 {
+			t.Errorf("order %+v, want one task with the suspicion against its job", o)
+		}
+	}
+}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -219,6 +219,9 @@
 	// lost.
 	started bool
 	lost    bool
+	// trial is the task that was placed last while the job was suspected of crashing its
+	// targets.
+	trial *taskRecord
 	// inFlight counts the tasks that were sent to an agent and have not ended.
 	inFlight int
 	attempts int
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -36,13 +36,14 @@
 	job        *job
 	step       int
 	candidates []*candidate
-	placed     int
+	// suspect is set if the job is suspected of crashing its targets.
+	suspect bool
 }
 
 // newPlan returns a plan whose candidates are the agents that could run a task of
 // the step.
 func (c *Core) newPlan(now time.Duration, j *job, step int) *plan {
-	p := &plan{core: c, now: now, job: j, step: step}
+	p := &plan{core: c, now: now, job: j, step: step, suspect: c.isSuspect(j)}
 	s := &j.Steps[step]
 	confined := c.bulkheads.isConfined(j.Queue.Service, j.Queue.Name)
 	for _, a := range c.agents {
@@ -152,6 +153,9 @@
 	if reserved := cand.agent.reservedFor; reserved != "" && reserved != p.job.Queue.Name {
 		cost += confinedPenalty
 	}
+	if p.suspect && p.core.hasSuspectOnTrial(p.now, cand.agent, p.job) {
+		cost += sharedTrialPenalty
+	}
 	if cand.agent.avoided {
 		// An avoided target is a candidate only when a probe is due.
 		cost -= probeBonus
@@ -191,6 +195,9 @@
 	// probeBonus is subtracted from the cost of an avoided target, so that a due
 	// probe takes place even while other targets are free.
 	probeBonus = 2.0
+	// sharedTrialPenalty is the cost, for a suspect job, of a target with another one: if
+	// it crashes, both are blamed.
+	sharedTrialPenalty = 0.5
 	// specTransferPenalty is the cost of sending the job's spec to one more agent in
 	// another zone.
 	specTransferPenalty = 0.0005
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -42,7 +42,7 @@
 // placeStep places the waiting tasks of a step. It returns false if the job has
 // been aborted or is being revoked.
 func (c *Core) placeStep(now time.Duration, j *job, step int) bool {
-	tasks := j.waitingTasks(step)
+	tasks := c.onTrial(now, j, j.waitingTasks(step))
 	if len(tasks) == 0 {
 		return true
 	}
@@ -170,6 +170,7 @@
 	return &Order{
 		Link: a.Link, Number: a.lastOrder, Step: task.StepID{Job: j.ID, Step: step}, Queue: j.Queue.Name, Spec: j.Spec, Needs: st.Needs,
 		Expected: j.expected[step], StartWithin: within, AtOnce: true, DueWithin: due, Priority: j.Queue.Priority, MaxPerTarget: st.MaxPerTarget,
+		Suspicion: c.crashSuspicion(j),
 	}
 }
 
--- a/restartable/fleet/crash_test.go
+++ b/restartable/fleet/crash_test.go
@@ -41,3 +41,30 @@
 		}
 	}
 }
+
+// Guards against jobs that run beside a single crashing one and are given up with it.
+func TestOneCrashingJobTakesDownFewTargetsAndNoOtherJob(t *testing.T) {
+	o := crashingOptions(1, 0)
+	o.Duration = 3 * time.Second
+	const maxCrashes = 6
+	crashes, r := runWithOneCrashingJob(o)
+	t.Logf("%d crashes, %v", crashes, r)
+	if crashes > maxCrashes {
+		t.Errorf("%d targets crashed under one job, want at most %d", crashes, maxCrashes)
+	}
+	for kind, jobs := range r.Jobs {
+		for _, j := range jobs {
+			if j.State == dispatch.Failed && !j.Crashing {
+				t.Errorf("a %s job that crashes nothing was answered as failed", kind)
+			}
+		}
+	}
+}
+
+// runWithOneCrashingJob simulates a fleet in which the first short job that arrives
+// after a second crashes its targets.
+func runWithOneCrashingJob(o Options) (crashes int, r Result) {
+	o.OneCrashingJobAfter = time.Second
+	r = Run(o)
+	return r.Crashes, r
+}
--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -286,7 +286,7 @@
 	var starts []runner.Start
 	for _, t := range o.Tasks {
 		starts = append(starts, runner.Start{
-			Task: task.ID{StepID: o.Step, Index: t.Index}, Attempt: t.Number, Queue: o.Queue, Spec: o.Spec, Needs: o.Needs, Expected: o.Expected,
+			Task: task.ID{StepID: o.Step, Index: t.Index}, Attempt: t.Number, Queue: o.Queue, Spec: o.Spec, Suspicion: o.Suspicion, Needs: o.Needs, Expected: o.Expected,
 			StartWithin: o.StartWithin, DueWithin: o.DueWithin, AtOnce: o.AtOnce, Priority: o.Priority, MaxPerTarget: o.MaxPerTarget,
 		})
 	}
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -191,7 +191,7 @@
 			Task: task.ID{StepID: step, Index: int(t.Index)}, Attempt: int(t.Attempt), Queue: s.Queue, Spec: s.Spec,
 			Needs: resourcesFromProto(s.Requirement), Expected: fromMillis(s.ExpectedMs),
 			StartWithin: fromMillis(s.StartWithinMs), DueWithin: fromMillis(s.DueWithinMs), AtOnce: s.AtOnce,
-			Priority: int(s.Priority), MaxPerTarget: int(s.MaxPerTarget),
+			Priority: int(s.Priority), MaxPerTarget: int(s.MaxPerTarget), Suspicion: float64(s.SuspicionPermille) / 1000,
 		})
 	}
 	return out
--- a/restartable/link/gatewaylink.go
+++ b/restartable/link/gatewaylink.go
@@ -37,7 +37,7 @@
 		Number: o.Number,
 		Job:    o.Step.Job, Occurrence: uint32(o.Step.Occurrence), Step: uint32(o.Step.Step), Spec: o.Spec,
 		Requirement: resourcesToProto(o.Needs), ExpectedMs: toMillis(o.Expected), StartWithinMs: toMillis(o.StartWithin),
-		DueWithinMs: toMillis(o.DueWithin), AtOnce: o.AtOnce, Priority: uint32(o.Priority), MaxPerTarget: uint32(o.MaxPerTarget), Queue: o.Queue,
+		DueWithinMs: toMillis(o.DueWithin), AtOnce: o.AtOnce, Priority: uint32(o.Priority), MaxPerTarget: uint32(o.MaxPerTarget), Queue: o.Queue, SuspicionPermille: uint32(o.Suspicion * 1000),
 	}
 	for _, t := range o.Tasks {
 		m.Tasks = append(m.Tasks, &pb.TaskAttempt{Index: uint32(t.Index), Attempt: uint32(t.Number)})
--- a/restartable/runner/crash.go
+++ b/restartable/runner/crash.go
@@ -28,6 +28,8 @@
 type LostRun struct {
 	Attempt Attempt
 	Queue   string
+	// Prior is the suspicion against the job before the crash.
+	Prior float64
 	// Age is the time from the run's start to the first sign of the crash. It is
 	// negative if the run was started after that sign.
 	Age time.Duration
@@ -43,8 +45,24 @@
 	// minSuspicionWeight is the weight of the oldest runs: a task may also crash its
 	// target late.
 	minSuspicionWeight = 0.01
+	// minPrior is the suspicion against a job for which nothing speaks.
+	minPrior = 0.05
+	// trialTime is how long the last start of a suspect job keeps others from starting:
+	// two that run side by side would share the blame for a crash.
+	trialTime = 100 * time.Millisecond
 )
 
+// suspectOnTrial reports whether a run of a suspect job, other than that of r, was
+// started within trialTime.
+func (c *Core) suspectOnTrial(now time.Duration, r *run) bool {
+	for _, other := range c.runs {
+		if other.Suspicion > 0 && other.state != queued && other.Task.Job != r.Task.Job && now-other.startedAt < trialTime {
+			return true
+		}
+	}
+	return false
+}
+
 // assignSuspicion divides the blame for a crash among the jobs that had runs on the
 // target: the later its last start, the more suspect is a job.
 func assignSuspicion(runs []LostRun) {
@@ -54,6 +72,7 @@
 		if r.Age >= 0 {
 			weight = max(weight, decayFactor(r.Age, suspicionHalfLife))
 		}
+		weight *= max(r.Prior, minPrior)
 		weights[r.Attempt.Task.Job] = max(weights[r.Attempt.Task.Job], weight)
 	}
 	var sum float64
@@ -96,7 +115,7 @@
 		if r.state == queued || !lost(r) {
 			continue
 		}
-		crash.Runs = append(crash.Runs, LostRun{Attempt: Attempt{r.Task, r.Attempt}, Queue: r.Queue, Age: signAt - r.startedAt})
+		crash.Runs = append(crash.Runs, LostRun{Attempt: Attempt{r.Task, r.Attempt}, Queue: r.Queue, Prior: r.Suspicion, Age: signAt - r.startedAt})
 		c.finish(now, r, task.Lost, reason)
 	}
 	if len(crash.Runs) == 0 {
--- a/restartable/runner/crash_test.go
+++ b/restartable/runner/crash_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
@@ -100,3 +101,50 @@
 		t.Fatalf("%d starts, want 1", n)
 	}
 }
+
+// newSuspectStart returns a start of a job that is suspected of crashing its targets.
+func newSuspectStart(job string, index int) Start {
+	s := newStart(job, index, 1000)
+	s.Suspicion = 0.3
+	return s
+}
+
+// Guards against suspect jobs that are tried side by side, so that an innocent one is
+// blamed for the crash that the other causes.
+func TestSuspectJobsAreTriedOneAtATime(t *testing.T) {
+	r := newCoreHarness(t)
+	started := func() (jobs []string) {
+		for _, s := range r.actions.Starts {
+			jobs = append(jobs, s.Task.Job)
+		}
+		return jobs
+	}
+	r.submit(newSuspectStart("first", 0))
+	r.submit(newSuspectStart("first", 1), newSuspectStart("second", 0), newStart("unsuspected", 0, 1000))
+	if got, want := started(), []string{"first", "first", "unsuspected"}; !slices.Equal(got, want) {
+		t.Fatalf("started %v, want %v", got, want)
+	}
+	atOnce := newSuspectStart("third", 0)
+	atOnce.AtOnce = true
+	r.submit(atOnce)
+	r.wantReport("third", task.NotStarted, task.ReasonBusy)
+	r.advance(trialTime)
+	r.core.Tick(r.now)
+	r.collect()
+	if got := started(); !slices.Contains(got, "second") {
+		t.Fatalf("started %v, want the second suspect job after %v", got, trialTime)
+	}
+}
+
+// Guards against a job that had been suspected before and is blamed no more than one
+// beside it for which nothing speaks.
+func TestEarlierSuspicionCounts(t *testing.T) {
+	runs := []LostRun{
+		{Attempt: firstAttempt("new", 0), Age: 10 * ms},
+		{Attempt: firstAttempt("suspect", 0), Age: 10 * ms, Prior: 0.3},
+	}
+	assignSuspicion(runs)
+	if got := runs[1].Suspicion; got < 0.8 {
+		t.Errorf("suspicion %v, want at least 0.8", got)
+	}
+}
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -82,6 +82,9 @@
 	AtOnce       bool
 	Priority     int
 	MaxPerTarget int
+	// Suspicion is the likelihood that a task of the job crashes its target; 0 if
+	// nothing speaks for it.
+	Suspicion float64
 }
 
 // runState is the state of an attempt on this agent.
--- a/restartable/runner/queue.go
+++ b/restartable/runner/queue.go
@@ -49,6 +49,9 @@
 }
 
 func (c *Core) fits(now time.Duration, r *run) bool {
+	if r.Suspicion > 0 && c.suspectOnTrial(now, r) {
+		return false
+	}
 	if !c.synced || len(c.foreignRuns) > 0 {
 		return false
 	}
