Confine a queue by the first job that has crashed its targets

Callers saw: in the first 0.3 s of the incident two to four jobs took down most of the targets before their queue was confined. Cause: confinement waited for a second such job. Change: one job that has crashed two targets in all likelihood confines its queue for some 4 s. Gauges crashed_jobs and queues_confined.

--- a/restartable/dispatch/bulkhead.go
+++ b/restartable/dispatch/bulkhead.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// confineJobs is the number of recent jobs of a queue that have crashed their
-	// targets from which the queue is confined, releaseJobs that below which it is
-	// released.
-	confineJobs = 1.5
+	// confineJobs is the decayed number of jobs of a queue that have crashed their
+	// targets from which the queue is confined: that of one job just found. Below
+	// releaseJobs it is released.
+	confineJobs = 0.9
 	releaseJobs = 0.5
 	// crashingJobHalfLife is the half-life of that number.
 	crashingJobHalfLife = 5 * time.Second
@@ -107,6 +107,17 @@
 	return q != nil && q.confined
 }
 
+// countConfined returns the number of confined queues.
+func (b *bulkheads) countConfined() int {
+	n := 0
+	for _, q := range b.queues {
+		if q.confined {
+			n++
+		}
+	}
+	return n
+}
+
 // share returns the share of the targets to which a queue is confined: about its share
 // of the work of its service.
 func (b *bulkheads) share(now time.Duration, q *bulkhead) float64 {
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -103,13 +103,16 @@
 	// Accepting counts the agents that accept tasks, Avoided those whose target is
 	// avoided.
 	Jobs, Agents, Accepting, Avoided int
+	// CrashedJobs is the number of jobs under which a target has crashed in the last
+	// minute, Confined that of queues that are confined to a part of the targets.
+	CrashedJobs, Confined int
 	// Capacity and Committed are sums over all targets, in thousandths of a core.
 	Capacity, Committed int64
 }
 
 // Status returns the current state.
 func (c *Core) Status(now time.Duration) Status {
-	s := Status{Jobs: len(c.jobs), Agents: len(c.agents)}
+	s := Status{Jobs: len(c.jobs), Agents: len(c.agents), CrashedJobs: len(c.crashes.jobs), Confined: c.bulkheads.countConfined()}
 	for _, a := range c.agents {
 		if a.load.Accepting && now-a.reportedAt <= c.opts.SuspectAfter {
 			s.Accepting++
--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -39,8 +39,8 @@
 	TaskSigma float64
 	// Duration is the time during which jobs arrive.
 	Duration time.Duration
-	// OneCrashingJobAfter is the time from which the next job of the first kind crashes
-	// its targets; 0 for none.
+	// OneCrashingJobAfter is the time from which the next job of the first kind has a
+	// task that crashes its targets; 0 for none.
 	OneCrashingJobAfter time.Duration
 }
 
@@ -80,8 +80,8 @@
 	// LoadShare is the kind's share of the load; 0 in all kinds divides the load
 	// equally.
 	LoadShare float64
-	// CrashShare is the share of its jobs whose tasks crash the target that starts
-	// them.
+	// CrashShare is the share of its jobs whose first task crashes each target that
+	// starts it.
 	CrashShare float64
 }
 
@@ -128,7 +128,7 @@
 	// runTimes holds the run times of the tasks of each job on a target of reference
 	// speed.
 	runTimes map[string][]time.Duration
-	// crashing holds the jobs whose tasks crash their targets.
+	// crashing holds the jobs whose first task crashes its targets.
 	crashing map[string]bool
 	// crashed is set once the job of OneCrashingJobAfter has arrived.
 	crashed bool
@@ -334,7 +334,7 @@
 		return
 	}
 	t.running[a] = true
-	if f.crashing[s.Task.Job] {
+	if s.Task.Index == 0 && f.crashing[s.Task.Job] {
 		f.After(crashDelay, func() {
 			if t.running[a] {
 				f.crash(t)
--- a/restartable/fleet/result.go
+++ b/restartable/fleet/result.go
@@ -43,7 +43,7 @@
 	Elapsed time.Duration
 	// InTime is set if it was completed within its objective.
 	InTime bool
-	// Crashing is set if its tasks crash their targets.
+	// Crashing is set if its first task crashes its targets.
 	Crashing bool
 }
 
