Tell gateways of a capacity that changes while the target runs

Callers see: while a target's capacity has shrunk, gateways go on placing tasks by the old one; the agent refuses what no longer fits, and it is tried elsewhere. Cause: an agent described its target again only under another id or incarnation. Change: it does so whenever the description changes. Evidence: TestGatewaysLearnAChangedCapacity failed before (200000, want 50000, after 10 s). TestShrunkTargetStartsNothingThatDoesNotFit passes before and after: the agent itself never starts beyond what the last heartbeat says. TestAllGatewaysLearnOfACrash covers the reports of crashes. Left: a restarted agent starts from the stored record until the next heartbeat; if the store was away while the target shrank, that record is too large for up to 1.5 s. Result: gateways and agents use one capacity.

--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -148,7 +148,9 @@
 	if !sent.hello {
 		f.Hello, sent.hello = l.client.hello, true
 	}
-	if target.ID != sent.target.ID || target.Incarnation != sent.target.Incarnation {
+	// Whether the target drains shows in the load.
+	target.Draining = false
+	if !target.Equal(sent.target) {
 		sent.target = target
 		f.Target = &pb.TargetInfo{Target: target.ID, Service: target.Service, Kind: target.Kind, Labels: target.Labels, Capacity: resourcesToProto(target.Capacity)}
 	}
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -168,6 +168,12 @@
 // startAgent starts an agent that links to gateways, and returns its set of known
 // gateways.
 func startAgent(t *testing.T, gateways ...string) *link.Gateways {
+	known, _ := startAgentWithRunner(t, gateways...)
+	return known
+}
+
+// startAgentWithRunner also returns the agent's runner.
+func startAgentWithRunner(t *testing.T, gateways ...string) (*link.Gateways, *runner.Runner) {
 	r := runner.New(runner.NewCore(runner.DefaultCoreOptions()), newFakeTarget(), 1, boottime.Now, zerolog.Nop(), nopObserver{}, runner.DefaultOptions())
 	known := link.NewGateways(boottime.Now, gateways...)
 	c := link.NewClient("agent", "z", r, known, zerolog.Nop())
@@ -175,14 +181,16 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.Run(ctx) })
 	wg.Go(func() { c.Run(ctx) })
-	r.Heartbeat(runner.Target{ID: "t", Incarnation: 1, Service: "s", Capacity: task.Resources{CPUMillis: 200_000, MemoryMB: 1000}})
+	r.Heartbeat(testTarget)
 	t.Cleanup(func() {
 		cancel()
 		wg.Wait()
 	})
-	return known
+	return known, r
 }
 
+var testTarget = runner.Target{ID: "t", Incarnation: 1, Service: "s", Capacity: task.Resources{CPUMillis: 200_000, MemoryMB: 1000}}
+
 // smallJob is a job of three short tasks.
 func smallJob(id string) dispatch.Submission {
 	return dispatch.Submission{
@@ -337,3 +345,60 @@
 	drains.Install(zones.New(8))
 	awaitCompletedJob(t, d, "returned")
 }
+
+// Guards against gateways that place tasks by the capacity that a target had when it was
+// announced: a target's capacity may shrink and grow again while it runs, and the agent
+// then refuses what no longer fits.
+func TestGatewaysLearnAChangedCapacity(t *testing.T) {
+	d, address := startGateway(t)
+	_, r := startAgentWithRunner(t, address)
+	for seq, cpu := range []int64{200_000, 50_000, 200_000} {
+		target := testTarget
+		target.Seq, target.Capacity.CPUMillis = int64(seq+1), cpu
+		r.Heartbeat(target)
+		// The time limit is only reached if the test fails.
+		for end := time.Now().Add(10 * time.Second); d.Status().Capacity != cpu; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the gateway knows a capacity of %d, want %d", d.Status().Capacity, cpu)
+			}
+		}
+	}
+}
+
+// Guards against a crash that only the gateway of the lost runs learns of: a job with a
+// task that crashes its targets may come to any other gateway next, also to one that
+// links to the agent later.
+func TestAllGatewaysLearnOfACrash(t *testing.T) {
+	first, address := startGateway(t)
+	known, r := startAgentWithRunner(t, address)
+	awaitCompletedJob(t, first, "before")
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		first.Submit(t.Context(), smallJob("lost"))
+	}()
+	defer func() { <-answered }()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, l, _ := r.Load(); l.Running == 3 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the job does not run")
+		}
+	}
+	for incarnation := int64(2); incarnation <= 3; incarnation++ {
+		restarted := testTarget
+		restarted.Incarnation = incarnation
+		r.Heartbeat(restarted)
+	}
+	second, later := startGateway(t)
+	known.Add(later)
+	for end := time.Now().Add(10 * time.Second); second.Status().CrashedJobs == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a gateway that the agent linked to after the crash does not know of it")
+		}
+	}
+	if n := first.Status().CrashedJobs; n != 1 {
+		t.Errorf("the gateway of the lost runs knows of crashes under %d jobs, want 1", n)
+	}
+}
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -319,6 +319,44 @@
 	r.wantReport("a", task.Lost, task.ReasonTargetSilent)
 }
 
+// Guards against starts beyond the capacity of a target that has shrunk while it runs,
+// as its heartbeats say, and against runs that are ended for it.
+func TestShrunkTargetStartsNothingThatDoesNotFit(t *testing.T) {
+	r := newCoreHarness(t)
+	r.submit(newStart("a", 0, 6000), newStart("b", 0, 3000))
+	r.answerStart(firstAttempt("a", 0), StartAccepted)
+	r.answerStart(firstAttempt("b", 0), StartAccepted)
+	shrunk := smallTarget
+	shrunk.Seq, shrunk.Capacity.CPUMillis = 1, 4000
+	r.core.Heartbeat(r.now, shrunk)
+	r.core.RenewGatewayLease("g", r.now)
+	r.submit(newStart("c", 0, 1000))
+	r.advance(ms)
+	r.core.ApplySnapshot(r.now, Snapshot{
+		RequestedAt: r.now, Incarnation: smallTarget.Incarnation, Running: []Attempt{firstAttempt("b", 0)}, Ended: []End{{firstAttempt("a", 0), task.Done}},
+	})
+	r.collect()
+	if n := len(r.actions.Starts); n != 3 || r.actions.Starts[2].Task.Job != "c" {
+		t.Fatalf("starts %v, want c after the end of a", r.actions.Starts)
+	}
+	r.submit(newStart("d", 0, 1000))
+	if n := len(r.actions.Starts); n != 3 {
+		t.Fatalf("%d starts, want none beyond the shrunk capacity", n)
+	}
+	grown := smallTarget
+	grown.Seq = 2
+	r.core.Heartbeat(r.now, grown)
+	r.collect()
+	if n := len(r.actions.Starts); n != 4 {
+		t.Fatalf("%d starts after the target has grown again, want 4", n)
+	}
+	for _, rep := range r.actions.Reports {
+		if rep.Task.Job != "a" {
+			t.Errorf("report %+v, want no run to end", rep)
+		}
+	}
+}
+
 // Guards against a second run of a task next to one that has not ended on this
 // target.
 func TestSecondOrderOfARunningTaskIsRefused(t *testing.T) {
