Count only runs that had begun as crashes under a task; crashes in the soak

Cause: a start that got no answer counted like a run, even if it was sent after the target had gone down. Change: an agent leaves such starts out of the crash and marks those runs whose start the target had accepted; a lost answer to a start is a sign of a crash too. A gateway answers failed only if two targets have ended for sure under accepted runs of one task, otherwise unfinished. The soak: jobs that crash their targets; a task is started fewer than three times more after three targets have crashed under it; a failed job needs as many failed runs as its queue allows or two crashes under one task (its runs are the targets' own records). Result: failed is said only with proof.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -28,13 +28,18 @@
 	answerTimeout = 1500 * time.Millisecond
 	resendDelay   = 1300 * time.Millisecond
 	sendsMax      = 4
-	// failShare, longShare and overlongShare are the shares of jobs whose tasks
-	// fail, take up most of answerTimeout, and take far longer than it.
+	// failShare, longShare, overlongShare and crashShare are the shares of jobs whose
+	// tasks fail, take up most of answerTimeout, take far longer than it, and crash
+	// their targets.
 	failShare     = 0.03
 	longShare     = 0.1
 	overlongShare = 0.07
+	crashShare    = 0.01
 )
 
+// crashSpec is the spec of jobs whose tasks crash their targets.
+const crashSpec = "crash"
+
 // First stream numbers of a seed's random generators for bursts and for calls to
 // targets. Stream 0 belongs to the schedule; those of the callers start at 1.
 const (
@@ -129,6 +134,8 @@
 		// If such a run is not stopped when its gateway or its caller is gone, it
 		// overlaps with the run of the job's next submission.
 		j.Spec = fmt.Sprintf("ms=%d", 2500+r.IntN(2000))
+	case p < failShare+longShare+overlongShare+crashShare:
+		j.Spec = crashSpec
 	default:
 		j.Spec = fmt.Sprintf("ms=%d", 10+r.IntN(100))
 	}
--- a/restartable/dispatch/crashes.go
+++ b/restartable/dispatch/crashes.go
@@ -24,6 +24,9 @@
 	Task    task.ID
 	Attempt int
 	Queue   string
+	// Accepted is set if the target had accepted the start. Otherwise the run may not
+	// have begun.
+	Accepted bool
 	// Suspicion is the likelihood that the run's job caused the crash.
 	Suspicion float64
 }
@@ -66,17 +69,17 @@
 	byTask map[task.ID]taskCrashes
 	// suspicion is the highest suspicion against the job in any of them.
 	suspicion float64
-	// uncertain is set if any of the targets may only have been out of reach.
-	uncertain bool
 	// crashing is set once the job has crashed its targets in all likelihood.
 	crashing bool
 	lastAt   time.Duration
 }
 
-// taskCrashes are the crashes under one task: their number, and the number of those that
-// its job has probably caused.
+// taskCrashes are the crashes under one task.
 type taskCrashes struct {
-	number int
+	// number counts them. certain counts those in which the run had begun and the
+	// process of the target has ended for sure.
+	number, certain int
+	// caused is the number of those that the task's job has probably caused.
 	caused float64
 }
 
@@ -104,10 +107,12 @@
 			continue
 		}
 		jc.seen[id], jc.lastAt = true, max(jc.lastAt, at)
-		jc.uncertain = jc.uncertain || !crash.Certain
 		jc.suspicion = max(jc.suspicion, r.Suspicion)
 		tc := jc.byTask[r.Task]
 		tc.number++
+		if crash.Certain && r.Accepted {
+			tc.certain++
+		}
 		tc.caused += r.Suspicion
 		jc.byTask[r.Task] = tc
 		if !jc.crashing && tc.number >= maxCrashes && tc.caused >= minCausedCrashes {
@@ -148,6 +153,15 @@
 	return false
 }
 
+// maxCertain returns the highest number of certain crashes under any task.
+func (jc *jobCrashes) maxCertain() int {
+	most := 0
+	for _, tc := range jc.byTask {
+		most = max(most, tc.certain)
+	}
+	return most
+}
+
 // TargetCrashed counts a crash of an agent's target. The reports of the lost runs,
 // which follow, place their tasks again.
 func (c *Core) TargetCrashed(now time.Duration, link string, crash Crash) {
@@ -169,7 +183,7 @@
 func (c *Core) giveUpCrashing(now time.Duration, j *job) bool {
 	jc := c.crashes.jobs[j.ID]
 	switch {
-	case jc.exhausted() && jc.crashing && !jc.uncertain:
+	case jc.exhausted() && jc.crashing && jc.maxCertain() >= maxCrashes:
 		c.stopAll(j)
 		c.finish(now, j, Answer{State: Failed, Cause: CauseCrashes})
 	case jc.exhausted():
--- a/restartable/fleet/crash.go
+++ b/restartable/fleet/crash.go
@@ -50,7 +50,7 @@
 func toDispatch(c runner.Crash) dispatch.Crash {
 	out := dispatch.Crash{Incarnation: c.Target.Incarnation, Certain: c.Certain()}
 	for _, r := range c.Runs {
-		out.Runs = append(out.Runs, dispatch.LostRun{Task: r.Attempt.Task, Attempt: r.Attempt.Number, Queue: r.Queue, Suspicion: r.Suspicion})
+		out.Runs = append(out.Runs, dispatch.LostRun{Task: r.Attempt.Task, Attempt: r.Attempt.Number, Queue: r.Queue, Accepted: r.Accepted, Suspicion: r.Suspicion})
 	}
 	return out
 }
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -62,7 +62,7 @@
 		id := r.Attempt.Task
 		m.Runs = append(m.Runs, &pb.LostRun{
 			Job: id.Job, Occurrence: uint32(id.Occurrence), Step: uint32(id.Step), Index: uint32(id.Index), Attempt: uint32(r.Attempt.Number),
-			SuspicionPermille: uint32(r.Suspicion * 1000), Queue: r.Queue,
+			SuspicionPermille: uint32(r.Suspicion * 1000), Queue: r.Queue, Accepted: r.Accepted,
 		})
 	}
 	l.mu.Lock()
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -152,7 +152,7 @@
 	for _, r := range m.Runs {
 		c.Runs = append(c.Runs, dispatch.LostRun{
 			Task:    task.ID{StepID: task.StepID{Job: r.Job, Occurrence: int(r.Occurrence), Step: int(r.Step)}, Index: int(r.Index)},
-			Attempt: int(r.Attempt), Queue: r.Queue, Suspicion: float64(r.SuspicionPermille) / 1000,
+			Attempt: int(r.Attempt), Queue: r.Queue, Accepted: r.Accepted, Suspicion: float64(r.SuspicionPermille) / 1000,
 		})
 	}
 	return c
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -46,8 +46,11 @@
 		r.setTargetClock(clock)
 		r.raiseTokenIfFenced(err)
 		c.StartAnswered(now, a, result)
-		if errors.Is(err, ErrNotListening) {
+		switch {
+		case errors.Is(err, ErrNotListening):
 			r.targetDown(now, err)
+		case result == StartUnanswered:
+			c.CallFailed(now)
 		}
 	})
 }
--- a/restartable/runner/crash.go
+++ b/restartable/runner/crash.go
@@ -28,6 +28,9 @@
 type LostRun struct {
 	Attempt Attempt
 	Queue   string
+	// Accepted is set if the target had accepted the start. Otherwise the run may not
+	// have begun.
+	Accepted bool
 	// Prior is the suspicion against the job before the crash.
 	Prior float64
 	// Age is the time from the run's start to the first sign of the crash. It is
@@ -115,7 +118,11 @@
 		if r.state == queued || !lost(r) {
 			continue
 		}
-		crash.Runs = append(crash.Runs, LostRun{Attempt: Attempt{r.Task, r.Attempt}, Queue: r.Queue, Prior: r.Suspicion, Age: signAt - r.startedAt})
+		age, accepted := signAt-r.startedAt, r.state != unanswered
+		// A start that was sent after the crash and was not answered has not begun.
+		if accepted || age >= 0 {
+			crash.Runs = append(crash.Runs, LostRun{Attempt: Attempt{r.Task, r.Attempt}, Queue: r.Queue, Accepted: accepted, Prior: r.Suspicion, Age: age})
+		}
 		c.finish(now, r, task.Lost, reason)
 	}
 	if len(crash.Runs) == 0 {
--- a/restartable/runner/crash_test.go
+++ b/restartable/runner/crash_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"maps"
 	"slices"
 	"testing"
 
@@ -102,6 +103,36 @@
 	}
 }
 
+// Guards against a crash that is counted under a task whose start was sent after it and
+// never began (soak, seeds 4 and 6).
+func TestStartSentAfterACrashIsNotPartOfIt(t *testing.T) {
+	r := newCoreHarness(t)
+	for _, job := range []string{"running", "unanswered"} {
+		r.submit(newStart(job, 0, 1000))
+	}
+	r.answerStart(firstAttempt("running", 0), StartAccepted)
+	r.answerStart(firstAttempt("unanswered", 0), StartUnanswered)
+	r.core.CallFailed(r.now)
+	r.advance(ms)
+	r.submit(newStart("later", 0, 1000))
+	r.answerStart(firstAttempt("later", 0), StartUnanswered)
+	restarted := smallTarget
+	restarted.Incarnation++
+	r.core.Heartbeat(r.now, restarted)
+	r.collect()
+	if len(r.actions.Crashes) != 1 {
+		t.Fatalf("%d crashes, want 1", len(r.actions.Crashes))
+	}
+	accepted := map[string]bool{}
+	for _, run := range r.actions.Crashes[0].Runs {
+		accepted[run.Attempt.Task.Job] = run.Accepted
+	}
+	if want := map[string]bool{"running": true, "unanswered": false}; !maps.Equal(accepted, want) {
+		t.Fatalf("runs %v, want %v", accepted, want)
+	}
+	r.wantReport("later", task.Lost, task.ReasonTargetRestarted)
+}
+
 // newSuspectStart returns a start of a job that is suspected of crashing its targets.
 func newSuspectStart(job string, index int) Start {
 	s := newStart(job, index, 1000)
