Ignore a refused connection once the target has restarted or answered

Callers could see: a task that runs twice at a time. Cause: the refusal of a call may be handled late, after the target has restarted and got new runs, or after it has answered another call. Change: it counts only for the incarnation that the call was meant for, and only if no poll has been answered since the call was sent. Evidence: TestLateRefusalDoesNotEndLaterRuns; its second and third case fail without the condition, which every refusal of the earlier code passed. Result: runs are ended only by a refusal that is newer than any sign of life.

--- a/restartable/dispatch/crashes.go
+++ b/restartable/dispatch/crashes.go
@@ -41,9 +41,8 @@
 	// caused in all likelihood to count as crashing its targets.
 	minCausedCrashes = 1.0
 	// minTrialSuspicion is the suspicion against a job from which its tasks are tried one
-	// at a time. trialTime is how long a run
-	// has to go on until the next one is tried: a task that crashes its target usually
-	// does so soon after its start.
+	// at a time. trialTime is how long a run has to go on until the next one is tried: a
+	// task that crashes its target usually does so soon after its start.
 	minTrialSuspicion = 0.1
 	trialTime         = 100 * time.Millisecond
 	// maxLosses is the number of attempts of a task that were lost in any way after
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -37,6 +37,7 @@
 	r.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
 	defer cancel()
+	sentAt := r.now()
 	result, clock, err := r.client.Start(call, t, s, token, deadline)
 	a := Attempt{s.Task, s.Attempt}
 	if result != StartAccepted {
@@ -48,7 +49,7 @@
 		c.StartAnswered(now, a, result)
 		switch {
 		case errors.Is(err, ErrNotListening):
-			r.targetDown(now, err)
+			r.connectionRefused(now, t, sentAt, err)
 		case result == StartUnanswered:
 			c.CallFailed(now)
 		}
@@ -100,9 +101,12 @@
 	requestedAt := r.now()
 	reply, err := r.client.Poll(call, t, q)
 	if err != nil {
-		r.mu.Lock()
-		r.raiseTokenIfFenced(err)
-		r.mu.Unlock()
+		r.apply(func(_ *Core, now time.Duration) {
+			r.raiseTokenIfFenced(err)
+			if errors.Is(err, ErrNotListening) {
+				r.connectionRefused(now, t, requestedAt, err)
+			}
+		})
 		return err
 	}
 	r.apply(func(c *Core, now time.Duration) {
@@ -129,18 +133,19 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.core.CallFailed(now)
-	switch {
-	case errors.Is(err, ErrNotListening):
-		r.targetDown(now, err)
-	case now-r.lastPollAnswer >= r.opts.UnreachableAfter:
+	if now-r.lastPollAnswer >= r.opts.UnreachableAfter {
 		r.loseContact(err, func(c *Core) { c.Unreachable(now, now-r.leaseSentAt > r.opts.LeaseMax) })
 	}
 	r.execute(r.core.Take())
 }
 
-// targetDown handles a refused connection. The caller holds r.mu and carries out
-// the core's actions.
-func (r *Runner) targetDown(now time.Duration, err error) {
+// connectionRefused handles a call to target t, sent at sentAt, whose connection was
+// refused. It says nothing of a target that has restarted or answered since. The
+// caller holds r.mu and carries out the core's actions.
+func (r *Runner) connectionRefused(now time.Duration, t Target, sentAt time.Duration, err error) {
+	if current, known := r.core.Target(); !known || !current.sameIncarnation(t) || r.lastPollAnswer > sentAt {
+		return
+	}
 	r.loseContact(err, func(c *Core) { c.TargetDown(now) })
 }
 
--- a/restartable/runner/runner_test.go
+++ b/restartable/runner/runner_test.go
@@ -161,6 +161,51 @@
 	}
 }
 
+// Guards against runs that are reported as lost while they go on, since the refusal of
+// an earlier call is handled after the target has restarted or has answered again: their
+// tasks would run twice at a time.
+func TestLateRefusalDoesNotEndLaterRuns(t *testing.T) {
+	restarted := smallTarget
+	restarted.Incarnation++
+	cases := map[string]struct {
+		current    Target
+		pollAnswer time.Duration
+		lost       bool
+	}{
+		"no sign of life since":      {smallTarget, time.Second, true},
+		"restarted since":            {restarted, time.Second, false},
+		"answered since by the same": {smallTarget, 3 * time.Second, false},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := 4 * time.Second
+			f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+			r := New(NewCore(DefaultCoreOptions()), f, 1, func() time.Duration { return now }, zerolog.Nop(), nopObserver{}, DefaultOptions())
+			sink := &lostRunSink{make(chan struct{})}
+			r.Heartbeat(k.current)
+			r.Attach("g", sink)
+			r.core.ApplySnapshot(now, Snapshot{RequestedAt: now, Incarnation: k.current.Incarnation})
+			r.HandleOrder("g", now, []Start{newStart("a", 0, 1000)}, nil, nil)
+			r.inFlight.Wait()
+			r.mu.Lock()
+			r.lastPollAnswer = k.pollAnswer
+			r.connectionRefused(now, smallTarget, 2*time.Second, ErrNotListening)
+			r.execute(r.core.Take())
+			r.mu.Unlock()
+			select {
+			case <-sink.lost:
+				if !k.lost {
+					t.Error("the run was reported as lost")
+				}
+			default:
+				if k.lost {
+					t.Error("the run was not reported as lost")
+				}
+			}
+		})
+	}
+}
+
 // lostRunSink closes lost when a run is reported as lost.
 type lostRunSink struct{ lost chan struct{} }
 
