Answer a job with earlier crashes as unfinished, never as not run

Callers could see: 503, which says that the job has not run, for a job that comes again after targets went down under it at another gateway. Cause: whether a job has run was taken from the present submission only; the crashes that agents report were used for the limit of attempts alone. Change: a job under which a target is known to have gone down counts as started from its arrival, also for a refusal after a suspension. Evidence: TestJobWithEarlierCrashesIsNotAnsweredAsNotRun; both cases failed before (not_run), pass after. Result: a refusal that says not run is true as far as the gateway knows.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -147,13 +147,15 @@
 	}
 	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
 	j.callers = append(j.callers, caller)
+	// A target went down under an earlier submission of the job, so that it has run.
+	j.started = c.crashes.jobs[s.ID] != nil
 	if !s.supported() {
 		c.finish(now, j, Answer{State: NotRun, Cause: CauseUnsupported, RetryAfter: c.opts.UnsupportedRetryAfter})
 		return
 	}
 	c.detectSuspension(now)
 	if now < c.resumeAt {
-		c.finish(now, j, Answer{State: NotRun, Cause: CauseSuspended, RetryAfter: c.opts.RetryAfter})
+		c.abort(now, j, CauseSuspended)
 		return
 	}
 	c.jobs[s.ID] = j
--- a/restartable/dispatch/crashes_test.go
+++ b/restartable/dispatch/crashes_test.go
@@ -135,6 +135,28 @@
 	}
 }
 
+// Guards against a refusal that says that a job has not run although targets are known to
+// have gone down under it, at an earlier submission to any gateway.
+func TestJobWithEarlierCrashesIsNotAnsweredAsNotRun(t *testing.T) {
+	for name, crashes := range map[string]int{"given up": maxCrashes, "no target": 1} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashRig(t, maxCrashes)
+			r.advance(time.Second)
+			for i := range crashes {
+				run := LostRun{Task: task.ID{StepID: task.StepID{Job: "j"}}, Attempt: i + 1, Accepted: true, Suspicion: 0.9}
+				r.core.TargetCrashed(r.now, agentName(i), Crash{Incarnation: 1, Runs: []LostRun{run}})
+			}
+			for i := range maxCrashes {
+				r.report(agentName(i), func(l *Load) { l.Accepting = false })
+			}
+			r.submit(longSubmission("j", 1))
+			if a := r.answers["j"]; a.State != Unfinished {
+				t.Errorf("answer %v (%s), want unfinished", a.State, a.Cause)
+			}
+		})
+	}
+}
+
 // Guards against attempts without an end: a task whose runs are lost in other ways than
 // with their target was tried until its deadline.
 func TestAttemptsThatAreLostAreLimited(t *testing.T) {
