Simulation of the restartable path in virtual time

A first model of gateways, agents, targets, callers and links that drives restartable/dispatch and restartable/runner.

--- /dev/null
+++ b/restartable/modeltest/agent_test.go
@@ -0,0 +1,444 @@
+package modeltest
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// agent drives a runner.Core as runner.Runner does. Each method names the function
+// that it mirrors.
+type agent struct {
+	process
+	target *target
+	opts   runner.Options
+	core   *runner.Core
+	token  int64
+	sinks  map[string]*link
+
+	// The fields of runner.Runner.
+	clockReadAt    time.Duration
+	targetClock    int64
+	lastEndSeq     int64
+	leaseSentAt    time.Duration
+	lastPollAnswer time.Duration
+	crashes        []runner.Crash
+
+	// reachable and synced are the fields of runner.Core of the same name, as far as the
+	// driver can tell.
+	reachable, synced bool
+	// extraPolling is set while the additional poller runs, pollUnanswered is its wake-up
+	// signal.
+	extraPolling, pollUnanswered bool
+	// waiting is set while the poll loop waits for the first heartbeat.
+	waiting bool
+	// stored is the record of the target in the store.
+	stored   runner.Target
+	isStored bool
+	// started holds the attempts that this core has started.
+	started map[runner.Attempt]bool
+	// links holds the link to each gateway.
+	links map[*gateway]*link
+	// linkNumber numbers the links.
+	linkNumber int
+}
+
+// fencingTokenStep is runner.fencingTokenStep.
+const fencingTokenStep = 10_000
+
+// wallStart is the wall-clock time at virtual time 0, in milliseconds.
+const wallStart = 1_800_000_000_000
+
+// boot starts a process of the agent, as daemon.NewPlatformAgent and Run do.
+func (a *agent) boot() {
+	a.run++
+	a.up, a.pausedUntil = true, 0
+	opts := runner.DefaultCoreOptions()
+	a.opts = runner.DefaultOptions()
+	a.w.mutation.agentOptions(&opts, &a.opts)
+	a.core = runner.NewCore(opts)
+	a.token = wallStart + int64(a.w.Now/ms)
+	if a.w.chance(20) {
+		// The wall clock has been set back.
+		a.token -= a.w.rng.Int63n(15_000)
+	}
+	a.sinks, a.links = map[string]*link{}, map[*gateway]*link{}
+	a.started = map[runner.Attempt]bool{}
+	a.clockReadAt, a.targetClock, a.lastEndSeq, a.leaseSentAt, a.lastPollAnswer, a.crashes = 0, 0, 0, 0, 0, nil
+	a.reachable, a.synced, a.extraPolling, a.pollUnanswered, a.waiting = false, false, false, false, false
+	a.w.trace("%s starts, token %d", a.name, a.token)
+	a.every(a.opts.TickInterval, func() { a.apply(func() { a.core.Tick(a.w.Now) }) })
+	a.scheduled(a.pollLoop)
+	a.scheduled(a.dialLoop)
+	a.after(a.w.between(5*ms, 100*ms), a.restore)
+}
+
+// kill ends the process. A new one starts after a while.
+func (a *agent) kill(downFor time.Duration) {
+	if !a.up {
+		return
+	}
+	a.w.trace("%s is killed for %v", a.name, downFor)
+	a.up = false
+	for _, g := range a.w.gateways {
+		if l := a.links[g]; l != nil {
+			l.agentProcessEnds()
+		}
+	}
+	a.w.After(downFor, a.boot)
+}
+
+// restore mirrors Runner.Restore and daemon.maintainRecord.
+func (a *agent) restore() {
+	if _, known := a.core.Target(); !known && a.isStored {
+		a.heartbeat(a.stored)
+	}
+	a.every(500*ms, func() { a.stored, a.isStored = a.core.Target() })
+}
+
+// leaseDeadline mirrors Runner.leaseDeadline.
+func (a *agent) leaseDeadline() int64 {
+	if a.targetClock == 0 || !a.reachable && a.w.mutation != renewWhileUnreachable {
+		return 0
+	}
+	a.leaseSentAt = a.w.Now
+	return a.targetClock + (a.leaseSentAt - a.clockReadAt + a.opts.Lease).Milliseconds()
+}
+
+// setTargetClock mirrors Runner.setTargetClock.
+func (a *agent) setTargetClock(clock int64) {
+	if clock != 0 {
+		a.targetClock, a.clockReadAt = clock, a.w.Now
+	}
+}
+
+// apply mirrors Runner.apply.
+func (a *agent) apply(change func()) {
+	change()
+	a.execute()
+}
+
+// execute mirrors Runner.execute.
+func (a *agent) execute() {
+	acts := a.core.Take()
+	t, _ := a.core.Target()
+	for _, st := range acts.Starts {
+		a.started[runner.Attempt{Task: st.Task, Number: st.Attempt}] = true
+		a.scheduled(func() { a.start(t, st) })
+	}
+	for _, at := range acts.Stops {
+		a.scheduled(func() { a.stop(t, at) })
+	}
+	for _, c := range acts.Crashes {
+		a.w.trace("%s reports a crash of %s (%s) with %d runs", a.name, c.Target.ID, c.Reason, len(c.Runs))
+		a.crashes = append(a.recentCrashes(), c)
+		for _, l := range a.sortedSinks() {
+			l.crashed(c)
+		}
+	}
+	// The core handles expired leases in the order of a map.
+	slices.SortStableFunc(acts.Reports, func(x, y runner.Report) int { return cmp.Compare(x.Gateway, y.Gateway) })
+	for _, r := range acts.Reports {
+		a.w.trace("%s reports %v/%d: %v %s to %s", a.name, r.Task, r.Attempt, r.Outcome, r.Reason, r.Gateway)
+		if l := a.sinks[r.Gateway]; l != nil {
+			if r.Outcome == task.Done {
+				a.w.reportedDone[submittedTask{l.specs[r.Task.Job], r.Task}] = true
+			}
+			l.report(r)
+		}
+	}
+	slices.Sort(acts.Disconnect)
+	for _, g := range acts.Disconnect {
+		if l := a.sinks[g]; l != nil {
+			a.w.trace("%s: the lease of %s has expired", a.name, g)
+			l.closeByAgent()
+		}
+	}
+	if len(acts.Starts)+len(acts.Reports) > 0 {
+		a.notifyLoadChanged()
+	}
+}
+
+func (a *agent) recentCrashes() []runner.Crash {
+	recent := slices.DeleteFunc(slices.Clone(a.crashes), func(c runner.Crash) bool { return a.w.Now-c.At > time.Minute })
+	return recent[max(0, len(recent)-31):]
+}
+
+func (a *agent) sortedSinks() []*link {
+	var out []*link
+	for _, g := range a.w.gateways {
+		if l := a.links[g]; l != nil && a.sinks[l.name] == l {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (a *agent) notifyLoadChanged() {
+	for _, l := range a.sortedSinks() {
+		l.loadChanged()
+	}
+}
+
+// start mirrors Runner.start and platform.TargetClient.Start.
+func (a *agent) start(t runner.Target, st runner.Start) {
+	token, deadline := a.token, a.leaseDeadline()
+	sentAt := a.w.Now
+	at := runner.Attempt{Task: st.Task, Number: st.Attempt}
+	what := a.name + " start " + st.Task.String()
+	a.target.call(what, t.ID, a.opts.CallTimeout, func(respond func(reply), _ func()) {
+		respond(a.target.start(st, token, deadline))
+	}, func(r reply, err callError) {
+		result := runner.StartRefused
+		switch {
+		case err == refused, err == unanswered && a.w.mutation == forgetUnanswered:
+			result = runner.StartUndelivered
+		case err == unanswered:
+			result = runner.StartUnanswered
+		case r.status == ok:
+			result = runner.StartAccepted
+		case r.status == superseded:
+			result = runner.StartSuperseded
+		}
+		a.apply(func() {
+			a.setTargetClock(r.clock)
+			a.raiseTokenIfFenced(r)
+			a.core.StartAnswered(a.w.Now, at, result)
+			switch {
+			case err == refused:
+				a.connectionRefused(t, sentAt)
+			case result == runner.StartUnanswered:
+				a.core.CallFailed(a.w.Now)
+			}
+		})
+	})
+}
+
+// stop mirrors Runner.stop.
+func (a *agent) stop(t runner.Target, at runner.Attempt) {
+	token := a.token
+	what := a.name + " stop " + at.Task.String()
+	a.target.call(what, t.ID, a.opts.CallTimeout, func(respond func(reply), _ func()) {
+		respond(a.target.stop(at, token))
+	}, func(r reply, err callError) {
+		failed := err != answered || r.status != ok
+		delay := time.Duration(0)
+		if failed {
+			delay = a.opts.RetryDelay
+		}
+		a.after(delay, func() {
+			a.apply(func() {
+				a.setTargetClock(r.clock)
+				a.raiseTokenIfFenced(r)
+				a.core.StopAnswered(a.w.Now, at, !failed || a.w.mutation == stopOnce)
+			})
+			if !failed {
+				a.poll(t, 0, func(bool) {})
+			}
+		})
+	})
+}
+
+// raiseTokenIfFenced mirrors Runner.raiseTokenIfFenced.
+func (a *agent) raiseTokenIfFenced(r reply) {
+	if r.status == fenced {
+		a.token += fencingTokenStep
+		a.w.trace("%s raises its token to %d", a.name, a.token)
+	}
+}
+
+// poll mirrors Runner.poll and platform.TargetClient.Poll.
+func (a *agent) poll(t runner.Target, wait time.Duration, done func(success bool)) {
+	q := runner.PollRequest{Token: a.token, Deadline: a.leaseDeadline(), LastEndSeq: a.lastEndSeq, Wait: wait}
+	requestedAt := a.w.Now
+	a.target.call(a.name+" poll", t.ID, wait+a.opts.CallTimeout, func(respond func(reply), broken func()) {
+		a.target.hold(q, respond, broken)
+	}, func(r reply, err callError) {
+		if err != answered || r.status != ok {
+			a.apply(func() {
+				a.raiseTokenIfFenced(r)
+				if err == refused {
+					a.connectionRefused(t, requestedAt)
+				}
+			})
+			done(false)
+			return
+		}
+		applied := false
+		a.apply(func() {
+			applied = a.applySnapshot(runner.Snapshot{RequestedAt: requestedAt, Incarnation: r.born, Running: r.running, Ended: r.ended})
+			if applied {
+				a.setTargetClock(r.clock)
+				a.lastPollAnswer = a.w.Now
+				a.lastEndSeq = max(a.lastEndSeq, r.lastEnd)
+			}
+		})
+		done(applied)
+	})
+}
+
+func (a *agent) applySnapshot(sn runner.Snapshot) bool {
+	switch a.w.mutation {
+	case ignoreSnapshotAge:
+		sn.RequestedAt = a.w.Now
+	case ignoreForeignRuns:
+		sn.Running = slices.DeleteFunc(sn.Running, func(at runner.Attempt) bool { return !a.started[at] })
+	}
+	a.reachable = a.core.ApplySnapshot(a.w.Now, sn)
+	a.synced = a.synced || a.reachable
+	return a.reachable
+}
+
+// pollLoop mirrors Runner.pollLoop.
+func (a *agent) pollLoop() { a.pollOnce(a.pollLoop) }
+
+// pollOnce mirrors Runner.pollOnce and pollWait.
+func (a *agent) pollOnce(next func()) {
+	t, known := a.core.Target()
+	if !known {
+		a.after(10*ms, next)
+		return
+	}
+	wait := a.opts.PollWait
+	if a.targetClock == 0 || !a.synced {
+		wait = 0
+	}
+	a.poll(t, wait, func(success bool) {
+		if success {
+			a.scheduled(next)
+			return
+		}
+		a.pollFailed()
+		a.after(a.opts.RetryDelay, next)
+	})
+}
+
+// pollFailed mirrors Runner.pollFailed.
+func (a *agent) pollFailed() {
+	a.pollUnanswered = true
+	if !a.extraPolling {
+		a.extraPolling = true
+		a.scheduled(a.extraPollLoop)
+	}
+	a.apply(func() {
+		now := a.w.Now
+		a.core.CallFailed(now)
+		if now-a.lastPollAnswer >= a.opts.UnreachableAfter {
+			expired := now-a.leaseSentAt > a.opts.LeaseMax || a.w.mutation == loseRunsAtOnce
+			a.loseContact(func() {
+				a.core.Unreachable(now, expired)
+				if expired {
+					a.synced = false
+				}
+			})
+		}
+	})
+}
+
+// extraPollLoop mirrors Runner.extraPollLoop.
+func (a *agent) extraPollLoop() {
+	if !a.pollUnanswered {
+		a.extraPolling = false
+		return
+	}
+	a.pollUnanswered = false
+	until := a.w.Now + a.opts.ExtraPollersFor
+	var next func()
+	next = func() {
+		if a.w.Now >= until {
+			a.extraPollLoop()
+			return
+		}
+		a.pollOnce(next)
+	}
+	next()
+}
+
+// connectionRefused mirrors Runner.connectionRefused.
+func (a *agent) connectionRefused(t runner.Target, sentAt time.Duration) {
+	current, known := a.core.Target()
+	if !known || !sameIncarnation(current, t) || a.lastPollAnswer > sentAt {
+		return
+	}
+	a.loseContact(func() {
+		a.core.TargetDown(a.w.Now)
+		a.synced = false
+	})
+}
+
+func sameIncarnation(x, y runner.Target) bool { return x.ID == y.ID && x.Incarnation == y.Incarnation }
+
+// loseContact mirrors Runner.loseContact.
+func (a *agent) loseContact(change func()) {
+	was := a.reachable
+	a.reachable = false
+	change()
+	if was {
+		a.w.trace("%s: the target does not answer", a.name)
+		a.notifyLoadChanged()
+	}
+}
+
+// heartbeat mirrors Runner.Heartbeat.
+func (a *agent) heartbeat(t runner.Target) {
+	a.apply(func() {
+		previous, known := a.core.Target()
+		a.core.Heartbeat(a.w.Now, t)
+		if current, _ := a.core.Target(); !known || !sameIncarnation(current, previous) {
+			a.w.trace("%s: new target %s, born %d", a.name, current.ID, current.Incarnation)
+			a.lastEndSeq, a.targetClock, a.lastPollAnswer = 0, 0, a.w.Now
+			a.synced = false
+		}
+		a.notifyLoadChanged()
+	})
+}
+
+// attach mirrors Runner.Attach.
+func (a *agent) attach(l *link) {
+	a.sinks[l.name] = l
+	a.core.RenewGatewayLease(l.name, a.w.Now)
+	for _, c := range a.recentCrashes() {
+		l.crashed(c)
+	}
+}
+
+// detach mirrors Runner.Detach.
+func (a *agent) detach(l *link) {
+	a.apply(func() {
+		delete(a.sinks, l.name)
+		if a.w.mutation != keepRunsOfLostLinks {
+			a.core.RemoveGateway(a.w.Now, l.name)
+		}
+	})
+}
+
+// handleOrder mirrors Runner.HandleOrder.
+func (a *agent) handleOrder(gateway string, stamp time.Duration, starts []runner.Start, stopJobs []string, stops []runner.Attempt) {
+	a.apply(func() {
+		now := a.w.Now
+		a.core.RenewGatewayLease(gateway, stamp)
+		if len(stopJobs) > 0 {
+			a.core.StopJobs(now, gateway, stopJobs)
+		}
+		for _, at := range stops {
+			a.core.StopAttempt(now, gateway, at)
+		}
+		if len(starts) > 0 {
+			a.core.Submit(now, gateway, stamp, starts)
+		}
+	})
+}
+
+// dialLoop keeps a link to each gateway, as link.Client.Run does for the gateways of
+// its subset.
+func (a *agent) dialLoop() {
+	for _, g := range a.w.gateways {
+		if a.links[g] == nil && g.up && !a.w.isCut(a.name, g.name) && !a.w.isCut(g.name, a.name) {
+			a.dial(g)
+		}
+	}
+	a.after(100*ms, a.dialLoop)
+}
--- /dev/null
+++ b/restartable/modeltest/model_test.go
@@ -0,0 +1,388 @@
+package modeltest
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"regexp"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+var (
+	strict  = flag.Bool("strict", false, "also report overlaps of less than 5 ms")
+	only    = flag.String("only", "", "actions to which the search is limited, separated by commas")
+	without = flag.String("without", "", "actions that are left out of the search, separated by commas")
+)
+
+// machine is the state machine for rapid. Its exported methods are the actions,
+// which inject faults and submissions into the simulation. rapid draws actions by
+// the sorted order of their names, so renaming one changes the runs of a seed.
+type machine struct{ w *world }
+
+func newMachine(t *rapid.T, mut mutation) *machine {
+	w := newWorld(rapid.Int64().Draw(t, "seed"), mut, rapid.IntRange(2, 3).Draw(t, "gateways"), rapid.IntRange(2, 3).Draw(t, "agents"))
+	if os.Getenv("MODEL_TRACE") != "" {
+		w.trace = func(f string, args ...any) { t.Logf("%v: "+f, append([]any{w.Now}, args...)...) }
+	}
+	w.advance(s) // lets all processes connect
+	return &machine{w}
+}
+
+// Check is the invariant that rapid checks after each action.
+func (m *machine) Check(t *rapid.T) {
+	if m.w.violation != "" {
+		t.Fatal(m.w.violation)
+	}
+}
+
+func pick[T any](t *rapid.T, name string, from []T) T {
+	return from[rapid.IntRange(0, len(from)-1).Draw(t, name)]
+}
+
+func (m *machine) gateway(t *rapid.T) *gateway { return pick(t, "gateway", m.w.gateways) }
+func (m *machine) agent(t *rapid.T) *agent     { return pick(t, "agent", m.w.agents) }
+
+func (m *machine) duration(t *rapid.T, lo, hi time.Duration) time.Duration {
+	return time.Duration(rapid.IntRange(int(lo/ms), int(hi/ms)).Draw(t, "ms")) * ms
+}
+
+// AdvanceShort lets some time pass.
+func (m *machine) AdvanceShort(t *rapid.T) { m.w.advance(m.duration(t, ms, 100*ms)) }
+
+// AdvanceLong lets a longer time pass.
+func (m *machine) AdvanceLong(t *rapid.T) { m.w.advance(m.duration(t, 100*ms, 1500*ms)) }
+
+func (m *machine) newClient(t *rapid.T) *client {
+	c := &client{w: m.w, job: fmt.Sprintf("j%d", len(m.w.clients))}
+	for i := range rapid.IntRange(1, 2).Draw(t, "steps") {
+		run := m.duration(t, 20*ms, 600*ms)
+		step := dispatch.Step{
+			Tasks: rapid.IntRange(1, 3).Draw(t, "tasks"), Needs: task.Resources{CPUMillis: 1000 * int64(rapid.IntRange(1, 3).Draw(t, "cores")), MemoryMB: 100},
+			Estimate: run * time.Duration(rapid.IntRange(5, 15).Draw(t, "estimate")) / 10,
+		}
+		if i > 0 {
+			step.DependsOn = []int{0}
+		}
+		c.steps, c.runTime = append(c.steps, step), append(c.runTime, run)
+	}
+	m.w.clients = append(m.w.clients, c)
+	return c
+}
+
+// Submit sends a new job to a gateway.
+func (m *machine) Submit(t *rapid.T) {
+	c, g := m.newClient(t), m.gateway(t)
+	c.submit(g, false)
+	if rapid.IntRange(0, 4).Draw(t, "duplicate") == 0 {
+		c.submit(g, true)
+	}
+	m.w.advance(m.duration(t, 0, 20*ms))
+}
+
+// recentRequest returns the request of one of the last jobs that still waits, or nil.
+func (m *machine) recentRequest(t *rapid.T) *request {
+	if len(m.w.clients) == 0 {
+		return nil
+	}
+	c := m.w.clients[max(0, len(m.w.clients)-1-rapid.IntRange(0, 2).Draw(t, "age"))]
+	if c.ended || c.current == nil || c.current.over {
+		return nil
+	}
+	return c.current
+}
+
+// Break breaks the connection of a caller, which sends its job again. The gateway may
+// notice it only by a probe.
+func (m *machine) Break(t *rapid.T) {
+	if q := m.recentRequest(t); q != nil {
+		noticed := m.w.between(0, 5*ms)
+		if rapid.Bool().Draw(t, "late") {
+			noticed = max(0, q.sentAt+keepAlive-m.w.Now) + m.w.between(0, 5*ms)
+		}
+		q.leave(noticed, "the connection is broken")
+	}
+}
+
+// Leave makes a caller give up its job.
+func (m *machine) Leave(t *rapid.T) {
+	if q := m.recentRequest(t); q != nil {
+		q.client.ended = true
+		q.leave(m.w.between(0, 5*ms), "leaves")
+	}
+}
+
+// Cancel makes a caller cancel its job.
+func (m *machine) Cancel(t *rapid.T) {
+	if q := m.recentRequest(t); q != nil {
+		q.client.ended = true
+		g := q.gateway
+		m.w.trace("%s is cancelled", q.client.job)
+		m.w.After(m.w.networkDelay(), func() {
+			g.after(0, func() { g.apply(func(c *dispatch.Core) { c.Cancel(m.w.Now, q.client.job) }) })
+		})
+	}
+}
+
+// Cut cuts a connection between a gateway and an agent one way or both ways.
+func (m *machine) Cut(t *rapid.T) {
+	g, a := m.gateway(t), m.agent(t)
+	ways := rapid.IntRange(0, 2).Draw(t, "ways")
+	d := m.duration(t, 50*ms, 3*s)
+	m.w.trace("cut of %s and %s for %v, ways %d", g.name, a.name, d, ways)
+	if ways != 0 {
+		m.w.cuts[cut{g.name, a.name}] = m.w.Now + d
+	}
+	if ways != 1 {
+		m.w.cuts[cut{a.name, g.name}] = m.w.Now + d
+	}
+}
+
+// Stall delays all frames of one direction of a link.
+func (m *machine) Stall(t *rapid.T) {
+	g, a := m.gateway(t), m.agent(t)
+	if l := a.links[g]; l != nil {
+		st := &l.toAgent
+		if rapid.Bool().Draw(t, "reports") {
+			st = &l.toGateway
+		}
+		st.stalledUntil = m.w.Now + m.duration(t, 50*ms, 2*s)
+		m.w.trace("stall from %s to %s until %v", st.from, st.to, st.stalledUntil)
+	}
+}
+
+// Reset resets a link on one side only.
+func (m *machine) Reset(t *rapid.T) {
+	g, a := m.gateway(t), m.agent(t)
+	l := a.links[g]
+	if l == nil {
+		return
+	}
+	if rapid.Bool().Draw(t, "agent") {
+		m.w.trace("reset of %s at %s", l.name, a.name)
+		a.after(0, l.closeByAgent)
+	} else {
+		m.w.trace("reset of %s at %s", l.name, g.name)
+		g.after(0, l.closeByGateway)
+	}
+}
+
+// Retire makes an agent retire a link.
+func (m *machine) Retire(t *rapid.T) {
+	g, a := m.gateway(t), m.agent(t)
+	if l := a.links[g]; l != nil && a.up {
+		a.after(0, l.retire)
+	}
+}
+
+// PauseGateway suspends a gateway.
+func (m *machine) PauseGateway(t *rapid.T) { m.gateway(t).pause(m.duration(t, 50*ms, 3*s)) }
+
+// PauseAgent suspends an agent.
+func (m *machine) PauseAgent(t *rapid.T) { m.agent(t).pause(m.duration(t, 50*ms, 3*s)) }
+
+// KillGateway ends a gateway's process or VM.
+func (m *machine) KillGateway(t *rapid.T) {
+	m.gateway(t).kill(m.duration(t, 50*ms, 2*s), rapid.Bool().Draw(t, "silently"))
+}
+
+// KillAgent ends an agent's process.
+func (m *machine) KillAgent(t *rapid.T) { m.agent(t).kill(m.duration(t, 20*ms, s)) }
+
+// CrashTarget ends a target's process. It comes back under its id or another one.
+func (m *machine) CrashTarget(t *rapid.T) {
+	tg := m.agent(t).target
+	id := tg.id
+	if rapid.Bool().Draw(t, "new id") {
+		id = fmt.Sprintf("%s-%d", tg.name, tg.incarnation)
+	}
+	tg.crash(m.duration(t, 20*ms, 2*s), id)
+}
+
+// CallFaults makes calls to a target fail for a while.
+func (m *machine) CallFaults(t *rapid.T) {
+	tg := m.agent(t).target
+	tg.calls = callFaults{
+		until: m.w.Now + m.duration(t, 50*ms, 3*s),
+		lost:  rapid.IntRange(0, 40).Draw(t, "lost"), answerLost: rapid.IntRange(0, 40).Draw(t, "answer lost"),
+		late: rapid.IntRange(0, 50).Draw(t, "late"), slow: rapid.IntRange(0, 50).Draw(t, "slow"),
+	}
+	m.w.trace("call faults at %s: %+v", tg.name, tg.calls)
+}
+
+// Silence makes a target leave all calls unanswered for a while.
+func (m *machine) Silence(t *rapid.T) {
+	tg := m.agent(t).target
+	tg.calls = callFaults{until: m.w.Now + m.duration(t, 50*ms, 2*s), lost: 50, answerLost: 50, late: 100}
+	m.w.trace("silence of %s until %v", tg.name, tg.calls.until)
+}
+
+// LateHeartbeats delays the heartbeats of a target.
+func (m *machine) LateHeartbeats(t *rapid.T) {
+	tg := m.agent(t).target
+	tg.heartbeatsLateUntil = m.w.Now + m.duration(t, 200*ms, 3*s)
+}
+
+// OddHeartbeat delivers a heartbeat of another writer.
+func (m *machine) OddHeartbeat(t *rapid.T) {
+	a := m.agent(t)
+	beat := a.target.heartbeat()
+	switch rapid.IntRange(0, 2).Draw(t, "field") {
+	case 0:
+		beat.ID += "-other"
+	case 1:
+		beat.Service += "-other"
+	case 2:
+		beat.Incarnation += m.w.rng.Int63n(10_000)
+	}
+	m.w.trace("odd heartbeat at %s: %+v", a.name, beat)
+	a.after(0, func() { a.heartbeat(beat) })
+}
+
+// setFlags sets flags of rapid for this test. Flags given on the command line keep
+// their values.
+func setFlags(t *testing.T, checks, steps int, seed uint64, shrink string) {
+	set := func(name, value string) {
+		f := flag.Lookup(name)
+		if f.Value.String() == f.DefValue {
+			old := f.Value.String()
+			if err := f.Value.Set(value); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = f.Value.Set(old) })
+		}
+	}
+	set("rapid.checks", strconv.Itoa(checks))
+	set("rapid.steps", strconv.Itoa(steps))
+	set("rapid.seed", strconv.FormatUint(seed, 10))
+	set("rapid.nofailfile", "true")
+	set("rapid.shrinktime", shrink)
+}
+
+const (
+	modelChecks = 40
+	modelSteps  = 40
+)
+
+// Guards against two runs of a task at a time, exceeded capacity, untrue answers not
+// run and jobs that are never served again, under combinations of all faults.
+func TestModel(t *testing.T) {
+	setFlags(t, modelChecks, modelSteps, 1, "5s")
+	stats := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t, noMutation)
+		t.Repeat(actions(m, splitNames(*only), splitNames(*without)))
+		m.checkRecovery(t)
+		for k, n := range m.w.stats {
+			stats[k] += n
+		}
+	})
+	t.Log(stats)
+}
+
+// checkRecovery ends all faults and checks that a new job is completed in time.
+func (m *machine) checkRecovery(t *rapid.T) {
+	w := m.w
+	w.calm = true
+	clear(w.cuts)
+	for _, g := range w.gateways {
+		g.pausedUntil = 0
+	}
+	for _, a := range w.agents {
+		a.pausedUntil = 0
+		a.target.calls, a.target.heartbeatsLateUntil = callFaults{}, 0
+	}
+	end := w.Now + 15*s
+	c := m.newClient(t)
+	c.steps, c.runTime = c.steps[:1], []time.Duration{50 * ms}
+	c.steps[0].Estimate = 50 * ms
+	for w.Now < end && w.violation == "" && !c.done {
+		if c.sent == 0 || c.ended || c.sent >= maxSubmissions {
+			c.sent, c.ended = 0, false
+			c.submit(w.gateways[0], false)
+		}
+		w.advance(100 * ms)
+	}
+	m.Check(t)
+	if !c.done {
+		t.Fatal("no job completes after all faults have ended")
+	}
+}
+
+func splitNames(list string) []string {
+	return strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
+}
+
+// actions returns the actions of the given names, or all if there are none, without
+// some.
+func actions(m *machine, only, without []string) map[string]func(*rapid.T) {
+	all := rapid.StateMachineActions(m)
+	maps.DeleteFunc(all, func(name string, _ func(*rapid.T)) bool {
+		return name != "" && (slices.Contains(without, name) || len(only) > 0 && !slices.Contains(only, name))
+	})
+	return all
+}
+
+// mutation disables one protection of the model, as in mutation testing.
+type mutation string
+
+const (
+	noMutation            mutation = ""
+	noGatewayLease        mutation = "gateway's lease at the agent"
+	noOrderAge            mutation = "age of orders"
+	forgetUnanswered      mutation = "unanswered starts are held"
+	ignoreForeignRuns     mutation = "runs of a predecessor are stopped first"
+	ignoreSnapshotAge     mutation = "lists requested before a change are ignored"
+	noResumeDelay         mutation = "refusals after a suspension"
+	renewWhileUnreachable mutation = "no renewal for an unreachable target"
+	loseRunsAtOnce        mutation = "runs are lost only after their lease"
+	keepRunsOfLostLinks   mutation = "runs of a lost link are stopped"
+	stopOnce              mutation = "stops are repeated"
+)
+
+func (m mutation) agentOptions(c *runner.CoreOptions, _ *runner.Options) {
+	switch m {
+	case noGatewayLease:
+		c.GatewayLease = time.Hour
+	case noOrderAge:
+		c.MaxOrderAge = time.Hour
+	}
+}
+
+func (m mutation) gatewayOptions(o *dispatch.Options) {
+	if m == noResumeDelay {
+		o.ResumeDelay = 0
+	}
+}
+
+// failureRecorder records a failure reported by rapid instead of failing the test.
+type failureRecorder struct {
+	*testing.T
+	failed bool
+	text   string
+}
+
+func (r *failureRecorder) Errorf(f string, args ...any) {
+	r.failed, r.text = true, fmt.Sprintf(f, args...)
+}
+func (r *failureRecorder) Logf(string, ...any) {}
+func (r *failureRecorder) Log(...any)          {}
+func (r *failureRecorder) Fatal(args ...any)   { r.Errorf("%s", fmt.Sprint(args...)) }
+func (r *failureRecorder) Failed() bool        { return r.failed }
+func (r *failureRecorder) FailNow()            { r.failed = true; runtime.Goexit() }
+
+var (
+	seedInFailure      = regexp.MustCompile(`-rapid\.seed=(\d+)`)
+	violationInFailure = regexp.MustCompile(`after \d+ tests: .*`)
+)
