--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -40,6 +40,11 @@
 	isStored bool
 	// started holds the attempts that this core has started.
 	started map[runner.Attempt]bool
+	// stamps holds the newest stamp of each gateway, gatewayOf the gateway of each
+	// attempt that may be on the target, stopAskedAt when it was first told to stop.
+	stamps      map[string]time.Duration
+	gatewayOf   map[runner.Attempt]string
+	stopAskedAt map[runner.Attempt]time.Duration
 	// links holds the link to each gateway.
 	links map[*gateway]*link
 	// linkNumber numbers the links.
@@ -67,6 +72,7 @@
 	}
 	a.sinks, a.links = map[string]*link{}, map[*gateway]*link{}
 	a.started = map[runner.Attempt]bool{}
+	a.stamps, a.gatewayOf, a.stopAskedAt = map[string]time.Duration{}, map[runner.Attempt]string{}, map[runner.Attempt]time.Duration{}
 	a.clockReadAt, a.targetClock, a.lastEndSeq, a.leaseSentAt, a.lastPollAnswer, a.crashes = 0, 0, 0, 0, 0, nil
 	a.reachable, a.synced, a.extraPolling, a.pollUnanswered, a.waiting = false, false, false, false, false
 	a.w.trace("%s starts, token %d", a.name, a.token)
@@ -105,7 +111,27 @@
 		return 0
 	}
 	a.leaseSentAt = a.w.Now
-	return a.targetClock + (a.leaseSentAt - a.clockReadAt + a.opts.Lease).Milliseconds()
+	end := a.w.Now + a.opts.Lease
+	if *boundLease {
+		end = min(end, a.runsEndBy())
+	}
+	return a.targetClock + (end - a.clockReadAt).Milliseconds()
+}
+
+// runBound is the longest time from a gateway's last stamp, or from the first request to
+// stop a run, to the end of the run.
+const runBound = 1200 * ms
+
+// runsEndBy returns the time by which the first run on the target must have ended.
+func (a *agent) runsEndBy() time.Duration {
+	end := a.w.Now + time.Hour
+	for at, gateway := range a.gatewayOf {
+		end = min(end, a.stamps[gateway]+runBound)
+		if asked, ok := a.stopAskedAt[at]; ok {
+			end = min(end, asked+runBound)
+		}
+	}
+	return end
 }
 
 // setTargetClock mirrors Runner.setTargetClock.
@@ -130,6 +156,9 @@
 		a.scheduled(func() { a.start(t, st) })
 	}
 	for _, at := range acts.Stops {
+		if _, ok := a.stopAskedAt[at]; !ok {
+			a.stopAskedAt[at] = a.w.Now
+		}
 		a.scheduled(func() { a.stop(t, at) })
 	}
 	for _, c := range acts.Crashes {
@@ -143,6 +172,13 @@
 	slices.SortStableFunc(acts.Reports, func(x, y runner.Report) int { return cmp.Compare(x.Gateway, y.Gateway) })
 	for _, r := range acts.Reports {
 		a.w.trace("%s reports %v/%d: %v %s to %s", a.name, r.Task, r.Attempt, r.Outcome, r.Reason, r.Gateway)
+		if r.Outcome != task.Started {
+			at := runner.Attempt{Task: r.Task, Number: r.Attempt}
+			if a.gatewayOf[at] == r.Gateway {
+				delete(a.gatewayOf, at)
+				delete(a.stopAskedAt, at)
+			}
+		}
 		if l := a.sinks[r.Gateway]; l != nil {
 			if r.Outcome == task.Done {
 				a.w.reportedDone[submittedTask{l.specs[r.Task.Job], r.Task}] = true
@@ -420,12 +456,19 @@
 	a.apply(func() {
 		now := a.w.Now
 		a.core.RenewGatewayLease(gateway, stamp)
+		a.stamps[gateway] = max(a.stamps[gateway], stamp)
 		if len(stopJobs) > 0 {
 			a.core.StopJobs(now, gateway, stopJobs)
 		}
 		for _, at := range stops {
 			a.core.StopAttempt(now, gateway, at)
 		}
+		for _, st := range starts {
+			at := runner.Attempt{Task: st.Task, Number: st.Attempt}
+			if _, ok := a.gatewayOf[at]; !ok {
+				a.gatewayOf[at] = gateway
+			}
+		}
 		if len(starts) > 0 {
 			a.core.Submit(now, gateway, stamp, starts)
 		}
