--- a/restartable/modeltest/gateway_test.go
+++ b/restartable/modeltest/gateway_test.go
@@ -168,7 +168,10 @@
 	}
 	delay := w.networkDelay()
 	if w.chance(5) {
-		delay = w.between(0, s)
+		delay = w.between(0, 250*ms)
+		if *lateRequests {
+			delay = w.between(0, s)
+		}
 	}
 	w.After(delay, func() { g.after(0, q.read) })
 	w.After(callerWait, func() { q.leave(c.w.between(0, 2*ms), "deadline") })
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -26,12 +26,13 @@
 	lateCalls = flag.Bool("late-calls", true, "calls that are carried out late reach the next incarnation of a target")
 	// A caller that is gone is noticed late if the end of its connection is lost. With
 	// another fault within the resubmit delay, its job may run twice.
-	lateNotice = flag.Bool("late-notice", true, "callers that are gone may be noticed by a probe only")
-	boundLease = flag.Bool("bound-lease", false, "agents bound the lease of the target by the gateways' stamps and by requests to stop")
-	sameID     = flag.Bool("same-id", true, "targets restart also under the same id")
-	strict     = flag.Bool("strict", false, "also report overlaps of less than 5 ms")
-	only       = flag.String("only", "", "actions to which the search is limited, separated by commas")
-	without    = flag.String("without", "", "actions that are left out of the search, separated by commas")
+	lateNotice   = flag.Bool("late-notice", true, "callers that are gone may be noticed by a probe only")
+	boundLease   = flag.Bool("bound-lease", false, "agents bound the lease of the target by the gateways' stamps and by requests to stop")
+	lateRequests = flag.Bool("late-requests", false, "requests may arrive up to 1 s late")
+	sameID       = flag.Bool("same-id", true, "targets restart also under the same id")
+	strict       = flag.Bool("strict", false, "also report overlaps of less than 5 ms")
+	only         = flag.String("only", "", "actions to which the search is limited, separated by commas")
+	without      = flag.String("without", "", "actions that are left out of the search, separated by commas")
 )
 
 // machine is the state machine for rapid. Its exported methods are the actions,
