Log runs that outlive their gateway and runs of an earlier process

The hypotheses on a task that ran twice could not be told apart by logs: a run that goes on after its gateway has given it up leaves no line (6025 leaves revoked runs out), and neither does a run that an agent finds on its target but did not start. Change: 6038 foreign_run_found, and 6039 stop_overdue, once for each run that has not ended 200 ms after its revocation. Evidence: TestOverdueStopIsReportedOnce; package tests. Result: no decision changes.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -168,7 +168,11 @@
 		"If one task or queue stands in many of these lines, it crashes its targets: see docs/OPERATIONS.md.")
 	QueueConfined = define(6036, "queue_confined", warnLevel, "jobs of a queue crash their targets; the queue is confined to a part of them",
 		"Find the job in the lines target_down and tell its caller; see docs/OPERATIONS.md.")
-	QueueReleased = define(6037, "queue_released", infoLevel, "a queue is no longer confined to a part of the targets", noAction)
+	QueueReleased   = define(6037, "queue_released", infoLevel, "a queue is no longer confined to a part of the targets", noAction)
+	ForeignRunFound = define(6038, "foreign_run_found", warnLevel, "the target lists a run that this process did not start; it is stopped, and nothing starts beside it",
+		"Nothing after a restart of this agent or a late start; otherwise look for a second agent of the target.")
+	StopOverdue = define(6039, "stop_overdue", warnLevel, "a run that was given up has not ended; the stop is repeated",
+		"Check the target on this VM. The caller may submit the job again while the run continues.")
 	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -249,7 +249,9 @@
 }
 
 func (c *Core) revoke(now time.Duration, r *run) {
-	r.revoked = true
+	if !r.revoked {
+		r.revoked, r.revokedAt = true, now
+	}
 	switch r.state {
 	case queued:
 		c.finish(now, r, task.NotStarted, task.ReasonRevoked)
@@ -277,6 +279,7 @@
 		}
 	}
 	c.expireUnanswered(now)
+	c.reportOverdueStops(now)
 	for a, at := range c.finishedAt {
 		if now-at > finishedRetention {
 			delete(c.finishedAt, a)
@@ -288,6 +291,20 @@
 // finishedRetention is longer than any call to the target can take.
 const finishedRetention = 3 * time.Second
 
+// stopOverdueAfter is the time from the revocation of a run after which it should have
+// ended: a stop is usually acknowledged within some milliseconds.
+const stopOverdueAfter = 200 * time.Millisecond
+
+// reportOverdueStops reports each run once that has been revoked and does not end.
+func (c *Core) reportOverdueStops(now time.Duration) {
+	for _, r := range c.runs {
+		if r.revoked && !r.overdueReported && now-r.revokedAt > stopOverdueAfter {
+			r.overdueReported = true
+			c.out.OverdueStops = append(c.out.OverdueStops, OverdueStop{Attempt{r.Task, r.Attempt}, r.gateway, now - r.revokedAt})
+		}
+	}
+}
+
 // expireUnanswered reports unanswered attempts on an unreachable target as lost
 // once they can no longer begin because the deadline that they carried has passed
 // on the target's clock.
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -546,3 +546,20 @@
 	r.submit(newStart("again", 0, 1_000))
 	r.wantStarted("runs", "again")
 }
+
+// Guards against a run that outlives its gateway's lease without a trace in the logs.
+func TestOverdueStopIsReportedOnce(t *testing.T) {
+	r := newCoreHarness(t)
+	r.submit(newStart("a", 0, 1000))
+	r.answerStart(firstAttempt("a", 0), StartAccepted)
+	r.core.RemoveGateway(r.now, "g")
+	var reported []OverdueStop
+	for range 20 {
+		r.advance(stopOverdueAfter / 10)
+		r.core.Tick(r.now)
+		reported = append(reported, r.core.Take().OverdueStops...)
+	}
+	if len(reported) != 1 || reported[0].Attempt != firstAttempt("a", 0) || reported[0].RevokedFor <= stopOverdueAfter {
+		t.Fatalf("reported %+v, want the run of job a once", reported)
+	}
+}
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -117,8 +117,11 @@
 	confirmedAt time.Duration
 	// stopAcknowledged is set once the target has acknowledged the stop.
 	stopAcknowledged bool
-	// revoked is set once the gateway has cancelled the attempt.
-	revoked bool
+	// revoked is set once the gateway has cancelled the attempt, at revokedAt.
+	// overdueReported is set once its stop was reported as overdue.
+	revoked         bool
+	revokedAt       time.Duration
+	overdueReported bool
 }
 
 // Report tells a gateway that an attempt has started or ended.
@@ -139,6 +142,18 @@
 	Crashes []Crash
 	// Disconnect lists the gateways whose lease has expired.
 	Disconnect []string
+	// ForeignRuns lists runs newly found on the target that this core did not start.
+	ForeignRuns []Attempt
+	// OverdueStops lists runs that have not ended stopOverdueAfter their revocation.
+	OverdueStops []OverdueStop
+}
+
+// OverdueStop is a run that goes on although its gateway has given it up.
+type OverdueStop struct {
+	Attempt Attempt
+	Gateway string
+	// RevokedFor is the time since the revocation.
+	RevokedFor time.Duration
 }
 
 // Attempt identifies one attempt of a task.
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -183,6 +183,13 @@
 	for _, crash := range a.Crashes {
 		r.reportCrash(crash)
 	}
+	for _, f := range a.ForeignRuns {
+		events.ForeignRunFound.Log(r.log).Str("job", f.Task.Job).Stringer("task", f.Task).Int("attempt", f.Number).Send()
+	}
+	for _, s := range a.OverdueStops {
+		events.StopOverdue.Log(r.log).Str("job", s.Attempt.Task.Job).Stringer("task", s.Attempt.Task).Int("attempt", s.Attempt.Number).
+			Str("gateway", s.Gateway).Int64("revoked_for_ms", s.RevokedFor.Milliseconds()).Send()
+	}
 	for _, rep := range a.Reports {
 		r.reportEnd(rep)
 		if s := r.sinks[rep.Gateway]; s != nil {
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -134,6 +134,7 @@
 		}
 		if c.findRun(a) == nil && !c.foreignRuns[a] {
 			c.foreignRuns[a] = true
+			c.out.ForeignRuns = append(c.out.ForeignRuns, a)
 			c.out.Stops = append(c.out.Stops, a)
 		}
 	}
