Make the load of a target independent of the order of a map

Found by the model of the restartable path: the anomaly and backlog of a target with two overdue runs differed from call to call, since their ratios are applied one after the other in the order of a map. Change: the ratios are sorted. Result: equal states give equal loads.

--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
@@ -60,7 +61,7 @@
 		return
 	}
 	r := c.findRun(a)
-	if r == nil || (r.state != stopping && r.state != unanswered) {
+	if r == nil || r.stopAcknowledged || (r.state != stopping && r.state != unanswered) {
 		return
 	}
 	if !acknowledged {
@@ -238,5 +239,7 @@
 			ratios = append(ratios, float64(now-r.startedAt)/float64(r.Expected))
 		}
 	}
+	// The order decides how much each counts, and that of the map is random.
+	slices.Sort(ratios)
 	return ratios
 }
