--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 	"time"
 
@@ -27,9 +28,8 @@
 	lastPollAnswer time.Duration
 	crashes        []runner.Crash
 
-	// reachable and synced are the fields of runner.Core of the same name, as far as the
-	// driver can tell.
-	reachable, synced bool
+	coreOpts   runner.CoreOptions
+	confirming bool
 	// extraPolling is set while the additional poller runs, pollUnanswered is its wake-up
 	// signal.
 	extraPolling, pollUnanswered bool
@@ -38,13 +38,6 @@
 	isStored bool
 	// started holds the attempts that this core has started.
 	started map[runner.Attempt]bool
-	// stamps holds the newest stamp of each gateway, gatewayOf the gateway of each
-	// attempt that may be on the target, stopAskedAt when it was first told to stop.
-	stamps      map[string]time.Duration
-	gatewayOf   map[runner.Attempt]string
-	stopAskedAt map[runner.Attempt]time.Duration
-	// foreign is set while the target lists runs that this core has not started.
-	foreign bool
 	// links holds the link to each gateway.
 	links map[*gateway]*link
 	// linkNumber numbers the links.
@@ -54,6 +47,9 @@
 // fencingTokenStep is runner.fencingTokenStep.
 const fencingTokenStep = 10_000
 
+// confirmTimeout is runner.confirmTimeout.
+const confirmTimeout = time.Second
+
 // wallStart is the wall-clock time at virtual time 0, in milliseconds.
 const wallStart = 1_800_000_000_000
 
@@ -61,10 +57,10 @@
 func (a *agent) boot() {
 	a.run++
 	a.up, a.pausedUntil = true, 0
-	opts := runner.DefaultCoreOptions()
+	a.coreOpts = runner.DefaultCoreOptions()
 	a.opts = runner.DefaultOptions()
-	a.w.mutation.agentOptions(&opts, &a.opts)
-	a.core = runner.NewCore(opts)
+	a.w.mutation.agentOptions(&a.coreOpts, &a.opts)
+	a.core = runner.NewCore(a.coreOpts)
 	a.token = wallStart + int64(a.w.Now/ms)
 	if a.w.chance(20) {
 		// The wall clock has been set back.
@@ -72,9 +68,8 @@
 	}
 	a.sinks, a.links = map[string]*link{}, map[*gateway]*link{}
 	a.started = map[runner.Attempt]bool{}
-	a.stamps, a.gatewayOf, a.stopAskedAt = map[string]time.Duration{}, map[runner.Attempt]string{}, map[runner.Attempt]time.Duration{}
 	a.clockReadAt, a.targetClock, a.lastEndSeq, a.leaseSentAt, a.lastPollAnswer, a.crashes = 0, 0, 0, 0, 0, nil
-	a.reachable, a.synced, a.extraPolling, a.pollUnanswered, a.foreign = false, false, false, false, false
+	a.extraPolling, a.pollUnanswered, a.confirming = false, false, false
 	a.w.trace("%s starts, token %d", a.name, a.token)
 	a.every(a.opts.TickInterval, func() { a.apply(func() { a.core.Tick(a.w.Now) }) })
 	a.scheduled(a.pollLoop)
@@ -102,48 +97,88 @@
 	if _, known := a.core.Target(); !known && a.isStored {
 		a.heartbeat(a.stored)
 	}
-	a.every(500*ms, func() { a.stored, a.isStored = a.core.Target() })
+	a.every(500*ms, func() {
+		if t, _ := a.core.Target(); a.core.Confirmed() {
+			a.stored, a.isStored = t, true
+		}
+	})
 }
 
-// leaseDeadline mirrors Runner.leaseDeadline.
-func (a *agent) leaseDeadline() int64 {
-	if a.targetClock == 0 || !a.reachable && a.w.mutation != renewWhileUnreachable {
-		return 0
+// field returns an unexported field of the core.
+func (a *agent) field(name string) reflect.Value {
+	return reflect.ValueOf(a.core).Elem().FieldByName(name)
+}
+
+func (a *agent) reachable() bool { return a.field("reachable").Bool() }
+
+// leaseLimit mirrors runner.Core.leaseLimit and endBy.
+func (a *agent) leaseLimit(now time.Duration) time.Duration {
+	if a.field("foreignRuns").Len() > 0 && a.w.mutation != renewForeignRuns {
+		return now
 	}
-	a.leaseSentAt = a.w.Now
-	end := a.w.Now + a.opts.Lease
-	if *boundLease && a.foreign {
-		return 0
+	limit := now + a.coreOpts.GatewayLease
+	if a.w.mutation == unboundedLease {
+		return limit
 	}
-	if *boundLease {
-		end = min(end, a.runsEndBy())
+	expiry := a.field("leaseExpiry")
+	for runs := a.field("runs").MapRange(); runs.Next(); {
+		r := runs.Value().Elem()
+		if r.FieldByName("state").Int() == 0 {
+			continue // queued
+		}
+		endBy := time.Duration(r.FieldByName("endBy").Int())
+		runLimit := endBy
+		if until := expiry.MapIndex(r.FieldByName("gateway")); until.IsValid() {
+			runLimit = time.Duration(until.Int()) - a.coreOpts.GatewayLease + a.coreOpts.RunLimit
+		}
+		if r.FieldByName("revoked").Bool() {
+			runLimit = min(runLimit, endBy)
+		}
+		limit = min(limit, runLimit)
 	}
-	return a.targetClock + (end - a.clockReadAt).Milliseconds()
+	return limit
 }
 
-// runBound is the longest time from a gateway's last stamp, or from the first request to
-// stop a run, to the end of the run.
-const runBound = 1200 * ms
-
-// runsEndBy returns the time by which the first run on the target must have ended.
-func (a *agent) runsEndBy() time.Duration {
-	end := a.w.Now + time.Hour
-	for at, gateway := range a.gatewayOf {
-		end = min(end, a.stamps[gateway]+runBound)
-		if asked, ok := a.stopAskedAt[at]; ok {
-			end = min(end, asked+runBound)
-		}
+// leaseDeadline mirrors Runner.leaseDeadline.
+func (a *agent) leaseDeadline() int64 {
+	now := a.w.Now
+	until := min(now+a.opts.Lease, a.leaseLimit(now))
+	if a.targetClock == 0 || !a.reachable() && a.w.mutation != renewWhileUnreachable || until <= now {
+		return 0
 	}
-	return end
+	a.leaseSentAt = now
+	return a.targetClock + (until - a.clockReadAt).Milliseconds()
+}
+
+// isCurrent mirrors Runner.isCurrent.
+func (a *agent) isCurrent(t runner.Target) bool {
+	current, known := a.core.Target()
+	return known && sameIncarnation(current, t)
 }
 
 // setTargetClock mirrors Runner.setTargetClock.
-func (a *agent) setTargetClock(clock int64) {
-	if clock != 0 {
+func (a *agent) setTargetClock(t runner.Target, clock int64) {
+	if clock != 0 && a.isCurrent(t) {
 		a.targetClock, a.clockReadAt = clock, a.w.Now
 	}
 }
 
+// startDeadline mirrors Runner.startDeadline.
+func (a *agent) startDeadline(t runner.Target, st runner.Start) (int64, bool) {
+	now := a.w.Now
+	validUntil := st.ValidUntil
+	if a.w.mutation == freshStarts {
+		validUntil = now + a.opts.Lease
+	}
+	until := min(validUntil, a.leaseLimit(now))
+	_, pending := a.core.Candidate()
+	if now >= until || pending || !a.isCurrent(t) || !a.reachable() || a.targetClock == 0 {
+		return 0, false
+	}
+	a.leaseSentAt = now
+	return a.targetClock + (until - a.clockReadAt).Milliseconds(), true
+}
+
 // apply mirrors Runner.apply.
 func (a *agent) apply(change func()) {
 	change()
@@ -159,9 +194,6 @@
 		a.scheduled(func() { a.start(t, st) })
 	}
 	for _, at := range acts.Stops {
-		if _, ok := a.stopAskedAt[at]; !ok {
-			a.stopAskedAt[at] = a.w.Now
-		}
 		a.scheduled(func() { a.stop(t, at) })
 	}
 	for _, c := range acts.Crashes {
@@ -175,13 +207,6 @@
 	slices.SortStableFunc(acts.Reports, func(x, y runner.Report) int { return cmp.Compare(x.Gateway, y.Gateway) })
 	for _, r := range acts.Reports {
 		a.w.trace("%s reports %v/%d: %v %s to %s", a.name, r.Task, r.Attempt, r.Outcome, r.Reason, r.Gateway)
-		if r.Outcome != task.Started {
-			at := runner.Attempt{Task: r.Task, Number: r.Attempt}
-			if a.gatewayOf[at] == r.Gateway {
-				delete(a.gatewayOf, at)
-				delete(a.stopAskedAt, at)
-			}
-		}
 		if l := a.sinks[r.Gateway]; l != nil {
 			if r.Outcome == task.Done {
 				a.w.reportedDone[submittedTask{l.specs[r.Task.Job], r.Task}] = true
@@ -222,11 +247,17 @@
 	}
 }
 
-// start mirrors Runner.start and platform.TargetClient.Start.
+// start mirrors Runner.start and sendStart, and platform.TargetClient.Start.
 func (a *agent) start(t runner.Target, st runner.Start) {
-	token, deadline := a.token, a.leaseDeadline()
 	sentAt := a.w.Now
 	at := runner.Attempt{Task: st.Task, Number: st.Attempt}
+	token := a.token
+	deadline, valid := a.startDeadline(t, st)
+	if !valid {
+		a.w.trace("%s does not send the start of %v/%d", a.name, at.Task, at.Number)
+		a.apply(func() { a.core.StartAnswered(a.w.Now, at, runner.StartUndelivered) })
+		return
+	}
 	what := a.name + " start " + st.Task.String()
 	a.target.call(what, t.ID, a.opts.CallTimeout, func(respond func(reply), _ func()) {
 		respond(a.target.start(st, token, deadline))
@@ -243,7 +274,7 @@
 			result = runner.StartSuperseded
 		}
 		a.apply(func() {
-			a.setTargetClock(r.clock)
+			a.setTargetClock(t, r.clock)
 			a.raiseTokenIfFenced(r)
 			a.core.StartAnswered(a.w.Now, at, result)
 			switch {
@@ -259,28 +290,38 @@
 // stop mirrors Runner.stop.
 func (a *agent) stop(t runner.Target, at runner.Attempt) {
 	token := a.token
+	ended, repeated := false, false
+	a.after(a.opts.StopInterval, func() {
+		if !ended {
+			repeated = true
+			a.stopUnanswered(at)
+		}
+	})
 	what := a.name + " stop " + at.Task.String()
 	a.target.call(what, t.ID, a.opts.CallTimeout, func(respond func(reply), _ func()) {
 		respond(a.target.stop(at, token))
 	}, func(r reply, err callError) {
-		failed := err != answered || r.status != ok
-		delay := time.Duration(0)
-		if failed {
-			delay = a.opts.RetryDelay
-		}
-		a.after(delay, func() {
-			a.apply(func() {
-				a.setTargetClock(r.clock)
-				a.raiseTokenIfFenced(r)
-				a.core.StopAnswered(a.w.Now, at, !failed || a.w.mutation == stopOnce)
-			})
-			if !failed {
-				a.poll(t, 0, func(bool) {})
+		ended = true
+		if err != answered || r.status != ok {
+			a.apply(func() { a.raiseTokenIfFenced(r) })
+			if !repeated {
+				a.after(a.opts.RetryDelay, func() { a.stopUnanswered(at) })
 			}
+			return
+		}
+		a.apply(func() {
+			a.setTargetClock(t, r.clock)
+			a.core.StopAnswered(a.w.Now, at, a.isCurrent(t))
 		})
+		a.poll(t, 0, func(bool) {})
 	})
 }
 
+// stopUnanswered mirrors Runner.stopUnanswered.
+func (a *agent) stopUnanswered(at runner.Attempt) {
+	a.apply(func() { a.core.StopAnswered(a.w.Now, at, a.w.mutation == stopOnce) })
+}
+
 // raiseTokenIfFenced mirrors Runner.raiseTokenIfFenced.
 func (a *agent) raiseTokenIfFenced(r reply) {
 	if r.status == fenced {
@@ -308,9 +349,9 @@
 		}
 		applied := false
 		a.apply(func() {
-			applied = a.applySnapshot(runner.Snapshot{RequestedAt: requestedAt, Incarnation: r.born, Running: r.running, Ended: r.ended})
+			applied = a.core.ApplySnapshot(a.w.Now, a.snapshot(r, requestedAt))
 			if applied {
-				a.setTargetClock(r.clock)
+				a.setTargetClock(t, r.clock)
 				a.lastPollAnswer = a.w.Now
 				a.lastEndSeq = max(a.lastEndSeq, r.lastEnd)
 			}
@@ -319,17 +360,16 @@
 	})
 }
 
-func (a *agent) applySnapshot(sn runner.Snapshot) bool {
+// snapshot mirrors PollReply.snapshot.
+func (a *agent) snapshot(r reply, requestedAt time.Duration) runner.Snapshot {
+	sn := runner.Snapshot{RequestedAt: requestedAt, Incarnation: r.born, Running: r.running, Ended: r.ended}
 	switch a.w.mutation {
 	case ignoreSnapshotAge:
 		sn.RequestedAt = a.w.Now
 	case ignoreForeignRuns:
 		sn.Running = slices.DeleteFunc(sn.Running, func(at runner.Attempt) bool { return !a.started[at] })
 	}
-	a.foreign = slices.ContainsFunc(sn.Running, func(at runner.Attempt) bool { return !a.started[at] })
-	a.reachable = a.core.ApplySnapshot(a.w.Now, sn)
-	a.synced = a.synced || a.reachable
-	return a.reachable
+	return sn
 }
 
 // pollLoop mirrors Runner.pollLoop.
@@ -343,7 +383,7 @@
 		return
 	}
 	wait := a.opts.PollWait
-	if a.targetClock == 0 || !a.synced {
+	if a.targetClock == 0 || !a.field("synced").Bool() {
 		wait = 0
 	}
 	a.poll(t, wait, func(success bool) {
@@ -368,12 +408,7 @@
 		a.core.CallFailed(now)
 		if now-a.lastPollAnswer >= a.opts.UnreachableAfter {
 			expired := now-a.leaseSentAt > a.opts.LeaseMax || a.w.mutation == loseRunsAtOnce
-			a.loseContact(func() {
-				a.core.Unreachable(now, expired)
-				if expired {
-					a.synced = false
-				}
-			})
+			a.loseContact(func() { a.core.Unreachable(now, expired) })
 		}
 	})
 }
@@ -399,22 +434,17 @@
 
 // connectionRefused mirrors Runner.connectionRefused.
 func (a *agent) connectionRefused(t runner.Target, sentAt time.Duration) {
-	current, known := a.core.Target()
-	if !known || !sameIncarnation(current, t) || a.lastPollAnswer > sentAt {
+	if !a.isCurrent(t) || a.lastPollAnswer > sentAt {
 		return
 	}
-	a.loseContact(func() {
-		a.core.TargetDown(a.w.Now)
-		a.synced = false
-	})
+	a.loseContact(func() { a.core.TargetDown(a.w.Now, sentAt) })
 }
 
 func sameIncarnation(x, y runner.Target) bool { return x.ID == y.ID && x.Incarnation == y.Incarnation }
 
 // loseContact mirrors Runner.loseContact.
 func (a *agent) loseContact(change func()) {
-	was := a.reachable
-	a.reachable = false
+	was := a.reachable()
 	change()
 	if was {
 		a.w.trace("%s: the target does not answer", a.name)
@@ -425,17 +455,73 @@
 // heartbeat mirrors Runner.Heartbeat.
 func (a *agent) heartbeat(t runner.Target) {
 	a.apply(func() {
-		previous, known := a.core.Target()
+		_, known := a.core.Target()
 		a.core.Heartbeat(a.w.Now, t)
-		if current, _ := a.core.Target(); !known || !sameIncarnation(current, previous) {
-			a.w.trace("%s: new target %s, born %d", a.name, current.ID, current.Incarnation)
-			a.lastEndSeq, a.targetClock, a.lastPollAnswer = 0, 0, a.w.Now
-			a.synced = false
+		if !known {
+			a.targetChanged(t)
+		}
+		if c, pending := a.core.Candidate(); pending && !a.confirming {
+			a.w.trace("%s: candidate %s, born %d", a.name, c.ID, c.Incarnation)
+			a.confirming = true
+			began := a.w.Now
+			a.scheduled(func() { a.pollCandidate(began) })
 		}
 		a.notifyLoadChanged()
 	})
 }
 
+// targetChanged mirrors Runner.targetChanged.
+func (a *agent) targetChanged(t runner.Target) {
+	a.w.trace("%s: new target %s, born %d", a.name, t.ID, t.Incarnation)
+	a.lastEndSeq, a.targetClock, a.lastPollAnswer = 0, 0, a.w.Now
+}
+
+// pollCandidate mirrors Runner.confirmCandidate and pollCandidate.
+func (a *agent) pollCandidate(began time.Duration) {
+	t, pending := a.core.Candidate()
+	if !pending {
+		a.confirming = false
+		return
+	}
+	if a.w.mutation != keepToken {
+		a.token++
+	}
+	q := runner.PollRequest{Token: a.token}
+	requestedAt := a.w.Now
+	a.target.call(a.name+" poll of "+t.ID, t.ID, a.opts.CallTimeout, func(respond func(reply), broken func()) {
+		a.target.hold(q, respond, broken)
+	}, func(r reply, err callError) {
+		failed := err != answered || r.status != ok
+		a.apply(func() {
+			a.raiseTokenIfFenced(r)
+			switch {
+			case !failed:
+				a.candidateAnswered(t, requestedAt, r)
+			case err == answered && r.status == wrongInstance, a.w.Now-began > confirmTimeout:
+				a.w.trace("%s drops the candidate %s, born %d", a.name, t.ID, t.Incarnation)
+				a.core.DropCandidate(a.w.Now, t)
+			}
+		})
+		delay := time.Duration(0)
+		if failed {
+			delay = a.opts.RetryDelay
+		}
+		a.after(delay, func() { a.pollCandidate(began) })
+	})
+}
+
+// candidateAnswered mirrors Runner.candidateAnswered.
+func (a *agent) candidateAnswered(t runner.Target, requestedAt time.Duration, r reply) {
+	if !a.core.ConfirmCandidate(a.w.Now, t, a.snapshot(r, requestedAt)) {
+		a.w.trace("%s: the candidate %s, born %d, is not confirmed by %d", a.name, t.ID, t.Incarnation, r.born)
+		return
+	}
+	a.targetChanged(t)
+	a.setTargetClock(t, r.clock)
+	a.lastEndSeq = r.lastEnd
+	a.notifyLoadChanged()
+}
+
 // attach mirrors Runner.Attach.
 func (a *agent) attach(l *link) {
 	a.sinks[l.name] = l
@@ -460,19 +546,12 @@
 	a.apply(func() {
 		now := a.w.Now
 		a.core.RenewGatewayLease(gateway, stamp)
-		a.stamps[gateway] = max(a.stamps[gateway], stamp)
 		if len(stopJobs) > 0 {
 			a.core.StopJobs(now, gateway, stopJobs)
 		}
 		for _, at := range stops {
 			a.core.StopAttempt(now, gateway, at)
 		}
-		for _, st := range starts {
-			at := runner.Attempt{Task: st.Task, Number: st.Attempt}
-			if _, ok := a.gatewayOf[at]; !ok {
-				a.gatewayOf[at] = gateway
-			}
-		}
 		if len(starts) > 0 {
 			a.core.Submit(now, gateway, stamp, starts)
 		}
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -27,7 +27,6 @@
 	// A caller that is gone is noticed late if the end of its connection is lost. With
 	// another fault within the resubmit delay, its job may run twice.
 	lateNotice   = flag.Bool("late-notice", true, "callers that are gone may be noticed by a probe only")
-	boundLease   = flag.Bool("bound-lease", false, "agents bound the lease of the target by the gateways' stamps and by requests to stop")
 	lateRequests = flag.Bool("late-requests", false, "requests may arrive up to 1 s late")
 	sameID       = flag.Bool("same-id", true, "targets restart also under the same id")
 	strict       = flag.Bool("strict", false, "also report overlaps of less than 5 ms")
@@ -378,6 +377,10 @@
 	loseRunsAtOnce        mutation = "runs are lost only after their lease"
 	keepRunsOfLostLinks   mutation = "runs of a lost link are stopped"
 	stopOnce              mutation = "stops are repeated"
+	renewForeignRuns      mutation = "no renewal beside runs of a predecessor"
+	unboundedLease        mutation = "lease is bounded by the runs that have to end"
+	freshStarts           mutation = "starts hold from their decision"
+	keepToken             mutation = "fencing token of each incarnation"
 )
 
 func (m mutation) agentOptions(c *runner.CoreOptions, _ *runner.Options) {
