--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -59,7 +59,7 @@
 	a.up, a.pausedUntil = true, 0
 	a.coreOpts = runner.DefaultCoreOptions()
 	a.opts = runner.DefaultOptions()
-	a.w.mutation.agentOptions(&a.coreOpts, &a.opts)
+	a.w.mutation.agentOptions(&a.coreOpts)
 	a.core = runner.NewCore(a.coreOpts)
 	a.token = wallStart + int64(a.w.Now/ms)
 	if a.w.chance(20) {
@@ -143,7 +143,7 @@
 func (a *agent) leaseDeadline() int64 {
 	now := a.w.Now
 	until := min(now+a.opts.Lease, a.leaseLimit(now))
-	if a.targetClock == 0 || !a.reachable() && a.w.mutation != renewWhileUnreachable || until <= now {
+	if a.targetClock == 0 || !a.reachable() || until <= now {
 		return 0
 	}
 	a.leaseSentAt = now
@@ -460,7 +460,9 @@
 		if !known {
 			a.targetChanged(t)
 		}
-		if c, pending := a.core.Candidate(); pending && !a.confirming {
+		if c, pending := a.core.Candidate(); pending && a.w.mutation == trustHeartbeats {
+			a.candidateAnswered(c, a.w.Now, reply{born: c.Incarnation})
+		} else if pending && !a.confirming {
 			a.w.trace("%s: candidate %s, born %d", a.name, c.ID, c.Incarnation)
 			a.confirming = true
 			began := a.w.Now
--- a/restartable/modeltest/gateway_test.go
+++ b/restartable/modeltest/gateway_test.go
@@ -287,7 +287,7 @@
 		q.gateway.after(5*ms, q.callerLeft)
 		return
 	}
-	if q.answers == 0 {
+	if q.answers == 0 && q.client.w.mutation != keepJobsOfGoneCaller {
 		q.gateway.apply(func(c *dispatch.Core) { c.RemoveCaller(q.client.w.Now, q.client.job, q.caller) })
 	}
 }
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -363,39 +363,43 @@
 	return all
 }
 
-// mutation disables one protection of the model, as in mutation testing.
+// mutation disables one protection in the drivers or in the options of the cores, as in
+// mutation testing.
 type mutation string
 
 const (
-	noMutation            mutation = ""
-	noGatewayLease        mutation = "gateway's lease at the agent"
-	noOrderAge            mutation = "age of orders"
-	forgetUnanswered      mutation = "unanswered starts are held"
-	ignoreForeignRuns     mutation = "runs of a predecessor are stopped first"
-	ignoreSnapshotAge     mutation = "lists requested before a change are ignored"
-	noResumeDelay         mutation = "refusals after a suspension"
-	renewWhileUnreachable mutation = "no renewal for an unreachable target"
-	loseRunsAtOnce        mutation = "runs are lost only after their lease"
-	keepRunsOfLostLinks   mutation = "runs of a lost link are stopped"
-	stopOnce              mutation = "stops are repeated"
-	renewForeignRuns      mutation = "no renewal beside runs of a predecessor"
-	unboundedLease        mutation = "lease is bounded by the runs that have to end"
-	freshStarts           mutation = "starts hold from their decision"
-	keepToken             mutation = "fencing token of each incarnation"
+	noMutation           mutation = ""
+	noGatewayLease       mutation = "gateway's lease at the agent"
+	noOrderAge           mutation = "age of orders"
+	unboundedLease       mutation = "lease bounded by the runs that have to end"
+	freshStarts          mutation = "starts hold from their decision"
+	forgetUnanswered     mutation = "unanswered starts are held"
+	ignoreForeignRuns    mutation = "runs of a predecessor are stopped first"
+	renewForeignRuns     mutation = "no renewal beside runs of a predecessor"
+	ignoreSnapshotAge    mutation = "lists requested before a change are ignored"
+	trustHeartbeats      mutation = "confirmation of another incarnation"
+	keepToken            mutation = "fencing token of each incarnation"
+	loseRunsAtOnce       mutation = "runs of a silent target end with their lease"
+	stopOnce             mutation = "stops are repeated"
+	noResumeDelay        mutation = "refusals after a suspension"
+	keepJobsOfGoneCaller mutation = "jobs end with their callers"
+	keepRunsOfLostLinks  mutation = "runs of a lost link are stopped"
 )
 
-func (m mutation) agentOptions(c *runner.CoreOptions, _ *runner.Options) {
+func (m mutation) agentOptions(c *runner.CoreOptions) {
 	switch m {
 	case noGatewayLease:
-		c.GatewayLease = time.Hour
+		c.GatewayLease, c.RunLimit = time.Hour, time.Hour
 	case noOrderAge:
 		c.MaxOrderAge = time.Hour
+	case stopOnce:
+		c.RunLimit = time.Hour
 	}
 }
 
 func (m mutation) gatewayOptions(o *dispatch.Options) {
 	if m == noResumeDelay {
-		o.ResumeDelay = 0
+		o.SuspendedAfter = time.Hour
 	}
 }
 
@@ -419,3 +423,55 @@
 	seedInFailure      = regexp.MustCompile(`-rapid\.seed=(\d+)`)
 	violationInFailure = regexp.MustCompile(`after \d+ tests: .*`)
 )
+
+// mutationTests lists the mutations, each of which must lead to a violation. focus
+// limits the actions, for violations that need several particular faults in a row; nil
+// stands for all actions. seed is the first seed of the search.
+var mutationTests = []struct {
+	without mutation
+	focus   []string
+	seed    uint64
+}{
+	{noGatewayLease, nil, 1},
+	{noOrderAge, nil, 1},
+	{unboundedLease, []string{"Submit", "Break", "PauseGateway", "KillGateway", "KillAgent", "PauseAgent", "AdvanceShort", "AdvanceLong"}, 1},
+	{freshStarts, nil, 1},
+	{forgetUnanswered, nil, 1},
+	{ignoreForeignRuns, nil, 1},
+	{renewForeignRuns, []string{"Submit", "Break", "KillAgent", "PauseAgent", "CallFaults", "AdvanceShort", "AdvanceLong"}, 1},
+	{ignoreSnapshotAge, nil, 1},
+	{trustHeartbeats, nil, 1},
+	{keepToken, []string{"Submit", "SubmitSeveral", "CrashTarget", "CallFaults", "AdvanceShort", "AdvanceLong"}, 1},
+	{loseRunsAtOnce, nil, 1},
+	{stopOnce, nil, 1},
+	{noResumeDelay, nil, 1},
+	{keepJobsOfGoneCaller, nil, 1},
+	{keepRunsOfLostLinks, nil, 1},
+}
+
+// mutationChecks is the number of schedules within which each mutation must be found.
+const mutationChecks = 3000
+
+// Guards against a model that cannot detect a missing protection: without each of
+// them, the model must find a violation.
+func TestModelFindsEachMissingProtection(t *testing.T) {
+	for _, p := range mutationTests {
+		t.Run(string(p.without), func(t *testing.T) {
+			setFlags(t, mutationChecks, modelSteps, p.seed, "0s")
+			r := &failureRecorder{T: t}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				rapid.Check(r, func(t *rapid.T) {
+					t.Repeat(actions(newMachine(t, p.without), p.focus, nil))
+				})
+			}()
+			<-ended
+			seed := seedInFailure.FindStringSubmatch(r.text)
+			if seed == nil {
+				t.Fatalf("no violation without: %s", p.without)
+			}
+			t.Logf("violation found, seed %s: %s", seed[1], violationInFailure.FindString(r.text))
+		})
+	}
+}
