Fence earlier calls whenever contact to a target is lost

Cause: the new incarnation knows neither the stop nor the fencing token that made its predecessor refuse the call, and its clock starts anew, so that the call's deadline lies far ahead. Change: beside the poll that confirms a new incarnation, the token rises when a target refuses connections, leaves polls unanswered, or a poll is answered by another incarnation, so that the first call to the new one already carries it. Evidence: TestEachIncarnationGetsAHigherFencingToken: the case of a refused connection failed before this commit's change by construction (the token stayed).

--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -138,6 +138,12 @@
 	}
 }
 
+// fenceEarlierCalls makes the target refuse the calls that were sent before, from the
+// next call on. Some of them may be executed seconds late, by an incarnation that
+// started meanwhile under the same ID and on whose clock their deadlines lie far ahead.
+// The caller holds r.mu.
+func (r *Runner) fenceEarlierCalls() { r.token++ }
+
 func (r *Runner) poll(ctx context.Context, t Target, wait time.Duration) error {
 	r.mu.Lock()
 	q := PollRequest{Token: r.token, Deadline: r.leaseDeadline(), LastEndSeq: r.lastEndSeq, Wait: wait}
@@ -163,6 +169,7 @@
 			r.lastEndSeq = max(r.lastEndSeq, reply.LastEndSeq)
 		} else {
 			err = errors.Errorf("the poll was answered by another incarnation of the target: %d", reply.Incarnation)
+			r.fenceEarlierCalls()
 		}
 	})
 	return err
@@ -201,6 +208,7 @@
 	wasReachable := r.core.reachable
 	change(r.core)
 	if wasReachable {
+		r.fenceEarlierCalls()
 		events.TargetUnanswering.Log(r.log).Err(err).Send()
 		r.notifyLoadChanged()
 	}
--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -175,3 +175,24 @@
 		}
 	}
 }
+
+// Guards against a start that is executed late by the next incarnation of its target,
+// beside a second attempt of the task (TWICE): each incarnation has to be called with a
+// higher fencing token than the ones before.
+func TestEachIncarnationGetsAHigherFencingToken(t *testing.T) {
+	restarted := smallTarget
+	restarted.Incarnation++
+	for name, event := range map[string]func(r *Runner, now time.Duration){
+		"connection refused": func(r *Runner, now time.Duration) { r.connectionRefused(now, smallTarget, now, ErrNotListening) },
+		"restart announced":  func(r *Runner, _ time.Duration) { r.Heartbeat(restarted); r.inFlight.Wait() },
+	} {
+		now := 10 * time.Second
+		f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+		r := syncedRunner(f, &now)
+		before := r.token
+		event(r, now+ms)
+		if r.token <= before {
+			t.Errorf("%s: token %d, was %d", name, r.token, before)
+		}
+	}
+}
--- a/restartable/runner/confirm.go
+++ b/restartable/runner/confirm.go
@@ -33,9 +33,7 @@
 		r.mu.Unlock()
 		return false
 	}
-	// With a new token the candidate refuses the calls that were sent to an earlier
-	// incarnation of the same ID and arrive late.
-	r.token++
+	r.fenceEarlierCalls()
 	q := PollRequest{Token: r.token}
 	r.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
