Poll a candidate for longer than the interval of heartbeats

A new process may send a heartbeat before it serves calls. A candidate that was dropped after 1 s waited for the next heartbeat, up to half a second without any poll. Result: a slow start costs no heartbeat.

--- a/restartable/runner/confirm.go
+++ b/restartable/runner/confirm.go
@@ -11,8 +11,9 @@
 )
 
 // confirmTimeout is how long a candidate may leave polls unanswered until it is
-// dropped. The next heartbeat makes it a candidate again.
-const confirmTimeout = time.Second
+// dropped. It is longer than the interval of heartbeats, since a new process may send one
+// before it serves calls.
+const confirmTimeout = 2 * time.Second
 
 // confirmCandidate polls the candidate until it has confirmed that it is the present
 // incarnation of the target, or has been dropped. The target itself decides: it listens
