Back off from a store that serves only a part of the calls

While the store returned the newest records but refused to wait for later ones, each gateway read it 20 times a second and logged each malformed record as often: a successful read of what is in force reset the backoff.

Only a successful read of later records resets it now.

--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
@@ -87,6 +89,8 @@
 	// storeFailing is set while the store does not answer; owned by the goroutine
 	// of Run.
 	storeFailing bool
+	// malformed selects which malformed records are logged.
+	malformed events.Distinct
 }
 
 // New returns a syncer that installs configurations in current and drains of zones
@@ -113,14 +117,16 @@
 	wg.Go(func() { s.pollPeers(ctx, answered) })
 	retry := s.opts.RetryMin
 	for ctx.Err() == nil {
-		err := s.watchStore(ctx, func() {
-			retry = s.opts.RetryMin
+		followed, err := s.watchStore(ctx, func() {
 			s.storeAnswered()
 			select {
 			case answered <- struct{}{}:
 			default:
 			}
 		})
+		if followed {
+			retry = s.opts.RetryMin
+		}
 		s.storeFailed(err)
 		wait.For(ctx, retry)
 		retry = min(2*retry, s.opts.RetryMax)
@@ -128,11 +134,12 @@
 }
 
 // watchStore installs what is in force and then each later change, until a call
-// fails.
-func (s *Syncer) watchStore(ctx context.Context, answered func()) error {
+// fails. It returns whether a read of later changes has succeeded: a store that
+// only returns what is in force is to be retried as rarely as one that is down.
+func (s *Syncer) watchStore(ctx context.Context, answered func()) (followed bool, err error) {
 	p, err := s.source.Newest(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	// The drains come first: the gateway takes jobs once it has a configuration.
 	s.installDrains(p.Drains, fromStore, func(c *zones.Current) bool { return c.Replace(p.Next, p.Drains) })
@@ -140,8 +147,9 @@
 		s.install(p.Document, fromStore)
 		answered()
 		if p, err = s.source.Next(ctx, p.Next, s.opts.PollWait); err != nil {
-			return err
+			return followed, err
 		}
+		followed = true
 		s.installDrains(p.Drains, fromStore, func(c *zones.Current) bool { return c.Apply(p.Drains) })
 	}
 }
@@ -198,11 +206,11 @@
 	}
 }
 
-// installDrains changes the drains in force. It logs malformed records and a change
-// of the drained zones.
+// installDrains changes the drains in force. It logs each malformed record once and a
+// change of the drained zones.
 func (s *Syncer) installDrains(records []zones.Change, from string, change func(*zones.Current) bool) {
 	for _, r := range records {
-		if r.Err != nil {
+		if r.Err != nil && s.malformed.First(fmt.Sprintf("zone %s %d", r.Zone, r.Offset)) {
 			events.ZoneDrainMalformed.Log(s.log).Str("zone", r.Zone).Uint64("offset", r.Offset).Err(r.Err).Send()
 		}
 	}
@@ -220,7 +228,9 @@
 	}
 	c, err := s.source.Parse(document)
 	if err != nil {
-		events.QueuesMalformed.Log(s.log).Err(err).Str("from", from).Send()
+		if s.malformed.First(fmt.Sprintf("document %x", xxhash.Sum64(document))) {
+			events.QueuesMalformed.Log(s.log).Err(err).Str("from", from).Send()
+		}
 		return
 	}
 	if s.current.Install(c) {
--- a/restartable/configsync/configsync_test.go
+++ b/restartable/configsync/configsync_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -227,6 +228,65 @@
 	r.awaitVersion(2)
 }
 
+// partlyDown is a store that returns what is in force, but fails to wait for later
+// records.
+type partlyDown struct {
+	*fakeSource
+	reads *atomic.Int64
+}
+
+func (p partlyDown) Newest(ctx context.Context) (Published, error) {
+	p.reads.Add(1)
+	return p.fakeSource.Newest(ctx)
+}
+
+func (p partlyDown) Next(context.Context, uint64, time.Duration) (Published, error) {
+	return Published{}, errUnavailable
+}
+
+// Guards against all gateways overloading a store that serves only a part of the
+// calls: a successful read of what is in force must not end the backoff.
+func TestRetriesBackOffWhileTheStoreFailsInPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts, reads := DefaultOptions(), &atomic.Int64{}
+		s := New(partlyDown{newFakeSource("1"), reads}, fakePeers{}, &queues.CurrentConfig{}, &zones.Current{},
+			func() time.Duration { return time.Hour }, zerolog.Nop(), opts)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		s.Run(ctx)
+		if limit := int64(time.Minute/opts.RetryMax) + 4; reads.Load() > limit {
+			t.Errorf("%d reads in a minute, want at most %d", reads.Load(), limit)
+		}
+	})
+}
+
+// Guards against a log that fills with the same malformed record, which is read again
+// after each failure of the store and offered again by other gateways.
+func TestMalformedRecordIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newFakeSource("no number")
+		source.records = append(source.records, fakeRecord{drain: &zones.Change{Zone: "a", Drained: true, Offset: 1, Err: errUnavailable}})
+		var log bytes.Buffer
+		s := New(partlyDown{source, &atomic.Int64{}}, fixedPeers{}, &queues.CurrentConfig{}, &zones.Current{},
+			func() time.Duration { return time.Hour }, zerolog.New(zerolog.SyncWriter(&log)), DefaultOptions())
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		s.Run(ctx)
+		for _, name := range []string{"zone_drain_malformed", "queues_malformed"} {
+			if n := strings.Count(log.String(), name); n != 1 {
+				t.Errorf("%d lines %s for one record, want 1", n, name)
+			}
+		}
+	})
+}
+
+// fixedPeers offer the same malformed document each time.
+type fixedPeers struct{}
+
+func (fixedPeers) Newer(context.Context, uint64, uint64) Newer {
+	return Newer{Document: []byte("no number")}
+}
+
 // Guards against an age that suggests an outage after the wall clock was changed:
 // only the clock passed to New counts.
 func TestAgeFollowsTheGivenClock(t *testing.T) {
