Read each record of the store by itself

One malformed item in a page of /api/log-newest made the whole page unreadable: a field of another type, a number out of range, a value that is no base64 or too deep nesting. A gateway then got no configuration, no process found the gateways, and both read the list again and again. A page whose last key is empty or does not change was requested for ever, and everything read so far was kept in memory. A reply to /api/log-read that ends within its first record counted as an answer without records and was requested again without a pause.

Pages and items are now split without decoding them, and each item is decoded by itself. Malformed records are passed on with their error and logged once an hour (store_record_skipped).

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -168,7 +168,9 @@
 		"If one task or queue stands in many of these lines, it crashes its targets: see docs/OPERATIONS.md.")
 	QueueConfined = define(6036, "queue_confined", warnLevel, "jobs of a queue crash their targets; the queue is confined to a part of them",
 		"Find the job in the lines target_down and tell its caller; see docs/OPERATIONS.md.")
-	QueueReleased = define(6037, "queue_released", infoLevel, "a queue is no longer confined to a part of the targets", noAction)
+	QueueReleased      = define(6037, "queue_released", infoLevel, "a queue is no longer confined to a part of the targets", noAction)
+	StoreRecordSkipped = define(6040, "store_record_skipped", warnLevel, "a record of the platform's store is malformed and is skipped; it is logged once an hour",
+		"Find its writer by topic and key; no gateway or agent writes such records.")
 	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -38,7 +38,7 @@
 	// The start time is a fencing token that grows with each process of this VM.
 	// If the clock was set back, the target rejects the token and it is raised.
 	token := time.Now().UnixMilli()
-	store := platform.NewStore(n.StoreAddr)
+	store := platform.NewStore(n.StoreAddr, log)
 	a := &PlatformAgent{
 		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(boottime.Now, n.Seeds...),
 		registry: platform.NewGatewayRegistry(store), records: platform.NewTargetRecords(store, n.Name),
--- a/daemon/platformagent_test.go
+++ b/daemon/platformagent_test.go
@@ -71,7 +71,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	target := runner.Target{ID: "i-1", Incarnation: 1, Service: "s", Kind: "a", Capacity: task.Resources{CPUMillis: 4000}}
 	savedSpeed := runner.SpeedEstimate{Slowness: 1.7, Samples: 40}
-	records := platform.NewTargetRecords(platform.NewStore(address), "agent-1")
+	records := platform.NewTargetRecords(platform.NewStore(address, zerolog.Nop()), "agent-1")
 	if err := records.Save(t.Context(), runner.Record{Target: target, Speed: savedSpeed}); err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -46,7 +46,7 @@
 // NewPlatformGateway returns a gateway configured by the platform's settings.
 func NewPlatformGateway(n *platform.Node, log zerolog.Logger) *PlatformGateway {
 	address := n.AdvertisedLinkAddr()
-	store := platform.NewStore(n.StoreAddr)
+	store := platform.NewStore(n.StoreAddr, log)
 	g := &PlatformGateway{
 		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log), config: &queues.CurrentConfig{},
 		drains: &zones.Current{}, gateways: link.NewGateways(boottime.Now, append([]string{address}, n.Seeds...)...),
--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -91,7 +91,7 @@
 	store := standin.NewStore()
 	server := httptest.NewServer(store.Handler())
 	defer server.Close()
-	registry := platform.NewGatewayRegistry(platform.NewStore(strings.TrimPrefix(server.URL, "http://")))
+	registry := platform.NewGatewayRegistry(platform.NewStore(strings.TrimPrefix(server.URL, "http://"), zerolog.Nop()))
 	peers := func(name string) *gatewayPeers {
 		return &gatewayPeers{name: name, address: name + ":1", log: zerolog.Nop(), known: link.NewGateways(boottime.Now), registry: registry}
 	}
