Ignore malformed addresses of gateways

An address that another process named was kept, dialed and, after a call to Introduce with it, advertised to all agents and gateways for a minute. One of 3 MB would have made the frames of all links exceed their limit, which closes the links.

link.Gateways knows only addresses with a host and a port from 1 to 65535, and Introduce refuses others.

TestMalformedAddressesAreNotKnown failed on the old code: 7 malformed addresses were known and advertised.

--- a/restartable/link/gateways.go
+++ b/restartable/link/gateways.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/common/hostport"
 )
 
 const (
@@ -84,7 +85,8 @@
 	return nil
 }
 
-// Add adds an IP:port that another process has mentioned.
+// Add adds an IP:port that another process has mentioned. It ignores a malformed
+// one: it would be dialed and passed on in vain.
 func (g *Gateways) Add(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -92,14 +94,14 @@
 }
 
 // add returns the gateway with an address, adding it if necessary, or nil if the
-// set is full. The caller holds g.mu.
+// address is malformed or the set is full. The caller holds g.mu.
 func (g *Gateways) add(address string) *knownGateway {
 	g.dropExpired()
 	k := g.find(address)
 	if k != nil {
 		k.mentionedAt = g.now()
 	}
-	if k != nil || address == "" || len(g.known) >= maxGateways {
+	if k != nil || hostport.Check(address) != nil || len(g.known) >= maxGateways {
 		return k
 	}
 	k = &knownGateway{address: address, mentionedAt: g.now(), contactAt: never}
--- a/restartable/link/gateways_test.go
+++ b/restartable/link/gateways_test.go
@@ -3,10 +3,16 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
+	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
+	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
+	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
 )
 
 // fakeClock is a clock that only the test moves.
@@ -34,6 +40,29 @@
 	}
 }
 
+// Guards against malformed addresses that are dialed, take the place of gateways or
+// are advertised to other processes.
+func TestMalformedAddressesAreNotKnown(t *testing.T) {
+	g := link.NewGateways((&fakeClock{}).Now)
+	s := link.NewServer(nil, &queues.CurrentConfig{}, &zones.Current{}, g)
+	for _, a := range []string{"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1", "%zz:1", "\x00", "a/b:1", strings.Repeat("9", 3<<20) + ":1", ""} {
+		g.Add(a)
+		g.MarkReached(a)
+		if _, err := s.Introduce(t.Context(), connect.NewRequest(&pb.IntroduceRequest{Gateway: a})); connect.CodeOf(err) != connect.CodeInvalidArgument {
+			t.Errorf("introduction of %.40q: %v", a, err)
+		}
+	}
+	if len(g.All())+len(g.Reachable()) > 0 {
+		t.Errorf("%d addresses are known and %d advertised, want none", len(g.All()), len(g.Reachable()))
+	}
+	if _, err := s.Introduce(t.Context(), connect.NewRequest(&pb.IntroduceRequest{Gateway: "10.0.0.1:1"})); err != nil {
+		t.Error(err)
+	}
+	if got := g.Reachable(); !slices.Equal(got, []string{"10.0.0.1:1"}) {
+		t.Errorf("%v are advertised, want the introduced gateway", got)
+	}
+}
+
 // Guards against processes that repeatedly advertise a gateway to each other
 // although it no longer exists, so that it is never forgotten.
 func TestUnreachableGatewaysAreNotAdvertisedForever(t *testing.T) {
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/common/hostport"
 	"github.com/rhubarbsail/rhubarbsail/common/streamend"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
@@ -62,8 +63,12 @@
 	return connect.NewResponse(reply), nil
 }
 
-// Introduce adds a gateway to those that are advertised to agents.
+// Introduce adds a gateway to those that are advertised to agents. It refuses a
+// malformed address.
 func (s *Server) Introduce(_ context.Context, r *connect.Request[pb.IntroduceRequest]) (*connect.Response[pb.IntroduceReply], error) {
+	if err := hostport.Check(r.Msg.Gateway); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	s.gateways.MarkReached(r.Msg.Gateway)
 	return connect.NewResponse(&pb.IntroduceReply{Gateways: s.gateways.Reachable()}), nil
 }
