Bound the removals of old records from the registry

A gateway removed every record beyond the newest 128 at each registration, one write each: after another writer had left 1000, 873 writes at once, by all gateways. When one removal failed, the whole registration was repeated each second.

A registration now removes at most 16 records, and a failed removal is logged and waits for the next registration.

TestRemovalsOfRecordsAreBounded failed on the old code with 873 writes, and with an error after a failed removal.

--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -46,6 +46,10 @@
 	// cell that replaces one gateway a minute they cover many times registerInterval,
 	// so that the record of a running gateway is among them.
 	maxGatewayRecords = 128
+	// maxRecordRemovals limits the removals of old records in one registerInterval. All
+	// gateways together remove far more than a cell replaces, and do not overload the
+	// store if another writer has left thousands of records.
+	maxRecordRemovals = 16
 	// peerTimeout limits a call to another gateway.
 	peerTimeout = 500 * time.Millisecond
 )
@@ -245,7 +249,7 @@
 	}
 }
 
-// registerOnce writes this gateway's record and removes the records beyond the
+// registerOnce writes this gateway's record and removes some of the records beyond the
 // newest maxGatewayRecords, which are too old to belong to running gateways. A
 // gateway whose old record is removed just after it was rewritten is missing from
 // the registry until its next write.
@@ -261,9 +265,13 @@
 	if err := p.registry.Register(ctx, p.name, p.address); err != nil {
 		return err
 	}
-	for _, r := range newest[len(recent):] {
+	old := newest[len(recent):]
+	for _, r := range old[max(0, len(old)-maxRecordRemovals):] {
 		if err := p.registry.Remove(ctx, r.Name); err != nil {
-			return err
+			// This gateway is registered, so that the removal can wait for its next
+			// write.
+			events.GatewayRecordFailed.Log(p.log).Str("record", r.Name).Err(err).Send()
+			break
 		}
 	}
 	return nil
--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -119,6 +119,34 @@
 	}
 }
 
+// Guards against gateways that overload the store with removals after another writer
+// has left many records, or with attempts to remove one that stays.
+func TestRemovalsOfRecordsAreBounded(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		store := standin.NewStore()
+		for i := range 1000 {
+			store.Put("keyed.gateways", fmt.Sprintf("other-%d", i), []byte("10.0.0.1:1"))
+		}
+		handler, writes := store.Handler(), 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				writes++
+				if fails && writes > 1 {
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+			}
+			handler.ServeHTTP(w, r)
+		}))
+		defer server.Close()
+		registry := platform.NewGatewayRegistry(platform.NewStore(strings.TrimPrefix(server.URL, "http://"), zerolog.Nop()))
+		p := &gatewayPeers{name: "g", address: "g:1", log: zerolog.Nop(), known: link.NewGateways(boottime.Now), registry: registry}
+		if err := p.registerOnce(t.Context()); err != nil || writes > 1+maxRecordRemovals {
+			t.Errorf("with failing removals %v: %d writes, %v", fails, writes, err)
+		}
+	}
+}
+
 // Guards against Introduce calls whose number grows with the square of the number
 // of gateways, and against gateways that are never called.
 func TestIntroduceRoundIsBoundedAndReachesEveryGateway(t *testing.T) {
