Reject malformed heartbeats as a whole

A heartbeat of another writer became the agent's target when the fields in use could be decoded: one without an incarnation or with one of a distant future, with a port out of range, a field of another type, a sequence number that no later heartbeat exceeds, a capacity beyond the 32 bits of frames to gateways, or data after its end. The agent gave up its runs and called the target under an id that may not even be valid in a header; an id that is no UTF-8 cannot be encoded in a frame, so that each link closes at its first one. Rejected heartbeats were not logged.

Rejected requests are logged once an hour for each sender and cause (heartbeat_rejected).

A heartbeat of another service cannot be told by the agent alone, and is not part of this change.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -171,6 +171,8 @@
 	QueueReleased      = define(6037, "queue_released", infoLevel, "a queue is no longer confined to a part of the targets", noAction)
 	StoreRecordSkipped = define(6040, "store_record_skipped", warnLevel, "a record of the platform's store is malformed and is skipped; it is logged once an hour",
 		"Find its writer by topic and key; no gateway or agent writes such records.")
+	HeartbeatRejected = define(6041, "heartbeat_rejected", warnLevel, "a heartbeat or deregistration of a target is malformed and is ignored; it is logged once an hour",
+		"Find its writer by sender; the target in use is kept.")
 	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -53,7 +53,7 @@
 // shutdown time is over.
 func (a *PlatformAgent) Run(ctx context.Context, env Env) error {
 	set := &serverSet{env: env}
-	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner), false)
+	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner, a.log), false)
 	set.add(a.node.MetricsAddr, a.metrics.Handler, false)
 	if set.err != nil {
 		events.ListenFailed.Log(a.log).Err(set.err).Send()
