Read each row of a target's lists by itself

One malformed row in the target's reply to a poll, such as a task name of another form or a number out of range, made the whole reply an error. The agent then took the target for unreachable, extended no lease and accepted no task for as long as the row was listed. A task name that is written in another way (00aa.0.1.02) counted as our task, and an end with the number 2^63-1 acknowledged all later ends unread.

Rows are split without decoding them, malformed ones are skipped and logged once an hour for each cause (target_row_skipped).

Left open: a run whose own row is malformed counts as not listed, since runner.PollReply cannot say that a list is incomplete.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -173,6 +173,8 @@
 		"Find its writer by topic and key; no gateway or agent writes such records.")
 	HeartbeatRejected = define(6041, "heartbeat_rejected", warnLevel, "a heartbeat or deregistration of a target is malformed and is ignored; it is logged once an hour",
 		"Find its writer by sender; the target in use is kept.")
+	TargetRowSkipped = define(6042, "target_row_skipped", warnLevel, "a row in the target's lists of runs is malformed and is skipped; it is logged once an hour",
+		"Check the release of the target.")
 	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -43,7 +43,7 @@
 		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(boottime.Now, n.Seeds...),
 		registry: platform.NewGatewayRegistry(store), records: platform.NewTargetRecords(store, n.Name),
 	}
-	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr), token,
+	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr, log), token,
 		boottime.Now, log, newAttemptObserver(a.metrics.Scope), runner.DefaultOptions())
 	a.links = link.NewClient(n.Name, n.Zone, a.runner, a.gateways, log)
 	return a
