Limit amounts in frames to the largest value of their fields

Frames have 32 bits for an amount. A larger one lost its upper bits: a target or task of 2^32+1 thousandths of a core arrived as one of 1, for which every target has room, and a negative one as the largest. Amounts beyond a field now arrive as its nearest value.

--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -45,8 +45,8 @@
 func (l *agentLink) Report(r runner.Report) {
 	l.mu.Lock()
 	l.pendingEvents = append(l.pendingEvents, &pb.RunEvent{
-		Job: r.Task.Job, Occurrence: uint32(r.Task.Occurrence), Step: uint32(r.Task.Step), Index: uint32(r.Task.Index),
-		Attempt: uint32(r.Attempt), Outcome: outcomesToProto[r.Outcome], Reason: string(r.Reason), RunMs: toMillis(r.RunTime),
+		Job: r.Task.Job, Occurrence: toUint32(r.Task.Occurrence), Step: toUint32(r.Task.Step), Index: toUint32(r.Task.Index),
+		Attempt: toUint32(r.Attempt), Outcome: outcomesToProto[r.Outcome], Reason: string(r.Reason), RunMs: toMillis(r.RunTime),
 	})
 	l.retirement.reportQueued()
 	l.mu.Unlock()
@@ -61,8 +61,8 @@
 	for _, r := range c.Runs {
 		id := r.Attempt.Task
 		m.Runs = append(m.Runs, &pb.LostRun{
-			Job: id.Job, Occurrence: uint32(id.Occurrence), Step: uint32(id.Step), Index: uint32(id.Index), Attempt: uint32(r.Attempt.Number),
-			SuspicionPermille: uint32(r.Suspicion * 1000), Queue: r.Queue, Accepted: r.Accepted,
+			Job: id.Job, Occurrence: toUint32(id.Occurrence), Step: toUint32(id.Step), Index: toUint32(id.Index), Attempt: toUint32(r.Attempt.Number),
+			SuspicionPermille: toPermille(r.Suspicion), Queue: r.Queue, Accepted: r.Accepted,
 		})
 	}
 	l.mu.Lock()
@@ -141,9 +141,9 @@
 	l.mu.Unlock()
 	f := &pb.RunReport{Stamp: int64(now), Events: runEvents, Crashes: crashes, Load: &pb.TargetLoad{
 		Accepting: load.Accepting, Reason: string(load.Reason), Committed: resourcesToProto(load.Committed),
-		BacklogMs: toMillis(load.Backlog), SlownessPermille: uint32(load.Slowness * 1000),
-		AnomalyPermille: uint32(load.Anomaly * 1000), Samples: uint32(load.Samples),
-		Running: uint32(load.Running), Queued: uint32(load.Queued), FailedPermille: uint32(load.FailedShare * 1000), OrdersSeen: ordersSeen,
+		BacklogMs: toMillis(load.Backlog), SlownessPermille: toPermille(load.Slowness),
+		AnomalyPermille: toPermille(load.Anomaly), Samples: toUint32(load.Samples),
+		Running: toUint32(load.Running), Queued: toUint32(load.Queued), FailedPermille: toPermille(load.FailedShare), OrdersSeen: ordersSeen,
 	}}
 	if !sent.hello {
 		f.Hello, sent.hello = l.client.hello, true
--- a/restartable/link/gatewaylink.go
+++ b/restartable/link/gatewaylink.go
@@ -35,12 +35,12 @@
 func (l *gatewayLink) Order(o dispatch.Order) {
 	m := &pb.StartTasks{
 		Number: o.Number,
-		Job:    o.Step.Job, Occurrence: uint32(o.Step.Occurrence), Step: uint32(o.Step.Step), Spec: o.Spec,
+		Job:    o.Step.Job, Occurrence: toUint32(o.Step.Occurrence), Step: toUint32(o.Step.Step), Spec: o.Spec,
 		Requirement: resourcesToProto(o.Needs), ExpectedMs: toMillis(o.Expected), StartWithinMs: toMillis(o.StartWithin),
-		DueWithinMs: toMillis(o.DueWithin), AtOnce: o.AtOnce, Priority: uint32(o.Priority), MaxPerTarget: uint32(o.MaxPerTarget), Queue: o.Queue, SuspicionPermille: uint32(o.Suspicion * 1000),
+		DueWithinMs: toMillis(o.DueWithin), AtOnce: o.AtOnce, Priority: toUint32(o.Priority), MaxPerTarget: toUint32(o.MaxPerTarget), Queue: o.Queue, SuspicionPermille: toPermille(o.Suspicion),
 	}
 	for _, t := range o.Tasks {
-		m.Tasks = append(m.Tasks, &pb.TaskAttempt{Index: uint32(t.Index), Attempt: uint32(t.Number)})
+		m.Tasks = append(m.Tasks, &pb.TaskAttempt{Index: toUint32(t.Index), Attempt: toUint32(t.Number)})
 	}
 	l.update(func(next *pb.RunOrder) { next.Starts = append(next.Starts, m) })
 }
@@ -57,7 +57,7 @@
 		}
 		id := s.Task
 		next.StopTasks = append(next.StopTasks, &pb.StopTask{
-			Job: id.Job, Occurrence: uint32(id.Occurrence), Step: uint32(id.Step), Index: uint32(id.Index), Attempt: uint32(s.Attempt),
+			Job: id.Job, Occurrence: toUint32(id.Occurrence), Step: toUint32(id.Step), Index: toUint32(id.Index), Attempt: toUint32(s.Attempt),
 		})
 	})
 }
--- a/restartable/link/wire.go
+++ b/restartable/link/wire.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"math"
 	"time"
 
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
@@ -39,10 +40,17 @@
 }
 
 func resourcesToProto(r task.Resources) *pb.Requirement {
-	return &pb.Requirement{CpuMillis: uint32(r.CPUMillis), MemoryMb: uint32(r.MemoryMB), Accelerators: uint32(r.Accelerators)}
+	return &pb.Requirement{CpuMillis: toUint32(r.CPUMillis), MemoryMb: toUint32(r.MemoryMB), Accelerators: toUint32(r.Accelerators)}
 }
 
-func toMillis(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+// toUint32 returns n, or the nearest value that a field of a frame can hold. A large
+// amount would count as a small one if its upper bits were dropped.
+func toUint32[N int | int64](n N) uint32 { return uint32(min(max(int64(n), 0), math.MaxUint32)) }
+
+func toMillis(d time.Duration) uint32 { return toUint32(d.Milliseconds()) }
+
+// toPermille returns a ratio in thousandths.
+func toPermille(ratio float64) uint32 { return uint32(min(max(ratio*1000, 0), math.MaxUint32)) }
 
 func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
