Test the platform's path beside malformed records and heartbeats

Two gateways and two agents run beside 200 malformed records in each topic of the store and 14 malformed heartbeats; a gateway and an agent restart, and a gateway outside the seeds joins.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -29,6 +29,7 @@
 	store     *standin.Store
 	storeAddr string
 	gateways  []*platformDaemon
+	agents    []*platformDaemon
 	targets   []*standin.Target
 }
 
@@ -120,6 +121,7 @@
 			StoreAddr: s.storeAddr, Seeds: seeds[:1], TargetAddr: server.Address(), Bounds: bounds,
 		}
 		p := &platformDaemon{node: n, run: daemon.RunPlatformAgent}
+		s.agents = append(s.agents, p)
 		p.start(t)
 		s.startHeartbeats(n.InternalAddr, x)
 	}
@@ -292,6 +294,36 @@
 	s.awaitReady(p)
 }
 
+// Guards against malformed records and heartbeats of another writer that end a process,
+// replace a target, or hide the gateways, the configuration or the drained zones from
+// processes that start later.
+func TestPlatformMalformedRecordsAndHeartbeats(t *testing.T) {
+	s := newPlatformDeployment(t, 2, 2)
+	s.store.PutMalformedRecords(200)
+	for _, a := range s.agents {
+		if n, err := standin.SendMalformedHeartbeats(t.Context(), a.node.InternalAddr, platformQueue.Service); n > 0 || err != nil {
+			t.Errorf("%s has acknowledged %d malformed heartbeats; %v", a.node.Name, n, err)
+		}
+	}
+	s.store.DrainZone(targetZone(1), true)
+	noStarts := func(starts int) bool { return starts == 0 }
+	s.awaitJobs("beside malformed records", 200, 1, noStarts)
+	for _, p := range []*platformDaemon{s.gateways[0], s.agents[0]} {
+		p.stop()
+		<-p.done
+		p.start(t)
+	}
+	n := *s.gateways[1].node
+	n.Name, n.ClientAddr, n.ReadinessAddr, n.LinkAddr, n.MetricsAddr = "gateway-new", freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	n.Seeds = []string{freeAddress(t)}
+	added := &platformDaemon{node: &n, run: daemon.RunPlatformGateway}
+	added.start(t)
+	s.awaitReady(added)
+	s.awaitReady(s.gateways[0])
+	s.awaitJobs("after restarts", 200, 1, noStarts)
+	s.checkNoViolations()
+}
+
 // awaitJobs submits jobs of three tasks to both gateways in turn until ten in a row are
 // answered with a status and the number of tasks that they start on a target is as
 // wanted. The time limit is only reached if the test fails.
