--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -38,12 +38,12 @@
 	// The start time is a fencing token that grows with each process of this VM.
 	// If the clock was set back, the target rejects the token and it is raised.
 	token := time.Now().UnixMilli()
-	store := platform.NewStore(n.StoreAddr)
+	store := platform.NewStore(n.StoreAddr, log)
 	a := &PlatformAgent{
 		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(boottime.Now, n.Seeds...),
 		registry: platform.NewGatewayRegistry(store), records: platform.NewTargetRecords(store, n.Name),
 	}
-	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr), token,
+	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr, log), token,
 		boottime.Now, log, newAttemptObserver(a.metrics.Scope), runner.DefaultOptions())
 	a.links = link.NewClient(n.Name, n.Zone, a.runner, a.gateways, log)
 	return a
@@ -53,7 +53,7 @@
 // shutdown time is over.
 func (a *PlatformAgent) Run(ctx context.Context, env Env) error {
 	set := &serverSet{env: env}
-	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner), false)
+	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner, a.log), false)
 	set.add(a.node.MetricsAddr, a.metrics.Handler, false)
 	if set.err != nil {
 		events.ListenFailed.Log(a.log).Err(set.err).Send()
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -37,9 +37,13 @@
 	mu      sync.Mutex
 	running map[runner.Attempt]time.Time // with the time of the end
 	ends    []runner.End
+	// incarnation is that of testTarget until restart.
+	incarnation int64
 }
 
-func newFakeTarget() *fakeTarget { return &fakeTarget{running: map[runner.Attempt]time.Time{}} }
+func newFakeTarget() *fakeTarget {
+	return &fakeTarget{running: map[runner.Attempt]time.Time{}, incarnation: testTarget.Incarnation}
+}
 
 func (f *fakeTarget) Start(_ context.Context, _ runner.Target, s runner.Start, _, _ int64) (runner.StartResult, int64, error) {
 	f.mu.Lock()
@@ -55,10 +59,11 @@
 	return 1, nil
 }
 
-// restart ends all runs without a trace, as a new process of the target does.
-func (f *fakeTarget) restart() {
+// restart begins an incarnation, which has no runs.
+func (f *fakeTarget) restart(incarnation int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.incarnation = incarnation
 	clear(f.running)
 	f.ends = nil
 }
@@ -71,11 +76,11 @@
 	}
 }
 
-func (f *fakeTarget) Poll(_ context.Context, t runner.Target, req runner.PollRequest) (runner.PollReply, error) {
+func (f *fakeTarget) Poll(_ context.Context, _ runner.Target, req runner.PollRequest) (runner.PollReply, error) {
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := runner.PollReply{Clock: 1, Incarnation: t.Incarnation}
+	reply := runner.PollReply{Clock: 1, Incarnation: f.incarnation}
 	for a, due := range f.running {
 		if time.Now().After(due) {
 			f.end(a, task.Done)
@@ -395,8 +400,9 @@
 			t.Fatal("the job does not run")
 		}
 	}
-	f.restart()
-	for incarnation := int64(2); incarnation <= 3; incarnation++ {
+	const lastIncarnation = 3
+	f.restart(lastIncarnation)
+	for incarnation := testTarget.Incarnation + 1; incarnation <= lastIncarnation; incarnation++ {
 		restarted := testTarget
 		restarted.Incarnation = incarnation
 		r.Heartbeat(restarted)
