Return queued tasks that need more than a shrunk target has

Callers could see: a job that is answered at its deadline although other targets have room, after the target at which one of its tasks waits has shrunk below what the task needs. Cause: the agent's queue compares a task with the free capacity only, so that one that can never fit waits until its time in the queue has passed; for jobs that have started that is the deadline. Change: such a task is reported as not started (too_large), on arrival too, and the gateway, which has the new capacity in the same frame, places it elsewhere. Evidence: TestTasksThatNoLongerFitOnAShrunkTargetAreReturned failed before (no report on the task). Three more tests of a shrunk target passed before: nothing starts until enough has ended, queued tasks start when it grows back, backlog counts by the new size and speed stays.

--- a/restartable/runner/queue.go
+++ b/restartable/runner/queue.go
@@ -42,6 +42,8 @@
 			c.finish(now, r, task.NotStarted, task.ReasonGatewayLost)
 		case now > r.queueUntil:
 			c.finish(now, r, task.NotStarted, task.ReasonExpired)
+		case !r.Needs.Within(c.target.Capacity):
+			c.finish(now, r, task.NotStarted, task.ReasonTooLarge)
 		case c.fits(now, r):
 			c.startRun(now, r)
 		}
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -95,6 +95,7 @@
 	ReasonGatewayLost Reason = "gateway_out"  // the gateway's lease expired
 	ReasonUnlinked    Reason = "unlinked"     // the agent is closing its link to the gateway
 	ReasonZoneDrained Reason = "zone_drained" // the agent's availability zone is drained
+	ReasonTooLarge    Reason = "too_large"    // it needs more than the target's whole capacity, which may have shrunk
 )
 
 // Reasons for Lost.
