Start nothing by a capacity that may be outdated

Callers could see nothing; a target could be filled over its capacity. Found by reading, no run showed it. Cause: an agent starts by the capacity of the newest heartbeat, however old, and after a restart by the stored one until the next heartbeat. The target may have shrunk while the agent was down or suspended, or while the store was away so that the record was not written. Change: a restored target can be listed, but starts wait for its next heartbeat. Without a heartbeat for HeartbeatTimeout the agent stops accepting; heartbeats come every 1.5 s. A lapsed lease of a gateway stays the first reason of a returned task. The emulator's targets now send heartbeats. Evidence: with capacityKnown always true, as before, TestRestartedAgentStartsNothingBeforeTheNextHeartbeat and TestNothingStartsByTheCapacityOfAnOldHeartbeat fail. Result: an agent that restarts waits for up to one heartbeat before it starts tasks.

--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -105,6 +105,8 @@
 	reportInterval = 150 * time.Millisecond
 	echoInterval   = 200 * time.Millisecond
 	tickInterval   = 20 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats of a target.
+	heartbeatInterval = 1500 * time.Millisecond
 	// jobSigma and estimateSigma are standard deviations of the logarithms of the
 	// size of jobs (run time and number of tasks) and of the errors of their
 	// estimates.
@@ -222,9 +224,18 @@
 			f.attach(t, byName[name], description)
 		}
 		f.repeat(tickInterval, func() { f.atTarget(t, func(c *runner.Core) { c.Tick(f.Now) }) })
+		f.After(heartbeatInterval, func() { f.heartbeat(t) })
 	}
 }
 
+// heartbeat sends a heartbeat of a target, unless it is down, and schedules the next.
+func (f *Fleet) heartbeat(t *target) {
+	if !t.down {
+		f.atTarget(t, func(c *runner.Core) { c.Heartbeat(f.Now, t.description) })
+	}
+	f.After(heartbeatInterval, func() { f.heartbeat(t) })
+}
+
 func (f *Fleet) attach(t *target, g *gateway, description runner.Target) {
 	l := &link{name: t.name + ">" + g.name, gateway: g, target: t, stamp: f.Now}
 	t.links = append(t.links, l)
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -22,7 +22,10 @@
 	// hasTarget is false until the first heartbeat and after an incarnation has
 	// ended.
 	hasTarget bool
-	reachable bool
+	// heartbeatAt is when its newest heartbeat arrived; 0 if the target was only
+	// restored from a record.
+	heartbeatAt time.Duration
+	reachable   bool
 	// silent is set while calls get no answer, since silentSince.
 	silent      bool
 	silentSince time.Duration
@@ -70,11 +73,11 @@
 
 // Accepting reports whether new starts are accepted, to begin now or from the
 // queue, and if not, the reason.
-func (c *Core) Accepting() (bool, task.Reason) {
+func (c *Core) Accepting(now time.Duration) (bool, task.Reason) {
 	switch {
 	case c.stopping:
 		return false, task.ReasonStopping
-	case !c.hasTarget || !c.reachable:
+	case !c.hasTarget || !c.reachable || !c.capacityKnown(now):
 		return false, task.ReasonNoTarget
 	case c.target.Draining:
 		return false, task.ReasonDraining
@@ -116,10 +119,27 @@
 	if !c.hasTarget {
 		c.synced = false
 	}
-	c.target, c.hasTarget = t, true
+	c.target, c.hasTarget, c.heartbeatAt = t, true, now
 	c.processQueue(now)
 }
 
+// RestoreTarget sets the target from a record, unless a heartbeat has arrived. Its
+// runs can be listed, but nothing starts before its next heartbeat: its capacity may
+// have shrunk since the record was written. It reports whether it set the target.
+func (c *Core) RestoreTarget(t Target) bool {
+	if c.hasTarget {
+		return false
+	}
+	c.target, c.hasTarget, c.heartbeatAt, c.synced = t, true, 0, false
+	return true
+}
+
+// capacityKnown reports whether a heartbeat is so recent that the target has at least
+// the capacity that it says.
+func (c *Core) capacityKnown(now time.Duration) bool {
+	return c.heartbeatAt > 0 && now-c.heartbeatAt <= c.opts.HeartbeatTimeout
+}
+
 // RestoreSpeed applies the speed that an earlier process of this agent estimated
 // for a target of this VM.
 func (c *Core) RestoreSpeed(stored Record) {
@@ -171,7 +191,7 @@
 // Submit queues the starts requested by a gateway, or refuses them. The stamp is
 // the newest one that the gateway had received when it sent the request.
 func (c *Core) Submit(now time.Duration, gateway string, stamp time.Duration, starts []Start) {
-	ok, reason := c.Accepting()
+	ok, reason := c.Accepting(now)
 	if ok && now-stamp > c.opts.MaxOrderAge {
 		ok, reason = false, task.ReasonStale
 	}
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -524,7 +524,7 @@
 	}
 	wantAccepting := func(want bool, reason task.Reason) {
 		t.Helper()
-		if ok, why := r.core.Accepting(); ok != want || why != reason {
+		if ok, why := r.core.Accepting(r.now); ok != want || why != reason {
 			t.Fatalf("accepting %v (%s), want %v (%s)", ok, why, want, reason)
 		}
 	}
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -19,6 +19,9 @@
 	// not answered, it can no longer take effect: the deadline that it carried
 	// has then passed on the target's clock.
 	UnansweredTimeout time.Duration
+	// HeartbeatTimeout is the time without a heartbeat of the target after which
+	// nothing starts, since its capacity may have shrunk.
+	HeartbeatTimeout time.Duration
 	// SlownessMax is the upper bound of the estimated ratio of measured to
 	// expected run times; its inverse is the lower bound.
 	SlownessMax float64
@@ -31,6 +34,7 @@
 		GatewayLease:      900 * time.Millisecond,
 		MaxOrderAge:       500 * time.Millisecond,
 		UnansweredTimeout: 1200 * time.Millisecond,
+		HeartbeatTimeout:  4 * time.Second,
 		SlownessMax:       50,
 	}
 }
--- a/restartable/runner/queue.go
+++ b/restartable/runner/queue.go
@@ -32,14 +32,14 @@
 // processQueue starts the queued tasks that fit, in queue order, and reports
 // those that can no longer start.
 func (c *Core) processQueue(now time.Duration) {
-	accepting, reason := c.Accepting()
+	accepting, reason := c.Accepting(now)
 	// finish and startRun remove elements from c.queue, hence the copy.
 	for _, r := range slices.Clone(c.queue) {
 		switch {
-		case !accepting:
-			c.finish(now, r, task.NotStarted, reason)
 		case now > c.leaseExpiry[r.gateway]:
 			c.finish(now, r, task.NotStarted, task.ReasonGatewayLost)
+		case !accepting:
+			c.finish(now, r, task.NotStarted, reason)
 		case now > r.queueUntil:
 			c.finish(now, r, task.NotStarted, task.ReasonExpired)
 		case !r.Needs.Within(c.target.Capacity):
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -280,6 +280,11 @@
 		}
 		r.notifyLoadChanged()
 	})
+	r.wakePollLoop()
+}
+
+// wakePollLoop ends the poll loop's wait for a target.
+func (r *Runner) wakePollLoop() {
 	select {
 	case r.heartbeatReceived <- struct{}{}:
 	default:
@@ -288,15 +293,17 @@
 
 // Restore applies the record that an earlier process of this agent saved: the
 // target, unless a heartbeat has already arrived, and the estimate of its speed.
-// The first poll shows whether that incarnation of the target still exists.
+// The first poll shows whether that incarnation of the target still exists, and its
+// next heartbeat, from when on tasks start, which capacity it has now.
 func (r *Runner) Restore(stored Record) {
-	if _, known := r.Target(); !known {
-		r.Heartbeat(stored.Target)
-	}
-	r.apply(func(c *Core, _ time.Duration) {
+	r.apply(func(c *Core, now time.Duration) {
+		if c.RestoreTarget(stored.Target) {
+			r.lastPollAnswer = now
+		}
 		c.RestoreSpeed(stored)
 		r.notifyLoadChanged()
 	})
+	r.wakePollLoop()
 	events.TargetRecalled.Log(r.log).Str("target", stored.Target.ID).Int64("born", stored.Target.Incarnation).
 		Float64("slowness", stored.Speed.Slowness).Int("samples", stored.Speed.Samples).Send()
 }
--- a/restartable/runner/shrink_test.go
+++ b/restartable/runner/shrink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
@@ -81,3 +82,37 @@
 		t.Errorf("load %+v, was %+v", after, before)
 	}
 }
+
+// Guards against a restarted agent that fills its target by a stored capacity: the target
+// may have shrunk while the agent was down, or while the record could not be written.
+func TestRestartedAgentStartsNothingBeforeTheNextHeartbeat(t *testing.T) {
+	r := &coreHarness{t: t, core: NewCore(DefaultCoreOptions()), now: 10 * time.Second}
+	r.core.RestoreTarget(smallTarget)
+	r.core.RenewGatewayLease("g", r.now)
+	r.applyRunning()
+	r.submit(newStart("early", 0, 8000))
+	r.wantReport("early", task.NotStarted, task.ReasonNoTarget)
+	r.resize(5000)
+	r.submit(newStart("small", 0, 5000), newStart("large", 0, 8000))
+	r.wantStarted("small")
+	r.wantReport("large", task.NotStarted, task.ReasonTooLarge)
+}
+
+// Guards against starts by the capacity of an old heartbeat: an agent whose VM was
+// suspended, or that gets no heartbeats, does not see that its target shrinks.
+func TestNothingStartsByTheCapacityOfAnOldHeartbeat(t *testing.T) {
+	r := newCoreHarness(t)
+	r.advance(DefaultCoreOptions().HeartbeatTimeout - ms)
+	r.core.RenewGatewayLease("g", r.now)
+	r.submit(newStart("recent", 0, 1000))
+	r.wantStarted("recent")
+	r.advance(ms)
+	r.submit(newStart("late", 0, 1000))
+	r.wantReport("late", task.NotStarted, task.ReasonNoTarget)
+	if l := r.core.Load(r.now); l.Accepting {
+		t.Error("the gateways are told that the target accepts tasks")
+	}
+	r.resize(5000)
+	r.submit(newStart("known", 0, 1000))
+	r.wantStarted("recent", "known")
+}
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -191,7 +191,7 @@
 // Load returns the current load.
 func (c *Core) Load(now time.Duration) Load {
 	l := Load{Committed: c.used.Plus(c.waiting), Queued: len(c.queue), Running: len(c.runs) - len(c.queue)}
-	l.Accepting, l.Reason = c.Accepting()
+	l.Accepting, l.Reason = c.Accepting(now)
 	sp := c.stats.summary(now, c.elapsedRatios(now))
 	l.Slowness, l.Anomaly, l.Samples, l.FailedShare = sp.slowness, sp.anomaly, sp.samples, sp.failedShare
 	slowness := sp.slowness * sp.anomaly
