Emulator: agents report crashes to all gateways at once

The link sends a crash with its next frame and wakes the writer for it; the emulator's agents kept it for the next frame with a load, up to 50 ms later.

--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -328,6 +328,11 @@
 	for _, r := range a.Reports {
 		f.report(t, r)
 	}
+	if len(a.Crashes) > 0 {
+		for _, l := range t.links {
+			f.send(l)
+		}
+	}
 	if len(a.Starts)+len(a.Reports) > 0 {
 		for _, l := range t.links {
 			f.scheduleLoad(l)
