Confine a queue as soon as one of its jobs is found to crash its targets

Cause: the gateways took up what they knew at the next periodic update, up to 100 ms later. Change: finding a job updates the confinement in the same event.

--- a/restartable/dispatch/bulkhead.go
+++ b/restartable/dispatch/bulkhead.go
@@ -137,9 +137,6 @@
 // updateBulkheads decides which queues are confined, and to which targets.
 func (c *Core) updateBulkheads(now time.Duration) {
 	b := &c.bulkheads
-	if now-b.updatedAt < statsInterval {
-		return
-	}
 	b.updatedAt = now
 	for _, a := range c.agents {
 		a.reservedFor = ""
--- a/restartable/dispatch/bulkhead_test.go
+++ b/restartable/dispatch/bulkhead_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// Guards against a queue that goes on taking down targets after its first crashing job has
+// been found: it was confined at the next periodic update, up to 100 ms later.
+func TestQueueIsConfinedAsSoonAsACrashingJobIsFound(t *testing.T) {
+	const agents = 8
+	r := newCrashRig(t, agents)
+	r.useOf("good", 15)
+	r.useOf("bad", 5)
+	r.tickFor(200*ms, agents)
+	r.crashingJob("one", "bad")
+	if bad := r.useOf("bad", 40); len(bad) > agents/2 {
+		t.Errorf("the queue uses %d of %d targets right after its job was found: %v", len(bad), agents, bad)
+	}
+}
+
 // Guards against a confined queue that gets no target at all, since its service has few,
 // or since another queue has reserved them.
 func TestConfinedQueueKeepsATarget(t *testing.T) {
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -275,7 +275,9 @@
 	c.detectSuspension(now)
 	c.lastTickAt = now
 	c.crashes.prune(now)
-	c.updateBulkheads(now)
+	if now-c.bulkheads.updatedAt >= statsInterval {
+		c.updateBulkheads(now)
+	}
 	for _, j := range sortedJobs(c.jobs) {
 		if now >= j.deadline-c.opts.AnswerMargin {
 			c.abort(now, j, CauseDeadline)
--- a/restartable/dispatch/crashes.go
+++ b/restartable/dispatch/crashes.go
@@ -169,12 +169,18 @@
 		return
 	}
 	at := now - crash.Age
+	found := false
 	for _, r := range c.crashes.add(at, a.Name, crash) {
 		// Gateways of earlier releases do not name the queue.
 		if r.Queue != "" {
 			c.bulkheads.jobCrashes(at, queueKey{a.target.Service, r.Queue})
+			found = true
 		}
 	}
+	if found {
+		// The next jobs of the queue may crash further targets.
+		c.updateBulkheads(now)
+	}
 }
 
 // giveUpCrashing answers a job whose tasks crash their targets or whose attempts are
