Keep the estimated speed of a target that shrinks

Callers could see late jobs on a slow target that got as many tasks as a fast one. Cause: an estimate is dropped if the capacity differs, since the target is then another one; a target that had shrunk when it crashed or when its agent restarted looked like that, and counted as of average speed for its first twenty runs. Change: within one incarnation an estimate always applies; between incarnations the full capacities are compared, the largest that each has reported. The record holds the full capacity, which is safe since nothing starts by a restored one; shrinking needs no write to the store. Evidence: TestSpeedOfAShrunkTargetIsKept, all three cases failed before (1.00 in place of 1.70).

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -113,9 +113,9 @@
 )
 
 // maintainRecord loads the target's record that an earlier process stored, and
-// saves it when the target's incarnation or capacity changes or its speed estimate
-// changes significantly. Nothing is saved before the record has been loaded, since
-// that would overwrite what the earlier process had learned.
+// saves it when the target's incarnation or full capacity changes or its speed
+// estimate changes significantly. Nothing is saved before the record has been loaded,
+// since that would overwrite what the earlier process had learned.
 func (a *PlatformAgent) maintainRecord(ctx context.Context) {
 	saved, ok := a.loadRecord(ctx)
 	if !ok {
@@ -124,9 +124,7 @@
 	var written time.Time
 	for ctx.Err() == nil {
 		wait.For(ctx, recordCheckInterval)
-		t, known := a.runner.Target()
-		// Draining is not stored; a new process learns it from heartbeats.
-		t.Draining = false
+		t, known := a.runner.RecordTarget()
 		next := saved.Update(t, a.runner.Speed())
 		sameTarget, sameSpeed := t.Equal(saved.Target), next.Speed == saved.Speed
 		if !known || sameTarget && (sameSpeed || time.Since(written) < speedSaveInterval) {
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -25,7 +25,9 @@
 	// heartbeatAt is when its newest heartbeat arrived; 0 if the target was only
 	// restored from a record.
 	heartbeatAt time.Duration
-	reachable   bool
+	// fullCapacity is the largest capacity that the incarnation has reported.
+	fullCapacity task.Resources
+	reachable    bool
 	// silent is set while calls get no answer, since silentSince.
 	silent      bool
 	silentSince time.Duration
@@ -110,16 +112,16 @@
 		c.endIncarnation(now)
 		// Statistics of a target of another capacity or kind start afresh, from
 		// the part of the old estimate that is likely to apply.
-		estimate := c.Speed(now).forTarget(c.target, t)
+		estimate := c.Speed(now).forTarget(c.FullTarget(), t)
 		if estimate.Samples < c.stats.samples {
 			c.stats = newStatistics(c.opts.SlownessMax)
 			c.stats.restore(estimate)
 		}
 	}
 	if !c.hasTarget {
-		c.synced = false
+		c.synced, c.fullCapacity = false, task.Resources{}
 	}
-	c.target, c.hasTarget, c.heartbeatAt = t, true, now
+	c.target, c.hasTarget, c.heartbeatAt, c.fullCapacity = t, true, now, c.fullCapacity.Max(t.Capacity)
 	c.processQueue(now)
 }
 
@@ -130,7 +132,7 @@
 	if c.hasTarget {
 		return false
 	}
-	c.target, c.hasTarget, c.heartbeatAt, c.synced = t, true, 0, false
+	c.target, c.hasTarget, c.heartbeatAt, c.synced, c.fullCapacity = t, true, 0, false, t.Capacity
 	return true
 }
 
@@ -143,9 +145,13 @@
 // RestoreSpeed applies the speed that an earlier process of this agent estimated
 // for a target of this VM.
 func (c *Core) RestoreSpeed(stored Record) {
-	if c.hasTarget {
-		c.stats.restore(stored.Speed.forTarget(stored.Target, c.target))
+	if !c.hasTarget {
+		return
 	}
+	if c.target.sameIncarnation(stored.Target) {
+		c.fullCapacity = c.fullCapacity.Max(stored.Target.Capacity)
+	}
+	c.stats.restore(stored.Speed.forTarget(stored.Target, c.FullTarget()))
 }
 
 // Speed returns the estimate of the target's speed.
@@ -165,6 +171,14 @@
 // Target returns the target of the newest heartbeat.
 func (c *Core) Target() (Target, bool) { return c.target, c.hasTarget }
 
+// FullTarget returns the target with the capacity that it has when it has not shrunk. It
+// tells whether a later incarnation is of the same size.
+func (c *Core) FullTarget() Target {
+	t := c.target
+	t.Capacity = c.fullCapacity
+	return t
+}
+
 // endIncarnation reports all started runs as lost: a new incarnation of a target
 // has no runs.
 func (c *Core) endIncarnation(now time.Duration) {
--- a/restartable/runner/record.go
+++ b/restartable/runner/record.go
@@ -3,7 +3,7 @@
 import "math"
 
 // Record is what an agent stores about its target so that a later process can
-// restore it.
+// restore it. The target has its full capacity there, also while it has shrunk.
 type Record struct {
 	Target Target
 	Speed  SpeedEstimate
@@ -32,9 +32,10 @@
 )
 
 // forTarget returns the part of an estimate, made for the target estimatedFor,
-// that applies to a target t of the same VM.
+// that applies to a target t of the same VM. Both are given with their full capacity.
 func (e SpeedEstimate) forTarget(estimatedFor, t Target) SpeedEstimate {
 	switch {
+	case t.sameIncarnation(estimatedFor):
 	case !t.sameCapacity(estimatedFor):
 		return SpeedEstimate{}
 	case t.Kind != estimatedFor.Kind:
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -328,6 +328,17 @@
 	return r.core.Target()
 }
 
+// RecordTarget returns the target as it is stored, with its full capacity, and false if
+// there is none.
+func (r *Runner) RecordTarget() (Target, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.core.FullTarget()
+	// Draining is not stored; a new process learns it from heartbeats.
+	t.Draining = false
+	return t, r.core.hasTarget
+}
+
 // Load returns the target, its load and the time at which both were read.
 func (r *Runner) Load() (Target, Load, time.Duration) {
 	r.mu.Lock()
--- a/restartable/runner/shrink_test.go
+++ b/restartable/runner/shrink_test.go
@@ -116,3 +116,44 @@
 	r.submit(newStart("known", 0, 1000))
 	r.wantStarted("recent", "known")
 }
+
+// Guards against a slow target that is taken to be as fast as the others after it has
+// crashed, or its agent has restarted, while it had shrunk: the estimate counted as one of
+// a target of another size.
+func TestSpeedOfAShrunkTargetIsKept(t *testing.T) {
+	const slowness = 1.7
+	record := Record{Target: smallTarget, Speed: SpeedEstimate{Slowness: slowness, Samples: 40}}
+	shrunk, next := smallTarget, smallTarget
+	shrunk.Seq, shrunk.Capacity.CPUMillis = 1, smallTarget.Capacity.CPUMillis/2
+	next.Incarnation++
+	cases := map[string]func(r *coreHarness){
+		"the target restarts": func(r *coreHarness) {
+			r.core.RestoreSpeed(record)
+			r.core.Heartbeat(r.now, shrunk)
+			r.core.Heartbeat(r.now, next)
+		},
+		"the agent restarts": func(r *coreHarness) {
+			r.core = NewCore(DefaultCoreOptions())
+			r.core.Heartbeat(r.now, shrunk)
+			r.core.RestoreSpeed(record)
+		},
+		"both restart": func(r *coreHarness) {
+			r.core.RestoreSpeed(record)
+			r.core.Heartbeat(r.now, shrunk)
+			stored := record.Update(r.core.FullTarget(), r.core.Speed(r.now))
+			r.core = NewCore(DefaultCoreOptions())
+			r.core.RestoreTarget(stored.Target)
+			r.core.RestoreSpeed(stored)
+			r.core.Heartbeat(r.now, next)
+		},
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newCoreHarness(t)
+			run(r)
+			if got := r.core.Load(r.now).Slowness; got < slowness-0.01 {
+				t.Errorf("slowness %.2f, want %.2f", got, slowness)
+			}
+		})
+	}
+}
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -26,6 +26,11 @@
 	return Resources{r.CPUMillis - o.CPUMillis, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger one of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPUMillis, o.CPUMillis), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Within reports whether every resource in r is at most that in limit.
 func (r Resources) Within(limit Resources) bool {
 	return r.CPUMillis <= limit.CPUMillis && r.MemoryMB <= limit.MemoryMB && r.Accelerators <= limit.Accelerators
