Property test of the agent's core: the capacity changes, and heartbeats go on

Without heartbeats the core starts nothing after HeartbeatTimeout, so that the test saw only the first four seconds. The target now reports its capacity at each step, and it changes at random; a start may use the largest one since it was requested.

--- a/restartable/runner/property_test.go
+++ b/restartable/runner/property_test.go
@@ -45,13 +45,14 @@
 
 // start handles a start request, which may be late. It returns whether it was
 // accepted.
-func (m *modelTarget) start(s Start, deadline time.Duration) bool {
+func (m *modelTarget) start(p pendingStart) bool {
 	m.expireLease()
+	s := p.start
 	a := Attempt{s.Task, s.Attempt}
-	if s.Attempt <= m.refusedUpTo[s.Task] || deadline <= m.now {
+	if s.Attempt <= m.refusedUpTo[s.Task] || p.deadline <= m.now {
 		return false
 	}
-	m.deadline = max(m.deadline, deadline)
+	m.deadline = max(m.deadline, p.deadline)
 	m.running[a] = s
 	var used task.Resources
 	for other, o := range m.running {
@@ -60,7 +61,7 @@
 			m.violations = append(m.violations, "two runs of "+a.Task.String())
 		}
 	}
-	if !used.Within(smallTarget.Capacity) {
+	if !used.Within(p.capacity) {
 		m.violations = append(m.violations, fmt.Sprintf("over capacity: %+v", used))
 	}
 	return true
@@ -75,9 +76,11 @@
 // simulation connects a core with a simulated target. Calls stay pending until
 // the test delivers them, loses their answers or delays them.
 type simulation struct {
-	core        *Core
-	target      *modelTarget
-	now         time.Duration
+	core   *Core
+	target *modelTarget
+	now    time.Duration
+	// capacity is the target's current one.
+	capacity    task.Resources
 	starts      []pendingStart
 	lateStarts  []pendingStart
 	stops       []Attempt
@@ -89,6 +92,8 @@
 type pendingStart struct {
 	start    Start
 	deadline time.Duration
+	// capacity is the target's largest capacity since the start was requested.
+	capacity task.Resources
 }
 
 const modelLease = 900 * ms
@@ -96,7 +101,7 @@
 func (w *simulation) collect() {
 	a := w.core.Take()
 	for _, s := range a.Starts {
-		w.starts = append(w.starts, pendingStart{s, w.now + modelLease})
+		w.starts = append(w.starts, pendingStart{s, w.now + modelLease, w.capacity})
 	}
 	w.stops = append(w.stops, a.Stops...)
 	for _, r := range a.Reports {
@@ -112,10 +117,29 @@
 	w.target.now = w.now
 	w.target.expireLease()
 	w.core.RenewGatewayLease("g", w.now)
+	w.heartbeat()
 	w.core.Tick(w.now)
 	w.collect()
 }
 
+func (w *simulation) heartbeat() {
+	t := smallTarget
+	t.Capacity = w.capacity
+	w.core.Heartbeat(w.now, t)
+}
+
+// resize changes the target's capacity, which the next heartbeat reports at once.
+func (w *simulation) resize(t *rapid.T) {
+	w.capacity.CPUMillis = int64(rapid.SampledFrom([]int{3000, 5000, 10_000, 12_000}).Draw(t, "capacity"))
+	for _, pending := range [][]pendingStart{w.starts, w.lateStarts} {
+		for i := range pending {
+			pending[i].capacity = pending[i].capacity.Max(w.capacity)
+		}
+	}
+	w.heartbeat()
+	w.collect()
+}
+
 func takeRandom[T any](t *rapid.T, label string, from *[]T) (T, bool) {
 	var zero T
 	if len(*from) == 0 {
@@ -153,7 +177,7 @@
 	result := StartUnanswered
 	switch delivery {
 	case "answered", "answer lost":
-		accepted := w.target.start(p.start, p.deadline)
+		accepted := w.target.start(p)
 		if delivery == "answered" {
 			result = StartRefused
 			if accepted {
@@ -201,24 +225,24 @@
 }
 
 // Guards against exceeding the target's capacity, and against two concurrent runs
-// of one task, under lost, delayed and reordered calls.
+// of one task, under lost, delayed and reordered calls while the capacity changes.
 func TestCapacityAndSingleRunsHoldUnderLostAndReorderedCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &simulation{
-			core: NewCore(DefaultCoreOptions()), now: 10 * time.Second, reports: map[Attempt]task.Outcome{}, lastAttempt: map[task.ID]int{},
+			core: NewCore(DefaultCoreOptions()), now: 10 * time.Second, capacity: smallTarget.Capacity, reports: map[Attempt]task.Outcome{}, lastAttempt: map[task.ID]int{},
 			target: &modelTarget{running: map[Attempt]Start{}, refusedUpTo: map[task.ID]int{}},
 		}
-		w.core.Heartbeat(w.now, smallTarget)
 		w.advance(ms)
 		t.Repeat(map[string]func(*rapid.T){
 			"order":         w.submit,
+			"resized":       w.resize,
 			"start arrives": w.deliverStart,
 			"stop arrives":  w.deliverStop,
 			"look":          func(*rapid.T) { w.takeSnapshot() },
 			"look answered": w.deliverSnapshot,
 			"late start": func(t *rapid.T) {
 				if p, ok := takeRandom(t, "late", &w.lateStarts); ok {
-					w.target.start(p.start, p.deadline)
+					w.target.start(p)
 				}
 			},
 			"run ends": func(t *rapid.T) {
