Serve requests that arrive while a stopping gateway closes connections

Cause: http.Server.Shutdown closes a connection as idle until its next request has been parsed, so also after the request has been read, and drops each request that is parsed afterwards.

Now the connections of callers are drained before Shutdown: the listener closes, a connection with a request in progress or a new one stays open until its response, and the read for the next request of an idle one is ended by its deadline and looks once more into the receive buffer. What is there is served, so that a request is either answered or has not been read. The same holds for connections that close after idleTimeout.

Weighed: keeping idle connections to the end of the grace period only moves the moment of the close, and requests that are read so late cannot all be answered. Half-closing first reads requests that can no longer be answered. The stop takes as long as before.

--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -26,9 +26,9 @@
 type boundServer struct {
 	listener net.Listener
 	http     *http.Server
-	// callers marks the server of the callers' API. It shuts down gracefully and
-	// uses TCP keep-alive to detect callers that have disconnected.
-	callers bool
+	// callers is the listener of the callers' API, whose server shuts down gracefully;
+	// nil for other servers.
+	callers *callerListener
 }
 
 // headerTimeout limits the time for reading a request header, idleTimeout the
@@ -47,19 +47,6 @@
 	Enable: true, Idle: time.Second, Interval: time.Second, Count: int(idleTimeout / time.Second),
 }
 
-// keepAliveListener enables callerKeepAlive on the connections that it accepts.
-type keepAliveListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l keepAliveListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if t, ok := c.(*net.TCPConn); ok && err == nil {
-		// A connection without keep-alive can still be served.
-		_ = t.SetKeepAliveConfig(callerKeepAlive)
-	}
-	return c, err
-}
-
 func (s *serverSet) add(address string, h http.Handler, callers bool) {
 	if s.err != nil {
 		return
@@ -69,16 +56,19 @@
 		s.err = err
 		return
 	}
-	if callers {
-		l = keepAliveListener{l}
-	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s.servers = append(s.servers, &boundServer{listener: l, callers: callers, http: &http.Server{
+	// Callers use HTTP/1.1 only.
+	protocols.SetUnencryptedHTTP2(!callers)
+	b := &boundServer{listener: l, http: &http.Server{
 		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: httpapi.DefaultServerLimits().HeaderBytes,
-	}})
+	}}
+	if callers {
+		b.callers = newCallerListener(l)
+		b.listener, b.http.ConnState = b.callers, trackIdle
+	}
+	s.servers = append(s.servers, b)
 }
 
 // start serves in the background until stop or close. A server that fails for
@@ -86,24 +76,24 @@
 func (s *serverSet) start(wg *sync.WaitGroup, log zerolog.Logger) {
 	for _, b := range s.servers {
 		wg.Go(func() {
-			if err := b.http.Serve(b.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := b.http.Serve(b.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				events.ListenFailed.Log(log).Str("address", b.listener.Addr().String()).Err(err).Send()
 			}
 		})
 	}
 }
 
-// stop waits for readinessNotice, shuts the callers' server down gracefully and
-// then closes the other servers. It takes at most limit; requests still in
-// progress then are aborted.
+// stop waits for readinessNotice, drains the callers' connections and then closes
+// the other servers. It takes at most limit; requests still in progress then are
+// aborted.
 func (s *serverSet) stop(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	wait.For(ctx, readinessNotice)
 	var shutdownErr error
 	for _, b := range s.servers {
-		if b.callers {
-			shutdownErr = errors.Join(shutdownErr, b.http.Shutdown(ctx))
+		if b.callers != nil {
+			shutdownErr = errors.Join(shutdownErr, b.callers.drain(ctx), b.http.Shutdown(ctx))
 		}
 	}
 	return errors.Join(shutdownErr, s.close())
