Tell unread requests from lost ones in the soak

The soak counted each request without an answer around a planned stop as lost. By the platform's rule only one that the gateway has read is lost: one that arrives as the gateway closes an idle connection may stay unread.

The caller's socket shows the difference: a socket that is closed with unread bytes, or gets bytes after its close, sends a reset; one that has read everything ends with a FIN. A missing answer is now explained only if the gateway was stopping as planned and its socket sent a reset; such submissions are counted as "not read". All other missing answers are reported as before, also those of requests that were read.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"slices"
 	"sync"
@@ -121,6 +122,8 @@
 	at, ended time.Time
 	answer    standin.Answer
 	err       error
+	// conn is the connection of the last request that was sent for the submission.
+	conn *callerConn
 }
 
 func (c *callers) newJob(r *rand.Rand) *job {
@@ -212,6 +215,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout+slack)
 	defer cancel()
 	s := &send{gateway: cl.gateway, at: time.Now()}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { s.conn, _ = i.Conn.(*callerConn) }})
 	caller := cl.load.system.caller(cl.gateway, jobQueue)
 	caller.HTTPClient = cl.http
 	s.answer, s.err = caller.Send(ctx, j.Job)
@@ -226,6 +230,11 @@
 	silent atomic.Bool
 	once   sync.Once
 	closed chan struct{}
+
+	mu sync.Mutex // held while the connection is written or closed
+	// reset is true if the gateway's socket had sent a reset before the caller closed
+	// the connection.
+	reset bool
 }
 
 // Read implements net.Conn.
@@ -243,6 +252,8 @@
 	if k.silent.Load() {
 		return len(b), nil
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return k.Conn.Write(b)
 }
 
@@ -253,9 +264,37 @@
 	if k.silent.Load() {
 		return nil
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reset = k.reset || wasReset(k.Conn.(*net.TCPConn))
 	return k.Conn.Close()
 }
 
+// wasReset reports whether the peer has reset an open connection. A socket sends a
+// reset if it is closed before all received bytes have been read, or if bytes arrive
+// after its close. Loopback delivers the reset before the peer's next system call.
+func wasReset(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	var failed error
+	err = raw.Control(func(fd uintptr) { info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return errors.Join(err, failed) == nil && info.State == unix.BPF_TCP_CLOSE
+}
+
+// wasUnread reports whether the gateway cannot have read the whole request of a
+// submission without an answer.
+func (s *send) wasUnread() bool {
+	if s.conn == nil {
+		return false
+	}
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	return s.conn.reset
+}
+
 // resetConnection closes a connection with a reset.
 func resetConnection(k *callerConn) {
 	_ = k.Conn.(*net.TCPConn).SetLinger(0)
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -278,6 +278,7 @@
 // faultMax longer.
 func (s *system) terminate(n *node) {
 	began := time.Now()
+	defer n.beginStop()()
 	n.Signal(syscall.SIGTERM)
 	select {
 	case <-n.Ended():
