--- a/integration/soak/schedule_test.go
+++ b/integration/soak/schedule_test.go
@@ -63,6 +63,25 @@
 			out = append(out, next)
 		}
 	}
+	out = append(out, drawTargetFaults(seed, length, s)...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
+
+// targetGapMax bounds the time between the starts of two steps with targetFaults.
+const targetGapMax = 2 * time.Second
+
+// drawTargetFaults returns the steps of a seed with targetFaults. They are drawn apart
+// from the others, whose draw a seed keeps.
+func drawTargetFaults(seed uint64, length time.Duration, s *system) []step {
+	r := rand.New(rand.NewPCG(seed, targetFaultsStream))
+	var out []step
+	next := func() time.Duration { return time.Duration(r.Int64N(int64(targetGapMax))) }
+	for at := next(); at < length; at += next() {
+		out = append(out, step{
+			At: at, Duration: faultMin + time.Duration(r.Int64N(int64(faultMax-faultMin))), Fault: &targetFaults[r.IntN(len(targetFaults))],
+			Gateway: r.IntN(len(s.gateways)), Agent: r.IntN(len(s.agents)), Strength: r.Float64(),
+		})
+	}
+	return out
+}
