--- a/integration/soak/system_test.go
+++ b/integration/soak/system_test.go
@@ -338,7 +338,8 @@
 	s.net.Close()
 }
 
-// writeLogs writes the logs of all processes to a directory that the test log names.
+// writeLogs writes what all processes wrote to stdout and stderr to a directory that
+// the test log names.
 func (s *system) writeLogs(began time.Time) {
 	dir, err := os.MkdirTemp("", "rhubarbsail-soak-")
 	if err != nil {
@@ -346,9 +347,11 @@
 		return
 	}
 	for _, n := range s.nodes() {
-		out, _ := n.Output()
-		if err := os.WriteFile(filepath.Join(dir, n.Name+".log"), []byte(out), 0o600); err != nil {
-			s.t.Error(err)
+		out, errOut := n.Output()
+		for name, text := range map[string]string{n.Name + ".log": out, n.Name + ".stderr": errOut} {
+			if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+				s.t.Error(err)
+			}
 		}
 	}
 	s.t.Logf("started at %s; process logs are in %s", began.Format(time.RFC3339Nano), dir)
