--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -38,12 +38,12 @@
 	// The start time is a fencing token that grows with each process of this VM.
 	// If the clock was set back, the target rejects the token and it is raised.
 	token := time.Now().UnixMilli()
-	store := platform.NewStore(n.StoreAddr)
+	store := platform.NewStore(n.StoreAddr, log)
 	a := &PlatformAgent{
 		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(boottime.Now, n.Seeds...),
 		registry: platform.NewGatewayRegistry(store), records: platform.NewTargetRecords(store, n.Name),
 	}
-	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr), token,
+	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr, log), token,
 		boottime.Now, log, newAttemptObserver(a.metrics.Scope), runner.DefaultOptions())
 	a.links = link.NewClient(n.Name, n.Zone, a.runner, a.gateways, log)
 	return a
@@ -53,7 +53,7 @@
 // shutdown time is over.
 func (a *PlatformAgent) Run(ctx context.Context, env Env) error {
 	set := &serverSet{env: env}
-	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner), false)
+	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner, a.log), false)
 	set.add(a.node.MetricsAddr, a.metrics.Handler, false)
 	if set.err != nil {
 		events.ListenFailed.Log(a.log).Err(set.err).Send()
@@ -113,9 +113,9 @@
 )
 
 // maintainRecord loads the target's record that an earlier process stored, and
-// saves it when the target's incarnation or capacity changes or its speed estimate
-// changes significantly. Nothing is saved before the record has been loaded, since
-// that would overwrite what the earlier process had learned.
+// saves it when the target's incarnation or full capacity changes or its speed
+// estimate changes significantly. Nothing is saved before the record has been loaded,
+// since that would overwrite what the earlier process had learned.
 func (a *PlatformAgent) maintainRecord(ctx context.Context) {
 	saved, ok := a.loadRecord(ctx)
 	if !ok {
@@ -124,9 +124,7 @@
 	var written time.Time
 	for ctx.Err() == nil {
 		wait.For(ctx, recordCheckInterval)
-		t, known := a.runner.ConfirmedTarget()
-		// Draining is not stored; a new process learns it from heartbeats.
-		t.Draining = false
+		t, known := a.runner.RecordTarget()
 		next := saved.Update(t, a.runner.Speed())
 		sameTarget, sameSpeed := t.Equal(saved.Target), next.Speed == saved.Speed
 		if !known || sameTarget && (sameSpeed || time.Since(written) < speedSaveInterval) {
--- a/integration/soak/system_test.go
+++ b/integration/soak/system_test.go
@@ -77,18 +77,20 @@
 type node struct {
 	*harness.Process
 	clientAddr, readinessAddr, internalAddr string
-	// zone, target and calls are set for agents only.
-	zone   string
-	target *standin.Target
-	calls  *callFaults
+	// zone, target, targetServer and calls are set for agents only.
+	zone         string
+	target       *standin.Target
+	targetServer *standin.TargetServer
+	calls        *callFaults
 	// lifecycle is held while the process is stopped and restarted.
 	lifecycle sync.Mutex
 	// inRotation tells whether callers open new connections to the gateway.
 	inRotation atomic.Bool
 
 	mu sync.Mutex // owns the fields below
-	// faultIntervals are the times in which callers may see missing or late answers.
-	faultIntervals []interval
+	// faultIntervals are the times in which callers may see missing or late answers,
+	// stopIntervals those from SIGTERM to the exit of the process.
+	faultIntervals, stopIntervals []interval
 }
 
 type interval struct{ from, to time.Time }
@@ -114,16 +116,36 @@
 	}
 }
 
+// beginStop marks the process as stopping as planned until the returned function is
+// called.
+func (n *node) beginStop() (end func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := len(n.stopIntervals)
+	n.stopIntervals = append(n.stopIntervals, interval{time.Now(), time.Now().Add(time.Hour)})
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.stopIntervals[i].to = time.Now()
+	}
+}
+
 // hadFault reports whether a fault affected the process between from and to.
 func (n *node) hadFault(from, to time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, d := range n.faultIntervals {
-		if d.from.Before(to) && from.Before(d.to) {
-			return true
-		}
-	}
-	return false
+	return overlapsAny(n.faultIntervals, from, to)
+}
+
+// wasStopping reports whether the process was stopping as planned between from and to.
+func (n *node) wasStopping(from, to time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return overlapsAny(n.stopIntervals, from, to)
+}
+
+func overlapsAny(intervals []interval, from, to time.Time) bool {
+	return slices.ContainsFunc(intervals, func(i interval) bool { return i.from.Before(to) && from.Before(i.to) })
 }
 
 func startSystem(t *testing.T, size int, seed uint64) *system {
@@ -150,12 +172,13 @@
 			zone: fmt.Sprintf("z%d", i%zoneCount), internalAddr: s.freeAddress(), target: standin.NewTarget(fmt.Sprintf("i-%d", i), targetCPU),
 			calls: &callFaults{random: rand.New(rand.NewPCG(seed, uint64(i)+callsStream))},
 		}
-		a.target.Fault, a.target.FaultDelay = a.calls.draw, lateCallDelay
+		a.target.Fault, a.target.FaultDelay, a.target.LongFaultDelay = a.calls.draw, lateCallDelay, a.calls.longDelay
+		a.targetServer = s.serveTarget(a.target)
 		if i%2 == 0 {
 			a.target.ClockRate = slowClock
 		}
 		a.Process = s.newProcess("platform-agent", platform.Node{
-			Name: fmt.Sprintf("agent-%d", i), Zone: a.zone, InternalAddr: a.internalAddr, StoreAddr: storeRelay, TargetAddr: s.serve(a.target.Handler()),
+			Name: fmt.Sprintf("agent-%d", i), Zone: a.zone, InternalAddr: a.internalAddr, StoreAddr: storeRelay, TargetAddr: a.targetServer.Address(),
 			Seeds: seeds[:min(len(seeds), seedsMax)],
 		})
 		s.agents = append(s.agents, a)
@@ -215,6 +238,16 @@
 	return l.Addr().String()
 }
 
+// serveTarget serves a target until the test ends.
+func (s *system) serveTarget(x *standin.Target) *standin.TargetServer {
+	server, err := standin.ServeTargetAt(x, s.freeAddress())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(server.Close)
+	return server
+}
+
 // newProcess writes the settings file of a process and returns the process, which
 // has not been started.
 func (s *system) newProcess(program string, n platform.Node, args ...string) *harness.Process {
@@ -305,7 +338,8 @@
 	s.net.Close()
 }
 
-// writeLogs writes the logs of all processes to a directory that the test log names.
+// writeLogs writes what all processes wrote to stdout and stderr to a directory that
+// the test log names.
 func (s *system) writeLogs(began time.Time) {
 	dir, err := os.MkdirTemp("", "rhubarbsail-soak-")
 	if err != nil {
@@ -313,9 +347,11 @@
 		return
 	}
 	for _, n := range s.nodes() {
-		out, _ := n.Output()
-		if err := os.WriteFile(filepath.Join(dir, n.Name+".log"), []byte(out), 0o600); err != nil {
-			s.t.Error(err)
+		out, errOut := n.Output()
+		for name, text := range map[string]string{n.Name + ".log": out, n.Name + ".stderr": errOut} {
+			if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+				s.t.Error(err)
+			}
 		}
 	}
 	s.t.Logf("started at %s; process logs are in %s", began.Format(time.RFC3339Nano), dir)
--- a/restartable/runner/confirm.go
+++ b/restartable/runner/confirm.go
@@ -11,8 +11,9 @@
 )
 
 // confirmTimeout is how long a candidate may leave polls unanswered until it is
-// dropped. The next heartbeat makes it a candidate again.
-const confirmTimeout = time.Second
+// dropped. It is longer than the interval of heartbeats, since a new process may send one
+// before it serves calls.
+const confirmTimeout = 2 * time.Second
 
 // confirmCandidate polls the candidate until it has confirmed that it is the present
 // incarnation of the target, or has been dropped. The target itself decides: it listens
@@ -33,9 +34,7 @@
 		r.mu.Unlock()
 		return false
 	}
-	// With a new token the candidate refuses the calls that were sent to an earlier
-	// incarnation of the same ID and arrive late.
-	r.token++
+	r.fenceEarlierCalls()
 	q := PollRequest{Token: r.token}
 	r.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -22,10 +22,16 @@
 	// hasTarget is false until the first heartbeat. confirmed is set once a snapshot of
 	// the target has shown that it is the incarnation that the heartbeats describe.
 	hasTarget, confirmed bool
-	// candidate is another incarnation that a heartbeat has named. It becomes the target
-	// when its own snapshot confirms it: the heartbeat may be late, or come from another
-	// writer, while the runs of the present incarnation go on.
+	// heartbeatAt is when its newest heartbeat arrived; 0 if the target was only
+	// restored from a record.
+	heartbeatAt time.Duration
+	// fullCapacity is the largest capacity that the incarnation has reported.
+	fullCapacity task.Resources
+	// candidate is another incarnation that a heartbeat has named, at candidateAt. It
+	// becomes the target when its own snapshot confirms it: the heartbeat may be late, or
+	// come from another writer, while the runs of the present incarnation go on.
 	candidate    Target
+	candidateAt  time.Duration
 	hasCandidate bool
 	// switchedAt is when the present incarnation replaced an earlier one.
 	switchedAt time.Duration
@@ -77,11 +83,11 @@
 
 // Accepting reports whether new starts are accepted, to begin now or from the
 // queue, and if not, the reason.
-func (c *Core) Accepting() (bool, task.Reason) {
+func (c *Core) Accepting(now time.Duration) (bool, task.Reason) {
 	switch {
 	case c.stopping:
 		return false, task.ReasonStopping
-	case !c.hasTarget || !c.reachable:
+	case !c.hasTarget || !c.reachable || !c.capacityKnown(now):
 		return false, task.ReasonNoTarget
 	case c.target.Draining:
 		return false, task.ReasonDraining
@@ -110,11 +116,11 @@
 func (c *Core) Heartbeat(now time.Duration, t Target) {
 	switch {
 	case !c.hasTarget:
-		c.target, c.hasTarget = t, true
+		c.target, c.hasTarget, c.heartbeatAt, c.fullCapacity = t, true, now, t.Capacity
 	case !t.sameIncarnation(c.target):
-		c.candidate, c.hasCandidate = t, true
+		c.candidate, c.candidateAt, c.hasCandidate = t, now, true
 	case t.Seq >= c.target.Seq && t.Service == c.target.Service:
-		c.target = t
+		c.target, c.heartbeatAt, c.fullCapacity = t, now, c.fullCapacity.Max(t.Capacity)
 		c.processQueue(now)
 	}
 }
@@ -145,21 +151,43 @@
 	c.endIncarnation(now, s)
 	// Statistics of a target of another capacity or kind start afresh, from the part
 	// of the old estimate that is likely to apply.
-	estimate := c.Speed(now).forTarget(c.target, c.candidate)
+	estimate := c.Speed(now).forTarget(c.FullTarget(), c.candidate)
 	if estimate.Samples < c.stats.samples {
 		c.stats = newStatistics(c.opts.SlownessMax)
 		c.stats.restore(estimate)
 	}
-	c.target, c.hasCandidate, c.switchedAt = c.candidate, false, now
+	c.target, c.heartbeatAt, c.fullCapacity = c.candidate, c.candidateAt, c.candidate.Capacity
+	c.hasCandidate, c.switchedAt = false, now
 	return c.ApplySnapshot(now, s)
 }
 
+// RestoreTarget sets the target from a record, unless a heartbeat has arrived. Its
+// runs can be listed, but nothing starts before its next heartbeat: its capacity may
+// have shrunk since the record was written. It reports whether it set the target.
+func (c *Core) RestoreTarget(t Target) bool {
+	if c.hasTarget {
+		return false
+	}
+	c.target, c.hasTarget, c.fullCapacity = t, true, t.Capacity
+	return true
+}
+
+// capacityKnown reports whether a heartbeat is so recent that the target has at least
+// the capacity that it says.
+func (c *Core) capacityKnown(now time.Duration) bool {
+	return c.heartbeatAt > 0 && now-c.heartbeatAt <= c.opts.HeartbeatTimeout
+}
+
 // RestoreSpeed applies the speed that an earlier process of this agent estimated
 // for a target of this VM.
 func (c *Core) RestoreSpeed(stored Record) {
-	if c.hasTarget {
-		c.stats.restore(stored.Speed.forTarget(stored.Target, c.target))
+	if !c.hasTarget {
+		return
 	}
+	if c.target.sameIncarnation(stored.Target) {
+		c.fullCapacity = c.fullCapacity.Max(stored.Target.Capacity)
+	}
+	c.stats.restore(stored.Speed.forTarget(stored.Target, c.FullTarget()))
 }
 
 // Speed returns the estimate of the target's speed.
@@ -179,6 +207,14 @@
 // Target returns the target of the newest heartbeat.
 func (c *Core) Target() (Target, bool) { return c.target, c.hasTarget }
 
+// FullTarget returns the target with the capacity that it has when it has not shrunk. It
+// tells whether a later incarnation is of the same size.
+func (c *Core) FullTarget() Target {
+	t := c.target
+	t.Capacity = c.fullCapacity
+	return t
+}
+
 // Confirmed reports whether the target has confirmed the incarnation that its
 // heartbeats describe.
 func (c *Core) Confirmed() bool { return c.confirmed }
@@ -190,7 +226,7 @@
 func (c *Core) endIncarnation(now time.Duration, s Snapshot) {
 	listed := s.runningSet()
 	c.loseRuns(now, task.ReasonTargetRestarted, func(r *run) bool {
-		return r.state != starting && !listed[r.attempt()] && s.RequestedAt > r.confirmedAt
+		return r.state != starting && s.lacks(r, listed)
 	})
 	for _, r := range c.sortedRuns() {
 		if r.stopAcknowledged {
@@ -220,7 +256,7 @@
 // Submit queues the starts requested by a gateway, or refuses them. The stamp is
 // the newest one that the gateway had received when it sent the request.
 func (c *Core) Submit(now time.Duration, gateway string, stamp time.Duration, starts []Start) {
-	ok, reason := c.Accepting()
+	ok, reason := c.Accepting(now)
 	if ok && now-stamp > c.opts.MaxOrderAge {
 		ok, reason = false, task.ReasonStale
 	}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -292,6 +292,11 @@
 		}
 		r.notifyLoadChanged()
 	})
+	r.wakePollLoop()
+}
+
+// wakePollLoop ends the poll loop's wait for a target.
+func (r *Runner) wakePollLoop() {
 	select {
 	case r.heartbeatReceived <- struct{}{}:
 	default:
@@ -307,15 +312,17 @@
 
 // Restore applies the record that an earlier process of this agent saved: the
 // target, unless a heartbeat has already arrived, and the estimate of its speed.
-// The first poll shows whether that incarnation of the target still exists.
+// The first poll shows whether that incarnation of the target still exists, and its
+// next heartbeat, from when on tasks start, which capacity it has now.
 func (r *Runner) Restore(stored Record) {
-	if _, known := r.Target(); !known {
-		r.Heartbeat(stored.Target)
-	}
-	r.apply(func(c *Core, _ time.Duration) {
+	r.apply(func(c *Core, now time.Duration) {
+		if c.RestoreTarget(stored.Target) {
+			r.lastPollAnswer = now
+		}
 		c.RestoreSpeed(stored)
 		r.notifyLoadChanged()
 	})
+	r.wakePollLoop()
 	events.TargetRecalled.Log(r.log).Str("target", stored.Target.ID).Int64("born", stored.Target.Incarnation).
 		Float64("slowness", stored.Speed.Slowness).Int("samples", stored.Speed.Samples).Send()
 }
@@ -333,19 +340,22 @@
 	events.TargetLeft.Log(r.log).Str("target", id).Send()
 }
 
-// ConfirmedTarget returns the current target, and false unless it has confirmed the
-// incarnation that its heartbeats describe.
-func (r *Runner) ConfirmedTarget() (Target, bool) {
+// Target returns the current target, and false if there is none.
+func (r *Runner) Target() (Target, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.target, r.core.Confirmed()
+	return r.core.Target()
 }
 
-// Target returns the current target, and false if there is none.
-func (r *Runner) Target() (Target, bool) {
+// RecordTarget returns the target as it is stored, with its full capacity, and false
+// unless it has confirmed the incarnation that its heartbeats describe.
+func (r *Runner) RecordTarget() (Target, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Target()
+	t := r.core.FullTarget()
+	// Draining is not stored; a new process learns it from heartbeats.
+	t.Draining = false
+	return t, r.core.Confirmed()
 }
 
 // Load returns the target, its load and the time at which both were read.
