Report a start without an answer as lost after a restart of its target

What callers could see: a refusal that says that a job has not run, though one of its tasks had (model). A start that was answered by nobody may have run on the earlier incarnation and ended with it. Change: it is reported as lost, which the gateway takes as begun. Evidence: TestRunsThatANewIncarnationListsAreKept now asks for this and failed before. Result: refusals are true across restarts of targets.

--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -635,8 +635,9 @@
 	for _, job := range []string{"accepted", "late answer"} {
 		r.wantReport(job, task.Lost, task.ReasonNotListed)
 	}
+	// These may have run on the earlier incarnation.
 	for _, job := range []string{"unanswered", "outstanding"} {
-		r.wantReport(job, task.NotStarted, task.ReasonUnanswered)
+		r.wantReport(job, task.Lost, task.ReasonTargetRestarted)
 	}
 }
 
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -171,6 +171,10 @@
 		switch {
 		case r.state == running, r.state == stopping && r.stopAcknowledged:
 			c.finish(now, r, task.Lost, task.ReasonNotListed)
+		case r.state == unanswered && r.startedAt < c.switchedAt:
+			// It cannot begin any more, since it carries an earlier fencing token, but may
+			// have run on the earlier incarnation.
+			c.finish(now, r, task.Lost, task.ReasonTargetRestarted)
 		case r.state == unanswered && c.cannotBegin(now, r):
 			c.finish(now, r, task.NotStarted, task.ReasonUnanswered)
 		}
@@ -178,10 +182,9 @@
 }
 
 // cannotBegin reports whether an unanswered start that is not listed can no longer take
-// effect: its stop was acknowledged, its deadline has passed on the target's clock, or
-// it carries the fencing token of an earlier incarnation.
+// effect: its stop was acknowledged, or its deadline has passed on the target's clock.
 func (c *Core) cannotBegin(now time.Duration, r *run) bool {
-	return r.stopAcknowledged || now-r.startedAt > c.opts.UnansweredTimeout || r.startedAt < c.switchedAt
+	return r.stopAcknowledged || now-r.startedAt > c.opts.UnansweredTimeout
 }
 
 // Unreachable records that the target does not answer. If leasesExpired is set,
