Count the ends that a new incarnation lists before its runs are lost

What callers could see: a task that runs again after it is done, and a failed attempt that is not counted. Cause: mine, in the confirmation of incarnations: a run that the new process of a target had started, by a call to its predecessor, and ended before it was asked, was reported as lost before its list of ends was read. Change: the ends are applied first. Evidence: TestEndsThatANewIncarnationListsCount fails without the change. Result: an end is never taken note of without its outcome.

--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -148,6 +148,11 @@
 		c.DropCandidate(now, t)
 		return false
 	}
+	// The candidate may already have run, to their end, tasks that were started by calls
+	// to its predecessor.
+	for _, e := range s.Ended {
+		c.applyEnd(now, e)
+	}
 	c.endIncarnation(now, s)
 	// Statistics of a target of another capacity or kind start afresh, from the part
 	// of the old estimate that is likely to apply.
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -656,3 +656,25 @@
 	r.applyRunning()
 	r.wantReport("a", task.Lost, task.ReasonNotListed)
 }
+
+// Guards against a task that is placed again although it is done: the first list of a new
+// incarnation had its end, but the run was reported as lost before the list was read.
+func TestEndsThatANewIncarnationListsCount(t *testing.T) {
+	r := newCoreHarness(t)
+	for _, job := range []string{"accepted", "unanswered"} {
+		r.submit(newStart(job, 0, 1000))
+	}
+	r.answerStart(firstAttempt("accepted", 0), StartAccepted)
+	r.answerStart(firstAttempt("unanswered", 0), StartUnanswered)
+	restarted := smallTarget
+	restarted.Incarnation++
+	r.core.Heartbeat(r.now, restarted)
+	r.advance(ms)
+	r.core.ConfirmCandidate(r.now, restarted, Snapshot{
+		RequestedAt: r.now, Incarnation: restarted.Incarnation,
+		Ended: []End{{firstAttempt("accepted", 0), task.Done}, {firstAttempt("unanswered", 0), task.Failed}},
+	})
+	r.collect()
+	r.wantReport("accepted", task.Done, "")
+	r.wantReport("unanswered", task.Failed, "")
+}
