--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
-	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
 // agent drives a runner.Core as runner.Runner does. Each method names the function
@@ -214,9 +213,7 @@
 	for _, r := range acts.Reports {
 		a.w.trace("%s reports %v/%d: %v %s to %s", a.name, r.Task, r.Attempt, r.Outcome, r.Reason, r.Gateway)
 		if l := a.sinks[r.Gateway]; l != nil {
-			if r.Outcome == task.Done {
-				a.w.reportedDone[submittedTask{l.specs[r.Task.Job], r.Task}] = true
-			}
+			a.w.attemptReported(l.specs[r.Task.Job], r)
 			l.report(r)
 		}
 	}
--- a/restartable/modeltest/world_test.go
+++ b/restartable/modeltest/world_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/common/virtualtime"
+	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -33,6 +34,9 @@
 
 	// active holds the runs on targets that are up.
 	active map[task.ID][]*targetRun
+	// begun holds the attempts that have started, notStarted those that an agent has
+	// reported as not started.
+	begun, notStarted map[submittedAttempt]bool
 	// reportedDone holds the tasks of which an agent has reported a successful end, by
 	// submission.
 	reportedDone map[submittedTask]bool
@@ -47,13 +51,20 @@
 	task task.ID
 }
 
+// submittedAttempt identifies an attempt of a task of one submission.
+type submittedAttempt struct {
+	submittedTask
+	number int
+}
+
 // cut is a direction of a connection that delivers nothing.
 type cut struct{ from, to string }
 
 func newWorld(seed int64, mut mutation, gateways, agents int) *world {
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), mutation: mut, cuts: map[cut]time.Duration{},
-		active: map[task.ID][]*targetRun{}, reportedDone: map[submittedTask]bool{}, stats: map[string]int{},
+		active: map[task.ID][]*targetRun{}, reportedDone: map[submittedTask]bool{},
+		begun: map[submittedAttempt]bool{}, notStarted: map[submittedAttempt]bool{}, stats: map[string]int{},
 		trace: func(string, ...any) {},
 	}
 	for i := range gateways {
@@ -146,7 +157,13 @@
 // runStarted checks a start on a target against the invariants.
 func (w *world) runStarted(r *targetRun) {
 	w.stats["started"]++
-	if w.reportedDone[submittedTask{r.spec, r.attempt.Task}] {
+	st := submittedTask{r.spec, r.attempt.Task}
+	sa := submittedAttempt{st, r.attempt.Number}
+	w.begun[sa] = true
+	if w.notStarted[sa] {
+		w.fail("started after it was reported as not started: %v", r)
+	}
+	if w.reportedDone[st] {
 		w.fail("started after its end in the same submission: %v", r)
 	}
 	if q := w.bySpec(r.spec); q != nil && q.notRun {
@@ -180,6 +197,21 @@
 	w.active[r.attempt.Task] = append(w.active[r.attempt.Task], r)
 }
 
+// attemptReported checks an agent's report of an attempt that belongs to a submission.
+func (w *world) attemptReported(spec string, r runner.Report) {
+	st := submittedTask{spec, r.Task}
+	switch r.Outcome {
+	case task.Done:
+		w.reportedDone[st] = true
+	case task.NotStarted:
+		sa := submittedAttempt{st, r.Attempt}
+		w.notStarted[sa] = true
+		if w.begun[sa] {
+			w.fail("reported as not started (%s), but has run: %v/%d (%s)", r.Reason, r.Task, r.Attempt, spec)
+		}
+	}
+}
+
 func (w *world) runEnded(r *targetRun) {
 	r.ended = true
 	left := w.active[r.attempt.Task][:0]
