--- /dev/null
+++ b/restartable/modeltest/cases_test.go
@@ -0,0 +1,204 @@
+package modeltest
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// scenario is a named sequence of faults.
+type scenario struct {
+	w *world
+	t *testing.T
+	// mutated is set if a protection is missing, so that a violation is expected.
+	mutated bool
+}
+
+// newScenario returns a world of two gateways and the given number of agents in which
+// nothing fails by itself.
+func newScenario(t *testing.T, mut mutation, agents int) *scenario {
+	w := newWorld(1, mut, 2, agents)
+	w.calm = true
+	if os.Getenv("MODEL_TRACE") != "" {
+		w.trace = func(f string, args ...any) { t.Logf("%v: "+f, append([]any{w.Now}, args...)...) }
+	}
+	w.advance(s)
+	return &scenario{w: w, t: t}
+}
+
+// submit sends a job of equal tasks that take half of a target and the given time.
+func (sc *scenario) submit(g *gateway, tasks int, runTime time.Duration) *client {
+	c := &client{
+		w: sc.w, job: "j", runTime: []time.Duration{runTime},
+		steps: []dispatch.Step{{Tasks: tasks, Needs: task.Resources{CPUMillis: 2000, MemoryMB: 100}, Estimate: 400 * ms}},
+	}
+	sc.w.clients = append(sc.w.clients, c)
+	c.submit(g, false)
+	return c
+}
+
+// runOf returns the agent with a run of the first task.
+func (sc *scenario) runOf(c *client) *agent {
+	id := task.ID{StepID: task.StepID{Job: c.job}}
+	if len(sc.w.active[id]) == 0 {
+		sc.t.Fatal("the task does not run")
+	}
+	return sc.w.active[id][0].target.agent
+}
+
+// loseCalls loses all calls of one kind to a target.
+func (tg *target) loseCalls(kind string) {
+	tg.fate = func(call string) callFate {
+		if strings.Contains(call, kind) {
+			return lostCall
+		}
+		return delivered
+	}
+}
+
+// cases are sequences that once led to a violation. without is a protection that each
+// of them needs.
+var cases = []struct {
+	name    string
+	without mutation
+	play    func(sc *scenario)
+}{
+	// The caller of a suspended gateway sends its job again 1.3 s later. Up to the end of
+	// the gateway's lease, 0.9 s, the agent renewed the target's lease by 0.9 s.
+	{"agent dies at the end of a gateway's lease", unboundedLease, func(sc *scenario) {
+		g := sc.w.gateways
+		c := sc.submit(g[0], 1, 4*s)
+		sc.w.advance(20 * ms)
+		a := sc.runOf(c)
+		c.next = g[1]
+		g[0].pause(5 * s)
+		c.current.leave(0, "the connection is broken")
+		sc.w.advance(650 * ms)
+		a.kill(5 * s)
+		sc.w.advance(3 * s)
+	}},
+	// Stops got lost while polls renewed the lease of the run.
+	{"stops are lost", unboundedLease, func(sc *scenario) {
+		c := sc.submit(sc.w.gateways[0], 1, 4*s)
+		sc.w.advance(20 * ms)
+		a := sc.runOf(c)
+		a.target.loseCalls("stop")
+		c.next = sc.w.gateways[1]
+		c.current.leave(0, "the connection is broken")
+		sc.w.advance(3 * s)
+	}},
+	// The new process found a run of its predecessor and renewed its lease, while its
+	// stops got lost.
+	{"restarted agent cannot stop a run of its predecessor", renewForeignRuns, func(sc *scenario) {
+		c := sc.submit(sc.w.gateways[0], 1, 4*s)
+		sc.w.advance(20 * ms)
+		a := sc.runOf(c)
+		a.target.loseCalls("stop")
+		c.next = sc.w.gateways[1]
+		a.kill(20 * ms)
+		sc.w.advance(3 * s)
+	}},
+	// A heartbeat of another writer made the agent report the runs of a living target
+	// as lost.
+	{"heartbeat of another writer", trustHeartbeats, func(sc *scenario) {
+		c := sc.submit(sc.w.gateways[0], 1, 300*ms)
+		sc.w.advance(20 * ms)
+		a := sc.runOf(c)
+		beat := a.target.heartbeat()
+		beat.ID += "-other"
+		beat.Incarnation += int64(time.Hour / ms)
+		a.heartbeat(beat)
+		sc.w.advance(s)
+		if !sc.mutated && (!c.done || sc.w.stats["started"] != 1) {
+			sc.t.Errorf("done: %v, %d starts", c.done, sc.w.stats["started"])
+		}
+	}},
+	// The run was accepted by the new incarnation before its first heartbeat, which
+	// then made the agent report it as lost.
+	{"start before the heartbeat of a new incarnation", trustHeartbeats, func(sc *scenario) {
+		for _, a := range sc.w.agents {
+			a.target.heartbeatsLateUntil = sc.w.Now + 10*ms
+			a.target.crash(ms/2, a.target.id)
+		}
+		c := sc.submit(sc.w.gateways[0], 1, 3*s)
+		sc.w.advance(10 * ms)
+		a := sc.runOf(c)
+		a.heartbeat(a.target.heartbeat())
+		sc.w.advance(s)
+	}},
+	// A start that was carried out late reached the next incarnation of the target,
+	// after its task had been started elsewhere.
+	{"late start reaches the next incarnation", keepToken, func(sc *scenario) {
+		var late *target
+		for _, a := range sc.w.agents {
+			a.target.lateBy = 500 * ms
+			a.target.fate = func(call string) callFate {
+				if strings.Contains(call, "start") && late == nil {
+					late = a.target
+					return lateCall
+				}
+				return delivered
+			}
+		}
+		sc.submit(sc.w.gateways[0], 1, 3*s)
+		sc.w.advance(300 * ms)
+		late.crash(20*ms, late.id)
+		sc.w.advance(s)
+	}},
+	// The answer to the start was lost, and the ends of the incarnation that had run the
+	// task were forgotten, so that the task was reported as not started.
+	{"unanswered start and a new incarnation", noMutation, func(sc *scenario) {
+		for _, a := range sc.w.agents {
+			a.target.fate = func(call string) callFate {
+				if strings.Contains(call, "start") {
+					return lostAnswer
+				}
+				return delivered
+			}
+		}
+		c := sc.submit(sc.w.gateways[0], 1, 4*s)
+		sc.w.advance(20 * ms)
+		a := sc.runOf(c)
+		a.pause(100 * ms)
+		a.target.crash(20*ms, a.target.id+"-next")
+		sc.w.advance(s)
+	}},
+}
+
+// Guards against the violations that the model has found.
+func TestNamedCases(t *testing.T) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sc := newScenario(t, noMutation, 2)
+			c.play(sc)
+			if sc.w.violation != "" {
+				t.Error(sc.w.violation)
+			}
+			if sc.w.stats["started"] == 0 {
+				t.Error("no task has started")
+			}
+		})
+	}
+}
+
+// Guards against named cases that no longer bring about what they are named after.
+func TestNamedCasesNeedTheirProtections(t *testing.T) {
+	for _, c := range cases {
+		if c.without == noMutation {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			sc := newScenario(t, c.without, 2)
+			sc.mutated = true
+			c.play(sc)
+			if sc.w.violation == "" {
+				t.Errorf("no violation without: %s", c.without)
+			}
+			t.Log(sc.w.violation)
+		})
+	}
+}
--- a/restartable/modeltest/gateway_test.go
+++ b/restartable/modeltest/gateway_test.go
@@ -107,6 +107,8 @@
 	ended   bool
 	done    bool
 	current *request
+	// next is the gateway for the next submission; nil stands for any.
+	next *gateway
 }
 
 // request is one request of a client at one gateway.
@@ -249,7 +251,11 @@
 		if c.ended || c.sent >= maxSubmissions {
 			return
 		}
-		c.submit(c.w.gateways[c.w.rng.Intn(len(c.w.gateways))], false)
+		g := c.next
+		if g == nil {
+			g = c.w.gateways[c.w.rng.Intn(len(c.w.gateways))]
+		}
+		c.submit(g, false)
 	})
 }
 
--- a/restartable/modeltest/target_test.go
+++ b/restartable/modeltest/target_test.go
@@ -38,6 +38,9 @@
 	held        []heldPoll
 
 	calls callFaults
+	// fate decides in named cases what happens to a call, lateBy the delay of late ones.
+	fate   func(call string) callFate
+	lateBy time.Duration
 	// heartbeatsLateUntil is the end of a time in which heartbeats are delayed.
 	heartbeatsLateUntil time.Duration
 }
@@ -49,6 +52,16 @@
 	lost, answerLost, late, slow int
 }
 
+// callFate is what happens to a call.
+type callFate int
+
+const (
+	delivered callFate = iota
+	lostCall
+	lostAnswer
+	lateCall
+)
+
 // usualCallFaults are in force while no others are.
 var usualCallFaults = callFaults{lost: 1, answerLost: 1, late: 1, slow: 2}
 
@@ -152,7 +165,7 @@
 	}
 	t.seq++
 	delay := t.w.between(0, 2*ms)
-	if t.w.Now < t.heartbeatsLateUntil && !t.w.calm {
+	if t.w.Now < t.heartbeatsLateUntil {
 		delay = t.w.between(0, 3*s)
 	}
 	beat := t.heartbeat()
@@ -319,6 +332,36 @@
 	return r
 }
 
+// drawFate returns what happens to a call and its delay.
+func (t *target) drawFate(what string, timeout time.Duration) (callFate, time.Duration) {
+	w, faults := t.w, usualCallFaults
+	if w.Now < t.calls.until {
+		faults = t.calls
+	}
+	fate := delivered
+	delay := w.between(100*time.Microsecond, ms)
+	switch {
+	case w.chance(faults.lost):
+		fate = lostCall
+	case w.chance(faults.answerLost):
+		fate = lostAnswer
+	case w.chance(faults.late):
+		fate = lateCall
+	case w.chance(faults.slow):
+		delay = w.between(0, timeout)
+	}
+	if t.fate != nil {
+		fate = t.fate(what)
+	}
+	if fate == lateCall {
+		delay = cmp.Or(t.lateBy, w.between(0, maxLateness))
+	}
+	if fate != delivered {
+		w.trace("%s: %s", what, [...]string{"", "is lost", "its answer is lost", "will be carried out late"}[fate])
+	}
+	return fate, delay
+}
+
 // callError is the result of a call as its sender sees it.
 type callError int
 
@@ -344,31 +387,15 @@
 		}
 	}
 	a.after(timeout, func() { once(reply{}, unanswered) })
-	faults := usualCallFaults
-	if w.Now < t.calls.until {
-		faults = t.calls
-	}
-	delay := w.between(100*time.Microsecond, ms)
-	fate, incarnation, run := "", t.incarnation, a.run
-	switch {
-	case w.chance(faults.lost):
-		w.trace("%s is lost", what)
+	fate, delay := t.drawFate(what, timeout)
+	incarnation, run := t.incarnation, a.run
+	if fate == lostCall {
 		return
-	case w.chance(faults.answerLost):
-		fate = "answer lost"
-	case w.chance(faults.late):
-		fate = "late"
-		delay = w.between(0, maxLateness)
-	case w.chance(faults.slow):
-		delay = w.between(0, timeout)
-	}
-	if fate != "" {
-		w.trace("%s: %s", what, fate)
 	}
 	var deliver func()
 	deliver = func() {
 		switch {
-		case fate != "late" && t.incarnation != incarnation, !t.up:
+		case fate != lateCall && t.incarnation != incarnation, !t.up:
 			// The end of the target's process resets the connection.
 			a.after(w.networkDelay(), func() { once(reply{}, unanswered) })
 			return
@@ -379,11 +406,11 @@
 			a.after(w.between(100*time.Microsecond, ms), func() { once(reply{status: wrongInstance}, answered) })
 			return
 		}
-		if fate == "late" {
+		if fate == lateCall {
 			w.trace("%s is carried out late", what)
 		}
 		handle(func(r reply) {
-			if fate != "" {
+			if fate != delivered {
 				return
 			}
 			a.after(w.between(100*time.Microsecond, ms), func() { once(r, answered) })
