--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -81,6 +81,23 @@
 		a.kill(5 * s)
 		sc.w.advance(3 * s)
 	}},
+	// Frames of a gateway that had already lost power were delayed, so that the agent did
+	// not yet miss any.
+	{"frames of a dead gateway are delayed", noGatewayLease, func(sc *scenario) {
+		g := sc.w.gateways
+		c := sc.submit(g[0], 1, 4*s)
+		sc.w.advance(20 * ms)
+		a := sc.runOf(c)
+		c.next = g[1]
+		c.current.leave(0, "the connection is broken")
+		g[0].kill(5*s, true)
+		l := a.links[g[0]]
+		for _, late := range []time.Duration{600 * ms, 1200 * ms} {
+			stamp := l.stamp
+			sc.w.After(late, func() { a.after(0, func() { l.receiveOrder(order{stamp: stamp}) }) })
+		}
+		sc.w.advance(3 * s)
+	}},
 	// Stops got lost while polls renewed the lease of the run.
 	{"stops are lost", unboundedLease, func(sc *scenario) {
 		c := sc.submit(sc.w.gateways[0], 1, 4*s)
