--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -98,6 +98,26 @@
 		}
 		sc.w.advance(3 * s)
 	}},
+	// The first frames of a link, with an order, were delayed. The agent took the gateway's
+	// lease to begin with their arrival.
+	{"first frames of a link are delayed", noMutation, func(sc *scenario) {
+		g := sc.w.gateways
+		for _, a := range sc.w.agents {
+			old := a.links[g[0]]
+			old.closeByAgent()
+			a.dial(g[0])
+			a.links[g[0]].toAgent.stalledUntil = sc.w.Now + 400*ms
+		}
+		sc.w.advance(10 * ms)
+		c := sc.submit(g[0], 1, 4*s)
+		sc.w.advance(5 * ms)
+		c.next = g[1]
+		c.current.leave(0, "the connection is broken")
+		g[0].kill(5*s, true)
+		sc.w.advance(s)
+		sc.runOf(c).kill(5 * s)
+		sc.w.advance(3 * s)
+	}},
 	// Stops got lost while polls renewed the lease of the run.
 	{"stops are lost", unboundedLease, func(sc *scenario) {
 		c := sc.submit(sc.w.gateways[0], 1, 4*s)
