--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -198,6 +198,8 @@
 	for _, at := range acts.Stops {
 		a.scheduled(func() { a.stop(t, at) })
 	}
+	a.w.stats["foreign run"] += len(acts.ForeignRuns)
+	a.w.stats["lease expired"] += len(acts.Disconnect)
 	for _, c := range acts.Crashes {
 		a.w.trace("%s reports a crash of %s (%s) with %d runs", a.name, c.Target.ID, c.Reason, len(c.Runs))
 		a.crashes = append(a.recentCrashes(), c)
@@ -208,6 +210,10 @@
 	// The core handles expired leases in the order of a map.
 	slices.SortStableFunc(acts.Reports, func(x, y runner.Report) int { return cmp.Compare(x.Gateway, y.Gateway) })
 	for _, r := range acts.Reports {
+		a.w.stats[r.Outcome.String()]++
+		if r.Reason == task.ReasonSuperseded {
+			a.w.stats["superseded"]++
+		}
 		a.w.trace("%s reports %v/%d: %v %s to %s", a.name, r.Task, r.Attempt, r.Outcome, r.Reason, r.Gateway)
 		if l := a.sinks[r.Gateway]; l != nil {
 			if r.Reason != task.ReasonDuplicate {
@@ -516,6 +522,7 @@
 				a.candidateAnswered(t, requestedAt, r)
 			case err == answered && r.status == wrongInstance, a.w.Now-began > confirmTimeout:
 				a.w.trace("%s drops the candidate %s, born %d", a.name, t.ID, t.Incarnation)
+				a.w.stats["candidate dropped"]++
 				a.core.DropCandidate(a.w.Now, t)
 			}
 		})
@@ -533,6 +540,7 @@
 		a.w.trace("%s: the candidate %s, born %d, is not confirmed by %d", a.name, t.ID, t.Incarnation, r.born)
 		return
 	}
+	a.w.stats["confirmed"]++
 	a.targetChanged(t)
 	a.setTargetClock(t, r.clock)
 	a.lastEndSeq = r.lastEnd
--- a/restartable/modeltest/link_test.go
+++ b/restartable/modeltest/link_test.go
@@ -382,6 +382,7 @@
 		l.loadChanged()
 	}
 	if l.mayClose(f.stamp) {
+		l.w.stats["retired"]++
 		l.w.trace("%s closes the retired link %s", a.name, l.name)
 		l.closeByAgent()
 	}
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -309,8 +309,9 @@
 }
 
 const (
-	modelChecks = 40
+	modelChecks = 80
 	modelSteps  = 40
+	focusChecks = 20
 )
 
 // Guards against two runs of a task at a time, exceeded capacity, untrue answers not
@@ -327,6 +328,26 @@
 		}
 	})
 	t.Log(stats)
+	for _, k := range []string{
+		"completed", "not_run", "unfinished", "confirmed", "candidate dropped", "foreign run", "late call", "fenced", "superseded", "lost", "lease expired", "retired",
+	} {
+		if stats[k] == 0 {
+			t.Errorf("no run reaches %s, so the test does not cover it", k)
+		}
+	}
+}
+
+// Guards against violations that only draws among few actions produce.
+func TestModelWithFocusedActions(t *testing.T) {
+	for _, p := range mutationTests {
+		if p.focus == nil {
+			continue
+		}
+		t.Run(string(p.without), func(t *testing.T) {
+			setFlags(t, focusChecks, modelSteps, 1, "5s")
+			rapid.Check(t, func(t *rapid.T) { t.Repeat(actions(newMachine(t, noMutation), p.focus, nil)) })
+		})
+	}
 }
 
 // checkRecovery ends all faults and checks that a new job is completed in time.
--- a/restartable/modeltest/target_test.go
+++ b/restartable/modeltest/target_test.go
@@ -236,6 +236,7 @@
 // fence reports whether a call's fencing token is too low.
 func (t *target) fence(token int64) bool {
 	if token < t.token {
+		t.w.stats["fenced"]++
 		return true
 	}
 	t.token = token
@@ -407,6 +408,7 @@
 			return
 		}
 		if fate == lateCall {
+			w.stats["late call"]++
 			w.trace("%s is carried out late", what)
 		}
 		handle(func(r reply) {
