Acknowledge ends only to the incarnation that listed them

What callers could see: a task that is placed again although it is done, after a quick restart of its target under the same id. Cause: a poll says up to which number ends have been processed. The numbers start anew with each incarnation, so that the polls between a restart and its heartbeat made the new process forget ends that the agent had not seen. Ends that are listed again change nothing. Evidence: TestEndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext failed before (57 was acknowledged).

--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -146,7 +146,10 @@
 
 func (r *Runner) poll(ctx context.Context, t Target, wait time.Duration) error {
 	r.mu.Lock()
-	q := PollRequest{Token: r.token, Deadline: r.leaseDeadline(), LastEndSeq: r.lastEndSeq, Wait: wait}
+	q := PollRequest{Token: r.token, Deadline: r.leaseDeadline(), Wait: wait}
+	if r.mayAcknowledge && r.now()-r.lastPollAnswer <= r.opts.PollWait {
+		q.LastEndSeq = r.lastEndSeq
+	}
 	r.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, q.Wait+r.opts.CallTimeout)
 	defer cancel()
@@ -154,6 +157,7 @@
 	reply, err := r.client.Poll(call, t, q)
 	if err != nil {
 		r.apply(func(_ *Core, now time.Duration) {
+			r.mayAcknowledge = false
 			r.raiseTokenIfFenced(err)
 			if errors.Is(err, ErrNotListening) {
 				r.connectionRefused(now, t, requestedAt, err)
@@ -165,10 +169,11 @@
 		applied := c.ApplySnapshot(now, reply.snapshot(requestedAt))
 		if applied {
 			r.setTargetClock(t, reply.Clock)
-			r.lastPollAnswer = now
+			r.lastPollAnswer, r.mayAcknowledge = now, true
 			r.lastEndSeq = max(r.lastEndSeq, reply.LastEndSeq)
 		} else {
 			err = errors.Errorf("the poll was answered by another incarnation of the target: %d", reply.Incarnation)
+			r.mayAcknowledge = false
 			r.fenceEarlierCalls()
 		}
 	})
@@ -185,6 +190,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	r.mayAcknowledge = false
 	r.core.CallFailed(now)
 	if now-r.lastPollAnswer >= r.opts.UnreachableAfter {
 		r.loseContact(err, func(c *Core) { c.Unreachable(now, now-r.leaseSentAt > r.opts.LeaseMax) })
--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -1,12 +1,15 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
 // targetClockAtSync is what the target's clock shows, in milliseconds, when syncedRunner
@@ -196,3 +199,45 @@
 		}
 	}
 }
+
+// restartedTarget is a target that has started again under its ID. It lists an end until
+// that is acknowledged.
+type restartedTarget struct {
+	fakeTarget
+	end          End
+	acknowledged int64
+}
+
+func (f *restartedTarget) Poll(_ context.Context, t Target, q PollRequest) (PollReply, error) {
+	f.acknowledged = max(f.acknowledged, q.LastEndSeq)
+	reply := PollReply{Clock: 1, Incarnation: smallTarget.Incarnation + 1}
+	if f.acknowledged == 0 {
+		reply.Ended, reply.LastEndSeq = []End{f.end}, 1
+	}
+	return reply, nil
+}
+
+// Guards against a task that is placed again although it is done (TWICE): polls
+// acknowledged the ends of an earlier incarnation to the next one, which numbers its ends
+// anew and forgot those that the agent had not seen.
+func TestEndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext(t *testing.T) {
+	now := 10 * time.Second
+	f := &restartedTarget{end: End{firstAttempt("a", 0), task.Done}}
+	r := syncedRunner(&f.fakeTarget, &now)
+	r.client = f
+	r.lastEndSeq = 57
+	r.HandleOrder("g", now, []Start{newStart("a", 0, 1000)}, nil, nil)
+	r.inFlight.Wait()
+	now += 10 * ms
+	r.pollFailed(errors.New("connection reset"))
+	now += 20 * ms
+	_ = r.poll(t.Context(), smallTarget, 0)
+	now += 20 * ms
+	restarted := smallTarget
+	restarted.Incarnation++
+	r.Heartbeat(restarted)
+	r.inFlight.Wait()
+	if f.acknowledged > 0 {
+		t.Errorf("ends up to %d were acknowledged to the new incarnation, which the agent has not seen", f.acknowledged)
+	}
+}
--- a/restartable/runner/confirm.go
+++ b/restartable/runner/confirm.go
@@ -66,6 +66,6 @@
 	}
 	r.targetChanged(now, t)
 	r.setTargetClock(t, reply.Clock)
-	r.lastEndSeq = reply.LastEndSeq
+	r.lastEndSeq, r.mayAcknowledge = reply.LastEndSeq, true
 	r.notifyLoadChanged()
 }
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -53,7 +53,11 @@
 	// the core's clock; 0 if it is unknown.
 	clockReadAt time.Duration
 	targetClock int64
-	lastEndSeq  int64
+	// lastEndSeq is the sequence number of the last end that was processed.
+	// mayAcknowledge is set while the last poll was answered by the present incarnation:
+	// another one of the same ID numbers its ends anew.
+	lastEndSeq     int64
+	mayAcknowledge bool
 	// leaseSentAt is when the last call that may have extended the target's lease
 	// was sent.
 	leaseSentAt time.Duration
@@ -306,7 +310,7 @@
 // targetChanged resets what was known of an earlier incarnation of the target. The
 // caller holds r.mu.
 func (r *Runner) targetChanged(now time.Duration, t Target) {
-	r.lastEndSeq, r.targetClock, r.lastPollAnswer = 0, 0, now
+	r.lastEndSeq, r.mayAcknowledge, r.targetClock, r.lastPollAnswer = 0, false, 0, now
 	events.TargetAnnounced.Log(r.log).Str("target", t.ID).Int64("born", t.Incarnation).Int64("cpu_millis", t.Capacity.CPUMillis).Strs("labels", t.Labels).Send()
 }
 
