--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -112,14 +112,15 @@
 
 // Heartbeat processes a heartbeat. One of another incarnation only makes it the
 // candidate. Those that arrive after a newer one are ignored, and those that name
-// another service: a target never changes its service.
+// another service, since a target never changes its service; but for HeartbeatTimeout at
+// most, since the one that they differ from may be the wrong one.
 func (c *Core) Heartbeat(now time.Duration, t Target) {
 	switch {
 	case !c.hasTarget:
 		c.target, c.hasTarget, c.heartbeatAt, c.fullCapacity = t, true, now, t.Capacity
 	case !t.sameIncarnation(c.target):
 		c.candidate, c.candidateAt, c.hasCandidate = t, now, true
-	case t.Seq >= c.target.Seq && t.Service == c.target.Service:
+	case !c.capacityKnown(now), t.Seq >= c.target.Seq && t.Service == c.target.Service:
 		c.target, c.heartbeatAt, c.fullCapacity = t, now, c.fullCapacity.Max(t.Capacity)
 		c.processQueue(now)
 	}
--- a/restartable/runner/core_test.go
+++ b/restartable/runner/core_test.go
@@ -678,3 +678,32 @@
 	r.wantReport("accepted", task.Done, "")
 	r.wantReport("unanswered", task.Failed, "")
 }
+
+// Guards against an agent that takes no more work after one wrong heartbeat: it names the
+// present incarnation with a sequence number far ahead, or another service, so that all
+// later ones were ignored.
+func TestOneWrongHeartbeatDoesNotEndTheAgentsWork(t *testing.T) {
+	ahead, otherService := smallTarget, smallTarget
+	ahead.Seq = 1 << 30
+	otherService.Service = "unknown"
+	for name, wrong := range map[string]Target{"sequence number": ahead, "service": otherService} {
+		t.Run(name, func(t *testing.T) {
+			r := &coreHarness{t: t, core: NewCore(DefaultCoreOptions()), now: 10 * time.Second}
+			r.core.Heartbeat(r.now, wrong)
+			r.applyRunning()
+			for seq := int64(1); seq < 5; seq++ {
+				r.advance(1500 * ms)
+				heartbeat := smallTarget
+				heartbeat.Seq = seq
+				r.core.Heartbeat(r.now, heartbeat)
+				r.applyRunning()
+			}
+			if got, _ := r.core.Target(); got.Service != smallTarget.Service {
+				t.Errorf("service %q", got.Service)
+			}
+			if ok, reason := r.core.Accepting(r.now); !ok {
+				t.Errorf("the agent takes no work: %s", reason)
+			}
+		})
+	}
+}
