Answer no job as not run after a start without an answer

Cause: that an unanswered start has not begun is proved only for the incarnation that was asked. One that restarts under its id may execute the call later. Change: such a job is answered as unfinished. Where its tasks go does not change. Evidence: TestJobWithAnUnansweredStartIsNotAnsweredAsNotRun failed before (not_run). Result: not run is said only of jobs whose starts were all answered or not sent.

--- a/restartable/dispatch/abort.go
+++ b/restartable/dispatch/abort.go
@@ -34,7 +34,7 @@
 func (c *Core) abort(now time.Duration, j *job, cause Cause) {
 	open := j.openTasks(now)
 	state := NotRun
-	if stopped := c.stopAll(j); stopped || j.started {
+	if stopped := c.stopAll(j); stopped || j.started || j.unanswered {
 		state = Unfinished
 	}
 	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter, Open: open})
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -235,6 +235,8 @@
 		t.failedOn = a.Name
 	case task.NotStarted:
 		switch e.Reason {
+		case task.ReasonUnanswered:
+			j.unanswered = true
 		case task.ReasonSuperseded:
 			t.attempt += supersededSkip
 		case task.ReasonBusy:
--- a/restartable/dispatch/core_test.go
+++ b/restartable/dispatch/core_test.go
@@ -490,3 +490,15 @@
 		}
 	}
 }
+
+// Guards against an untrue "not run": a start without an answer that was found not to
+// have begun can be executed seconds later, by the next incarnation of its target.
+func TestJobWithAnUnansweredStartIsNotAnsweredAsNotRun(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	r.submit(newSubmission("j", 1, 100*ms))
+	o := r.orders[0]
+	r.report("a", func(l *Load) { l.Accepting = false })
+	r.reportEvent(o.Link, AttemptEvent{Task: task.ID{StepID: o.Step, Index: 0}, Attempt: 1, Outcome: task.NotStarted, Reason: task.ReasonUnanswered})
+	r.wantAnswer("j", Unfinished, CauseNoTarget)
+}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -219,6 +219,9 @@
 	// lost.
 	started bool
 	lost    bool
+	// unanswered is set once a start got no answer. A target that restarts under its ID
+	// may execute it seconds later, so that the job is not answered as not run.
+	unanswered bool
 	// trial is the task that was placed last while the job was suspected of crashing its
 	// targets.
 	trial *taskRecord
