--- a/restartable/dispatch/bulkhead.go
+++ b/restartable/dispatch/bulkhead.go
@@ -155,19 +155,10 @@
 	}
 }
 
-// reserveTargets reserves a share of a service's targets for a queue. It returns their
+// reserveTargets reserves a share of a service's targets for a queue, at least one: of
+// those that are not reserved yet the ones that rank first for it. It returns their
 // number.
 func (c *Core) reserveTargets(k queueKey, share float64) int {
-	targets := c.rankedTargets(k, share)
-	for _, a := range targets {
-		a.reservedFor = k.queue
-	}
-	return len(targets)
-}
-
-// rankedTargets returns a share of a service's targets, at least one: of those that are
-// not reserved yet the ones that rank first for a queue.
-func (c *Core) rankedTargets(k queueKey, share float64) []*agent {
 	var free []*agent
 	all := 0
 	for _, a := range c.agents {
@@ -182,11 +173,9 @@
 	slices.SortFunc(free, func(x, y *agent) int {
 		return cmp.Compare(rendezvous.Weight(k.queue, y.Name), rendezvous.Weight(k.queue, x.Name))
 	})
-	return free[:min(max(int(math.Round(share*float64(all))), 1), len(free))]
-}
-
-// trialTargets returns the targets on which suspect jobs of a queue are tried while it is
-// not confined: those to which it would be confined now.
-func (c *Core) trialTargets(now time.Duration, k queueKey) []*agent {
-	return c.rankedTargets(k, c.bulkheads.share(now, c.bulkheads.of(k)))
+	n := min(max(int(math.Round(share*float64(all))), 1), len(free))
+	for _, a := range free[:n] {
+		a.reservedFor = k.queue
+	}
+	return n
 }
--- a/restartable/dispatch/bulkhead_test.go
+++ b/restartable/dispatch/bulkhead_test.go
@@ -136,35 +136,3 @@
 		}
 	}
 }
-
-// Guards against suspect jobs of one queue that take down one target after another all
-// over before the first of them is found: each was tried on the target that looked best.
-func TestSuspectJobsOfAQueueAreTriedOnFewTargets(t *testing.T) {
-	const agents, jobs = 8, 6
-	r := newCrashRig(t, agents)
-	r.useOf("good", 15)
-	r.useOf("bad", 5)
-	r.tickFor(200*ms, agents)
-	used := map[string]bool{}
-	for n := range jobs {
-		id := fmt.Sprintf("suspect-%d", n)
-		run := LostRun{Task: task.ID{StepID: task.StepID{Job: id}}, Attempt: 1, Queue: "bad", Accepted: true, Suspicion: 0.4}
-		r.core.TargetCrashed(r.now, agentName(n), Crash{Incarnation: int64(r.now), Certain: true, Runs: []LostRun{run}})
-		// Another target is the emptiest one each time.
-		for i := range agents {
-			r.report(agentName(i), func(l *Load) {
-				if i != n {
-					l.Committed = task.Resources{CPUMillis: 16_000}
-				}
-			})
-		}
-		used[r.submitTo("bad", id)] = true
-		r.tickFor(2*trialTime, agents)
-	}
-	if r.core.bulkheads.isConfined("s", "bad") {
-		t.Fatal("the queue is confined before a job has crashed its targets")
-	}
-	if len(used) > agents/2 {
-		t.Errorf("suspect jobs were tried on %d of %d targets: %v", len(used), agents, used)
-	}
-}
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -36,10 +36,8 @@
 	job        *job
 	step       int
 	candidates []*candidate
-	// suspect is set if the job is suspected of crashing its targets. trialTargets are
-	// then those on which it should be tried, unless its queue is confined.
-	suspect      bool
-	trialTargets []*agent
+	// suspect is set if the job is suspected of crashing its targets.
+	suspect bool
 }
 
 // newPlan returns a plan whose candidates are the agents that could run a task of
@@ -48,9 +46,6 @@
 	p := &plan{core: c, now: now, job: j, step: step, suspect: c.isSuspect(j)}
 	s := &j.Steps[step]
 	confined := c.bulkheads.isConfined(j.Queue.Service, j.Queue.Name)
-	if p.suspect && !confined {
-		p.trialTargets = c.trialTargets(now, queueKey{j.Queue.Service, j.Queue.Name})
-	}
 	for _, a := range c.agents {
 		if !a.load.Accepting || a.target.Service != j.Queue.Service || now-a.reportedAt > c.opts.SuspectAfter {
 			continue
@@ -158,9 +153,6 @@
 	if reserved := cand.agent.reservedFor; reserved != "" && reserved != p.job.Queue.Name {
 		cost += confinedPenalty
 	}
-	if len(p.trialTargets) > 0 && !slices.Contains(p.trialTargets, cand.agent) {
-		cost += otherTargetPenalty
-	}
 	if p.suspect && p.core.hasSuspectOnTrial(p.now, cand.agent, p.job) {
 		cost += sharedTrialPenalty
 	}
@@ -206,9 +198,6 @@
 	// sharedTrialPenalty is the cost, for a suspect job, of a target with another one: if
 	// it crashes, both are blamed.
 	sharedTrialPenalty = 0.5
-	// otherTargetPenalty is the cost, for a suspect job, of a target beside those of its
-	// queue's trials: the next job of the queue should not lose one more.
-	otherTargetPenalty = 0.5
 	// specTransferPenalty is the cost of sending the job's spec to one more agent in
 	// another zone.
 	specTransferPenalty = 0.0005
