--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -91,11 +91,11 @@
 	a.w.After(downFor, a.boot)
 }
 
-// restore mirrors Runner.Restore, Runner.RecordTarget and daemon.PlatformAgent.maintainRecord.
+// restore mirrors Runner.Restore, Runner.UpdateRecord and daemon.PlatformAgent.maintainRecord.
 func (a *agent) restore() {
 	if a.isStored {
 		a.apply(func() {
-			if a.core.RestoreTarget(a.stored) {
+			if a.core.RestoreTarget(a.w.Now, runner.Record{Target: a.stored}) {
 				a.w.trace("%s restores the target %s, born %d", a.name, a.stored.ID, a.stored.Incarnation)
 				a.lastPollAnswer = a.w.Now
 			}
