--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -41,12 +41,12 @@
 // crashSpec is the spec of jobs whose tasks crash their targets.
 const crashSpec = "crash"
 
-// First stream numbers of a seed's random generators for bursts, for calls to targets
-// and for targetFaults. Stream 0 belongs to the schedule; those of the callers start at 1.
+// First stream numbers of a seed's random generators for bursts and for calls to
+// targets, and the stream number for targetFaults. Stream 0 belongs to the schedule; those of the callers start at 1.
 const (
 	burstStream = 1 << 32
 	callsStream = 2 << 32
-	// targetFaultsStream is the only one of its kind.
+
 	targetFaultsStream = 3 << 32
 )
 
