Raise the fencing token only when the present one is refused

Operators could see: an agent that takes some seconds longer to call its target after a restart. Cause: since the token rises with each lost contact, calls under way carry an earlier one and are refused. Each such refusal raised the token by 10 s, and the next process, whose token is the time, had to catch up. Change: only the refusal of a call with the present token raises it. Evidence: TestTokenIsRaisedOnlyForRefusalsOfThePresentOne; package tests.

--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -58,23 +58,19 @@
 	return r.targetClock + (until - r.clockReadAt).Milliseconds(), true
 }
 
-// sendStart sends a start, unless its decision no longer holds.
-func (r *Runner) sendStart(ctx context.Context, t Target, s Start) (StartResult, int64, error) {
+// start sends a start, unless its decision no longer holds.
+func (r *Runner) start(ctx context.Context, t Target, s Start) {
+	sentAt := r.now()
+	result, clock, err := StartUndelivered, int64(0), errStartExpired
 	r.mu.Lock()
 	token := r.token
 	deadline, valid := r.startDeadline(t, s)
 	r.mu.Unlock()
-	if !valid {
-		return StartUndelivered, 0, errStartExpired
+	if valid {
+		call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
+		defer cancel()
+		result, clock, err = r.client.Start(call, t, s, token, deadline)
 	}
-	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
-	defer cancel()
-	return r.client.Start(call, t, s, token, deadline)
-}
-
-func (r *Runner) start(ctx context.Context, t Target, s Start) {
-	sentAt := r.now()
-	result, clock, err := r.sendStart(ctx, t, s)
 	a := Attempt{s.Task, s.Attempt}
 	if result != StartAccepted {
 		events.RunNotAccepted.Log(r.log).Stringer("task", s.Task).Int("attempt", s.Attempt).Int("result", int(result)).Err(err).Send()
@@ -85,7 +81,7 @@
 			r.leaseSentAt = now
 		}
 		r.setTargetClock(t, clock)
-		r.raiseTokenIfFenced(err)
+		r.raiseTokenIfFenced(token, err)
 		c.StartAnswered(now, a, result)
 		switch {
 		case errors.Is(err, ErrNotListening):
@@ -108,7 +104,7 @@
 	clock, err := r.client.Stop(call, t, a, token)
 	repeated := !repetition.Stop()
 	if err != nil {
-		r.apply(func(*Core, time.Duration) { r.raiseTokenIfFenced(err) })
+		r.apply(func(*Core, time.Duration) { r.raiseTokenIfFenced(token, err) })
 		if !repeated {
 			wait.For(ctx, r.opts.RetryDelay)
 			r.stopUnanswered(a)
@@ -133,10 +129,11 @@
 // ahead of the present one.
 const fencingTokenStep = 10_000
 
-// raiseTokenIfFenced raises the fencing token if err is ErrFenced. The caller
-// holds r.mu.
-func (r *Runner) raiseTokenIfFenced(err error) {
-	if errors.Is(err, ErrFenced) {
+// raiseTokenIfFenced raises the fencing token if a call with the present one has failed
+// with ErrFenced. A call with an earlier one may have been overtaken by later calls. The
+// caller holds r.mu.
+func (r *Runner) raiseTokenIfFenced(token int64, err error) {
+	if token == r.token && errors.Is(err, ErrFenced) {
 		r.token += fencingTokenStep
 		events.FencingTokenRaised.Log(r.log).Int64("token", r.token).Send()
 	}
@@ -162,7 +159,7 @@
 	if err != nil {
 		r.apply(func(_ *Core, now time.Duration) {
 			r.mayAcknowledge = false
-			r.raiseTokenIfFenced(err)
+			r.raiseTokenIfFenced(q.Token, err)
 			if errors.Is(err, ErrNotListening) {
 				r.connectionRefused(now, t, requestedAt, err)
 			}
--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -319,3 +319,60 @@
 	default:
 	}
 }
+
+// Guards against a fencing token that runs ahead of the clock by 10 s for each call that
+// another one of this process has overtaken: the next process would be refused until its
+// own token has caught up.
+func TestTokenIsRaisedOnlyForRefusalsOfThePresentOne(t *testing.T) {
+	now := 10 * time.Second
+	f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+	r := syncedRunner(f, &now)
+	earlier := r.token
+	r.fenceEarlierCalls()
+	present := r.token
+	r.raiseTokenIfFenced(earlier, ErrFenced)
+	if r.token != present {
+		t.Errorf("token %d after the refusal of %d, was %d", r.token, earlier, present)
+	}
+	r.raiseTokenIfFenced(present, ErrFenced)
+	if r.token <= present {
+		t.Errorf("token %d after its refusal", r.token)
+	}
+}
+
+// Guards against a stop that an earlier incarnation has acknowledged and that counts for
+// the present one, on which a late start may run: it has to be sent again.
+func TestStopThatAnEarlierIncarnationAcknowledgedIsRepeated(t *testing.T) {
+	r := newCoreHarness(t)
+	r.submit(newStart("a", 0, 1000))
+	r.answerStart(firstAttempt("a", 0), StartUnanswered)
+	r.advance(ms)
+	r.core.StopAnswered(r.now, firstAttempt("a", 0), true)
+	r.actions.Stops = nil
+	restarted := smallTarget
+	restarted.Incarnation++
+	r.confirm(restarted, firstAttempt("a", 0))
+	if len(r.actions.Stops) != 1 || len(r.actions.Reports) > 0 {
+		t.Errorf("stops %v, reports %v, want one stop of the run that goes on", r.actions.Stops, r.actions.Reports)
+	}
+}
+
+// Guards against a reading of an earlier incarnation's clock that dates the leases of the
+// present one, and against its acknowledgement of a stop.
+func TestAnswersOfAnEarlierIncarnationSetNoClock(t *testing.T) {
+	now := 10 * time.Second
+	f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+	r := syncedRunner(f, &now)
+	earlier := smallTarget
+	earlier.Incarnation--
+	r.setTargetClock(earlier, 99_999)
+	if r.targetClock != targetClockAtSync {
+		t.Errorf("clock %d", r.targetClock)
+	}
+	if r.core.Submit(now, "g", now, []Start{newStart("a", 0, 1000)}); len(r.core.Take().Starts) != 1 {
+		t.Fatal("no start")
+	}
+	if _, sent := r.startDeadline(earlier, Start{ValidUntil: now + time.Second}); sent {
+		t.Error("a start to an earlier incarnation is sent")
+	}
+}
--- a/restartable/runner/confirm.go
+++ b/restartable/runner/confirm.go
@@ -42,7 +42,7 @@
 	requestedAt := r.now()
 	reply, err := r.client.Poll(call, t, q)
 	r.apply(func(c *Core, now time.Duration) {
-		r.raiseTokenIfFenced(err)
+		r.raiseTokenIfFenced(q.Token, err)
 		switch {
 		case err == nil:
 			r.candidateAnswered(now, t, requestedAt, reply)
