--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -89,7 +89,7 @@
 	ReasonExpired     Reason = "expired"      // it waited too long in the agent's queue
 	ReasonDraining    Reason = "draining"     // the target is draining
 	ReasonStopping    Reason = "stopping"     // the agent is shutting down
-	ReasonNoTarget    Reason = "no_target"    // the agent's target has not registered or does not respond
+	ReasonNoTarget    Reason = "no_target"    // the agent's target sends no heartbeats or does not respond
 	ReasonStale       Reason = "stale"        // the order was delayed in transit
 	ReasonBusy        Reason = "busy"         // the order required an immediate start, which was not possible
 	ReasonRevoked     Reason = "revoked"      // the gateway revoked it
