--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -1,12 +1,15 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
 // targetClockAtSync is what the target's clock shows, in milliseconds, when syncedRunner
@@ -18,6 +21,7 @@
 	r := New(NewCore(DefaultCoreOptions()), f, 1, func() time.Duration { return *now }, zerolog.Nop(), nopObserver{}, DefaultOptions())
 	r.Heartbeat(smallTarget)
 	r.Attach("g", &lostRunSink{make(chan struct{})})
+	r.core.RenewGatewayLease("g", *now)
 	r.core.ApplySnapshot(*now, Snapshot{RequestedAt: *now, Incarnation: smallTarget.Incarnation})
 	r.targetClock, r.clockReadAt = targetClockAtSync, *now
 	return r
@@ -196,3 +200,179 @@
 		}
 	}
 }
+
+// restartedTarget is a target that has started again under its ID. It lists an end until
+// that is acknowledged.
+type restartedTarget struct {
+	fakeTarget
+	end          End
+	acknowledged int64
+}
+
+func (f *restartedTarget) Poll(_ context.Context, t Target, q PollRequest) (PollReply, error) {
+	f.acknowledged = max(f.acknowledged, q.LastEndSeq)
+	reply := PollReply{Clock: 1, Incarnation: smallTarget.Incarnation + 1}
+	if f.acknowledged == 0 {
+		reply.Ended, reply.LastEndSeq = []End{f.end}, 1
+	}
+	return reply, nil
+}
+
+// Guards against a task that is placed again although it is done (TWICE): polls
+// acknowledged the ends of an earlier incarnation to the next one, which numbers its ends
+// anew and forgot those that the agent had not seen.
+func TestEndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext(t *testing.T) {
+	now := 10 * time.Second
+	f := &restartedTarget{end: End{firstAttempt("a", 0), task.Done}}
+	r := syncedRunner(&f.fakeTarget, &now)
+	r.client = f
+	r.lastEndSeq = 57
+	r.HandleOrder("g", now, []Start{newStart("a", 0, 1000)}, nil, nil)
+	r.inFlight.Wait()
+	now += 10 * ms
+	r.pollFailed(errors.New("connection reset"))
+	now += 20 * ms
+	_ = r.poll(t.Context(), smallTarget, 0)
+	now += 20 * ms
+	restarted := smallTarget
+	restarted.Incarnation++
+	r.Heartbeat(restarted)
+	r.inFlight.Wait()
+	if f.acknowledged > 0 {
+		t.Errorf("ends up to %d were acknowledged to the new incarnation, which the agent has not seen", f.acknowledged)
+	}
+}
+
+// Guards against a lease that counts from when its evidence is read (TWICE): the first
+// frame of a gateway may be half a second old when the agent attaches.
+func TestLeaseOfANewLinkCountsFromTheStampOfItsFirstFrame(t *testing.T) {
+	now := 10 * time.Second
+	stamp := now
+	f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+	r := syncedRunner(f, &now)
+	now += 450 * ms
+	r.Attach("late", &lostRunSink{make(chan struct{})})
+	r.HandleOrder("late", stamp, []Start{newStart("a", 0, 1000)}, nil, nil)
+	r.inFlight.Wait()
+	now = stamp + DefaultCoreOptions().GatewayLease + ms
+	r.core.RenewGatewayLease("g", now)
+	r.core.Tick(now)
+	if stops := r.core.Take().Stops; len(stops) != 1 {
+		t.Errorf("stops %v after the lease of the gateway, counted from the stamp, want one", stops)
+	}
+}
+
+// Guards against a run that gets more time by a stop that arrives late (TWICE): the frame
+// that carries the stop has the newest stamp, although its gateway answered the job when
+// it sent the frame before.
+func TestLateStopDoesNotProlongTheLease(t *testing.T) {
+	now := 10 * time.Second
+	f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+	r := syncedRunner(f, &now)
+	r.HandleOrder("g", now, []Start{newStart("a", 0, 1000)}, nil, nil)
+	r.inFlight.Wait()
+	r.core.StartAnswered(now, firstAttempt("a", 0), StartAccepted)
+	answeredAt := now + ms
+	now += 800 * ms
+	r.callCtx, r.cancelCalls = context.WithCancel(t.Context())
+	r.cancelCalls() // No stop reaches the target.
+	r.HandleOrder("g", now, nil, []string{"a"}, nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.targetClock, r.clockReadAt = targetClockAtSync, answeredAt
+	limit := targetClockAtSync + DefaultCoreOptions().RunLimit.Milliseconds()
+	for ; now < answeredAt+2*time.Second; now += 50 * ms {
+		r.core.RenewGatewayLease("g", now)
+		if deadline := r.leaseDeadline(); deadline > limit {
+			t.Fatalf("a lease until %d ms after the answer", deadline-targetClockAtSync)
+		}
+	}
+}
+
+// heldUpTarget accepts starts after the clock has moved on by delay.
+type heldUpTarget struct {
+	fakeTarget
+	now   *time.Duration
+	delay time.Duration
+}
+
+func (f *heldUpTarget) Start(context.Context, Target, Start, int64, int64) (StartResult, int64, error) {
+	*f.now += f.delay
+	return StartAccepted, 1, nil
+}
+
+// Guards against a run that is reported as lost while it goes on (TWICE): the lease of a
+// start that was held up counted from when it was sent.
+func TestLeaseOfAHeldUpStartCountsFromItsAnswer(t *testing.T) {
+	now := 10 * time.Second
+	f := &heldUpTarget{now: &now, delay: 3 * time.Second}
+	r := syncedRunner(&f.fakeTarget, &now)
+	r.client = f
+	r.HandleOrder("g", now, []Start{newStart("a", 0, 1000)}, nil, nil)
+	r.inFlight.Wait()
+	sink := &lostRunSink{make(chan struct{})}
+	r.sinks["g"] = sink
+	r.pollFailed(errors.New("no answer"))
+	select {
+	case <-sink.lost:
+		t.Error("the run was reported as lost right after its start was accepted")
+	default:
+	}
+}
+
+// Guards against a fencing token that runs ahead of the clock by 10 s for each call that
+// another one of this process has overtaken: the next process would be refused until its
+// own token has caught up.
+func TestTokenIsRaisedOnlyForRefusalsOfThePresentOne(t *testing.T) {
+	now := 10 * time.Second
+	f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+	r := syncedRunner(f, &now)
+	earlier := r.token
+	r.fenceEarlierCalls()
+	present := r.token
+	r.raiseTokenIfFenced(earlier, ErrFenced)
+	if r.token != present {
+		t.Errorf("token %d after the refusal of %d, was %d", r.token, earlier, present)
+	}
+	r.raiseTokenIfFenced(present, ErrFenced)
+	if r.token <= present {
+		t.Errorf("token %d after its refusal", r.token)
+	}
+}
+
+// Guards against a stop that an earlier incarnation has acknowledged and that counts for
+// the present one, on which a late start may run: it has to be sent again.
+func TestStopThatAnEarlierIncarnationAcknowledgedIsRepeated(t *testing.T) {
+	r := newCoreHarness(t)
+	r.submit(newStart("a", 0, 1000))
+	r.answerStart(firstAttempt("a", 0), StartUnanswered)
+	r.advance(ms)
+	r.core.StopAnswered(r.now, firstAttempt("a", 0), true)
+	r.actions.Stops = nil
+	restarted := smallTarget
+	restarted.Incarnation++
+	r.confirm(restarted, firstAttempt("a", 0))
+	if len(r.actions.Stops) != 1 || len(r.actions.Reports) > 0 {
+		t.Errorf("stops %v, reports %v, want one stop of the run that goes on", r.actions.Stops, r.actions.Reports)
+	}
+}
+
+// Guards against a reading of an earlier incarnation's clock that dates the leases of the
+// present one, and against its acknowledgement of a stop.
+func TestAnswersOfAnEarlierIncarnationSetNoClock(t *testing.T) {
+	now := 10 * time.Second
+	f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
+	r := syncedRunner(f, &now)
+	earlier := smallTarget
+	earlier.Incarnation--
+	r.setTargetClock(earlier, 99_999)
+	if r.targetClock != targetClockAtSync {
+		t.Errorf("clock %d", r.targetClock)
+	}
+	if r.core.Submit(now, "g", now, []Start{newStart("a", 0, 1000)}); len(r.core.Take().Starts) != 1 {
+		t.Fatal("no start")
+	}
+	if _, sent := r.startDeadline(earlier, Start{ValidUntil: now + time.Second}); sent {
+		t.Error("a start to an earlier incarnation is sent")
+	}
+}
--- a/restartable/runner/confirm.go
+++ b/restartable/runner/confirm.go
@@ -42,7 +42,7 @@
 	requestedAt := r.now()
 	reply, err := r.client.Poll(call, t, q)
 	r.apply(func(c *Core, now time.Duration) {
-		r.raiseTokenIfFenced(err)
+		r.raiseTokenIfFenced(q.Token, err)
 		switch {
 		case err == nil:
 			r.candidateAnswered(now, t, requestedAt, reply)
@@ -66,6 +66,6 @@
 	}
 	r.targetChanged(now, t)
 	r.setTargetClock(t, reply.Clock)
-	r.lastEndSeq = reply.LastEndSeq
+	r.lastEndSeq, r.mayAcknowledge = reply.LastEndSeq, true
 	r.notifyLoadChanged()
 }
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -53,9 +53,13 @@
 	// the core's clock; 0 if it is unknown.
 	clockReadAt time.Duration
 	targetClock int64
-	lastEndSeq  int64
+	// lastEndSeq is the sequence number of the last end that was processed.
+	// mayAcknowledge is set while the last poll was answered by the present incarnation:
+	// another one of the same ID numbers its ends anew.
+	lastEndSeq     int64
+	mayAcknowledge bool
 	// leaseSentAt is when the last call that may have extended the target's lease
-	// was sent.
+	// was sent, or the last start was accepted.
 	leaseSentAt time.Duration
 	// lastPollAnswer is when the target last answered a poll.
 	lastPollAnswer time.Duration
@@ -306,7 +310,7 @@
 // targetChanged resets what was known of an earlier incarnation of the target. The
 // caller holds r.mu.
 func (r *Runner) targetChanged(now time.Duration, t Target) {
-	r.lastEndSeq, r.targetClock, r.lastPollAnswer = 0, 0, now
+	r.lastEndSeq, r.mayAcknowledge, r.targetClock, r.lastPollAnswer = 0, false, 0, now
 	events.TargetAnnounced.Log(r.log).Str("target", t.ID).Int64("born", t.Incarnation).Int64("cpu_millis", t.Capacity.CPUMillis).Strs("labels", t.Labels).Send()
 }
 
@@ -316,7 +320,7 @@
 // next heartbeat, from when on tasks start, which capacity it has now.
 func (r *Runner) Restore(stored Record) {
 	r.apply(func(c *Core, now time.Duration) {
-		if c.RestoreTarget(stored.Target) {
+		if c.RestoreTarget(now, stored) {
 			r.lastPollAnswer = now
 		}
 		c.RestoreSpeed(stored)
@@ -347,15 +351,17 @@
 	return r.core.Target()
 }
 
-// RecordTarget returns the target as it is stored, with its full capacity, and false
-// unless it has confirmed the incarnation that its heartbeats describe.
-func (r *Runner) RecordTarget() (Target, bool) {
+// UpdateRecord returns the record of the target, given the saved one, and false unless
+// the target has confirmed the incarnation that its heartbeats describe. It reports
+// whether the targets of the two records differ.
+func (r *Runner) UpdateRecord(saved Record) (next Record, targetChanged, confirmed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.core.FullTarget()
+	t := r.core.target
 	// Draining is not stored; a new process learns it from heartbeats.
 	t.Draining = false
-	return t, r.core.Confirmed()
+	next = saved.Update(t, r.core.fullCapacity, r.core.Speed(r.now()))
+	return next, !next.sameTarget(saved), r.core.Confirmed()
 }
 
 // Load returns the target, its load and the time at which both were read.
@@ -366,12 +372,12 @@
 	return r.core.target, r.core.Load(now), now
 }
 
-// Attach registers the link of a gateway.
+// Attach registers the link of a gateway. Its lease begins with the stamp of its first
+// frame.
 func (r *Runner) Attach(gateway string, s Sink) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sinks[gateway] = s
-	r.core.RenewGatewayLease(gateway, r.now())
 	for _, c := range r.recentCrashes() {
 		s.Crashed(c)
 	}
@@ -420,13 +426,15 @@
 // HandleOrder applies a frame received from a gateway.
 func (r *Runner) HandleOrder(gateway string, stamp time.Duration, starts []Start, stopJobs []string, stops []Attempt) {
 	r.apply(func(c *Core, now time.Duration) {
-		c.RenewGatewayLease(gateway, stamp)
+		// Before the renewal: the gateway had given up these runs when it sent the stamp
+		// of the frame before.
 		if len(stopJobs) > 0 {
 			c.StopJobs(now, gateway, stopJobs)
 		}
 		for _, a := range stops {
 			c.StopAttempt(now, gateway, a)
 		}
+		c.RenewGatewayLease(gateway, stamp)
 		if len(starts) > 0 {
 			c.Submit(now, gateway, stamp, starts)
 		}
