--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -558,6 +558,9 @@
 // attach mirrors Runner.Attach.
 func (a *agent) attach(l *link) {
 	a.sinks[l.name] = l
+	if a.w.mutation == leaseFromAttach {
+		a.core.RenewGatewayLease(l.name, a.w.Now)
+	}
 	for _, c := range a.recentCrashes() {
 		l.crashed(c)
 	}
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -1,6 +1,7 @@
 package modeltest
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -33,7 +34,7 @@
 // submit sends a job of equal tasks that take half of a target and the given time.
 func (sc *scenario) submit(g *gateway, tasks int, runTime time.Duration) *client {
 	c := &client{
-		w: sc.w, job: "j", runTime: []time.Duration{runTime},
+		w: sc.w, job: fmt.Sprintf("j%d", len(sc.w.clients)), runTime: []time.Duration{runTime},
 		steps: []dispatch.Step{{Tasks: tasks, Needs: task.Resources{CPUMillis: 2000, MemoryMB: 100}, Estimate: 400 * ms}},
 	}
 	sc.w.clients = append(sc.w.clients, c)
@@ -100,7 +101,7 @@
 	}},
 	// The first frames of a link, with an order, were delayed. The agent took the gateway's
 	// lease to begin with their arrival.
-	{"first frames of a link are delayed", noMutation, func(sc *scenario) {
+	{"first frames of a link are delayed", leaseFromAttach, func(sc *scenario) {
 		g := sc.w.gateways
 		for _, a := range sc.w.agents {
 			old := a.links[g[0]]
@@ -114,10 +115,35 @@
 		c.next = g[1]
 		c.current.leave(0, "the connection is broken")
 		g[0].kill(5*s, true)
-		sc.w.advance(s)
+		sc.w.advance(800 * ms)
 		sc.runOf(c).kill(5 * s)
 		sc.w.advance(3 * s)
 	}},
+	// A queued task of a gateway that had lost power was started at the end of the
+	// gateway's lease, under the lease that the target already had.
+	{"queued task of a dead gateway", noMutation, func(sc *scenario) {
+		g, a := sc.w.gateways, sc.w.agents[0]
+		sc.w.agents[1].links[g[0]].closeByAgent()
+		sc.w.advance(10 * ms)
+		blocker := sc.submit(g[1], 4, 4*s)
+		sc.w.advance(50 * ms)
+		blocker.ended = true
+		c := sc.submit(g[0], 1, 4*s)
+		sc.w.advance(20 * ms)
+		if n := a.core.Load(sc.w.Now).Queued; n != 1 {
+			sc.t.Fatalf("%d tasks are queued", n)
+		}
+		c.next = g[1]
+		c.current.leave(0, "the connection is broken")
+		g[0].kill(5*s, true)
+		sc.w.advance(600 * ms)
+		for _, a := range sc.w.agents {
+			a.target.end(a.target.sortedRuns()[0], task.Done)
+		}
+		sc.w.advance(20 * ms)
+		a.kill(5 * s)
+		sc.w.advance(3 * s)
+	}},
 	// Stops got lost while polls renewed the lease of the run.
 	{"stops are lost", unboundedLease, func(sc *scenario) {
 		c := sc.submit(sc.w.gateways[0], 1, 4*s)
