--- a/restartable/modeltest/world_test.go
+++ b/restartable/modeltest/world_test.go
@@ -28,8 +28,7 @@
 	requests []*request
 	// calm disables all random faults.
 	calm bool
-	// lastCutID numbers the changes of cuts, so that the end of one does not end a later
-	// one.
+	// cuts holds the end of the cut of each direction.
 	cuts map[cut]time.Duration
 
 	// active holds the runs on targets that are up.
