--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -124,9 +124,10 @@
 	var written time.Time
 	for ctx.Err() == nil {
 		wait.For(ctx, recordCheckInterval)
-		next, targetChanged, confirmed := a.runner.UpdateRecord(saved)
-		sameSpeed := next.Speed == saved.Speed
-		if !confirmed || !targetChanged && (sameSpeed || time.Since(written) < speedSaveInterval) {
+		t, known := a.runner.RecordTarget()
+		next := saved.Update(t, a.runner.Speed())
+		sameTarget, sameSpeed := t.Equal(saved.Target), next.Speed == saved.Speed
+		if !known || sameTarget && (sameSpeed || time.Since(written) < speedSaveInterval) {
 			continue
 		}
 		if err := a.records.Save(ctx, next); err != nil {
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -22,9 +22,9 @@
 	// hasTarget is false until the first heartbeat. confirmed is set once a snapshot of
 	// the target has shown that it is the incarnation that the heartbeats describe.
 	hasTarget, confirmed bool
-	// capacityUntil is how long the newest heartbeat, or the record that the target was
-	// restored from, counts for its capacity.
-	capacityUntil time.Duration
+	// heartbeatAt is when its newest heartbeat arrived; 0 if the target was only
+	// restored from a record.
+	heartbeatAt time.Duration
 	// fullCapacity is the largest capacity that the incarnation has reported.
 	fullCapacity task.Resources
 	// candidate is another incarnation that a heartbeat has named, at candidateAt. It
@@ -120,11 +120,11 @@
 func (c *Core) Heartbeat(now time.Duration, t Target) {
 	switch {
 	case !c.hasTarget:
-		c.target, c.hasTarget, c.capacityUntil, c.fullCapacity = t, true, now+c.opts.HeartbeatTimeout, t.Capacity
+		c.target, c.hasTarget, c.heartbeatAt, c.fullCapacity = t, true, now, t.Capacity
 	case !t.sameIncarnation(c.target):
 		c.candidate, c.candidateAt, c.hasCandidate = t, now, true
 	case !c.capacityKnown(now), t.Seq >= c.target.Seq && t.Service == c.target.Service:
-		c.target, c.capacityUntil, c.fullCapacity = t, now+c.opts.HeartbeatTimeout, c.fullCapacity.Max(t.Capacity)
+		c.target, c.heartbeatAt, c.fullCapacity = t, now, c.fullCapacity.Max(t.Capacity)
 		c.processQueue(now)
 	}
 }
@@ -165,26 +165,27 @@
 		c.stats = newStatistics(c.opts.SlownessMax)
 		c.stats.restore(estimate)
 	}
-	c.target, c.capacityUntil, c.fullCapacity = c.candidate, c.candidateAt+c.opts.HeartbeatTimeout, c.candidate.Capacity
+	c.target, c.heartbeatAt, c.fullCapacity = c.candidate, c.candidateAt, c.candidate.Capacity
 	c.hasCandidate, c.switchedAt = false, now
 	return c.ApplySnapshot(now, s)
 }
 
 // RestoreTarget sets the target from a record, unless a heartbeat has arrived. Its
-// capacity counts for RestoredTimeout: it may have shrunk while the agent was down. It
-// reports whether it set the target.
-func (c *Core) RestoreTarget(now time.Duration, stored Record) bool {
+// runs can be listed, but nothing starts before its next heartbeat: its capacity may
+// have shrunk since the record was written. It reports whether it set the target.
+func (c *Core) RestoreTarget(t Target) bool {
 	if c.hasTarget {
 		return false
 	}
-	c.target, c.hasTarget, c.fullCapacity = stored.Target, true, stored.fullTarget().Capacity
-	c.capacityUntil = now + c.opts.RestoredTimeout
+	c.target, c.hasTarget, c.fullCapacity = t, true, t.Capacity
 	return true
 }
 
-// capacityKnown reports whether the last word on the target's capacity is recent enough
-// to start tasks by it.
-func (c *Core) capacityKnown(now time.Duration) bool { return now <= c.capacityUntil }
+// capacityKnown reports whether a heartbeat is so recent that the target has at least
+// the capacity that it says.
+func (c *Core) capacityKnown(now time.Duration) bool {
+	return c.heartbeatAt > 0 && now-c.heartbeatAt <= c.opts.HeartbeatTimeout
+}
 
 // RestoreSpeed applies the speed that an earlier process of this agent estimated
 // for a target of this VM.
@@ -195,7 +196,7 @@
 	if c.target.sameIncarnation(stored.Target) {
 		c.fullCapacity = c.fullCapacity.Max(stored.Target.Capacity)
 	}
-	c.stats.restore(stored.Speed.forTarget(stored.fullTarget(), c.FullTarget()))
+	c.stats.restore(stored.Speed.forTarget(stored.Target, c.FullTarget()))
 }
 
 // Speed returns the estimate of the target's speed.
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -27,10 +27,6 @@
 	// HeartbeatTimeout is the time without a heartbeat of the target after which
 	// nothing starts, since its capacity may have shrunk.
 	HeartbeatTimeout time.Duration
-	// RestoredTimeout is the same for a target that was restored from a record: a
-	// heartbeat follows within 1.5 s. Together with a restart of the agent it is within
-	// the 4.5 s for which a shrunk target may still be started on by its former capacity.
-	RestoredTimeout time.Duration
 	// SlownessMax is the upper bound of the estimated ratio of measured to
 	// expected run times; its inverse is the lower bound.
 	SlownessMax float64
@@ -45,7 +41,6 @@
 		MaxOrderAge:       500 * time.Millisecond,
 		UnansweredTimeout: 1200 * time.Millisecond,
 		HeartbeatTimeout:  4 * time.Second,
-		RestoredTimeout:   1600 * time.Millisecond,
 		SlownessMax:       50,
 	}
 }
--- a/restartable/runner/record.go
+++ b/restartable/runner/record.go
@@ -1,26 +1,12 @@
 package runner
 
-import (
-	"math"
-
-	"github.com/rhubarbsail/rhubarbsail/restartable/task"
-)
+import "math"
 
 // Record is what an agent stores about its target so that a later process can
 // restore it. The target has its full capacity there, also while it has shrunk.
 type Record struct {
 	Target Target
-	// FullCapacity is the largest capacity that the incarnation has reported.
-	FullCapacity task.Resources
-	Speed        SpeedEstimate
-}
-
-// fullTarget returns the target with the capacity that it has when it has not shrunk. It
-// tells whether another incarnation is of the same size.
-func (r Record) fullTarget() Target {
-	t := r.Target
-	t.Capacity = t.Capacity.Max(r.FullCapacity)
-	return t
+	Speed  SpeedEstimate
 }
 
 // SpeedEstimate is an estimate of a target's speed.
@@ -58,19 +44,13 @@
 	return e
 }
 
-// Update returns the record of target t, whose largest capacity was full, with the
-// current estimate e. A reliable stored estimate is kept until the new one differs
-// significantly or the target's full capacity changes.
-func (r Record) Update(t Target, full task.Resources, e SpeedEstimate) Record {
-	next := Record{Target: t, FullCapacity: full}
-	next.Speed = r.Speed.forTarget(r.fullTarget(), next.fullTarget())
-	if e.Samples >= reliableSamples && (next.Speed.Samples < reliableSamples || math.Abs(math.Log(e.Slowness/next.Speed.Slowness)) > math.Log(speedChangeRatio)) {
-		next.Speed = e
+// Update returns the record of target t with the current estimate e. A reliable
+// stored estimate is kept until the new one differs significantly or the target's
+// capacity changes.
+func (r Record) Update(t Target, e SpeedEstimate) Record {
+	stored := r.Speed.forTarget(r.Target, t)
+	if e.Samples >= reliableSamples && (stored.Samples < reliableSamples || math.Abs(math.Log(e.Slowness/stored.Slowness)) > math.Log(speedChangeRatio)) {
+		stored = e
 	}
-	return next
-}
-
-// sameTarget reports whether two records are of equal targets.
-func (r Record) sameTarget(o Record) bool {
-	return r.Target.Equal(o.Target) && r.FullCapacity == o.FullCapacity
+	return Record{Target: t, Speed: stored}
 }
--- a/restartable/runner/record_test.go
+++ b/restartable/runner/record_test.go
@@ -12,7 +12,7 @@
 // slow target got as many tasks as a fast one.
 func TestRestartedAgentRestoresSpeed(t *testing.T) {
 	target := Target{ID: "i-1", Incarnation: 1, Kind: "a", Capacity: task.Resources{CPUMillis: 4000}}
-	stored := Record{}.Update(target, target.Capacity, SpeedEstimate{Slowness: 1.7, Samples: 300})
+	stored := Record{}.Update(target, SpeedEstimate{Slowness: 1.7, Samples: 300})
 	next := target
 	next.ID, next.Incarnation = "i-2", 2
 	cases := []struct {
@@ -45,7 +45,7 @@
 	before := Target{ID: "i-1", Incarnation: 1, Kind: "a", Capacity: task.Resources{CPUMillis: 4000}}
 	after := before
 	after.ID, after.Incarnation, after.Kind = "i-2", 2, "b"
-	stored := Record{}.Update(before, before.Capacity, SpeedEstimate{Slowness: 1.7, Samples: 300})
+	stored := Record{}.Update(before, SpeedEstimate{Slowness: 1.7, Samples: 300})
 	restarted := NewCore(DefaultCoreOptions())
 	restarted.Heartbeat(time.Second, after)
 	restarted.RestoreSpeed(stored)
@@ -72,7 +72,7 @@
 func TestRecordChangesOnlyWithSignificantSpeedChange(t *testing.T) {
 	target := Target{ID: "i-1", Kind: "a"}
 	few, usual, near, far := SpeedEstimate{3, 5}, SpeedEstimate{1, 50}, SpeedEstimate{1.2, 90}, SpeedEstimate{1.6, 90}
-	stored := Record{}.Update(target, target.Capacity, few)
+	stored := Record{}.Update(target, few)
 	if stored.Speed != (SpeedEstimate{}) {
 		t.Errorf("stored %+v after a few runs", stored.Speed)
 	}
@@ -85,7 +85,7 @@
 		{Target{ID: "i-2", Kind: "b"}, SpeedEstimate{1.5, 90}, SpeedEstimate{1.5, 90}},
 		{Target{ID: "i-3", Kind: "b", Capacity: task.Resources{CPUMillis: 1}}, few, SpeedEstimate{}},
 	} {
-		stored = stored.Update(c.target, c.target.Capacity, c.learned)
+		stored = stored.Update(c.target, c.learned)
 		if stored.Speed != c.want {
 			t.Errorf("stored %+v, want %+v", stored.Speed, c.want)
 		}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -320,7 +320,7 @@
 // next heartbeat, from when on tasks start, which capacity it has now.
 func (r *Runner) Restore(stored Record) {
 	r.apply(func(c *Core, now time.Duration) {
-		if c.RestoreTarget(now, stored) {
+		if c.RestoreTarget(stored.Target) {
 			r.lastPollAnswer = now
 		}
 		c.RestoreSpeed(stored)
@@ -351,17 +351,15 @@
 	return r.core.Target()
 }
 
-// UpdateRecord returns the record of the target, given the saved one, and false unless
-// the target has confirmed the incarnation that its heartbeats describe. It reports
-// whether the targets of the two records differ.
-func (r *Runner) UpdateRecord(saved Record) (next Record, targetChanged, confirmed bool) {
+// RecordTarget returns the target as it is stored, with its full capacity, and false
+// unless it has confirmed the incarnation that its heartbeats describe.
+func (r *Runner) RecordTarget() (Target, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.core.target
+	t := r.core.FullTarget()
 	// Draining is not stored; a new process learns it from heartbeats.
 	t.Draining = false
-	next = saved.Update(t, r.core.fullCapacity, r.core.Speed(r.now()))
-	return next, !next.sameTarget(saved), r.core.Confirmed()
+	return t, r.core.Confirmed()
 }
 
 // Load returns the target, its load and the time at which both were read.
--- a/restartable/runner/shrink_test.go
+++ b/restartable/runner/shrink_test.go
@@ -83,32 +83,19 @@
 	}
 }
 
-// Guards against a restarted agent that fills its target by the capacity that the target
-// had before it shrank, or goes on for long by a stored one: the target may have shrunk
-// while the agent was down, or while the record could not be written.
-func TestRestoredCapacityIsTheLastOneAndCountsUntilTheNextHeartbeat(t *testing.T) {
-	shrunk := smallTarget
-	shrunk.Capacity.CPUMillis = 5000
-	restore := func() *coreHarness {
-		r := &coreHarness{t: t, core: NewCore(DefaultCoreOptions()), now: 10 * time.Second}
-		r.core.RestoreTarget(r.now, Record{Target: shrunk, FullCapacity: smallTarget.Capacity})
-		r.core.RenewGatewayLease("g", r.now)
-		r.applyRunning()
-		return r
-	}
-	r := restore()
-	r.submit(newStart("small", 0, 4000), newStart("large", 0, 8000))
+// Guards against a restarted agent that fills its target by a stored capacity: the target
+// may have shrunk while the agent was down, or while the record could not be written.
+func TestRestartedAgentStartsNothingBeforeTheNextHeartbeat(t *testing.T) {
+	r := &coreHarness{t: t, core: NewCore(DefaultCoreOptions()), now: 10 * time.Second}
+	r.core.RestoreTarget(smallTarget)
+	r.core.RenewGatewayLease("g", r.now)
+	r.applyRunning()
+	r.submit(newStart("early", 0, 8000))
+	r.wantReport("early", task.NotStarted, task.ReasonNoTarget)
+	r.resize(5000)
+	r.submit(newStart("small", 0, 5000), newStart("large", 0, 8000))
 	r.wantStarted("small")
 	r.wantReport("large", task.NotStarted, task.ReasonTooLarge)
-	r.resize(2000)
-	r.submit(newStart("no longer", 0, 3000))
-	r.wantReport("no longer", task.NotStarted, task.ReasonTooLarge)
-
-	r = restore()
-	r.advance(DefaultCoreOptions().RestoredTimeout)
-	r.core.RenewGatewayLease("g", r.now)
-	r.submit(newStart("late", 0, 1000))
-	r.wantReport("late", task.NotStarted, task.ReasonNoTarget)
 }
 
 // Guards against starts by the capacity of an old heartbeat: an agent whose VM was
@@ -153,9 +140,9 @@
 		"both restart": func(r *coreHarness) {
 			r.core.RestoreSpeed(record)
 			r.core.Heartbeat(r.now, shrunk)
-			stored := record.Update(r.core.target, r.core.fullCapacity, r.core.Speed(r.now))
+			stored := record.Update(r.core.FullTarget(), r.core.Speed(r.now))
 			r.core = NewCore(DefaultCoreOptions())
-			r.core.RestoreTarget(r.now, stored)
+			r.core.RestoreTarget(stored.Target)
 			r.core.RestoreSpeed(stored)
 			r.core.Heartbeat(r.now, next)
 		},
