--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -22,9 +22,9 @@
 	// hasTarget is false until the first heartbeat. confirmed is set once a snapshot of
 	// the target has shown that it is the incarnation that the heartbeats describe.
 	hasTarget, confirmed bool
-	// capacityUntil is how long the newest heartbeat, or the record that the target was
-	// restored from, counts for its capacity.
-	capacityUntil time.Duration
+	// heartbeatAt is when its newest heartbeat arrived; 0 if the target was only
+	// restored from a record.
+	heartbeatAt time.Duration
 	// fullCapacity is the largest capacity that the incarnation has reported.
 	fullCapacity task.Resources
 	// candidate is another incarnation that a heartbeat has named, at candidateAt. It
@@ -56,6 +56,9 @@
 	used        task.Resources
 	waiting     task.Resources
 	leaseExpiry map[string]time.Duration
+	// leaseGranted is the latest time on this core's clock up to which a call may have
+	// extended the target's lease.
+	leaseGranted time.Duration
 	// retired gateways may not start new tasks.
 	retired map[string]bool
 	// zoneDrained is whether operators have drained the agent's availability zone, as
@@ -117,11 +120,11 @@
 func (c *Core) Heartbeat(now time.Duration, t Target) {
 	switch {
 	case !c.hasTarget:
-		c.target, c.hasTarget, c.capacityUntil, c.fullCapacity = t, true, now+c.opts.HeartbeatTimeout, t.Capacity
+		c.target, c.hasTarget, c.heartbeatAt, c.fullCapacity = t, true, now, t.Capacity
 	case !t.sameIncarnation(c.target):
 		c.candidate, c.candidateAt, c.hasCandidate = t, now, true
 	case !c.capacityKnown(now), t.Seq >= c.target.Seq && t.Service == c.target.Service:
-		c.target, c.capacityUntil, c.fullCapacity = t, now+c.opts.HeartbeatTimeout, c.fullCapacity.Max(t.Capacity)
+		c.target, c.heartbeatAt, c.fullCapacity = t, now, c.fullCapacity.Max(t.Capacity)
 		c.processQueue(now)
 	}
 }
@@ -162,26 +165,27 @@
 		c.stats = newStatistics(c.opts.SlownessMax)
 		c.stats.restore(estimate)
 	}
-	c.target, c.capacityUntil, c.fullCapacity = c.candidate, c.candidateAt+c.opts.HeartbeatTimeout, c.candidate.Capacity
+	c.target, c.heartbeatAt, c.fullCapacity = c.candidate, c.candidateAt, c.candidate.Capacity
 	c.hasCandidate, c.switchedAt = false, now
 	return c.ApplySnapshot(now, s)
 }
 
 // RestoreTarget sets the target from a record, unless a heartbeat has arrived. Its
-// capacity counts for RestoredTimeout: it may have shrunk while the agent was down. It
-// reports whether it set the target.
-func (c *Core) RestoreTarget(now time.Duration, stored Record) bool {
+// runs can be listed, but nothing starts before its next heartbeat: its capacity may
+// have shrunk since the record was written. It reports whether it set the target.
+func (c *Core) RestoreTarget(t Target) bool {
 	if c.hasTarget {
 		return false
 	}
-	c.target, c.hasTarget, c.fullCapacity = stored.Target, true, stored.fullTarget().Capacity
-	c.capacityUntil = now + c.opts.RestoredTimeout
+	c.target, c.hasTarget, c.fullCapacity = t, true, t.Capacity
 	return true
 }
 
-// capacityKnown reports whether the last word on the target's capacity is recent enough
-// to start tasks by it.
-func (c *Core) capacityKnown(now time.Duration) bool { return now <= c.capacityUntil }
+// capacityKnown reports whether a heartbeat is so recent that the target has at least
+// the capacity that it says.
+func (c *Core) capacityKnown(now time.Duration) bool {
+	return c.heartbeatAt > 0 && now-c.heartbeatAt <= c.opts.HeartbeatTimeout
+}
 
 // RestoreSpeed applies the speed that an earlier process of this agent estimated
 // for a target of this VM.
@@ -192,7 +196,7 @@
 	if c.target.sameIncarnation(stored.Target) {
 		c.fullCapacity = c.fullCapacity.Max(stored.Target.Capacity)
 	}
-	c.stats.restore(stored.Speed.forTarget(stored.fullTarget(), c.FullTarget()))
+	c.stats.restore(stored.Speed.forTarget(stored.Target, c.FullTarget()))
 }
 
 // Speed returns the estimate of the target's speed.
@@ -339,7 +343,7 @@
 }
 
 func (c *Core) revoke(now time.Duration, r *run) {
-	r.endBy = min(c.endBy(r), now+c.opts.RunLimit)
+	r.revokedEndBy = min(c.endBy(r), now+c.opts.RunLimit)
 	if !r.revoked {
 		r.revoked, r.revokedAt = true, now
 	}
@@ -416,12 +420,12 @@
 // elsewhere from then on: RunLimit after its gateway was last in contact, or after the
 // run was revoked.
 func (c *Core) endBy(r *run) time.Duration {
-	limit := r.endBy
+	limit := r.revokedEndBy
 	if until, linked := c.leaseExpiry[r.gateway]; linked {
 		limit = until - c.opts.GatewayLease + c.opts.RunLimit
 	}
 	if r.revoked {
-		limit = min(limit, r.endBy)
+		limit = min(limit, r.revokedEndBy)
 	}
 	return limit
 }
