--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -35,7 +35,7 @@
 	// signal.
 	extraPolling, pollUnanswered bool
 	// stored is the record of the target in the store.
-	stored   runner.Record
+	stored   runner.Target
 	isStored bool
 	// started holds the attempts that this core has started.
 	started map[runner.Attempt]bool
@@ -93,21 +93,20 @@
 	a.w.After(downFor, a.boot)
 }
 
-// restore mirrors Runner.Restore, Runner.UpdateRecord and daemon.PlatformAgent.maintainRecord.
+// restore mirrors Runner.Restore, Runner.RecordTarget and daemon.PlatformAgent.maintainRecord.
 func (a *agent) restore() {
 	if a.isStored {
 		a.apply(func() {
-			if a.core.RestoreTarget(a.w.Now, a.stored) {
-				a.w.trace("%s restores the target %s, born %d", a.name, a.stored.Target.ID, a.stored.Target.Incarnation)
+			if a.core.RestoreTarget(a.stored) {
+				a.w.trace("%s restores the target %s, born %d", a.name, a.stored.ID, a.stored.Incarnation)
 				a.lastPollAnswer = a.w.Now
 			}
 		})
 	}
 	a.every(500*ms, func() {
 		if a.core.Confirmed() {
-			t, _ := a.core.Target()
-			t.Draining = false
-			a.stored, a.isStored = runner.Record{Target: t, FullCapacity: a.core.FullTarget().Capacity}, true
+			a.stored, a.isStored = a.core.FullTarget(), true
+			a.stored.Draining = false
 		}
 	})
 }
@@ -134,7 +133,7 @@
 		if r.FieldByName("state").Int() == 0 {
 			continue // queued
 		}
-		endBy := time.Duration(r.FieldByName("endBy").Int())
+		endBy := time.Duration(r.FieldByName("revokedEndBy").Int())
 		runLimit := endBy
 		if until := expiry.MapIndex(r.FieldByName("gateway")); until.IsValid() {
 			runLimit = time.Duration(until.Int()) - a.coreOpts.GatewayLease + a.coreOpts.RunLimit
@@ -149,13 +148,21 @@
 
 // leaseDeadline mirrors Runner.leaseDeadline.
 func (a *agent) leaseDeadline() int64 {
-	now := a.w.Now
-	until := min(now+a.opts.Lease, a.leaseLimit(now))
+	deadline, _ := a.grantLease(a.w.Now, a.w.Now+a.opts.Lease)
+	return deadline
+}
+
+// grantLease mirrors Runner.grantLease.
+func (a *agent) grantLease(now, until time.Duration) (int64, bool) {
+	until = min(until, a.leaseLimit(now))
 	if a.targetClock == 0 || !a.reachable() || until <= now {
-		return 0
+		return 0, false
 	}
 	a.leaseSentAt = now
-	return a.targetClock + (until - a.clockReadAt).Milliseconds()
+	if granted := a.field("leaseGranted"); granted.Int() < int64(until) && a.w.mutation != inheritLease {
+		*(*time.Duration)(granted.Addr().UnsafePointer()) = until
+	}
+	return a.targetClock + (until - a.clockReadAt).Milliseconds(), true
 }
 
 // isCurrent mirrors Runner.isCurrent.
@@ -173,14 +180,10 @@
 
 // startDeadline mirrors Runner.startDeadline.
 func (a *agent) startDeadline(t runner.Target, st runner.Start) (int64, bool) {
-	now := a.w.Now
-	until := min(st.ValidUntil, a.leaseLimit(now))
-	_, pending := a.core.Candidate()
-	if now >= until || pending || !a.isCurrent(t) || !a.reachable() || a.targetClock == 0 {
+	if _, pending := a.core.Candidate(); pending || !a.isCurrent(t) {
 		return 0, false
 	}
-	a.leaseSentAt = now
-	return a.targetClock + (until - a.clockReadAt).Milliseconds(), true
+	return a.grantLease(a.w.Now, st.ValidUntil)
 }
 
 // apply mirrors Runner.apply.
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -116,12 +116,16 @@
 		c.current.leave(0, "the connection is broken")
 		g[0].kill(5*s, true)
 		sc.w.advance(800 * ms)
-		sc.runOf(c).kill(5 * s)
+		for _, a := range sc.w.agents {
+			if len(a.target.runs) > 0 {
+				a.kill(5 * s)
+			}
+		}
 		sc.w.advance(3 * s)
 	}},
 	// A queued task of a gateway that had lost power was started at the end of the
 	// gateway's lease, under the lease that the target already had.
-	{"queued task of a dead gateway", noMutation, func(sc *scenario) {
+	{"queued task of a dead gateway", inheritLease, func(sc *scenario) {
 		g, a := sc.w.gateways, sc.w.agents[0]
 		sc.w.agents[1].links[g[0]].closeByAgent()
 		sc.w.advance(10 * ms)
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -410,6 +410,7 @@
 	noMutation           mutation = ""
 	noGatewayLease       mutation = "gateway's lease at the agent"
 	leaseFromAttach      mutation = "lease of a new link begins with a stamp"
+	inheritLease         mutation = "runs start under a lease that they may inherit"
 	unboundedLease       mutation = "lease bounded by the runs that have to end"
 	forgetUnanswered     mutation = "unanswered starts are held"
 	ignoreForeignRuns    mutation = "runs of a predecessor are stopped first"
