Let the core decide on leases, without I/O

The model of the restartable path read and wrote unexported fields of the core to follow the decisions on leases in Runner. Change: LimitLease and LeaseGranted decide and record in Core; Runner translates to the target's clock. The model calls them. Result: no decision changes.

--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"reflect"
 	"slices"
 	"time"
 
@@ -111,60 +110,31 @@
 	})
 }
 
-// field returns an unexported field of the core.
-func (a *agent) field(name string) reflect.Value {
-	return reflect.ValueOf(a.core).Elem().FieldByName(name)
-}
-
-func (a *agent) reachable() bool { return a.field("reachable").Bool() }
-
-// leaseLimit mirrors runner.Core.leaseLimit and endBy.
-func (a *agent) leaseLimit(now time.Duration) time.Duration {
-	if a.field("foreignRuns").Len() > 0 && a.w.mutation != renewForeignRuns {
-		return now
-	}
-	limit := now + a.coreOpts.GatewayLease
-	if a.w.mutation == unboundedLease {
-		return limit
+// grantLease mirrors Runner.grantLease.
+func (a *agent) grantLease(until time.Duration) (int64, bool) {
+	now := a.w.Now
+	limited, allowed := a.core.LimitLease(now, until)
+	switch {
+	case a.targetClock == 0 || !a.core.Reachable():
+		return 0, false
+	case a.w.mutation == unboundedLease, a.w.mutation == renewForeignRuns && !allowed:
+		limited = until
+	case !allowed:
+		return 0, false
 	}
-	expiry := a.field("leaseExpiry")
-	for runs := a.field("runs").MapRange(); runs.Next(); {
-		r := runs.Value().Elem()
-		if r.FieldByName("state").Int() == 0 {
-			continue // queued
-		}
-		endBy := time.Duration(r.FieldByName("revokedEndBy").Int())
-		runLimit := endBy
-		if until := expiry.MapIndex(r.FieldByName("gateway")); until.IsValid() {
-			runLimit = time.Duration(until.Int()) - a.coreOpts.GatewayLease + a.coreOpts.RunLimit
-		}
-		if r.FieldByName("revoked").Bool() {
-			runLimit = min(runLimit, endBy)
-		}
-		limit = min(limit, runLimit)
+	a.leaseSentAt = now
+	if a.w.mutation != inheritLease {
+		a.core.LeaseGranted(limited)
 	}
-	return limit
+	return a.targetClock + (limited - a.clockReadAt).Milliseconds(), true
 }
 
 // leaseDeadline mirrors Runner.leaseDeadline.
 func (a *agent) leaseDeadline() int64 {
-	deadline, _ := a.grantLease(a.w.Now, a.w.Now+a.opts.Lease)
+	deadline, _ := a.grantLease(a.w.Now + a.opts.Lease)
 	return deadline
 }
 
-// grantLease mirrors Runner.grantLease.
-func (a *agent) grantLease(now, until time.Duration) (int64, bool) {
-	until = min(until, a.leaseLimit(now))
-	if a.targetClock == 0 || !a.reachable() || until <= now {
-		return 0, false
-	}
-	a.leaseSentAt = now
-	if granted := a.field("leaseGranted"); granted.Int() < int64(until) && a.w.mutation != inheritLease {
-		*(*time.Duration)(granted.Addr().UnsafePointer()) = until
-	}
-	return a.targetClock + (until - a.clockReadAt).Milliseconds(), true
-}
-
 // isCurrent mirrors Runner.isCurrent.
 func (a *agent) isCurrent(t runner.Target) bool {
 	current, known := a.core.Target()
@@ -183,7 +153,7 @@
 	if _, pending := a.core.Candidate(); pending || !a.isCurrent(t) {
 		return 0, false
 	}
-	return a.grantLease(a.w.Now, st.ValidUntil)
+	return a.grantLease(st.ValidUntil)
 }
 
 // apply mirrors Runner.apply.
@@ -414,7 +384,7 @@
 		return
 	}
 	wait := a.opts.PollWait
-	if a.targetClock == 0 || !a.field("synced").Bool() {
+	if a.targetClock == 0 || !a.core.Synced() {
 		wait = 0
 	}
 	a.poll(t, wait, func(success bool) {
@@ -476,7 +446,7 @@
 
 // loseContact mirrors Runner.loseContact.
 func (a *agent) loseContact(change func()) {
-	was := a.reachable()
+	was := a.core.Reachable()
 	change()
 	if was {
 		a.fenceEarlierCalls()
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -11,25 +11,24 @@
 )
 
 // leaseDeadline returns the end of a new lease on the target's clock, or 0 for no
-// renewal: an unreachable target gets none, so that its runs end. The caller holds r.mu.
+// renewal. The caller holds r.mu.
 func (r *Runner) leaseDeadline() int64 {
 	now := r.now()
 	deadline, _ := r.grantLease(now, now+r.opts.Lease)
 	return deadline
 }
 
-// grantLease returns a time as one of the target's clock and records that its lease may
-// be extended up to it, but not beyond what its runs allow. It returns false if the lease
-// must not be extended. The target's clock is known as of the end of an earlier call, so
-// the result may be too late by the duration of that call; the target caps it to its own
-// maximum. The caller holds r.mu.
+// grantLease extends the target's lease up to until, as far as the core allows it, and
+// returns its end as a time of the target's clock, or false for no extension. The clock is
+// known as of the end of an earlier call, so that the result may be too early by the
+// duration of that call. The caller holds r.mu.
 func (r *Runner) grantLease(now, until time.Duration) (int64, bool) {
-	until = min(until, r.core.leaseLimit(now))
-	if r.targetClock == 0 || !r.core.reachable || until <= now {
+	until, allowed := r.core.LimitLease(now, until)
+	if !allowed || r.targetClock == 0 {
 		return 0, false
 	}
 	r.leaseSentAt = now
-	r.core.leaseGranted = max(r.core.leaseGranted, until)
+	r.core.LeaseGranted(until)
 	return r.targetClock + (until - r.clockReadAt).Milliseconds(), true
 }
 
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -416,6 +416,23 @@
 	return limit
 }
 
+// Reachable reports whether the target answers.
+func (c *Core) Reachable() bool { return c.reachable }
+
+// Synced reports whether the target has listed its runs since contact to it was lost.
+func (c *Core) Synced() bool { return c.synced }
+
+// LimitLease returns the time up to which a call may extend the target's lease: until, or
+// what its runs allow if that is earlier. It returns false if the lease must not be
+// extended: an unreachable target gets none, so that its runs end.
+func (c *Core) LimitLease(now, until time.Duration) (time.Duration, bool) {
+	until = min(until, c.leaseLimit(now))
+	return until, c.reachable && until > now
+}
+
+// LeaseGranted records that a call may extend the target's lease up to until.
+func (c *Core) LeaseGranted(until time.Duration) { c.leaseGranted = max(c.leaseGranted, until) }
+
 // endBy returns the time by which a run must have ended, since its task may be started
 // elsewhere from then on: RunLimit after its gateway was last in contact, or after the
 // run was revoked.
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -142,7 +142,7 @@
 func (r *Runner) pollWait() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.targetClock == 0 || !r.core.synced {
+	if r.targetClock == 0 || !r.core.Synced() {
 		return 0
 	}
 	return r.opts.PollWait
