Move the listener that drains connections to common/drain

No change of behaviour. The listener serves only the platform's gateway so far; httpapi.Server loses requests at its stop for the same reason, and is to use the same copy. The keep-alive configuration and the header timeout become options.

The cases of the test in daemon move to common/drain/draintest, unchanged, so that each user of the listener runs them against its own server.

--- a/daemon/callerconns_test.go
+++ b/common/drain/draintest/draintest.go
@@ -1,4 +1,6 @@
-package daemon
+// Package draintest checks that the planned stop of an HTTP/1.1 server loses no
+// request. Its connections hold requests back until the server starts to close them.
+package draintest
 
 import (
 	"bufio"
@@ -8,16 +10,19 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/rs/zerolog"
 )
 
-// stopLimit is much longer than a stop takes whose connections are all idle.
-const stopLimit = 20 * time.Second
+// StopLimit is much longer than a stop takes whose connections are all idle.
+const StopLimit = 20 * time.Second
+
+// StartServer starts a server of the given listener until the end of the test, with a
+// handler that answers at once. It returns the HTTP server, whose ConnState hook may
+// be replaced before serve is called, and the function that stops it as planned.
+type StartServer func(t *testing.T, l net.Listener) (server *http.Server, serve func(), stop func() error)
 
-// Guards against requests that a stopping gateway drops because they arrive while it
-// closes idle connections, although it has read them or could still read them.
-func TestStopAnswersRequestsThatArriveAsItClosesConnections(t *testing.T) {
+// TestStop requires answers to requests that arrive while the server closes
+// connections and that it has read or could still read.
+func TestStop(t *testing.T, start StartServer) {
 	for _, tt := range []struct {
 		name string
 		// kept connections are idle when the server stops, since a request on them has
@@ -33,7 +38,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			s := startGatedServer(t)
+			s := startGatedServer(t, start)
 			idle := s.dial(t)
 			idle.exchange(t)
 			caller := s.dial(t)
@@ -51,7 +56,7 @@
 				caller.server.beforeClose = func() { caller.send(t) }
 			}
 			stopped := make(chan error, 1)
-			go func() { stopped <- s.set.stop(stopLimit) }()
+			go func() { stopped <- s.stop() }()
 			caller.receive(t)
 			if err := <-stopped; err != nil {
 				t.Errorf("stop: %v", err)
@@ -60,20 +65,21 @@
 	}
 }
 
-// gatedServer is a server of callers whose connections can hold requests back.
+// gatedServer is a server whose connections can hold requests back.
 type gatedServer struct {
-	set      *serverSet
 	listener *gatedListener
+	stop     func() error
 }
 
-func startGatedServer(t *testing.T) *gatedServer {
-	s := &gatedServer{listener: &gatedListener{accepted: make(chan *gatedConn, 1)}}
-	s.set = &serverSet{env: Env{Listen: s.listener.listen}}
-	s.set.add("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), true)
-	if s.set.err != nil {
-		t.Fatal(s.set.err)
+func startGatedServer(t *testing.T, start StartServer) *gatedServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	server := s.set.servers[0].http
+	s := &gatedServer{listener: &gatedListener{Listener: l, accepted: make(chan *gatedConn, 1)}}
+	server, serve, stop := start(t, s.listener)
+	s.stop = stop
 	hook := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if hook != nil {
@@ -83,10 +89,7 @@
 			s.listener.armIdle(c.RemoteAddr())
 		}
 	}
-	var wg sync.WaitGroup
-	s.set.start(&wg, zerolog.Nop())
-	t.Cleanup(wg.Wait)
-	t.Cleanup(func() { _ = s.set.close() })
+	serve()
 	return s
 }
 
@@ -123,7 +126,7 @@
 
 func (c *gatedCaller) receive(t *testing.T) {
 	t.Helper()
-	if err := c.SetReadDeadline(time.Now().Add(stopLimit)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(StopLimit)); err != nil {
 		t.Fatal(err)
 	}
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -142,12 +145,6 @@
 	conns []*gatedConn
 }
 
-func (l *gatedListener) listen(network, address string) (net.Listener, error) {
-	var err error
-	l.Listener, err = net.Listen(network, address)
-	return l, err
-}
-
 // Accept implements net.Listener.
 func (l *gatedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
--- a/daemon/callerconns.go
+++ b/common/drain/listener.go
@@ -1,4 +1,7 @@
-package daemon
+// Package drain closes the connections of a stopping HTTP/1.1 server without losing
+// requests. http.Server.Shutdown alone loses them: it closes a connection whose
+// request has been received but not yet parsed.
+package drain
 
 import (
 	"context"
@@ -14,57 +17,73 @@
 	"golang.org/x/sys/unix"
 )
 
-// callerListener accepts the connections of callers, enables callerKeepAlive on
-// them and can drain them. http.Server.Shutdown alone loses requests: it closes a
-// connection whose request has been received but not yet parsed.
-type callerListener struct {
+// Options configures the connections of a Listener.
+type Options struct {
+	// KeepAlive is set on each accepted connection unless it is zero.
+	KeepAlive net.KeepAliveConfig
+	// HeaderTimeout bounds the time to read a request header, as the server's
+	// ReadHeaderTimeout does.
+	HeaderTimeout time.Duration
+}
+
+// Listener accepts the connections of an http.Server that speaks only HTTP/1.1, and
+// can drain them. TrackIdle has to be the server's ConnState hook.
+type Listener struct {
 	net.Listener
+	options Options
 
 	mu       sync.Mutex // guards the fields below
-	conns    map[*callerConn]struct{}
+	conns    map[*conn]struct{}
 	draining bool
-	// drained is closed when the last connection has closed after drain.
+	// drained is closed when the last connection has closed after Drain.
 	drained chan struct{}
 }
 
-func newCallerListener(l net.Listener) *callerListener {
-	return &callerListener{Listener: l, conns: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+// NewListener returns a listener for the connections that l accepts.
+func NewListener(l net.Listener, o Options) *Listener {
+	return &Listener{Listener: l, options: o, conns: map[*conn]struct{}{}, drained: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := c.(interface {
-		SetKeepAliveConfig(net.KeepAliveConfig) error
-	}); ok {
-		// A connection without keep-alive can still be served.
-		_ = t.SetKeepAliveConfig(callerKeepAlive)
-	}
+	l.setKeepAlive(c)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := &callerConn{Conn: c, listener: l, draining: l.draining}
+	k := &conn{Conn: c, listener: l, draining: l.draining}
 	l.conns[k] = struct{}{}
 	return k, nil
 }
 
+func (l *Listener) setKeepAlive(c net.Conn) {
+	t, ok := c.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	})
+	if ok && l.options.KeepAlive != (net.KeepAliveConfig{}) {
+		// A connection without keep-alive can still be served.
+		_ = t.SetKeepAliveConfig(l.options.KeepAlive)
+	}
+}
+
 // Close implements net.Listener. It may be called more than once.
-func (l *callerListener) Close() error {
+func (l *Listener) Close() error {
 	if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
 }
 
-// drain closes the listener and each connection as soon as no request is in
-// progress on it. It returns when all connections are closed or ctx is done.
-func (l *callerListener) drain(ctx context.Context) error {
+// Drain closes the listener and each connection as soon as no request is in
+// progress on it. It returns when all connections are closed or ctx is done; its
+// error is that of closing the listener.
+func (l *Listener) Drain(ctx context.Context) error {
 	err := l.Close()
 	l.mu.Lock()
 	l.draining = true
-	open := make([]*callerConn, 0, len(l.conns))
+	open := make([]*conn, 0, len(l.conns))
 	for c := range l.conns {
 		open = append(open, c)
 	}
@@ -82,7 +101,7 @@
 	return err
 }
 
-func (l *callerListener) remove(c *callerConn) {
+func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, ok := l.conns[c]; !ok {
@@ -94,17 +113,18 @@
 	}
 }
 
-// callerConn is a connection of a caller. The read deadline closes it between two
-// requests, after idleTimeout or when it is drained. Before that it reads what has
-// arrived, so that a request is either served or has not been read at all.
-type callerConn struct {
+// conn is a connection of a client. The read deadline closes it between two
+// requests, after the server's IdleTimeout or when it is drained. Before that it
+// reads what has arrived, so that a request is either served or has not been read at
+// all.
+type conn struct {
 	net.Conn
-	listener *callerListener
+	listener *Listener
 
 	mu sync.Mutex // guards the fields below
 	// idle is true from the end of a response to the first byte of the next request.
 	// A new connection is not idle: its first request follows at once, or else the
-	// server closes it after headerTimeout.
+	// server closes it after HeaderTimeout.
 	idle     bool
 	draining bool
 }
@@ -112,15 +132,15 @@
 // longAgo is a read deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
-// trackIdle is the ConnState hook of the callers' server.
-func trackIdle(c net.Conn, state http.ConnState) {
-	if k, ok := c.(*callerConn); ok && state == http.StateIdle {
+// TrackIdle is the ConnState hook of the server of a Listener.
+func TrackIdle(c net.Conn, state http.ConnState) {
+	if k, ok := c.(*conn); ok && state == http.StateIdle {
 		k.setIdle()
 	}
 }
 
 // Read implements net.Conn.
-func (c *callerConn) Read(b []byte) (int, error) {
+func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle() {
 		n, err = c.readReceived(b)
@@ -133,7 +153,7 @@
 
 // SetReadDeadline implements net.Conn. The deadline of an idle connection that is
 // drained stays in the past.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle && c.draining {
@@ -143,19 +163,19 @@
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *conn) Close() error {
 	defer c.listener.remove(c)
 	return c.Conn.Close()
 }
 
-func (c *callerConn) drain() {
+func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
 	c.interruptIfDrained()
 }
 
-func (c *callerConn) setIdle() {
+func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = true
@@ -164,7 +184,7 @@
 
 // interruptIfDrained ends the read for the next request of an idle connection that
 // is drained, whereupon the server closes the connection. The caller holds c.mu.
-func (c *callerConn) interruptIfDrained() {
+func (c *conn) interruptIfDrained() {
 	if c.idle && c.draining {
 		// A closed connection needs no deadline.
 		_ = c.Conn.SetReadDeadline(longAgo)
@@ -173,16 +193,16 @@
 
 // setActive marks the start of a request. The server sets the same deadline once it
 // has received four bytes; an earlier one may be in the past.
-func (c *callerConn) setActive() {
+func (c *conn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
 		c.idle = false
-		_ = c.Conn.SetReadDeadline(time.Now().Add(headerTimeout))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.options.HeaderTimeout))
 	}
 }
 
-func (c *callerConn) isIdle() bool {
+func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.idle
@@ -190,7 +210,7 @@
 
 // readReceived reads the bytes that have been received, regardless of the read
 // deadline. It returns os.ErrDeadlineExceeded if there are none.
-func (c *callerConn) readReceived(b []byte) (int, error) {
+func (c *conn) readReceived(b []byte) (int, error) {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return 0, os.ErrDeadlineExceeded
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/rhubarbsail/rhubarbsail/common/drain"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
@@ -28,7 +29,7 @@
 	http     *http.Server
 	// callers is the listener of the callers' API, whose server shuts down gracefully;
 	// nil for other servers.
-	callers *callerListener
+	callers *drain.Listener
 }
 
 // headerTimeout limits the time for reading a request header, idleTimeout the
@@ -65,8 +66,8 @@
 		MaxHeaderBytes: httpapi.DefaultServerLimits().HeaderBytes,
 	}}
 	if callers {
-		b.callers = newCallerListener(l)
-		b.listener, b.http.ConnState = b.callers, trackIdle
+		b.callers = drain.NewListener(l, drain.Options{KeepAlive: callerKeepAlive, HeaderTimeout: headerTimeout})
+		b.listener, b.http.ConnState = b.callers, drain.TrackIdle
 	}
 	s.servers = append(s.servers, b)
 }
@@ -93,7 +94,7 @@
 	var shutdownErr error
 	for _, b := range s.servers {
 		if b.callers != nil {
-			shutdownErr = errors.Join(shutdownErr, b.callers.drain(ctx), b.http.Shutdown(ctx))
+			shutdownErr = errors.Join(shutdownErr, b.callers.Drain(ctx), b.http.Shutdown(ctx))
 		}
 	}
 	return errors.Join(shutdownErr, s.close())
