Don't panic when a connection is accepted as the last one closes

A gateway of the platform could crash during its planned stop and break off all requests in progress.

Cause: a connection that Accept has returned from the kernel, but that is registered only after the drain has seen the last connection close, closes the channel drained a second time when it ends. net/http closes connections in a deferred call behind its recover, so that the process ends.

The channel is closed once. Such a connection is still drained: it starts as draining, and http.Server.Shutdown waits for its request.

--- a/common/drain/listener.go
+++ b/common/drain/listener.go
@@ -35,8 +35,10 @@
 	mu       sync.Mutex // guards the fields below
 	conns    map[*conn]struct{}
 	draining bool
-	// drained is closed when the last connection has closed after Drain.
-	drained chan struct{}
+	// drained is closed when the last connection has closed after Drain. A connection
+	// that is accepted as the listener closes may become known and end later still.
+	drained    chan struct{}
+	endOfDrain sync.Once
 }
 
 // NewListener returns a listener for the connections that l accepts.
@@ -109,7 +111,7 @@
 	}
 	delete(l.conns, c)
 	if l.draining && len(l.conns) == 0 {
-		close(l.drained)
+		l.endOfDrain.Do(func() { close(l.drained) })
 	}
 }
 
