--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -475,7 +475,7 @@
 	{trustHeartbeats, nil, 761},
 	{keepToken, []string{"Submit", "SubmitSeveral", "CrashTarget", "CallFaults", "AdvanceShort", "AdvanceLong"}, 22},
 	{loseRunsAtOnce, nil, 7672},
-	{stopOnce, nil, 89},
+	{stopOnce, nil, 5654},
 	{noResumeDelay, []string{"Submit", "PauseGateway", "Break", "AdvanceShort", "AdvanceLong"}, 5566},
 	{keepJobsOfGoneCaller, nil, 43954},
 }
