httpapi: answer requests that arrive while Stop closes connections

At a planned stop of a gateway, a request of a caller or an operator on a kept or new connection could get EOF or a reset without an answer, although the gateway had received it.

Cause: as on the platform's path, http.Server.Shutdown closes a connection as idle until its next request has been parsed, so also after the request has been read.

Stop now drains the connections with common/drain before it calls Shutdown. The limit on connections moves into that listener: the connections of netutil.LimitListener hide the socket, whose receive buffer is read once more before an idle connection closes. The server speaks only HTTP/1.1, as before without TLS; this is now explicit.

New tests of common/drain check the limit.

--- a/common/drain/listener.go
+++ b/common/drain/listener.go
@@ -22,8 +22,11 @@
 	// KeepAlive is set on each accepted connection unless it is zero.
 	KeepAlive net.KeepAliveConfig
 	// HeaderTimeout bounds the time to read a request header, as the server's
-	// ReadHeaderTimeout does.
+	// ReadHeaderTimeout does. It must be positive.
 	HeaderTimeout time.Duration
+	// MaxConnections is the largest number of open connections, or 0 for no limit.
+	// Further ones wait in the kernel's accept queue.
+	MaxConnections int
 }
 
 // Listener accepts the connections of an http.Server that speaks only HTTP/1.1, and
@@ -31,6 +34,11 @@
 type Listener struct {
 	net.Listener
 	options Options
+	// slots holds an element for each open connection; nil without a limit. closed
+	// ends an Accept that waits for a slot.
+	slots   chan struct{}
+	closed  chan struct{}
+	closing sync.Once
 
 	mu       sync.Mutex // guards the fields below
 	conns    map[*conn]struct{}
@@ -43,13 +51,24 @@
 
 // NewListener returns a listener for the connections that l accepts.
 func NewListener(l net.Listener, o Options) *Listener {
-	return &Listener{Listener: l, options: o, conns: map[*conn]struct{}{}, drained: make(chan struct{})}
+	d := &Listener{
+		Listener: l, options: o, closed: make(chan struct{}),
+		conns: map[*conn]struct{}{}, drained: make(chan struct{}),
+	}
+	if o.MaxConnections > 0 {
+		d.slots = make(chan struct{}, o.MaxConnections)
+	}
+	return d
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	if err := l.acquireSlot(); err != nil {
+		return nil, err
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.releaseSlot()
 		return nil, err
 	}
 	l.setKeepAlive(c)
@@ -60,6 +79,24 @@
 	return k, nil
 }
 
+func (l *Listener) acquireSlot() error {
+	if l.slots == nil {
+		return nil
+	}
+	select {
+	case <-l.closed:
+		return net.ErrClosed
+	case l.slots <- struct{}{}:
+		return nil
+	}
+}
+
+func (l *Listener) releaseSlot() {
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
 func (l *Listener) setKeepAlive(c net.Conn) {
 	t, ok := c.(interface {
 		SetKeepAliveConfig(net.KeepAliveConfig) error
@@ -72,6 +109,7 @@
 
 // Close implements net.Listener. It may be called more than once.
 func (l *Listener) Close() error {
+	l.closing.Do(func() { close(l.closed) })
 	if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
@@ -110,6 +148,7 @@
 		return
 	}
 	delete(l.conns, c)
+	l.releaseSlot()
 	if l.draining && len(l.conns) == 0 {
 		l.endOfDrain.Do(func() { close(l.drained) })
 	}
--- a/common/drain/listener_test.go
+++ b/common/drain/listener_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // testTimeout is much longer than any test takes.
@@ -65,6 +67,45 @@
 	return results
 }
 
+// Guards against more open connections than the limit, and against a connection that
+// keeps its slot after it has closed.
+func TestMaxConnectionsDelaysAccept(t *testing.T) {
+	p := newPipeListener()
+	results := acceptAll(NewListener(p, Options{MaxConnections: 1}))
+	for range 3 {
+		p.connect(t)
+		first := <-results
+		if first.err != nil {
+			t.Fatal(first.err)
+		}
+		select {
+		case p.conns <- nil:
+			t.Fatal("a connection beyond the limit was accepted")
+		case <-time.After(10 * time.Millisecond):
+		}
+		// Closing twice must not release two slots.
+		if err := errors.Join(first.conn.Close(), first.conn.Close()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a server that cannot end because it waits for a connection to close
+// before it accepts another one.
+func TestCloseEndsAcceptAtTheLimit(t *testing.T) {
+	p := newPipeListener()
+	l := NewListener(p, Options{MaxConnections: 1})
+	results := acceptAll(l)
+	p.connect(t)
+	<-results
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if r := <-results; !errors.Is(r.err, net.ErrClosed) {
+		t.Fatalf("accept: %v", r.err)
+	}
+}
+
 // Guards against a process that panics because a connection was accepted just before
 // the listener closed and became known only after the last other one had closed.
 func TestConnectionAcceptedWhileDrainingEnds(t *testing.T) {
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
+
+	"github.com/rhubarbsail/rhubarbsail/common/drain"
 )
 
 // ServerLimits are limits on the connections of one listener.
@@ -38,18 +39,24 @@
 	}
 }
 
-// Server serves one HTTP API on one listener.
+// Server serves one HTTP API on one listener. It speaks only HTTP/1.1, as the
+// listener that drains its connections requires.
 type Server struct {
 	http     *http.Server
 	limits   ServerLimits
+	listener atomic.Pointer[drain.Listener] // set by Serve
 	stopping atomic.Bool
 }
 
 // NewServer returns a server for the handler.
 func NewServer(handler http.Handler, limits ServerLimits) *Server {
 	s := &Server{limits: limits}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
 	s.http = &http.Server{
 		Handler:           s.closeWhenStopping(handler),
+		Protocols:         protocols,
+		ConnState:         drain.TrackIdle,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
@@ -72,19 +79,22 @@
 
 // Serve accepts connections until Stop. It returns nil after Stop.
 func (s *Server) Serve(l net.Listener) error {
-	if s.limits.Connections > 0 {
-		l = netutil.LimitListener(l, s.limits.Connections)
-	}
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve HTTP")
+	d := drain.NewListener(l, drain.Options{
+		HeaderTimeout: s.limits.HeaderTimeout, MaxConnections: s.limits.Connections,
+	})
+	s.listener.Store(d)
+	err := s.http.Serve(d)
+	// Stop closes the listener before it shuts the server down.
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return errors.Wrap(err, "serve HTTP")
 }
 
 // Stop shuts the server down without interrupting a request. The caller must have
 // set readiness to false. The listener accepts connections for drainDelay more, in
 // which load balancers notice that. Then it closes, and Stop returns when all
-// requests in progress are answered or ctx ends.
+// requests that have been received are answered or ctx ends.
 func (s *Server) Stop(ctx context.Context, drainDelay time.Duration) error {
 	s.stopping.Store(true)
 	t := time.NewTimer(drainDelay)
@@ -93,8 +103,17 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	// Connections are drained first, since Shutdown drops requests that it has received
+	// but not yet parsed.
+	var drainErr error
+	if l := s.listener.Load(); l != nil {
+		drainErr = l.Drain(ctx)
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "requests were still in progress")
+		return errors.Wrap(errors.Join(drainErr, err), "requests were still in progress")
+	}
+	if drainErr != nil {
+		return errors.Wrap(drainErr, "close the listener")
 	}
 	return nil
 }
