httpapi: announce the close in all answers written while stopping

The answer to a request that was in progress when Stop began did not carry Connection: close, although its connection closes after it. A caller could send its next request on that connection and get EOF or a reset.

Cause: the header was set when the request arrived. It is now set when the header of the answer is written. Server.SetKeepAlivesEnabled does the same but also closes idle connections whose request has not been parsed.

http.MaxBytesReader still gets the writer of net/http, through which it closes the connection of a body that is too large.

--- a/httpapi/reader.go
+++ b/httpapi/reader.go
@@ -61,7 +61,8 @@
 		return nil, nil, &bodyError{http.StatusTooManyRequests, model.ReasonOverload,
 			"the gateway holds as many request bodies as it may"}
 	}
-	w := c.Response().Writer
+	// http.MaxBytesReader makes only net/http's own writer close the connection.
+	w := serverWriter(c.Response().Writer)
 	data, err := readAll(http.MaxBytesReader(w, r.Body, b.maxBytes), r.ContentLength)
 	if err != nil {
 		b.reservedBytes.Add(-reserved)
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -70,13 +70,50 @@
 // stops, so that clients connect to another gateway for their next request.
 func (s *Server) closeWhenStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		c := &closingWriter{w, &s.stopping}
+		next.ServeHTTP(c, r)
+		// The handler may have left writing an empty response to net/http.
+		c.announceClose()
 	})
 }
 
+// closingWriter announces the close of the connection in responses that are written
+// while the server stops, also if their requests arrived earlier.
+type closingWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.announceClose()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(b []byte) (int, error) {
+	w.announceClose()
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the server's writer to http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// announceClose has no effect once the header has been written.
+func (w *closingWriter) announceClose() {
+	if w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// serverWriter returns the writer of net/http behind a closingWriter.
+func serverWriter(w http.ResponseWriter) http.ResponseWriter {
+	if c, ok := w.(*closingWriter); ok {
+		return c.ResponseWriter
+	}
+	return w
+}
+
 // Serve accepts connections until Stop. It returns nil after Stop.
 func (s *Server) Serve(l net.Listener) error {
 	d := drain.NewListener(l, drain.Options{
