--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
+
+	"github.com/rhubarbsail/rhubarbsail/common/drain"
 )
 
 // ServerLimits are limits on the connections of one listener.
@@ -38,18 +39,24 @@
 	}
 }
 
-// Server serves one HTTP API on one listener.
+// Server serves one HTTP API on one listener. It speaks only HTTP/1.1, as the
+// listener that drains its connections requires.
 type Server struct {
 	http     *http.Server
 	limits   ServerLimits
+	listener atomic.Pointer[drain.Listener] // set by Serve
 	stopping atomic.Bool
 }
 
 // NewServer returns a server for the handler.
 func NewServer(handler http.Handler, limits ServerLimits) *Server {
 	s := &Server{limits: limits}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
 	s.http = &http.Server{
 		Handler:           s.closeWhenStopping(handler),
+		Protocols:         protocols,
+		ConnState:         drain.TrackIdle,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
@@ -63,28 +70,68 @@
 // stops, so that clients connect to another gateway for their next request.
 func (s *Server) closeWhenStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		c := &closingWriter{w, &s.stopping}
+		next.ServeHTTP(c, r)
+		// The handler may have left writing an empty response to net/http.
+		c.announceClose()
 	})
 }
 
+// closingWriter announces the close of the connection in responses that are written
+// while the server stops, also if their requests arrived earlier.
+type closingWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.announceClose()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(b []byte) (int, error) {
+	w.announceClose()
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the server's writer to http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// announceClose has no effect once the header has been written.
+func (w *closingWriter) announceClose() {
+	if w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// serverWriter returns the writer of net/http behind a closingWriter.
+func serverWriter(w http.ResponseWriter) http.ResponseWriter {
+	if c, ok := w.(*closingWriter); ok {
+		return c.ResponseWriter
+	}
+	return w
+}
+
 // Serve accepts connections until Stop. It returns nil after Stop.
 func (s *Server) Serve(l net.Listener) error {
-	if s.limits.Connections > 0 {
-		l = netutil.LimitListener(l, s.limits.Connections)
-	}
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve HTTP")
+	d := drain.NewListener(l, drain.Options{
+		HeaderTimeout: s.limits.HeaderTimeout, MaxConnections: s.limits.Connections,
+	})
+	s.listener.Store(d)
+	err := s.http.Serve(d)
+	// Stop closes the listener before it shuts the server down.
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return errors.Wrap(err, "serve HTTP")
 }
 
 // Stop shuts the server down without interrupting a request. The caller must have
 // set readiness to false. The listener accepts connections for drainDelay more, in
 // which load balancers notice that. Then it closes, and Stop returns when all
-// requests in progress are answered or ctx ends.
+// requests that have been received are answered or ctx ends.
 func (s *Server) Stop(ctx context.Context, drainDelay time.Duration) error {
 	s.stopping.Store(true)
 	t := time.NewTimer(drainDelay)
@@ -93,8 +140,17 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	// Connections are drained first, since Shutdown drops requests that it has received
+	// but not yet parsed.
+	var drainErr error
+	if l := s.listener.Load(); l != nil {
+		drainErr = l.Drain(ctx)
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "requests were still in progress")
+		return errors.Wrap(errors.Join(drainErr, err), "requests were still in progress")
+	}
+	if drainErr != nil {
+		return errors.Wrap(drainErr, "close the listener")
 	}
 	return nil
 }
