--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -113,140 +113,12 @@
 	return changed
 }
 
-// Heartbeat processes a heartbeat. One of another incarnation only makes it the
-// candidate. Those that arrive after a newer one are ignored, and those that name
-// another service, since a target never changes its service; but for HeartbeatTimeout at
-// most, since the one that they differ from may be the wrong one.
-func (c *Core) Heartbeat(now time.Duration, t Target) {
-	switch {
-	case !c.hasTarget:
-		c.target, c.hasTarget, c.heartbeatAt, c.fullCapacity = t, true, now, t.Capacity
-	case !t.sameIncarnation(c.target):
-		c.candidate, c.candidateAt, c.hasCandidate = t, now, true
-	case !c.capacityKnown(now), t.Seq >= c.target.Seq && t.Service == c.target.Service:
-		c.target, c.heartbeatAt, c.fullCapacity = t, now, c.fullCapacity.Max(t.Capacity)
-		c.processQueue(now)
-	}
-}
-
-// Candidate returns the incarnation that has to be confirmed, and false if there is
-// none.
-func (c *Core) Candidate() (Target, bool) { return c.candidate, c.hasCandidate }
-
-// DropCandidate forgets a candidate that the target has not confirmed.
-func (c *Core) DropCandidate(now time.Duration, t Target) {
-	if c.hasCandidate && c.candidate.sameIncarnation(t) {
-		c.hasCandidate = false
-		c.processQueue(now)
-	}
-}
-
-// ConfirmCandidate makes the candidate the target, given a snapshot that t has
-// answered with. It returns false, and drops the candidate, if the snapshot is of
-// another incarnation.
-func (c *Core) ConfirmCandidate(now time.Duration, t Target, s Snapshot) bool {
-	if !c.hasCandidate || !c.candidate.sameIncarnation(t) {
-		return false
-	}
-	if s.Incarnation != t.Incarnation {
-		c.DropCandidate(now, t)
-		return false
-	}
-	// The candidate may already have run, to their end, tasks that were started by calls
-	// to its predecessor.
-	for _, e := range s.Ended {
-		c.applyEnd(now, e)
-	}
-	c.endIncarnation(now, s)
-	// Statistics of a target of another capacity or kind start afresh, from the part
-	// of the old estimate that is likely to apply.
-	estimate := c.Speed(now).forTarget(c.FullTarget(), c.candidate)
-	if estimate.Samples < c.stats.samples {
-		c.stats = newStatistics(c.opts.SlownessMax)
-		c.stats.restore(estimate)
-	}
-	c.target, c.heartbeatAt, c.fullCapacity = c.candidate, c.candidateAt, c.candidate.Capacity
-	c.hasCandidate, c.switchedAt = false, now
-	return c.ApplySnapshot(now, s)
-}
-
-// RestoreTarget sets the target from a record, unless a heartbeat has arrived. Its
-// runs can be listed, but nothing starts before its next heartbeat: its capacity may
-// have shrunk since the record was written. It reports whether it set the target.
-func (c *Core) RestoreTarget(t Target) bool {
-	if c.hasTarget {
-		return false
-	}
-	c.target, c.hasTarget, c.fullCapacity = t, true, t.Capacity
-	return true
-}
-
-// capacityKnown reports whether a heartbeat is so recent that the target has at least
-// the capacity that it says.
-func (c *Core) capacityKnown(now time.Duration) bool {
-	return c.heartbeatAt > 0 && now-c.heartbeatAt <= c.opts.HeartbeatTimeout
-}
-
-// RestoreSpeed applies the speed that an earlier process of this agent estimated
-// for a target of this VM.
-func (c *Core) RestoreSpeed(stored Record) {
-	if !c.hasTarget {
-		return
-	}
-	if c.target.sameIncarnation(stored.Target) {
-		c.fullCapacity = c.fullCapacity.Max(stored.Target.Capacity)
-	}
-	c.stats.restore(stored.Speed.forTarget(stored.Target, c.FullTarget()))
-}
-
 // Speed returns the estimate of the target's speed.
 func (c *Core) Speed(now time.Duration) SpeedEstimate {
 	sp := c.stats.summary(now, nil)
 	return SpeedEstimate{Slowness: sp.slowness, Samples: sp.samples}
 }
 
-// TargetLeft records that the target has deregistered.
-func (c *Core) TargetLeft(now time.Duration, id string) {
-	if c.hasTarget && c.target.ID == id {
-		c.target.Draining = true
-		c.processQueue(now)
-	}
-}
-
-// Target returns the target of the newest heartbeat.
-func (c *Core) Target() (Target, bool) { return c.target, c.hasTarget }
-
-// FullTarget returns the target with the capacity that it has when it has not shrunk. It
-// tells whether a later incarnation is of the same size.
-func (c *Core) FullTarget() Target {
-	t := c.target
-	t.Capacity = c.fullCapacity
-	return t
-}
-
-// Confirmed reports whether the target has confirmed the incarnation that its
-// heartbeats describe.
-func (c *Core) Confirmed() bool { return c.confirmed }
-
-// endIncarnation reports the runs that the first snapshot of a new incarnation does
-// not list as lost. It may list some, since a call to an earlier incarnation of the
-// same ID can reach the new one. Starts that have not been answered, or were answered
-// after the snapshot was requested, are left to a later snapshot.
-func (c *Core) endIncarnation(now time.Duration, s Snapshot) {
-	listed := s.runningSet()
-	c.loseRuns(now, task.ReasonTargetRestarted, func(r *run) bool {
-		return r.state != starting && s.lacks(r, listed)
-	})
-	for _, r := range c.sortedRuns() {
-		if r.stopAcknowledged {
-			// A stop that the earlier incarnation acknowledged does not bind this one.
-			r.stopAcknowledged = false
-			c.out.Stops = append(c.out.Stops, r.attempt())
-		}
-	}
-	clear(c.foreignRuns)
-}
-
 // Stop makes the core start nothing more; existing runs continue.
 func (c *Core) Stop(now time.Duration) {
 	c.stopping = true
@@ -256,12 +128,6 @@
 // Idle reports whether nothing is queued or on the target.
 func (c *Core) Idle() bool { return len(c.runs) == 0 }
 
-// RenewGatewayLease renews a gateway's lease from a stamp that was issued on this
-// core's clock and returned by the gateway.
-func (c *Core) RenewGatewayLease(gateway string, stamp time.Duration) {
-	c.leaseExpiry[gateway] = max(c.leaseExpiry[gateway], stamp+c.opts.GatewayLease)
-}
-
 // Submit queues the starts requested by a gateway, or refuses them. The stamp is
 // the newest one that the gateway had received when it sent the request.
 func (c *Core) Submit(now time.Duration, gateway string, stamp time.Duration, starts []Start) {
@@ -400,53 +266,6 @@
 	}
 }
 
-// leaseLimit returns the time beyond which the target's lease must not be renewed, given
-// the runs that may be on the target. A target has one lease for all of its runs, so the
-// run that has to end first decides. Runs of a predecessor get no renewal.
-func (c *Core) leaseLimit(now time.Duration) time.Duration {
-	if len(c.foreignRuns) > 0 {
-		return now
-	}
-	limit := now + c.opts.GatewayLease
-	for _, r := range c.runs {
-		if r.state != queued {
-			limit = min(limit, c.endBy(r))
-		}
-	}
-	return limit
-}
-
-// Reachable reports whether the target answers.
-func (c *Core) Reachable() bool { return c.reachable }
-
-// Synced reports whether the target has listed its runs since contact to it was lost.
-func (c *Core) Synced() bool { return c.synced }
-
-// LimitLease returns the time up to which a call may extend the target's lease: until, or
-// what its runs allow if that is earlier. It returns false if the lease must not be
-// extended: an unreachable target gets none, so that its runs end.
-func (c *Core) LimitLease(now, until time.Duration) (time.Duration, bool) {
-	until = min(until, c.leaseLimit(now))
-	return until, c.reachable && until > now
-}
-
-// LeaseGranted records that a call may extend the target's lease up to until.
-func (c *Core) LeaseGranted(until time.Duration) { c.leaseGranted = max(c.leaseGranted, until) }
-
-// endBy returns the time by which a run must have ended, since its task may be started
-// elsewhere from then on: RunLimit after its gateway was last in contact, or after the
-// run was revoked.
-func (c *Core) endBy(r *run) time.Duration {
-	limit := r.revokedEndBy
-	if until, linked := c.leaseExpiry[r.gateway]; linked {
-		limit = until - c.opts.GatewayLease + c.opts.RunLimit
-	}
-	if r.revoked {
-		limit = min(limit, r.revokedEndBy)
-	}
-	return limit
-}
-
 // expireUnanswered reports unanswered attempts on an unreachable target as lost
 // once they can no longer begin because the deadline that they carried has passed
 // on the target's clock.
