Know and log as of when a gateway's configuration is the newest one

A gateway now records as of when no newer version existed: the start of a read, the end of a wait that brought nothing, or what another gateway knows, with its age. A newest document that cannot be decoded confirms nothing.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -181,11 +181,14 @@
 		"Find its writer by sender; the target in use is kept.")
 	TargetRowSkipped = define(6042, "target_row_skipped", warnLevel, "a row in the target's lists of runs is malformed and is skipped; it is logged once an hour",
 		"Check the release of the target.")
-	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
-	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
-	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
-	TargetState   = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
-	Suspended     = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
+	QueuesUnconfirmed = define(6044, "queues_unconfirmed", warnLevel, "neither the store nor another gateway has confirmed the configuration of queues in time; a newer one may exist",
+		"Check the path from this VM to the store. Known queues are served on.")
+	QueuesConfirmed = define(6045, "queues_confirmed", infoLevel, "the configuration of queues is confirmed again", noAction)
+	LinesDropped    = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
+	TargetAvoided   = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
+	TargetTrusted   = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
+	TargetState     = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
+	Suspended       = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
 )
 
 // Events of the stand-ins (9000 to 9099).
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -117,8 +117,9 @@
 
 // ReportRejection implements platform.Jobs.
 func (g *PlatformGateway) ReportRejection(r platform.Rejection) {
-	events.RequestRejected.Log(g.log).Str("job", truncated(r.Job)).Str("path", truncated(r.Path)).Str("cause", string(r.Cause)).
-		Uint64("queues_version", g.queuesVersion()).Send()
+	events.RequestRejected.Log(g.log).Str("job", truncated(r.Job)).Str("method", r.Method).Str("host", truncated(r.Host)).
+		Str("path", truncated(r.Path)).Str("cause", string(r.Cause)).Uint64("queues_version", g.queuesVersion()).
+		Int64("confirmed_age_ms", g.syncer.Age().Milliseconds()).Send()
 	telemetry.RequestsRejected.Counter(g.metrics.Scope, string(r.Cause)).Inc(1)
 }
 
--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
@@ -52,6 +53,9 @@
 	maxRecordRemovals = 16
 	// peerTimeout limits a call to another gateway.
 	peerTimeout = 500 * time.Millisecond
+	// maxConfirmedAgeMs is the largest age of a configuration that a peer's answer may
+	// have; a larger one may not fit into a time.Duration.
+	maxConfirmedAgeMs = uint64(24 * time.Hour / time.Millisecond)
 )
 
 // gatewayPeers announces a gateway to its peers, the other gateways, registers it
@@ -108,6 +112,7 @@
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	others := p.peerClients(addresses[:min(len(addresses), configurationFanOut)])
 	request := &pb.ConfigurationRequest{NewerThan: version, DrainsNewerThan: revision}
+	asked := boottime.Now()
 	replies := make(chan *pb.ConfigurationReply, len(others))
 	for _, o := range others {
 		go func() {
@@ -119,12 +124,17 @@
 			replies <- r.Msg
 		}()
 	}
-	var newest configsync.Newer
+	newest := configsync.Newer{Asked: len(others)}
 	for range others {
 		r := <-replies
 		if r == nil {
 			continue
 		}
+		newest.Answered++
+		if age := r.ConfirmedAgeMs; age > 0 && age <= maxConfirmedAgeMs {
+			// The peer measured the age after this gateway had asked.
+			newest.AsOf = max(newest.AsOf, asked-time.Duration(age)*time.Millisecond)
+		}
 		if len(r.Document) > 0 && r.Version > version {
 			version, newest.Document = r.Version, r.Document
 		}
--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -63,6 +64,7 @@
 	for i := range configurationFanOut {
 		config, drains := &queues.CurrentConfig{}, &zones.Current{}
 		config.Install(queues.New(uint64(10+i), nil, queues.Limits{}, fmt.Append(nil, 10+i)))
+		config.Confirm(boottime.Now() - time.Duration(configurationFanOut-i)*time.Minute)
 		drains.Install(zones.New(uint64(20-i), fmt.Sprintf("zone-%d", i)))
 		protocols := new(http.Protocols)
 		protocols.SetUnencryptedHTTP2(true)
@@ -80,6 +82,9 @@
 	if newer.Drains == nil || newer.Drains.Revision != 20 || !slices.Equal(newer.Drains.Zones(), []string{"zone-0"}) {
 		t.Errorf("drains %+v, want those of revision 20", newer.Drains)
 	}
+	if age := boottime.Now() - newer.AsOf; age < time.Minute || age > 2*time.Minute {
+		t.Errorf("confirmed %v ago, want the minute of the peer that heard of the store last", age)
+	}
 	if newer = p.Newer(t.Context(), 100, 100); newer.Document != nil || newer.Drains != nil {
 		t.Errorf("%+v, want nothing that is newer", newer)
 	}
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -40,17 +40,25 @@
 	Next uint64
 }
 
+// empty reports whether a read returned nothing of interest.
+func (p Published) empty() bool { return p.Document == nil && len(p.Drains) == 0 }
+
 // Peers asks other gateways for what is newer than a version of the configuration
 // and a revision of the drained zones.
 type Peers interface {
 	Newer(ctx context.Context, version, revision uint64) Newer
 }
 
-// Newer is what other gateways returned; a field is nil if none of them has anything
-// newer.
+// Newer is what other gateways returned; Document and Drains are nil if none of them
+// has anything newer.
 type Newer struct {
 	Document []byte
 	Drains   *zones.Drains
+	// AsOf is when no version beyond those that are returned existed; 0 if none of the
+	// gateways knows.
+	AsOf time.Duration
+	// Asked and Answered count the gateways that were asked and that answered.
+	Asked, Answered int
 }
 
 // Options holds the timeouts and intervals of a Syncer.
@@ -63,14 +71,21 @@
 	// PeerPollInterval is the time between two queries of other gateways while
 	// the store does not answer.
 	PeerPollInterval time.Duration
+	// MaxAge is the time without a confirmation after which the configuration counts
+	// as unconfirmed.
+	MaxAge time.Duration
 }
 
+// DefaultMaxAge is the time within which a published change is to be in force
+// everywhere, unless the settings name another.
+const DefaultMaxAge = 2 * time.Second
+
 // DefaultOptions returns options with which a change takes effect well within two
 // seconds.
 func DefaultOptions() Options {
 	return Options{
 		PollWait: time.Second, RetryMin: 50 * time.Millisecond, RetryMax: 400 * time.Millisecond,
-		PeerPollInterval: 500 * time.Millisecond,
+		PeerPollInterval: 500 * time.Millisecond, MaxAge: DefaultMaxAge,
 	}
 }
 
@@ -83,12 +98,18 @@
 	drains  *zones.Current
 	log     zerolog.Logger
 	now     boottime.Clock
-	// lastAnswer is when the store last answered or another gateway last returned
-	// something newer, in nanoseconds of now; 0 before the first time.
-	lastAnswer atomic.Int64
 	// storeFailing is set while the store does not answer; owned by the goroutine
 	// of Run.
 	storeFailing bool
+	// callStarted is the start of the last call to the store; owned by the goroutine
+	// of Run.
+	callStarted time.Duration
+	// newestUnreadable is set while the newest known document cannot be decoded: the
+	// active configuration is then known to be outdated.
+	newestUnreadable atomic.Bool
+	// unconfirmed is set while the configuration counts as unconfirmed; owned by the
+	// goroutine of pollPeers.
+	unconfirmed bool
 	// malformed selects which malformed records are logged.
 	malformed events.Distinct
 }
@@ -99,14 +120,14 @@
 	return &Syncer{opts: opts, source: source, peers: peers, current: current, drains: drains, now: now, log: log}
 }
 
-// Age returns the time since the store last answered or another gateway last
-// returned something newer; zero before the first time.
+// Age returns the time since the active configuration was last confirmed to be the
+// newest one; zero before the first time.
 func (s *Syncer) Age() time.Duration {
-	at := s.lastAnswer.Load()
-	if at == 0 {
+	at, confirmed := s.current.ConfirmedAt()
+	if !confirmed {
 		return 0
 	}
-	return s.now() - time.Duration(at)
+	return s.now() - at
 }
 
 // Run keeps the configuration up to date until ctx ends.
@@ -127,7 +148,7 @@
 		if followed {
 			retry = s.opts.RetryMin
 		}
-		s.storeFailed(err)
+		s.storeFailed(err, s.now()-s.callStarted)
 		wait.For(ctx, retry)
 		retry = min(2*retry, s.opts.RetryMax)
 	}
@@ -137,19 +158,27 @@
 // fails. It returns whether a read of later changes has succeeded: a store that
 // only returns what is in force is to be retried as rarely as one that is down.
 func (s *Syncer) watchStore(ctx context.Context, answered func()) (followed bool, err error) {
+	s.callStarted = s.now()
 	p, err := s.source.Newest(ctx)
 	if err != nil {
 		return false, err
 	}
 	// The drains come first: the gateway takes jobs once it has a configuration.
 	s.installDrains(p.Drains, fromStore, func(c *zones.Current) bool { return c.Replace(p.Next, p.Drains) })
+	asOf := s.callStarted
 	for {
-		s.install(p.Document, fromStore)
+		s.install(p.Document, fromStore, asOf)
 		answered()
+		s.callStarted = s.now()
 		if p, err = s.source.Next(ctx, p.Next, s.opts.PollWait); err != nil {
 			return followed, err
 		}
 		followed = true
+		asOf = s.callStarted
+		if p.empty() && s.now()-s.callStarted >= s.opts.PollWait {
+			// The store has waited all that time and had nothing newer at its end.
+			asOf += s.opts.PollWait
+		}
 		s.installDrains(p.Drains, fromStore, func(c *zones.Current) bool { return c.Apply(p.Drains) })
 	}
 }
@@ -161,17 +190,16 @@
 )
 
 func (s *Syncer) storeAnswered() {
-	s.lastAnswer.Store(int64(s.now()))
 	if s.storeFailing {
 		s.storeFailing = false
 		events.StoreAnswers.Log(s.log).Send()
 	}
 }
 
-func (s *Syncer) storeFailed(err error) {
+func (s *Syncer) storeFailed(err error, took time.Duration) {
 	if !s.storeFailing {
 		s.storeFailing = true
-		events.StoreFailed.Log(s.log).Err(err).Send()
+		events.StoreFailed.Log(s.log).Err(err).Int64("call_ms", took.Milliseconds()).Int64("confirmed_age_ms", s.Age().Milliseconds()).Send()
 	}
 }
 
@@ -186,6 +214,7 @@
 		case <-ctx.Done():
 			return
 		case <-answered:
+			s.logConfirmation(Newer{})
 			timer.Reset(storeTimeout)
 			continue
 		case <-timer.C:
@@ -198,14 +227,32 @@
 		if newer.Drains != nil {
 			s.installDrains(nil, fromGateway, func(c *zones.Current) bool { return c.Install(newer.Drains) })
 		}
-		s.install(newer.Document, fromGateway)
-		if newer.Drains != nil || newer.Document != nil {
-			s.lastAnswer.Store(int64(s.now()))
-		}
+		s.install(newer.Document, fromGateway, newer.AsOf)
+		s.logConfirmation(newer)
 		timer.Reset(s.opts.PeerPollInterval)
 	}
 }
 
+// logConfirmation logs when the configuration becomes unconfirmed and when it is
+// confirmed again. newer is the last answer of other gateways.
+func (s *Syncer) logConfirmation(newer Newer) {
+	age := s.Age()
+	if unconfirmed := age > s.opts.MaxAge; unconfirmed == s.unconfirmed {
+		return
+	}
+	s.unconfirmed = !s.unconfirmed
+	event := events.QueuesConfirmed
+	if s.unconfirmed {
+		event = events.QueuesUnconfirmed
+	}
+	var version uint64
+	if c := s.current.Get(); c != nil {
+		version = c.Version
+	}
+	event.Log(s.log).Uint64("version", version).Int64("confirmed_age_ms", age.Milliseconds()).
+		Int("gateways_asked", newer.Asked).Int("gateways_answered", newer.Answered).Send()
+}
+
 // installDrains changes the drains in force. It logs each malformed record once and a
 // change of the drained zones.
 func (s *Syncer) installDrains(records []zones.Change, from string, change func(*zones.Current) bool) {
@@ -222,18 +269,37 @@
 	}
 }
 
-func (s *Syncer) install(document []byte, from string) {
+// install puts a document in force if it is newer than the active configuration. If
+// document is nil or has been read, the configuration in force is the newest as of asOf.
+// A zero asOf confirms nothing.
+func (s *Syncer) install(document []byte, from string, asOf time.Duration) {
 	if document == nil {
+		s.confirm(asOf)
 		return
 	}
 	c, err := s.source.Parse(document)
 	if err != nil {
+		s.newestUnreadable.Store(true)
 		if s.malformed.First(fmt.Sprintf("document %x", xxhash.Sum64(document))) {
 			events.QueuesMalformed.Log(s.log).Err(err).Str("from", from).Send()
 		}
 		return
 	}
-	if s.current.Install(c) {
-		events.QueuesApplied.Log(s.log).Uint64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).Send()
+	age := s.Age()
+	installed := s.current.Install(c)
+	if installed {
+		s.newestUnreadable.Store(false)
+	}
+	s.confirm(asOf)
+	if installed {
+		events.QueuesApplied.Log(s.log).Uint64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).
+			Int64("known_age_ms", age.Milliseconds()).Int64("confirmed_age_ms", s.Age().Milliseconds()).Send()
+	}
+}
+
+// confirm records that the active configuration was the newest one at a time.
+func (s *Syncer) confirm(asOf time.Duration) {
+	if !s.newestUnreadable.Load() {
+		s.current.Confirm(asOf)
 	}
 }
--- a/restartable/configsync/configsync_test.go
+++ b/restartable/configsync/configsync_test.go
@@ -295,7 +295,7 @@
 	if age := s.Age(); age != 0 {
 		t.Fatalf("age %v before the first answer", age)
 	}
-	s.storeAnswered()
+	s.install(nil, fromStore, now)
 	now += 3 * time.Second
 	if age := s.Age(); age != 3*time.Second {
 		t.Fatalf("age %v after 3 s", age)
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -49,6 +49,11 @@
 // are newer than the caller's.
 func (s *Server) Configuration(_ context.Context, r *connect.Request[pb.ConfigurationRequest]) (*connect.Response[pb.ConfigurationReply], error) {
 	reply := &pb.ConfigurationReply{}
+	// Read before the configuration, which is then at least as new.
+	if at, confirmed := s.config.ConfirmedAt(); confirmed {
+		// Rounded up: a caller must not believe the reply to be newer than it is.
+		reply.ConfirmedAgeMs = uint64((s.gateways.now()-at)/time.Millisecond) + 1
+	}
 	if c := s.config.Get(); c != nil {
 		reply.Version = c.Version
 		if c.Version > r.Msg.NewerThan {
--- a/restartable/queues/queues.go
+++ b/restartable/queues/queues.go
@@ -77,6 +77,27 @@
 // safe for concurrent use.
 type CurrentConfig struct {
 	config atomic.Pointer[Config]
+	// confirmedAt is as of when no newer version existed, in nanoseconds of the
+	// process's clock; 0 before the first confirmation.
+	confirmedAt atomic.Int64
+}
+
+// Confirm records that no newer version than the active one existed at a time. An
+// earlier time than the last one has no effect.
+func (c *CurrentConfig) Confirm(at time.Duration) {
+	for {
+		old := c.confirmedAt.Load()
+		if int64(at) <= old || c.confirmedAt.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// ConfirmedAt returns as of when the active configuration is known to be the newest
+// one. It returns false before the first confirmation.
+func (c *CurrentConfig) ConfirmedAt() (time.Duration, bool) {
+	at := time.Duration(c.confirmedAt.Load())
+	return at, at > 0
 }
 
 // Get returns the active configuration, or nil if none has been installed yet.
