Refuse a queue as unknown only by a confirmed configuration

What callers saw: 404, which is final, for a route that had been added, from a gateway that the store rejected or that had just started.

Cause: a gateway refused by a configuration of any age. The refusal is a statement about what is in force now, which needs evidence of that age.

A gateway now answers 404 only if its configuration was confirmed within the time in which changes have to be in force (config_apply_ms of the settings); otherwise 503 with Retry-After, which is true: the request has not run, and the queue may exist. Queues that it knows are served on.

--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,7 @@
 	log        zerolog.Logger
 	metrics    *telemetry.Metrics
 	config     *queues.CurrentConfig
+	resolver   *queues.Resolver
 	drains     *zones.Current
 	dispatcher *dispatch.Dispatcher
 	gateways   *link.Gateways
@@ -62,7 +64,10 @@
 		opts.RemoteFactor = n.Bounds.RemoteFactor
 	}
 	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
-	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, g.drains, boottime.Now, log, configsync.DefaultOptions())
+	syncOpts := configsync.DefaultOptions()
+	syncOpts.MaxAge = cmp.Or(n.Bounds.ConfigApply, syncOpts.MaxAge)
+	g.resolver = queues.NewResolver(g.config, boottime.Now, syncOpts.MaxAge)
+	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, g.drains, boottime.Now, log, syncOpts)
 	return g
 }
 
@@ -96,7 +101,7 @@
 
 func (g *PlatformGateway) listen(env Env) (*serverSet, error) {
 	set := &serverSet{env: env}
-	set.add(g.node.ClientAddr, platform.ClientHandler(g.config, g), true)
+	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), true)
 	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), false)
 	set.add(g.node.LinkAddr, link.NewServer(g.dispatcher, g.config, g.drains, g.gateways).Handler(), false)
 	set.add(g.node.MetricsAddr, g.metrics.Handler, false)
@@ -118,8 +123,8 @@
 // ReportRejection implements platform.Jobs.
 func (g *PlatformGateway) ReportRejection(r platform.Rejection) {
 	events.RequestRejected.Log(g.log).Str("job", truncated(r.Job)).Str("method", r.Method).Str("host", truncated(r.Host)).
-		Str("path", truncated(r.Path)).Str("cause", string(r.Cause)).Uint64("queues_version", g.queuesVersion()).
-		Int64("confirmed_age_ms", g.syncer.Age().Milliseconds()).Send()
+		Str("path", truncated(r.Path)).Str("cause", string(r.Cause)).Uint64("queues_version", r.Version).
+		Int64("confirmed_age_ms", r.Age.Milliseconds()).Send()
 	telemetry.RequestsRejected.Counter(g.metrics.Scope, string(r.Cause)).Inc(1)
 }
 
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -495,3 +495,38 @@
 	s.t.Fatal("no task runs")
 	return 0
 }
+
+// Guards against a final refusal of a queue that was added while the store rejected
+// the gateway (CONFIG): callers got 404, and were not told to come back.
+func TestPlatformQueueAddedWhileTheStoreRejectsIsNotRefusedAsUnknown(t *testing.T) {
+	s := newPlatformDeployment(t, 1, 1)
+	added := platformQueue
+	added.Name, added.PathPrefix = "added", "/added/"
+	send := func() standin.Answer {
+		c := s.client(0)
+		c.Queue = added
+		a, err := c.Send(t.Context(), standin.Job{ID: "aa", Spec: "ms=20", Tasks: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	if a := send(); a.Status != http.StatusNotFound {
+		t.Errorf("answer %+v for an unknown queue, want 404", a)
+	}
+	s.store.SetDown(true)
+	time.Sleep(1200 * time.Millisecond) // reads that wait have ended
+	s.store.PutQueues(2, []queues.Queue{platformQueue, added})
+	time.Sleep(2200 * time.Millisecond)
+	if a := send(); a.Status != http.StatusServiceUnavailable || a.RetryAfter == "" {
+		t.Errorf("answer %+v for an added queue, want 503 with Retry-After", a)
+	}
+	if status, _ := s.submit(0, "bb", "ms=20", 1); status != http.StatusOK {
+		t.Errorf("status %d for a known queue", status)
+	}
+	s.store.SetDown(false)
+	s.awaitQueueVersion(2)
+	if a := send(); a.Status != http.StatusOK {
+		t.Errorf("answer %+v for an added queue that is known, want 200", a)
+	}
+}
