Read the configuration through agents while the store rejects all gateways

What callers saw: refusals by a version of long ago.

Cause: a rejected gateway asked only other gateways, which can be as uninformed, and began to ask 1.5 s after the last answer, also when the store rejected it at once.

Other gateways are now asked at the first failed call. Unless one of them follows the store, three agents are asked over their links to read it; they answer with what is newer, and the gateway's own time of the request, as of which that is the newest. An agent reads once for all gateways that ask. Drained zones come the same way. Releases without the new frames ignore them.

TestChangeIsInForceInTimeAtARejectedGateway, TestOtherGatewaysAreAskedWhenTheStore- FirstRejects and, with whole programs, TestPlatformChangeReachesGatewaysThatTheStore- Rejects fail without the change: version 1 is in force 2s after version 2 was published, and for ever.

--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
 )
@@ -46,6 +47,8 @@
 	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr, log), token,
 		boottime.Now, log, newAttemptObserver(a.metrics.Scope), runner.DefaultOptions())
 	a.links = link.NewClient(n.Name, n.Zone, a.runner, a.gateways, log)
+	published := platform.NewConfigSource(store)
+	a.links.ReadStoreWith(func(ctx context.Context) (configsync.Contents, error) { return configsync.ReadContents(ctx, published) })
 	return a
 }
 
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -40,6 +40,7 @@
 	drains     *zones.Current
 	dispatcher *dispatch.Dispatcher
 	gateways   *link.Gateways
+	links      *link.Server
 	peers      *gatewayPeers
 	syncer     *configsync.Syncer
 	stopping   atomic.Bool
@@ -55,19 +56,21 @@
 	}
 	// The gateways that agents are told about always include this one.
 	g.gateways.MarkLinked(address)
-	g.peers = &gatewayPeers{
-		name: n.Name, address: address, log: log, known: g.gateways, client: link.NewHTTPClient(),
-		registry: platform.NewGatewayRegistry(store),
-	}
 	opts := dispatch.DefaultOptions(n.Zone)
 	if n.Bounds.RemoteFactor > 0 {
 		opts.RemoteFactor = n.Bounds.RemoteFactor
 	}
 	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
+	g.links = link.NewServer(g.dispatcher, g.config, g.drains, g.gateways)
+	g.peers = &gatewayPeers{
+		name: n.Name, address: address, log: log, known: g.gateways, client: link.NewHTTPClient(),
+		registry: platform.NewGatewayRegistry(store), links: g.links,
+	}
 	syncOpts := configsync.DefaultOptions()
 	syncOpts.MaxAge = cmp.Or(n.Bounds.ConfigApply, syncOpts.MaxAge)
 	g.resolver = queues.NewResolver(g.config, boottime.Now, syncOpts.MaxAge)
 	g.syncer = configsync.New(platform.NewConfigSource(store), g.peers, g.config, g.drains, boottime.Now, log, syncOpts)
+	g.links.OnStoreRead(g.syncer.Offer)
 	return g
 }
 
@@ -103,7 +106,7 @@
 	set := &serverSet{env: env}
 	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), true)
 	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), false)
-	set.add(g.node.LinkAddr, link.NewServer(g.dispatcher, g.config, g.drains, g.gateways).Handler(), false)
+	set.add(g.node.LinkAddr, g.links.Handler(), false)
 	set.add(g.node.MetricsAddr, g.metrics.Handler, false)
 	return set, set.err
 }
--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -38,6 +38,9 @@
 	// attempts finds none with a newer one, and the next attempt follows within a
 	// second.
 	configurationFanOut = 6
+	// storeReaders is the number of agents that are asked to read the store at a time.
+	// If the store rejects a third of them, 1 in 27 attempts finds none that it serves.
+	storeReaders = 3
 	// storeRetryDelay is the delay after a failed read or write of a record.
 	storeRetryDelay = time.Second
 	// registerInterval is the interval at which a gateway rewrites its record, so that
@@ -67,6 +70,8 @@
 	known    *link.Gateways
 	client   *http.Client
 	registry *platform.GatewayRegistry
+	// links are those to the agents of this gateway.
+	links *link.Server
 	// lastCalls holds the last Introduce call to each peer by address, and round the
 	// number of the current round. Only the goroutine of introduce uses them.
 	lastCalls map[string]introduceCall
@@ -145,6 +150,11 @@
 	return newest
 }
 
+// RequestStoreReads implements configsync.Peers.
+func (p *gatewayPeers) RequestStoreReads(version, revision uint64) int {
+	return p.links.RequestStoreReads(storeReaders, version, revision)
+}
+
 // introduce announces this gateway to its peers, which pass its address on to
 // their agents. It repeats this until ctx is done, since peers may be replaced.
 func (p *gatewayPeers) introduce(ctx context.Context) {
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -29,6 +29,9 @@
 	t         *testing.T
 	store     *standin.Store
 	storeAddr string
+	// rejectGateways is set while the store answers gateways with 503. It serves agents
+	// on.
+	rejectGateways atomic.Bool
 	gateways  []*platformDaemon
 	agents    []*platformDaemon
 	targets   []*standin.Target
@@ -92,13 +95,20 @@
 func newPlatformDeployment(t *testing.T, gateways, targets int, adjust ...func(x *standin.Target)) *platformDeployment {
 	s := &platformDeployment{t: t, store: standin.NewStore()}
 	s.storeAddr = serve(t, s.store.Handler())
+	gatewayStoreAddr := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.rejectGateways.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.store.Handler().ServeHTTP(w, r)
+	}))
 	s.store.PutQueue(1, platformQueue)
 	bounds := platform.Bounds{GracePeriod: 4 * time.Second, RemoteFactor: 1.5}
 	var seeds []string
 	for i := range gateways {
 		n := &platform.Node{
 			Name: fmt.Sprintf("gateway-%d", i), Zone: "z", ClientAddr: freeAddress(t), ReadinessAddr: freeAddress(t),
-			LinkAddr: freeAddress(t), InternalAddr: "x", MetricsAddr: freeAddress(t), StoreAddr: s.storeAddr, Bounds: bounds,
+			LinkAddr: freeAddress(t), InternalAddr: "x", MetricsAddr: freeAddress(t), StoreAddr: gatewayStoreAddr, Bounds: bounds,
 		}
 		seeds = append(seeds, n.LinkAddr)
 		n.Seeds = seeds
@@ -530,3 +540,18 @@
 		t.Errorf("answer %+v for an added queue that is known, want 200", a)
 	}
 }
+
+// Guards against a change that never comes into force (CONFIG) while the store rejects
+// all gateways but serves agents.
+func TestPlatformChangeReachesGatewaysThatTheStoreRejects(t *testing.T) {
+	s := newPlatformDeployment(t, 2, 2)
+	s.awaitQueueVersion(1)
+	s.rejectGateways.Store(true)
+	time.Sleep(1200 * time.Millisecond) // reads that wait have ended
+	for version := 2; version < 5; version++ {
+		s.store.PutQueue(uint64(version), platformQueue)
+		s.awaitQueueVersion(version)
+	}
+	s.store.DrainZone(targetZone(0), true)
+	s.awaitJobs("the drain of a zone", http.StatusOK, 0, func(starts int) bool { return starts == 0 })
+}
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -1,6 +1,6 @@
 // Package configsync keeps a gateway's configuration of queues and its drained
 // availability zones up to date. It reads them from the platform's store and, while
-// the store fails or rejects this gateway, from other gateways.
+// the store fails or rejects this gateway, from other gateways and through agents.
 package configsync
 
 import (
@@ -43,10 +43,14 @@
 // empty reports whether a read returned nothing of interest.
 func (p Published) empty() bool { return p.Document == nil && len(p.Drains) == 0 }
 
-// Peers asks other gateways for what is newer than a version of the configuration
+// Peers asks other processes for what is newer than a version of the configuration
 // and a revision of the drained zones.
 type Peers interface {
+	// Newer asks other gateways.
 	Newer(ctx context.Context, version, revision uint64) Newer
+	// RequestStoreReads asks agents to read the store and returns how many. What they
+	// read is passed to Syncer.Offer.
+	RequestStoreReads(version, revision uint64) int
 }
 
 // Newer is what other gateways returned; Document and Drains are nil if none of them
@@ -57,7 +61,7 @@
 	// AsOf is when no version beyond those that are returned existed; 0 if none of the
 	// gateways knows.
 	AsOf time.Duration
-	// Asked and Answered count the gateways that were asked and that answered.
+	// Asked and Answered count the gateways that were asked and that have answered.
 	Asked, Answered int
 }
 
@@ -135,25 +139,32 @@
 	answered := make(chan struct{}, 1)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { s.pollPeers(ctx, answered) })
+	failed := make(chan struct{}, 1)
+	wg.Go(func() { s.pollPeers(ctx, answered, failed) })
 	retry := s.opts.RetryMin
 	for ctx.Err() == nil {
 		followed, err := s.watchStore(ctx, func() {
 			s.storeAnswered()
-			select {
-			case answered <- struct{}{}:
-			default:
-			}
+			signal(answered)
 		})
 		if followed {
 			retry = s.opts.RetryMin
 		}
-		s.storeFailed(err, s.now()-s.callStarted)
+		if s.storeFailed(err, s.now()-s.callStarted) {
+			signal(failed)
+		}
 		wait.For(ctx, retry)
 		retry = min(2*retry, s.opts.RetryMax)
 	}
 }
 
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // watchStore installs what is in force and then each later change, until a call
 // fails. It returns whether a read of later changes has succeeded: a store that
 // only returns what is in force is to be retried as rarely as one that is down.
@@ -187,6 +198,7 @@
 const (
 	fromStore   = "store"
 	fromGateway = "gateway"
+	fromAgent   = "agent"
 )
 
 func (s *Syncer) storeAnswered() {
@@ -196,16 +208,19 @@
 	}
 }
 
-func (s *Syncer) storeFailed(err error, took time.Duration) {
-	if !s.storeFailing {
-		s.storeFailing = true
-		events.StoreFailed.Log(s.log).Err(err).Int64("call_ms", took.Milliseconds()).Int64("confirmed_age_ms", s.Age().Milliseconds()).Send()
+// storeFailed returns whether the failed call is the first one after an answer.
+func (s *Syncer) storeFailed(err error, took time.Duration) bool {
+	if s.storeFailing {
+		return false
 	}
+	s.storeFailing = true
+	events.StoreFailed.Log(s.log).Err(err).Int64("call_ms", took.Milliseconds()).Int64("confirmed_age_ms", s.Age().Milliseconds()).Send()
+	return true
 }
 
-// pollPeers queries other gateways whenever the store has not answered for longer
-// than a read may take.
-func (s *Syncer) pollPeers(ctx context.Context, answered <-chan struct{}) {
+// pollPeers queries other gateways and agents from the first failed call to the store
+// on, or once the store has not answered for longer than a read may take.
+func (s *Syncer) pollPeers(ctx context.Context, answered, failed <-chan struct{}) {
 	storeTimeout := s.opts.PollWait + s.opts.PeerPollInterval
 	timer := time.NewTimer(s.opts.PeerPollInterval)
 	defer timer.Stop()
@@ -214,28 +229,53 @@
 		case <-ctx.Done():
 			return
 		case <-answered:
-			s.logConfirmation(Newer{})
+			s.logConfirmation(Newer{}, 0)
 			timer.Reset(storeTimeout)
 			continue
+		case <-failed:
 		case <-timer.C:
 		}
-		var version uint64
-		if c := s.current.Get(); c != nil {
-			version = c.Version
-		}
-		newer := s.peers.Newer(ctx, version, s.drains.Get().Revision)
-		if newer.Drains != nil {
-			s.installDrains(nil, fromGateway, func(c *zones.Current) bool { return c.Install(newer.Drains) })
-		}
-		s.install(newer.Document, fromGateway, newer.AsOf)
-		s.logConfirmation(newer)
+		s.queryPeers(ctx)
 		timer.Reset(s.opts.PeerPollInterval)
 	}
 }
 
+// queryPeers asks other gateways, and agents unless one of the gateways follows the
+// store itself: its configuration was then confirmed within the time of one read.
+func (s *Syncer) queryPeers(ctx context.Context) {
+	version, revision := s.known()
+	newer := s.peers.Newer(ctx, version, revision)
+	s.apply(newer, fromGateway)
+	agents := 0
+	if at, confirmed := s.current.ConfirmedAt(); !confirmed || s.now()-at > s.opts.PollWait {
+		agents = s.peers.RequestStoreReads(s.known())
+	}
+	s.logConfirmation(newer, agents)
+}
+
+// known returns the version of the active configuration, or 0, and the revision of the
+// drained zones.
+func (s *Syncer) known() (version, revision uint64) {
+	if c := s.current.Get(); c != nil {
+		version = c.Version
+	}
+	return version, s.drains.Get().Revision
+}
+
+// Offer installs what an agent has read from the store.
+func (s *Syncer) Offer(newer Newer) { s.apply(newer, fromAgent) }
+
+func (s *Syncer) apply(newer Newer, from string) {
+	if newer.Drains != nil {
+		s.installDrains(nil, from, func(c *zones.Current) bool { return c.Install(newer.Drains) })
+	}
+	s.install(newer.Document, from, newer.AsOf)
+}
+
 // logConfirmation logs when the configuration becomes unconfirmed and when it is
-// confirmed again. newer is the last answer of other gateways.
-func (s *Syncer) logConfirmation(newer Newer) {
+// confirmed again. newer is the last answer of other gateways, agents the number of
+// agents asked.
+func (s *Syncer) logConfirmation(newer Newer, agents int) {
 	age := s.Age()
 	if unconfirmed := age > s.opts.MaxAge; unconfirmed == s.unconfirmed {
 		return
@@ -245,12 +285,9 @@
 	if s.unconfirmed {
 		event = events.QueuesUnconfirmed
 	}
-	var version uint64
-	if c := s.current.Get(); c != nil {
-		version = c.Version
-	}
+	version, _ := s.known()
 	event.Log(s.log).Uint64("version", version).Int64("confirmed_age_ms", age.Milliseconds()).
-		Int("gateways_asked", newer.Asked).Int("gateways_answered", newer.Answered).Send()
+		Int("gateways_asked", newer.Asked).Int("gateways_answered", newer.Answered).Int("agents_asked", agents).Send()
 }
 
 // installDrains changes the drains in force. It logs each malformed record once and a
--- a/restartable/configsync/configsync_test.go
+++ b/restartable/configsync/configsync_test.go
@@ -137,6 +137,8 @@
 	return n
 }
 
+func (fakePeers) RequestStoreReads(uint64, uint64) int { return 0 }
+
 // syncerRig is a running syncer with what it installs.
 type syncerRig struct {
 	t      *testing.T
@@ -287,6 +289,8 @@
 	return Newer{Document: []byte("no number")}
 }
 
+func (fixedPeers) RequestStoreReads(uint64, uint64) int { return 0 }
+
 // Guards against an age that suggests an outage after the wall clock was changed:
 // only the clock passed to New counts.
 func TestAgeFollowsTheGivenClock(t *testing.T) {
@@ -394,6 +398,8 @@
 	return Newer{}
 }
 
+func (*switchedPeers) RequestStoreReads(uint64, uint64) int { return 0 }
+
 // Guards against a malformed record that ends a drain or stops later changes, and
 // against one that nobody hears of.
 func TestMalformedDrainIsLoggedAndChangesNothing(t *testing.T) {
--- a/restartable/configsync/confirm_test.go
+++ b/restartable/configsync/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -46,6 +47,8 @@
 	return Newer{AsOf: time.Duration(p), Asked: 3, Answered: 1}
 }
 
+func (peersAsOf) RequestStoreReads(uint64, uint64) int { return 2 }
+
 // Guards against a configuration that counts as confirmed although a newer one may
 // exist, and against one that does not while the store answers.
 func TestConfigurationIsConfirmedByAnswersOnly(t *testing.T) {
@@ -90,10 +93,98 @@
 		time.Sleep(10 * time.Second)
 		source.set(func(f *fakeSource) { f.unavailable = false })
 		time.Sleep(2 * time.Second)
-		for _, name := range []string{`"queues_unconfirmed"`, `"queues_confirmed"`, `"gateways_asked":3,"gateways_answered":1`} {
+		for _, name := range []string{`"queues_unconfirmed"`, `"queues_confirmed"`, `"gateways_asked":3,"gateways_answered":1,"agents_asked":2`} {
 			if n := strings.Count(r.log.String(), name); n != 1 {
 				t.Errorf("%s stands %d times in the log, want once:\n%s", name, n, r.log.String())
 			}
 		}
 	})
 }
+
+// followingPeers are gateways of which some follow the store, or agents that read it
+// whenever they are asked to.
+type followingPeers struct {
+	store *fakeSource
+	// gateways is set if gateways follow the store, agents if agents can read it.
+	gateways, agents bool
+	offer            func(Newer)
+	now              func() time.Duration
+	requests         int
+}
+
+func (p *followingPeers) newest(version uint64) Newer {
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	n := Newer{AsOf: p.now()}
+	document := p.store.published(0).Document
+	if v, err := strconv.ParseUint(string(document), 10, 64); err == nil && v > version {
+		n.Document = document
+	}
+	return n
+}
+
+func (p *followingPeers) Newer(_ context.Context, version, _ uint64) Newer {
+	if !p.gateways {
+		return Newer{}
+	}
+	return p.newest(version)
+}
+
+func (p *followingPeers) RequestStoreReads(version, _ uint64) int {
+	p.requests++
+	if p.agents {
+		go func() { p.offer(p.newest(version)) }()
+	}
+	return 1
+}
+
+// Guards against a change that is not in force in time (CONFIG) at gateways that the
+// store rejects: other gateways were asked 1.5 s later, and if the store rejected all
+// gateways, nobody was asked who could know.
+func TestChangeIsInForceInTimeAtARejectedGateway(t *testing.T) {
+	const bound = 2 * time.Second
+	for name, peers := range map[string]*followingPeers{
+		"other gateways follow the store": {gateways: true},
+		"only agents can read the store":  {agents: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := newFakeSource("1")
+			peers.store = source
+			runVirtual(t, source, peers, func(r *virtualRig) {
+				peers.now, peers.offer = r.syncer.now, r.syncer.Offer
+				time.Sleep(1500 * time.Millisecond)
+				source.set(func(f *fakeSource) { f.unavailable = true })
+				for v := 2; v < 12; v++ {
+					source.publish(strconv.Itoa(v))
+					time.Sleep(bound)
+					if got := r.config.Get().Version; got != uint64(v) {
+						t.Errorf("version %d is in force %v after version %d was published", got, bound, v)
+					}
+					if age := r.syncer.Age(); age > bound {
+						t.Errorf("the configuration was confirmed %v ago", age)
+					}
+				}
+				if peers.gateways && peers.requests > 0 {
+					t.Errorf("agents were asked %d times beside gateways that follow the store", peers.requests)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a slow reaction to a store that rejects this gateway at once: others
+// have the change already.
+func TestOtherGatewaysAreAskedWhenTheStoreFirstRejects(t *testing.T) {
+	source := newFakeSource("1")
+	peers := &followingPeers{store: source, gateways: true}
+	runVirtual(t, source, peers, func(r *virtualRig) {
+		peers.now = r.syncer.now
+		time.Sleep(1500 * time.Millisecond)
+		source.set(func(f *fakeSource) { f.unavailable = true })
+		source.publish("2")
+		time.Sleep(100 * time.Millisecond)
+		if got := r.config.Get().Version; got != 2 {
+			t.Errorf("version %d is in force 0.1 s after the store began to reject this gateway, want 2", got)
+		}
+	})
+}
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -22,11 +22,12 @@
 	// eventsReady wakes the writer immediately, loadReady after minLoadInterval.
 	eventsReady, loadReady chan struct{}
 
-	mu             sync.Mutex // guards the fields below
-	pendingEvents  []*pb.RunEvent
-	pendingCrashes []*pb.TargetCrash
-	ordersSeen     uint64
-	retirement     retirement
+	mu               sync.Mutex // guards the fields below
+	pendingEvents    []*pb.RunEvent
+	pendingCrashes   []*pb.TargetCrash
+	pendingStoreRead *pb.StoreReadReply
+	ordersSeen       uint64
+	retirement       retirement
 }
 
 func newAgentLink(c *Client, address string, cancel context.CancelCauseFunc) *agentLink {
@@ -133,13 +134,13 @@
 	l.mu.Unlock()
 	target, load, now := l.client.runner.Load()
 	l.mu.Lock()
-	runEvents, crashes := l.pendingEvents, l.pendingCrashes
-	l.pendingEvents, l.pendingCrashes = nil, nil
+	runEvents, crashes, storeRead := l.pendingEvents, l.pendingCrashes, l.pendingStoreRead
+	l.pendingEvents, l.pendingCrashes, l.pendingStoreRead = nil, nil, nil
 	if l.retirement.frameSent(now) {
 		load.Accepting, load.Reason = false, task.ReasonUnlinked
 	}
 	l.mu.Unlock()
-	f := &pb.RunReport{Stamp: int64(now), Events: runEvents, Crashes: crashes, Load: &pb.TargetLoad{
+	f := &pb.RunReport{Stamp: int64(now), Events: runEvents, Crashes: crashes, StoreRead: storeRead, Load: &pb.TargetLoad{
 		Accepting: load.Accepting, Reason: string(load.Reason), Committed: resourcesToProto(load.Committed),
 		BacklogMs: toMillis(load.Backlog), SlownessPermille: toPermille(load.Slowness),
 		AnomalyPermille: toPermille(load.Anomaly), Samples: toUint32(load.Samples),
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -27,6 +27,7 @@
 	gateways *Gateways
 	now      boottime.Clock
 	log      zerolog.Logger
+	store    storeReader
 	// lastLinkNumber is the number of the newest link. linksUp counts the links
 	// that are up.
 	lastLinkNumber atomic.Uint64
@@ -46,6 +47,10 @@
 	}
 }
 
+// ReadStoreWith sets how the store is read for gateways that ask for it. It has to be
+// called before Run; without it such requests are ignored.
+func (c *Client) ReadStoreWith(read ReadStore) { c.store.read = read }
+
 // LinksUp returns the number of links that are up.
 func (c *Client) LinksUp() int { return int(c.linksUp.Load()) }
 
@@ -164,6 +169,9 @@
 	if d := f.ZoneDrain; d != nil {
 		c.runner.SetZoneDrain(d.Revision, d.Drained, l.address)
 	}
+	if m := f.StoreRead; m != nil {
+		c.store.request(l, m)
+	}
 	var starts []runner.Start
 	for _, s := range f.Starts {
 		starts = append(starts, startsFromProto(s)...)
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -15,6 +15,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/streamend"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
+	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
@@ -29,6 +30,9 @@
 	config     *queues.CurrentConfig
 	drains     *zones.Current
 	gateways   *Gateways
+	links      linkSet
+	// onStoreRead receives what agents have read from the store; it may be nil.
+	onStoreRead func(configsync.Newer)
 	// lastLinkNumber is the number of the newest link.
 	lastLinkNumber atomic.Uint64
 }
@@ -97,6 +101,8 @@
 	defer cancel(nil)
 	l := newGatewayLink()
 	l.setStamp(first.Stamp)
+	s.links.add(l)
+	defer s.links.remove(l)
 	s.dispatcher.AgentUp(info, l)
 	s.handleFrame(info.Link, first)
 	endReceive, endSend := streamend.Functions(ctx)
@@ -136,6 +142,9 @@
 	for _, g := range f.Gateways {
 		s.gateways.Add(g)
 	}
+	if m := f.StoreRead; m != nil {
+		s.handleStoreRead(m)
+	}
 	var load *dispatch.Load
 	if m := f.Load; m != nil {
 		load = &dispatch.Load{
--- a/restartable/zones/zones.go
+++ b/restartable/zones/zones.go
@@ -22,6 +22,21 @@
 	return &Drains{Revision: revision, zones: slices.Compact(sorted)}
 }
 
+// FromRecords returns the set that a complete list of records describes, as of a
+// revision, or nil if one of the records is malformed.
+func FromRecords(revision uint64, records []Change) *Drains {
+	var drained []string
+	for _, r := range records {
+		if r.Err != nil {
+			return nil
+		}
+		if r.Drained {
+			drained = append(drained, r.Zone)
+		}
+	}
+	return New(revision, drained...)
+}
+
 // Contains reports whether a zone is drained.
 func (d *Drains) Contains(zone string) bool {
 	_, found := slices.BinarySearch(d.zones, zone)
