Decode each queue of the configuration by itself

What callers could see: a change that is never in force. One field of another type than usual (a fraction where whole numbers stood, a string) made the whole document malformed, and every gateway stayed with the older one, refusing added routes by it.

Cause: a decoder that is all or nothing, so that a doubt about one queue was a wrong statement about all.

A queue that cannot be decoded gets 503 with Retry-After, by its host and prefix, or, if not even these are known, all requests of unknown queues do; the others are in force. Line 6046 names the place and the cause.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -184,11 +184,13 @@
 	QueuesUnconfirmed = define(6044, "queues_unconfirmed", warnLevel, "neither the store nor another gateway has confirmed the configuration of queues in time; a newer one may exist",
 		"Check the path from this VM to the store. Known queues are served on.")
 	QueuesConfirmed = define(6045, "queues_confirmed", infoLevel, "the configuration of queues is confirmed again", noAction)
-	LinesDropped    = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
-	TargetAvoided   = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
-	TargetTrusted   = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
-	TargetState     = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
-	Suspended       = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
+	QueueUnreadable = define(6046, "queue_unreadable", errorLevel, "a field of the configuration cannot be decoded; the queue's requests get 503, the other queues are served",
+		"Correct the record in the store.")
+	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
+	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
+	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
+	TargetState   = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
+	Suspended     = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
 )
 
 // Events of the stand-ins (9000 to 9099).
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -331,9 +331,16 @@
 	if installed {
 		events.QueuesApplied.Log(s.log).Uint64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).
 			Int64("known_age_ms", age.Milliseconds()).Int64("confirmed_age_ms", s.Age().Milliseconds()).Send()
+		for _, f := range c.Findings[:min(len(c.Findings), maxLoggedFindings)] {
+			events.QueueUnreadable.Log(s.log).Uint64("version", c.Version).Str("key", f.Place.Key).Str("error", f.Message).
+				Int("findings", len(c.Findings)).Send()
+		}
 	}
 }
 
+// maxLoggedFindings limits the lines on one configuration.
+const maxLoggedFindings = 10
+
 // confirm records that the active configuration was the newest one at a time.
 func (s *Syncer) confirm(asOf time.Duration) {
 	if !s.newestUnreadable.Load() {
--- a/restartable/queues/queues.go
+++ b/restartable/queues/queues.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/common/findings"
 )
 
 // Queue is the configuration of one queue of jobs.
@@ -30,6 +32,9 @@
 	// HasAdvisor is set if an advisor must permit each target that runs the queue's
 	// tasks.
 	HasAdvisor bool
+	// Malformed is set if a field other than Host and PathPrefix cannot be decoded. Jobs
+	// of the queue can then be neither run nor refused as unknown.
+	Malformed bool
 }
 
 // Limits are the limits on requests.
@@ -45,6 +50,11 @@
 	Limits  Limits
 	// Document is the encoded configuration as the platform's store holds it.
 	Document []byte
+	// Incomplete is set if the document has queues of which not even Host and
+	// PathPrefix can be decoded.
+	Incomplete bool
+	// Findings are the parts of the document that cannot be decoded.
+	Findings findings.List
 
 	byHost map[string][]Queue
 }
--- a/restartable/queues/resolver.go
+++ b/restartable/queues/resolver.go
@@ -18,6 +18,8 @@
 	// Unconfirmed means that the active configuration has no such queue, but a newer
 	// one may exist that has it.
 	Unconfirmed
+	// Unreadable means that the queue, or one that may be it, cannot be decoded.
+	Unreadable
 	// NoConfiguration means that no configuration is active yet.
 	NoConfiguration
 )
@@ -64,6 +66,8 @@
 	}
 	q, rest, found := c.Find(host, path)
 	switch {
+	case found && q.Malformed, !found && c.Incomplete:
+		out.Status = Unreadable
 	case found:
 		out.Queue, out.Rest = q, rest
 	case !confirmed, out.Age > r.maxAge:
