--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -240,19 +240,28 @@
 	}
 }
 
-// queryPeers asks other gateways, and agents unless one of the gateways follows the
-// store itself: its configuration was then confirmed within the time of one read.
+// queryPeers asks other gateways and, if they do not confirm the configuration, agents.
 func (s *Syncer) queryPeers(ctx context.Context) {
+	// Before the other gateways if need be, which may take their time to answer.
+	agents := s.requestStoreReads()
 	version, revision := s.known()
 	newer := s.peers.Newer(ctx, version, revision)
 	s.apply(newer, fromGateway)
-	agents := 0
-	if at, confirmed := s.current.ConfirmedAt(); !confirmed || s.now()-at > s.opts.PollWait {
-		agents = s.peers.RequestStoreReads(s.known())
+	if agents == 0 {
+		agents = s.requestStoreReads()
 	}
 	s.logConfirmation(newer, agents)
 }
 
+// requestStoreReads asks agents to read the store unless the configuration was confirmed
+// within the time of one read: some gateway that was asked then follows the store.
+func (s *Syncer) requestStoreReads() int {
+	if at, confirmed := s.current.ConfirmedAt(); confirmed && s.now()-at <= s.opts.PollWait {
+		return 0
+	}
+	return s.peers.RequestStoreReads(s.known())
+}
+
 // known returns the version of the active configuration, or 0, and the revision of the
 // drained zones.
 func (s *Syncer) known() (version, revision uint64) {
--- a/restartable/configsync/confirm_test.go
+++ b/restartable/configsync/confirm_test.go
@@ -107,6 +107,8 @@
 	store *fakeSource
 	// gateways is set if gateways follow the store, agents if agents can read it.
 	gateways, agents bool
+	// slow is how long the gateways take to answer.
+	slow time.Duration
 	offer            func(Newer)
 	now              func() time.Duration
 	requests         int
@@ -124,6 +126,7 @@
 }
 
 func (p *followingPeers) Newer(_ context.Context, version, _ uint64) Newer {
+	time.Sleep(p.slow)
 	if !p.gateways {
 		return Newer{}
 	}
@@ -146,6 +149,7 @@
 	for name, peers := range map[string]*followingPeers{
 		"other gateways follow the store": {gateways: true},
 		"only agents can read the store":  {agents: true},
+		"and no other gateway answers":    {agents: true, slow: 500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			source := newFakeSource("1")
@@ -154,12 +158,14 @@
 				peers.now, peers.offer = r.syncer.now, r.syncer.Offer
 				time.Sleep(1500 * time.Millisecond)
 				source.set(func(f *fakeSource) { f.unavailable = true })
-				for v := 2; v < 12; v++ {
+				// The publications fall on all phases of the queries.
+				for v := 2; v < 22; v++ {
 					source.publish(strconv.Itoa(v))
 					time.Sleep(bound)
 					if got := r.config.Get().Version; got != uint64(v) {
 						t.Errorf("version %d is in force %v after version %d was published", got, bound, v)
 					}
+					time.Sleep(70 * time.Millisecond)
 					if age := r.syncer.Age(); age > bound {
 						t.Errorf("the configuration was confirmed %v ago", age)
 					}
