Soak: configurations have to be in force in time, also under faults of the store

Until now the soak required only that a gateway never returns to an earlier version. It now requires each version within 2 s (and the soak's slack) at gateways that ran and had a path to the store while that was not down. Two faults are new, drawn apart from the others so that earlier seeds keep theirs: the store rejects all gateways but serves agents, and connections to the store go silent, each while the configuration changes.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -42,12 +42,13 @@
 const crashSpec = "crash"
 
 // First stream numbers of a seed's random generators for bursts and for calls to
-// targets, and the stream number for targetFaults. Stream 0 belongs to the schedule; those of the callers start at 1.
+// targets, and the stream numbers for targetFaults and storeFaults. Stream 0 belongs to the schedule; those of the callers start at 1.
 const (
 	burstStream = 1 << 32
 	callsStream = 2 << 32
 
 	targetFaultsStream = 3 << 32
+	storeFaultsStream  = 4 << 32
 )
 
 // callers submits jobs from concurrent clients that behave like the platform's
--- a/integration/soak/checker_test.go
+++ b/integration/soak/checker_test.go
@@ -19,6 +19,9 @@
 	// configTimeout is the bound that users require on the time from the end of an
 	// outage until each gateway has the newest configuration.
 	configTimeout = 6 * time.Second
+	// configApplyMax is the bound that users require on the time after the acknowledgment
+	// of a change until each gateway that runs and has a path to the store has it.
+	configApplyMax = 2 * time.Second
 	// idleTimeout bounds how long tasks may run after the last caller is gone.
 	idleTimeout = 2 * time.Second
 	// drainMax is the bound that users require on the time after the acknowledgment
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -119,7 +119,10 @@
 	{"cut agent to gateway one way", 1, func(sc stepContext) { sc.cut(sc.agent.Name, sc.gateway.Name, true, false) }},
 	{"cut gateway to agent one way", 1, func(sc stepContext) { sc.cut(sc.agent.Name, sc.gateway.Name, false, true) }},
 	{"cut gateway from gateway", 1, func(sc stepContext) { sc.cut(sc.gateway.Name, sc.other.Name, true, true) }},
-	{"cut gateway from store", 1, func(sc stepContext) { sc.cut(sc.gateway.Name, storeName, true, true) }},
+	{"cut gateway from store", 1, func(sc stepContext) {
+		defer sc.gateway.beginStoreCut()()
+		sc.cut(sc.gateway.Name, storeName, true, true)
+	}},
 	{"cut agent from store", 1, func(sc stepContext) { sc.cut(sc.agent.Name, storeName, true, true) }},
 	{"delay agent to gateway", 1, func(sc stepContext) {
 		delay := func(d time.Duration) { sc.system.net.Delay(sc.agent.Name, sc.gateway.Name, d) }
@@ -211,6 +214,31 @@
 	}},
 }
 
+// storeFaults lists faults of the store during which the configuration changes.
+// drawStoreFaults draws them apart from the others.
+var storeFaults = []fault{
+	{"store rejects gateways while the configuration changes", 1, func(sc stepContext) {
+		sc.system.rejectGateways.Store(true)
+		defer sc.system.rejectGateways.Store(false)
+		sc.changeConfig(2 * sc.Duration)
+	}},
+	{"silence connections to the store while the configuration changes", 1, func(sc stepContext) {
+		sc.system.newConfig(0)
+		time.Sleep(time.Duration(sc.Strength * float64(configInterval)))
+		for _, n := range sc.system.nodes() {
+			sc.system.net.Silence(n.Name, storeName)
+		}
+		sc.changeConfig(sc.Duration / 2)
+	}},
+}
+
+// changeConfig publishes configurations for d.
+func (sc stepContext) changeConfig(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(configInterval) {
+		sc.system.newConfig(0)
+	}
+}
+
 // refuseCalls makes the agent's target refuse calls while its runs go on, or ends that.
 func (sc stepContext) refuseCalls(refuse bool) {
 	if err := sc.agent.targetServer.SetRefusing(refuse); err != nil {
--- a/integration/soak/main_test.go
+++ b/integration/soak/main_test.go
@@ -49,6 +49,7 @@
 }{
 	{4, "starts without an answer, sent after a crash, counted as crashes under their task"},
 	{6, "as seed 4"},
+	{3, "connections to the store that went silent were noticed one after the other"},
 }
 
 // Guards against guarantees to callers and targets that hold under each single
--- a/integration/soak/monitor_test.go
+++ b/integration/soak/monitor_test.go
@@ -66,7 +66,7 @@
 }
 
 // watchVersion follows the configuration version of a gateway by the version queues
-// that it serves, and reports a decrease. A restarted process may start with an
+// that it serves, and reports a decrease and a version that it has not in time. A restarted process may start with an
 // earlier version than its predecessor had.
 func (s *system) watchVersion(ctx context.Context, check *checker, g *node) {
 	watchedPID, seen := 0, uint64(0)
@@ -77,7 +77,12 @@
 			watchedPID, seen = pid, 0
 		}
 		for next := seen + 1; next <= s.newestVersion(); next++ {
-			if ok, err := s.servesVersion(ctx, g, next); err != nil || !ok {
+			overdue := s.isOverdue(g, next)
+			ok, err := s.servesVersion(ctx, g, next)
+			if err == nil && !ok && overdue && g.PID() == watchedPID && s.isOverdue(g, next) {
+				check.report("%s has not applied configuration %d in time", g.Name, next)
+			}
+			if err != nil || !ok {
 				break
 			}
 			seen = next
--- a/integration/soak/schedule_test.go
+++ b/integration/soak/schedule_test.go
@@ -64,6 +64,7 @@
 		}
 	}
 	out = append(out, drawTargetFaults(seed, length, s)...)
+	out = append(out, drawStoreFaults(seed, length, s)...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -74,12 +75,24 @@
 // drawTargetFaults returns the steps of a seed with targetFaults. They are drawn apart
 // from the others, whose draw a seed keeps.
 func drawTargetFaults(seed uint64, length time.Duration, s *system) []step {
-	r := rand.New(rand.NewPCG(seed, targetFaultsStream))
+	return drawFaults(targetFaults, rand.New(rand.NewPCG(seed, targetFaultsStream)), targetGapMax, length, s)
+}
+
+// storeGapMax bounds the time between the starts of two steps with storeFaults.
+const storeGapMax = 8 * time.Second
+
+// drawStoreFaults returns the steps of a seed with storeFaults.
+func drawStoreFaults(seed uint64, length time.Duration, s *system) []step {
+	return drawFaults(storeFaults, rand.New(rand.NewPCG(seed, storeFaultsStream)), storeGapMax, length, s)
+}
+
+// drawFaults returns steps with faults of a list.
+func drawFaults(list []fault, r *rand.Rand, gap, length time.Duration, s *system) []step {
 	var out []step
-	next := func() time.Duration { return time.Duration(r.Int64N(int64(targetGapMax))) }
+	next := func() time.Duration { return time.Duration(r.Int64N(int64(gap))) }
 	for at := next(); at < length; at += next() {
 		out = append(out, step{
-			At: at, Duration: faultMin + time.Duration(r.Int64N(int64(faultMax-faultMin))), Fault: &targetFaults[r.IntN(len(targetFaults))],
+			At: at, Duration: faultMin + time.Duration(r.Int64N(int64(faultMax-faultMin))), Fault: &list[r.IntN(len(list))],
 			Gateway: r.IntN(len(s.gateways)), Agent: r.IntN(len(s.agents)), Strength: r.Float64(),
 		})
 	}
--- a/integration/soak/system_test.go
+++ b/integration/soak/system_test.go
@@ -71,6 +71,12 @@
 	// store answered nobody.
 	zoneDrains   []zoneDrain
 	storeOutages []interval
+	// published holds the time after which each version of the configuration is in the
+	// store.
+	published map[uint64]time.Time
+
+	// rejectGateways is set while the store answers gateways with 503, but not agents.
+	rejectGateways atomic.Bool
 }
 
 // node is a gateway or an agent with its addresses and its faults.
@@ -91,6 +97,8 @@
 	// faultIntervals are the times in which callers may see missing or late answers,
 	// stopIntervals those from SIGTERM to the exit of the process.
 	faultIntervals, stopIntervals []interval
+	// storeCuts are the times in which the process is cut off from the store.
+	storeCuts []interval
 }
 
 type interval struct{ from, to time.Time }
@@ -144,21 +152,50 @@
 	return overlapsAny(n.stopIntervals, from, to)
 }
 
+// beginStoreCut marks the process as cut off from the store until the returned function
+// is called, and for slack after it.
+func (n *node) beginStoreCut() (end func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := len(n.storeCuts)
+	n.storeCuts = append(n.storeCuts, interval{time.Now(), time.Now().Add(time.Hour)})
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.storeCuts[i].to = time.Now().Add(slack)
+	}
+}
+
+// wasCutFromStore reports whether the process was cut off from the store between from
+// and to.
+func (n *node) wasCutFromStore(from, to time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return overlapsAny(n.storeCuts, from, to)
+}
+
 func overlapsAny(intervals []interval, from, to time.Time) bool {
 	return slices.ContainsFunc(intervals, func(i interval) bool { return i.from.Before(to) && from.Before(i.to) })
 }
 
 func startSystem(t *testing.T, size int, seed uint64) *system {
-	s := &system{t: t, dir: t.TempDir(), store: standin.NewStore()}
+	s := &system{t: t, dir: t.TempDir(), store: standin.NewStore(), published: map[uint64]time.Time{}}
 	s.net = harness.NewNetwork(s.processes)
 	t.Cleanup(s.close)
 	s.newConfig(0)
 	store := s.serve(s.store.Handler())
 	storeRelay := s.relay(storeName, store)
+	gatewayStoreRelay := s.relay(storeName, s.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.rejectGateways.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.store.Handler().ServeHTTP(w, r)
+	})))
 	var seeds []string
 	for i := range gatewayCount * size {
 		n := platform.Node{
-			Name: fmt.Sprintf("gateway-%d", i), ClientAddr: s.freeAddress(), ReadinessAddr: s.freeAddress(), LinkAddr: s.freeAddress(), StoreAddr: storeRelay,
+			Name: fmt.Sprintf("gateway-%d", i), ClientAddr: s.freeAddress(), ReadinessAddr: s.freeAddress(), LinkAddr: s.freeAddress(), StoreAddr: gatewayStoreRelay,
 		}
 		relay := s.relay(n.Name, n.LinkAddr)
 		seeds = append(seeds, relay)
@@ -308,6 +345,19 @@
 	main.Timeout += timeoutChange
 	s.queues = append(s.queues, versionQueue(s.version))
 	s.store.PutQueues(s.version, append([]queues.Queue{main}, s.queues...))
+	s.published[s.version] = time.Now()
+}
+
+// isOverdue reports whether a gateway has to have applied a version by now: the version
+// was published longer ago than users allow, and meanwhile the gateway ran, had a path to
+// the store, and the store was not down.
+func (s *system) isOverdue(g *node, version uint64) bool {
+	s.mu.Lock()
+	from := s.published[version]
+	storeDown := overlapsAny(s.storeOutages, from, time.Now())
+	s.mu.Unlock()
+	return time.Since(from) > configApplyMax+slack && !storeDown && !g.hadFault(from, time.Now()) &&
+		!g.wasStopping(from, time.Now()) && !g.wasCutFromStore(from, time.Now())
 }
 
 func (s *system) newestVersion() uint64 {
