Notice silent connections to the platform's log in time

A waiting read on a dead connection was given up after 15 s, and the next call took an idle connection from the pool, as dead: 5 s more.

A waiting read now waits 2 s and is given up 1.5 s later, and a call without an answer closes the idle connections. A gateway reads the log each 2 s in place of 10 s when nothing changes.

The platform's programs do not use this client.

--- a/control/control.go
+++ b/control/control.go
@@ -55,7 +55,7 @@
 
 // The defaults of Options.
 const (
-	defaultPollWait      = 10 * time.Second
+	defaultPollWait      = 2 * time.Second
 	defaultAppendTimeout = 3 * time.Second
 	defaultBatchWait     = 200 * time.Millisecond
 	defaultSnapshotEvery = 1000
--- a/control/tail.go
+++ b/control/tail.go
@@ -13,8 +13,13 @@
 const (
 	// maxPageRecords bounds the number of records returned by one read.
 	maxPageRecords = 256
-	// readTimeoutMargin is added to the wait of a long poll to get its timeout.
-	readTimeoutMargin = 5 * time.Second
+	// readTimeout is the timeout of a read that does not wait for new records, which may
+	// return a full page.
+	readTimeout = 5 * time.Second
+	// pollMargin is added to the wait of a long poll to get its timeout. A connection
+	// that went silent is given up then, early enough for changes to be in force within
+	// 6 s.
+	pollMargin = 1500 * time.Millisecond
 	// peerTimeout bounds one request for a peer's state. peerInterval is the
 	// minimum time between requests while the log is down and the local state is
 	// usable. Before the state is usable, or after a gap without a usable
@@ -57,14 +62,14 @@
 // error.
 func (l *Loop) poll(ctx context.Context) error {
 	t := &l.tail
-	wait := l.opts.PollWait
+	wait, timeout := l.opts.PollWait, l.opts.PollWait+pollMargin
 	if !t.ready || t.logDown || t.gap() {
 		// Does not wait for new records. Before ready and after an outage, the read
 		// only has to find out whether the state is up to date. After a gap only a
 		// snapshot helps, and a long poll would delay the next request to a peer.
-		wait = 0
+		wait, timeout = 0, readTimeout
 	}
-	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	page, err := l.opts.Log.Read(readCtx, l.opts.Stream, t.next, maxPageRecords, wait)
 	cancel()
 	trimmed := errors.Is(err, logservice.ErrTrimmed)
--- a/logservice/http.go
+++ b/logservice/http.go
@@ -110,6 +110,9 @@
 	}
 	resp, err := h.client.Do(req)
 	if err != nil {
+		// Whatever broke this connection may have broken the idle ones, which the next
+		// calls would try one after the other.
+		h.client.CloseIdleConnections()
 		if connected.Load() {
 			return 0, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 		}
