--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -189,6 +189,12 @@
 	for name, event := range map[string]func(r *Runner, now time.Duration){
 		"connection refused": func(r *Runner, now time.Duration) { r.connectionRefused(now, smallTarget, now, ErrNotListening) },
 		"restart announced":  func(r *Runner, _ time.Duration) { r.Heartbeat(restarted); r.inFlight.Wait() },
+		"poll answered by the next one": func(r *Runner, _ time.Duration) {
+			r.client = &restartedTarget{}
+			if err := r.poll(t.Context(), smallTarget, 0); err == nil {
+				t.Error("the list of another incarnation was applied")
+			}
+		},
 	} {
 		now := 10 * time.Second
 		f := &fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { return false }}
