Don't confirm a configuration beside a malformed record; split configsync

Reading the change as a newcomer: a record of the configuration that cannot be decoded was passed on as if there were none, so that the older one counted as confirmed, and a malformed document of another process kept the configuration unconfirmed until the next version.

Package configsync gets a file each for what is asked of other processes and for what is put in force; these are moves.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -181,7 +181,7 @@
 		"Find its writer by sender; the target in use is kept.")
 	TargetRowSkipped = define(6042, "target_row_skipped", warnLevel, "a row in the target's lists of runs is malformed and is skipped; it is logged once an hour",
 		"Check the release of the target.")
-	QueuesUnconfirmed = define(6044, "queues_unconfirmed", warnLevel, "neither the store nor another gateway has confirmed the configuration of queues in time; a newer one may exist",
+	QueuesUnconfirmed = define(6044, "queues_unconfirmed", warnLevel, "neither the store nor another gateway or an agent has confirmed the configuration of queues in time; a newer one may exist",
 		"Check the path from this VM to the store. Known queues are served on.")
 	QueuesConfirmed = define(6045, "queues_confirmed", infoLevel, "the configuration of queues is confirmed again", noAction)
 	QueueUnreadable = define(6046, "queue_unreadable", errorLevel, "a field of the configuration cannot be decoded; the queue's requests get 503, the other queues are served",
--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -66,7 +66,7 @@
 	CommittedCPU          = define(KindGauge, "committed_cpu_millis", "thousandths of a core", "Processors taken by running and queued tasks.")
 	QueuesVersion         = define(KindGauge, "queues_version", "version", "Version of the configuration of queues in force.")
 	ZonesDrained          = define(KindGauge, "zones_drained", "zones", "Availability zones that operators have drained, as this gateway knows.")
-	QueuesConfirmed       = define(KindGauge, "queues_confirmed_seconds", "seconds", "Time since the configuration in force was last known to be the newest one, from the store or another gateway.")
+	QueuesConfirmed       = define(KindGauge, "queues_confirmed_seconds", "seconds", "Time since the configuration in force was last known to be the newest one, from the store, another gateway or an agent.")
 )
 
 // Metrics of the agent of restartable jobs.
--- a/restartable/configsync/configsync.go
+++ b/restartable/configsync/configsync.go
@@ -5,12 +5,10 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
@@ -53,13 +51,12 @@
 	RequestStoreReads(version, revision uint64) int
 }
 
-// Newer is what other gateways returned; Document and Drains are nil if none of them
-// has anything newer.
+// Newer is what other gateways or an agent returned; Document and Drains are nil if none
+// of them has anything newer.
 type Newer struct {
 	Document []byte
 	Drains   *zones.Drains
-	// AsOf is when no version beyond those that are returned existed; 0 if none of the
-	// gateways knows.
+	// AsOf is when nothing newer than what is returned existed; 0 if none of them knows.
 	AsOf time.Duration
 	// Asked and Answered count the gateways that were asked and that have answered.
 	Asked, Answered int
@@ -217,142 +214,3 @@
 	events.StoreFailed.Log(s.log).Err(err).Int64("call_ms", took.Milliseconds()).Int64("confirmed_age_ms", s.Age().Milliseconds()).Send()
 	return true
 }
-
-// pollPeers queries other gateways and agents from the first failed call to the store
-// on, or once the store has not answered for longer than a read may take.
-func (s *Syncer) pollPeers(ctx context.Context, answered, failed <-chan struct{}) {
-	storeTimeout := s.opts.PollWait + s.opts.PeerPollInterval
-	timer := time.NewTimer(s.opts.PeerPollInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-answered:
-			s.logConfirmation(Newer{}, 0)
-			timer.Reset(storeTimeout)
-			continue
-		case <-failed:
-		case <-timer.C:
-		}
-		s.queryPeers(ctx)
-		timer.Reset(s.opts.PeerPollInterval)
-	}
-}
-
-// queryPeers asks other gateways and, if they do not confirm the configuration, agents.
-func (s *Syncer) queryPeers(ctx context.Context) {
-	// Before the other gateways if need be, which may take their time to answer.
-	agents := s.requestStoreReads()
-	version, revision := s.known()
-	newer := s.peers.Newer(ctx, version, revision)
-	s.apply(newer, fromGateway)
-	if agents == 0 {
-		agents = s.requestStoreReads()
-	}
-	s.logConfirmation(newer, agents)
-}
-
-// requestStoreReads asks agents to read the store unless the configuration was confirmed
-// within the time of one read: some gateway that was asked then follows the store.
-func (s *Syncer) requestStoreReads() int {
-	if at, confirmed := s.current.ConfirmedAt(); confirmed && s.now()-at <= s.opts.PollWait {
-		return 0
-	}
-	return s.peers.RequestStoreReads(s.known())
-}
-
-// known returns the version of the active configuration, or 0, and the revision of the
-// drained zones.
-func (s *Syncer) known() (version, revision uint64) {
-	if c := s.current.Get(); c != nil {
-		version = c.Version
-	}
-	return version, s.drains.Get().Revision
-}
-
-// Offer installs what an agent has read from the store.
-func (s *Syncer) Offer(newer Newer) { s.apply(newer, fromAgent) }
-
-func (s *Syncer) apply(newer Newer, from string) {
-	if newer.Drains != nil {
-		s.installDrains(nil, from, func(c *zones.Current) bool { return c.Install(newer.Drains) })
-	}
-	s.install(newer.Document, from, newer.AsOf)
-}
-
-// logConfirmation logs when the configuration becomes unconfirmed and when it is
-// confirmed again. newer is the last answer of other gateways, agents the number of
-// agents asked.
-func (s *Syncer) logConfirmation(newer Newer, agents int) {
-	age := s.Age()
-	if unconfirmed := age > s.opts.MaxAge; unconfirmed == s.unconfirmed {
-		return
-	}
-	s.unconfirmed = !s.unconfirmed
-	event := events.QueuesConfirmed
-	if s.unconfirmed {
-		event = events.QueuesUnconfirmed
-	}
-	version, _ := s.known()
-	event.Log(s.log).Uint64("version", version).Int64("confirmed_age_ms", age.Milliseconds()).
-		Int("gateways_asked", newer.Asked).Int("gateways_answered", newer.Answered).Int("agents_asked", agents).Send()
-}
-
-// installDrains changes the drains in force. It logs each malformed record once and a
-// change of the drained zones.
-func (s *Syncer) installDrains(records []zones.Change, from string, change func(*zones.Current) bool) {
-	for _, r := range records {
-		if r.Err != nil && s.malformed.First(fmt.Sprintf("zone %s %d", r.Zone, r.Offset)) {
-			events.ZoneDrainMalformed.Log(s.log).Str("zone", r.Zone).Uint64("offset", r.Offset).Err(r.Err).Send()
-		}
-	}
-	age := s.Age()
-	if change(s.drains) {
-		d := s.drains.Get()
-		events.ZoneDrainsApplied.Log(s.log).Strs("zones", d.Zones()).Uint64("revision", d.Revision).Str("from", from).
-			Int64("known_age_ms", age.Milliseconds()).Send()
-	}
-}
-
-// install puts a document in force if it is newer than the active configuration. If
-// document is nil or has been read, the configuration in force is the newest as of asOf.
-// A zero asOf confirms nothing.
-func (s *Syncer) install(document []byte, from string, asOf time.Duration) {
-	if document == nil {
-		s.confirm(asOf)
-		return
-	}
-	c, err := s.source.Parse(document)
-	if err != nil {
-		s.newestUnreadable.Store(true)
-		if s.malformed.First(fmt.Sprintf("document %x", xxhash.Sum64(document))) {
-			events.QueuesMalformed.Log(s.log).Err(err).Str("from", from).Send()
-		}
-		return
-	}
-	age := s.Age()
-	installed := s.current.Install(c)
-	if installed {
-		s.newestUnreadable.Store(false)
-	}
-	s.confirm(asOf)
-	if installed {
-		events.QueuesApplied.Log(s.log).Uint64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).
-			Int64("known_age_ms", age.Milliseconds()).Int64("confirmed_age_ms", s.Age().Milliseconds()).Send()
-		for _, f := range c.Findings[:min(len(c.Findings), maxLoggedFindings)] {
-			events.QueueUnreadable.Log(s.log).Uint64("version", c.Version).Str("key", f.Place.Key).Str("error", f.Message).
-				Int("findings", len(c.Findings)).Send()
-		}
-	}
-}
-
-// maxLoggedFindings limits the lines on one configuration.
-const maxLoggedFindings = 10
-
-// confirm records that the active configuration was the newest one at a time.
-func (s *Syncer) confirm(asOf time.Duration) {
-	if !s.newestUnreadable.Load() {
-		s.current.Confirm(asOf)
-	}
-}
--- a/restartable/configsync/confirm_test.go
+++ b/restartable/configsync/confirm_test.go
@@ -83,6 +83,25 @@
 	}
 }
 
+// Guards against a configuration that stays unconfirmed for ever because another process
+// offered a malformed document.
+func TestConfigurationIsConfirmedAgainAfterAMalformedOne(t *testing.T) {
+	source := newFakeSource("1")
+	runVirtual(t, source, fakePeers{}, func(r *virtualRig) {
+		time.Sleep(100 * time.Millisecond)
+		r.syncer.Offer(Newer{Document: []byte("no number"), AsOf: r.syncer.now()})
+		time.Sleep(3 * time.Second)
+		if age := r.syncer.Age(); age < 2*time.Second {
+			t.Errorf("confirmed %v ago after a malformed document", age)
+		}
+		source.set(func(f *fakeSource) { f.trimmed = true })
+		time.Sleep(3 * time.Second)
+		if age := r.syncer.Age(); age > 1100*time.Millisecond {
+			t.Errorf("confirmed %v ago, although the store was read again", age)
+		}
+	})
+}
+
 // Guards against an incident of which the log shows neither that the configuration
 // was unconfirmed nor how many gateways were asked.
 func TestUnconfirmedConfigurationIsLoggedOnce(t *testing.T) {
@@ -108,10 +127,10 @@
 	// gateways is set if gateways follow the store, agents if agents can read it.
 	gateways, agents bool
 	// slow is how long the gateways take to answer.
-	slow time.Duration
-	offer            func(Newer)
-	now              func() time.Duration
-	requests         int
+	slow     time.Duration
+	offer    func(Newer)
+	now      func() time.Duration
+	requests int
 }
 
 func (p *followingPeers) newest(version uint64) Newer {
