--- a/ownership/modeltest/model_test.go
+++ b/ownership/modeltest/model_test.go
@@ -1,20 +1,19 @@
 package modeltest
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"os"
 	"regexp"
 	"runtime"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbsail/rhubarbsail/common/model"
+	"github.com/rhubarbsail/rhubarbsail/common/rapidflags"
 )
 
 // machine is the state machine for rapid. Its exported methods are the actions,
@@ -288,26 +287,6 @@
 	}
 }
 
-// setFlags sets flags of rapid for this test. Flags given on the command line keep
-// their values.
-func setFlags(t *testing.T, checks, steps int, seed uint64, shrink string) {
-	set := func(name, value string) {
-		f := flag.Lookup(name)
-		if f.Value.String() == f.DefValue {
-			old := f.Value.String()
-			if err := f.Value.Set(value); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = f.Value.Set(old) })
-		}
-	}
-	set("rapid.checks", strconv.Itoa(checks))
-	set("rapid.steps", strconv.Itoa(steps))
-	set("rapid.seed", strconv.FormatUint(seed, 10))
-	set("rapid.nofailfile", "true")
-	set("rapid.shrinktime", shrink)
-}
-
 const (
 	modelChecks = 80
 	modelSteps  = 60
@@ -316,7 +295,7 @@
 // Guards against two starts of a task, a start before or after the answer not_run,
 // and an incomplete answer, under combinations of all faults.
 func TestModel(t *testing.T) {
-	setFlags(t, modelChecks, modelSteps, 1, "5s")
+	rapidflags.Set(t, modelChecks, modelSteps, 1, "5s")
 	stats := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t, noMutation)
@@ -445,7 +424,7 @@
 			if p.focus != nil {
 				steps = focusSteps
 			}
-			setFlags(t, mutationChecks, steps, p.seed, "0s")
+			rapidflags.Set(t, mutationChecks, steps, p.seed, "0s")
 			r := &failureRecorder{T: t}
 			ended := make(chan struct{})
 			go func() {
@@ -472,7 +451,7 @@
 			continue
 		}
 		t.Run(string(p.without), func(t *testing.T) {
-			setFlags(t, focusChecks, focusSteps, 1, "5s")
+			rapidflags.Set(t, focusChecks, focusSteps, 1, "5s")
 			rapid.Check(t, func(t *rapid.T) { t.Repeat(actions(newMachine(t, noMutation), p.focus)) })
 		})
 	}
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -8,13 +8,13 @@
 	"regexp"
 	"runtime"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/rhubarbsail/rhubarbsail/common/rapidflags"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
@@ -288,26 +288,6 @@
 	a.after(0, func() { a.heartbeat(beat) })
 }
 
-// setFlags sets flags of rapid for this test. Flags given on the command line keep
-// their values.
-func setFlags(t *testing.T, checks, steps int, seed uint64, shrink string) {
-	set := func(name, value string) {
-		f := flag.Lookup(name)
-		if f.Value.String() == f.DefValue {
-			old := f.Value.String()
-			if err := f.Value.Set(value); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = f.Value.Set(old) })
-		}
-	}
-	set("rapid.checks", strconv.Itoa(checks))
-	set("rapid.steps", strconv.Itoa(steps))
-	set("rapid.seed", strconv.FormatUint(seed, 10))
-	set("rapid.nofailfile", "true")
-	set("rapid.shrinktime", shrink)
-}
-
 const (
 	modelChecks = 80
 	modelSteps  = 40
@@ -317,7 +297,7 @@
 // Guards against two runs of a task at a time, exceeded capacity, untrue answers not
 // run and jobs that are never served again, under combinations of all faults.
 func TestModel(t *testing.T) {
-	setFlags(t, modelChecks, modelSteps, 1, "5s")
+	rapidflags.Set(t, modelChecks, modelSteps, 1, "5s")
 	stats := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t, noMutation)
@@ -347,7 +327,7 @@
 			continue
 		}
 		t.Run(string(p.without), func(t *testing.T) {
-			setFlags(t, focusChecks, modelSteps, 1, "5s")
+			rapidflags.Set(t, focusChecks, modelSteps, 1, "5s")
 			rapid.Check(t, func(t *rapid.T) { t.Repeat(actions(newMachine(t, noMutation), p.focus, nil)) })
 		})
 	}
@@ -488,7 +468,7 @@
 func TestModelFindsEachMissingProtection(t *testing.T) {
 	for _, p := range mutationTests {
 		t.Run(string(p.without), func(t *testing.T) {
-			setFlags(t, mutationChecks, modelSteps, p.seed, "0s")
+			rapidflags.Set(t, mutationChecks, modelSteps, p.seed, "0s")
 			r := &failureRecorder{T: t}
 			ended := make(chan struct{})
 			go func() {
