--- a/restartable/configsync/confirm_test.go
+++ b/restartable/configsync/confirm_test.go
@@ -20,7 +20,8 @@
 type virtualRig struct {
 	config *queues.CurrentConfig
 	syncer *Syncer
-	log    bytes.Buffer
+	log    bytes.Buffer // to be read after stop
+	stop   func()
 }
 
 // runVirtual calls test beside a running syncer.
@@ -33,8 +34,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		wg.Go(func() { r.syncer.Run(ctx) })
-		defer wg.Wait()
-		defer cancel()
+		r.stop = func() {
+			cancel()
+			wg.Wait()
+		}
+		defer r.stop()
 		test(r)
 	})
 }
@@ -112,6 +116,7 @@
 		time.Sleep(10 * time.Second)
 		source.set(func(f *fakeSource) { f.unavailable = false })
 		time.Sleep(2 * time.Second)
+		r.stop()
 		for _, name := range []string{`"queues_unconfirmed"`, `"queues_confirmed"`, `"gateways_asked":3,"gateways_answered":1,"agents_asked":2`} {
 			if n := strings.Count(r.log.String(), name); n != 1 {
 				t.Errorf("%s stands %d times in the log, want once:\n%s", name, n, r.log.String())
