--- a/review/sim/main.go
+++ b/review/sim/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken []string, err error){
 	"parallel-poison": parallelPoison,
 	"parallel-steps":  parallelSteps,
+	"changed-kind":    changedKind,
 }
 
 func main() {
