Review case 3: a cancel at another gateway is acknowledged, and the job runs on

Claim: a gateway that does not have a job answers its cancel with 410 and tells nobody, so that the job goes on at the gateway that has it. Its tasks start and run over 3 s after the cancel was acknowledged (UNASKED), and the job is answered as completed.

Shown by review/3/run.sh: a gateway is added to three, which changes the gateway that a client's next connection reaches; 8 of 32 clients cancel.

--- a/review/sim/main.go
+++ b/review/sim/main.go
@@ -20,6 +20,7 @@
 	"parallel-poison": parallelPoison,
 	"parallel-steps":  parallelSteps,
 	"changed-kind":    changedKind,
+	"cancel":          cancelElsewhere,
 }
 
 func main() {
