Withdraw the orders of a job that the same decision gives up

Cause: when the first step is done, the core places the ready steps one after the other. If the second of them is refused, the job is given up while the orders of the first one are in the same list of actions. The dispatcher sends stops before orders, as it must for jobs that are submitted again, so that the agents got the stop first, found nothing to stop, and started tasks that no gateway knew any more. The same order of messages, for a job that has not started: its caller waited 40 ms for agents to confirm the revocation of tasks that they had not been sent, and was told that they may have run.

Change: giving a job up withdraws its orders that have not been taken yet, and undoes their placement. No list of actions has an order of a job that it also stops or answers; the tests of the core check that after each call. A job of which nothing has been sent is refused at once, as not run.

Ruled out: sending orders before stops in the dispatcher. It would do for this fault, but starts tasks only to stop them, and the answer would still have to wait for the agents.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -38,6 +38,9 @@
 	crashShare    = 0.01
 )
 
+// Each stepsInterval-th job has parallel steps.
+const stepsInterval = 20
+
 // crashSpec is the spec of jobs whose tasks crash their targets.
 const crashSpec = "crash"
 
@@ -132,7 +135,8 @@
 }
 
 func (c *callers) newJob(r *rand.Rand) *job {
-	j := &job{Job: standin.Job{ID: fmt.Sprintf("%08x%08x", uint32(c.seed), c.next.Add(1)), Tasks: 1 + r.IntN(6), Timeout: answerTimeout}}
+	n := c.next.Add(1)
+	j := &job{Job: standin.Job{ID: fmt.Sprintf("%08x%08x", uint32(c.seed), n), Tasks: 1 + r.IntN(6), Timeout: answerTimeout}}
 	switch p := r.Float64(); {
 	case p < failShare:
 		j.Spec = "fail"
@@ -147,9 +151,28 @@
 	default:
 		j.Spec = fmt.Sprintf("ms=%d", 10+r.IntN(100))
 	}
+	if n%stepsInterval == 0 {
+		// The draws above are kept, so that the other jobs of a seed stay as they were.
+		j.Spec, j.Steps = parallelSteps(n / stepsInterval)
+	}
 	return j
 }
 
+// parallelSteps returns the spec and the steps of the n-th job with two steps that both
+// follow the first one. In every other job the last step is stated to take longer than
+// the caller waits, so that it is refused beside the other one. The runs of that one take
+// long enough to overlap with those of the job's next submission if they are not stopped.
+func parallelSteps(n uint64) (spec string, steps []standin.Step) {
+	first := standin.Step{Tasks: 1, Estimate: 20 * time.Millisecond}
+	second := standin.Step{Tasks: 2, Estimate: 300 * time.Millisecond, DependsOn: []int{0}}
+	third := standin.Step{Tasks: 2, Estimate: 50 * time.Millisecond, DependsOn: []int{0}, MaxPerTarget: 1}
+	if n%2 == 0 {
+		return "ms=20,200,50", []standin.Step{first, second, third}
+	}
+	third.Estimate = 2 * answerTimeout
+	return "ms=20,3000,50", []standin.Step{first, second, third}
+}
+
 // client is one caller with a single connection.
 type client struct {
 	load    *callers
--- a/integration/soak/checker_test.go
+++ b/integration/soak/checker_test.go
@@ -229,8 +229,8 @@
 			done[r.Task] = true
 		}
 	}
-	if len(done) < j.Tasks {
-		c.report("job %s: completed with %d of %d tasks done", j.ID, len(done), j.Tasks)
+	if tasks := j.TaskCount(); len(done) < tasks {
+		c.report("job %s: completed with %d of %d tasks done", j.ID, len(done), tasks)
 	}
 }
 
--- a/restartable/dispatch/abort.go
+++ b/restartable/dispatch/abort.go
@@ -1,11 +1,15 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // revoke aborts a job. If no task is known to have started, it first asks the
 // agents to drop the tasks: the caller can be told that the job has not run only
 // after they have confirmed it.
 func (c *Core) revoke(now time.Duration, j *job, cause Cause) {
+	c.withdrawOrders(j)
 	if j.started || j.inFlight == 0 {
 		c.abort(now, j, cause)
 		return
@@ -32,17 +36,17 @@
 
 // abort answers a job that will not be completed and stops its remaining tasks.
 func (c *Core) abort(now time.Duration, j *job, cause Cause) {
-	open := j.openTasks(now)
 	state := NotRun
 	if stopped := c.stopAll(j); stopped || j.started || j.unanswered {
 		state = Unfinished
 	}
-	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter, Open: open})
+	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter, Open: j.openTasks(now)})
 }
 
-// stopAll tells all agents to stop their tasks of a job. It reports whether any
-// agent had one.
+// stopAll withdraws the orders of a job that have not been sent and tells all agents to
+// stop their tasks of the job. It reports whether any agent had one.
 func (c *Core) stopAll(j *job) bool {
+	c.withdrawOrders(j)
 	stopped := false
 	for a := range j.agents {
 		if !j.hasPlacedOn(a) {
@@ -61,6 +65,39 @@
 	return stopped
 }
 
+// withdrawOrders removes the orders of a job that have been decided on but not taken
+// yet, and marks their tasks as not placed. A step may be refused after another one of
+// the same job was placed. A stop cannot take the place of the withdrawal: stops are
+// carried out before orders, so that the agent would start the tasks afterwards.
+func (c *Core) withdrawOrders(j *job) {
+	c.out.Orders = slices.DeleteFunc(c.out.Orders, func(o Order) bool {
+		if o.Step.Job != j.ID {
+			return false
+		}
+		j.unplace(o)
+		return true
+	})
+}
+
+// unplace undoes place for all tasks of an order that is not sent.
+func (j *job) unplace(o Order) {
+	for _, attempt := range o.Tasks {
+		t := j.tasks[o.Step.Step][attempt.Index]
+		a := t.agent
+		t.attempt--
+		t.state, t.agent = waiting, nil
+		j.attempts--
+		j.inFlight--
+		j.agents[a]--
+		if j.agents[a] == 0 {
+			delete(j.agents, a)
+			delete(a.jobs, j.ID)
+		}
+		delete(a.placed, t.id)
+		a.unacked = slices.DeleteFunc(a.unacked, func(u unackedOrder) bool { return u.number == o.Number })
+	}
+}
+
 // finish removes a job and answers its callers.
 func (c *Core) finish(now time.Duration, j *job, a Answer) {
 	delete(c.jobs, j.ID)
--- /dev/null
+++ b/restartable/dispatch/abort_test.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+// checkOrders requires that nothing is ordered for a job that is stopped or answered by
+// the same call to the core. Agents would get the stop first and then start the tasks,
+// which nothing stops any more.
+func checkOrders(t *testing.T, a Actions) {
+	t.Helper()
+	for _, o := range a.Orders {
+		job := o.Step.Job
+		stopped := slices.ContainsFunc(a.Stops, func(s Stop) bool { return s.Job == job && s.Attempt == 0 })
+		answered := slices.ContainsFunc(a.FinishedJobs, func(f FinishedJob) bool { return f.ID == job })
+		if stopped || answered {
+			t.Errorf("tasks of job %s are ordered by the call that gives it up (stopped: %v, answered: %v)", job, stopped, answered)
+		}
+	}
+}
+
+// withParallelSteps adds two steps that follow the given ones: the first can be placed,
+// the other cannot.
+func withParallelSteps(s Submission, refused Step, dependsOn ...int) Submission {
+	placeable := Step{Tasks: 2, Needs: task.Resources{CPUMillis: 1000, MemoryMB: 10}, Estimate: 600 * ms, DependsOn: dependsOn}
+	refused.DependsOn = dependsOn
+	s.Steps = append(s.Steps, placeable, refused)
+	return s
+}
+
+// unplaceableSteps are steps for which two targets of 32 cores do not suffice.
+var unplaceableSteps = map[string]Step{
+	"ends after the deadline": {Tasks: 1, Needs: task.Resources{CPUMillis: 1000}, Estimate: 12 * time.Second},
+	"one task for each of three targets": {
+		Tasks: 3, Needs: task.Resources{CPUMillis: 1000}, Estimate: 100 * ms, MaxPerTarget: 1,
+	},
+}
+
+// Guards against two runs of a task at the same time (TWICE): when one of two steps that
+// became ready together was refused, the tasks of the other one started after the job had
+// been answered, and ran on beside those of its resubmission.
+func TestRefusedStepWithdrawsTheOrdersOfAParallelStep(t *testing.T) {
+	for name, refused := range unplaceableSteps {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.addAgent("a", 32_000)
+			r.addAgent("b", 32_000)
+			r.submit(withParallelSteps(newSubmission("j", 1, 60*ms), refused, 0))
+			sent := len(r.orders)
+			r.reportEvent(r.orders[0].Link, newEvent("j", 0, 1, task.Done, ""))
+			if a, ok := r.answers["j"]; !ok || a.State != Unfinished {
+				t.Fatalf("answer %+v (given: %v), want an unfinished job", a, ok)
+			}
+			r.wantNothingPlaced(sent)
+		})
+	}
+}
+
+// Guards against a job that is answered as possibly started, after waiting for agents to
+// confirm it, although nothing of it has been sent: the caller could not know that it may
+// submit the job again at once.
+func TestJobWhoseOrdersAreWithdrawnIsRefusedAtOnce(t *testing.T) {
+	for name, refused := range unplaceableSteps {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.advance(time.Minute) // StartupGrace is over
+			r.addAgent("a", 32_000)
+			r.addAgent("b", 32_000)
+			s := newSubmission("j", 1, 60*ms)
+			s.Steps = nil
+			r.submit(withParallelSteps(s, refused))
+			a, ok := r.answers["j"]
+			if !ok || a.State != NotRun || a.Attempts != 0 || a.Targets != 0 {
+				t.Fatalf("answer %+v (given: %v), want a refusal at once", a, ok)
+			}
+			r.wantNothingPlaced(0)
+		})
+	}
+}
+
+// wantNothingPlaced requires that no order has been sent after the first ones and that
+// the core counts no task as placed and no capacity as committed.
+func (r *rig) wantNothingPlaced(sent int) {
+	r.t.Helper()
+	if len(r.orders) != sent {
+		r.t.Errorf("%d orders after the job was given up, want none", len(r.orders)-sent)
+	}
+	seen := map[string]uint64{}
+	for _, o := range r.orders[:sent] {
+		seen[o.Link] = o.Number
+	}
+	for _, a := range r.core.agents {
+		r.report(a.Name, func(l *Load) { l.OrdersSeen = seen[a.Name] })
+		if needs, _ := a.committed(); len(a.placed) > 0 || len(a.jobs) > 0 || needs.CPUMillis > 0 {
+			r.t.Errorf("agent %s has %d placed tasks of %d jobs and %d thousandths of a core committed, want none", a.Name, len(a.placed), len(a.jobs), needs.CPUMillis)
+		}
+	}
+}
--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -87,7 +87,9 @@
 }
 
 // Actions lists what the caller of a Core must carry out, log or count after calls
-// to it.
+// to it. Stops are carried out before orders, so that a stop of a job that was given up
+// does not end the tasks of its resubmission; no order is of a job that is stopped or
+// answered by the same actions.
 type Actions struct {
 	Orders           []Order
 	Stops            []Stop
--- a/restartable/dispatch/core_test.go
+++ b/restartable/dispatch/core_test.go
@@ -27,6 +27,7 @@
 
 func (r *rig) collect() {
 	a := r.core.Take()
+	checkOrders(r.t, a)
 	r.orders = append(r.orders, a.Orders...)
 	r.stops = append(r.stops, a.Stops...)
 }
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -228,8 +228,9 @@
 	// inFlight counts the tasks that were sent to an agent and have not ended.
 	inFlight int
 	attempts int
-	// agents are all agents that tasks of the job were sent to.
-	agents  map[*agent]bool
+	// agents are all agents that tasks of the job were sent to, with the number of
+	// attempts that each was sent.
+	agents  map[*agent]int
 	callers []*Caller
 	// refusal is set if the job is aborted for lack of time or targets.
 	refusal *RefusalDetails
@@ -239,7 +240,7 @@
 }
 
 func newJob(now time.Duration, s Submission, predict func(time.Duration) time.Duration) *job {
-	j := &job{Submission: s, arrived: now, deadline: now + min(s.Wait, s.Queue.Timeout), agents: map[*agent]bool{}}
+	j := &job{Submission: s, arrived: now, deadline: now + min(s.Wait, s.Queue.Timeout), agents: map[*agent]int{}}
 	for step, st := range s.Steps {
 		records := make([]*taskRecord, st.Tasks)
 		for i := range records {
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -187,7 +187,7 @@
 	t.overdueAt = overdueTime(now+ch.wait, ch.run)
 	j.attempts++
 	j.inFlight++
-	j.agents[a] = true
+	j.agents[a]++
 	a.placed[t.id] = t
 	a.jobs[j.ID] = j
 	a.lastPlacedAt = now
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -33,15 +33,27 @@
 
 // submit sends a job of equal tasks that take half of a target and the given time.
 func (sc *scenario) submit(g *gateway, tasks int, runTime time.Duration) *client {
-	c := &client{
-		w: sc.w, job: fmt.Sprintf("j%d", len(sc.w.clients)), runTime: []time.Duration{runTime},
-		steps: []dispatch.Step{{Tasks: tasks, Needs: task.Resources{CPUMillis: 2000, MemoryMB: 100}, Estimate: 400 * ms}},
-	}
-	sc.w.clients = append(sc.w.clients, c)
+	c := sc.newClient()
+	c.addStep(tasks, 400*ms, runTime)
 	c.submit(g, false)
 	return c
 }
 
+// newClient returns a client whose job has no steps yet.
+func (sc *scenario) newClient() *client {
+	c := &client{w: sc.w, job: fmt.Sprintf("j%d", len(sc.w.clients))}
+	sc.w.clients = append(sc.w.clients, c)
+	return c
+}
+
+// addStep adds a step of tasks that take half of a target.
+func (c *client) addStep(tasks int, estimate, runTime time.Duration, dependsOn ...int) {
+	c.steps = append(c.steps, dispatch.Step{
+		Tasks: tasks, Needs: task.Resources{CPUMillis: 2000, MemoryMB: 100}, Estimate: estimate, DependsOn: dependsOn,
+	})
+	c.runTime = append(c.runTime, runTime)
+}
+
 // runOf returns the agent with a run of the first task.
 func (sc *scenario) runOf(c *client) *agent {
 	id := task.ID{StepID: task.StepID{Job: c.job}}
@@ -234,6 +246,16 @@
 		a.target.crash(20*ms, a.target.id+"-next")
 		sc.w.advance(s)
 	}},
+	// Of two steps that followed the same one, the first was ordered and the second, whose
+	// estimate was too long, refused. The agents got the stop of the job before the orders.
+	{"step is refused beside another one", noMutation, func(sc *scenario) {
+		c := sc.newClient()
+		c.addStep(1, 50*ms, 50*ms)
+		c.addStep(1, 400*ms, 4*s, 0)
+		c.addStep(1, 10*s, 10*s, 0)
+		c.submit(sc.w.gateways[0], false)
+		sc.w.advance(3 * s)
+	}},
 }
 
 // Guards against the violations that the model has found.
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -36,7 +36,12 @@
 // machine is the state machine for rapid. Its exported methods are the actions,
 // which inject faults and submissions into the simulation. rapid draws actions by
 // the sorted order of their names, so renaming one changes the runs of a seed.
-type machine struct{ w *world }
+type machine struct {
+	w *world
+	// parallelSteps is set if jobs have one more step that follows the first one. It is
+	// refused if its estimate is too long.
+	parallelSteps bool
+}
 
 func newMachine(t *rapid.T, mut mutation) *machine {
 	w := newWorld(rapid.Int64().Draw(t, "seed"), mut, rapid.IntRange(2, 3).Draw(t, "gateways"), rapid.IntRange(2, 3).Draw(t, "agents"))
@@ -44,7 +49,7 @@
 		w.trace = func(f string, args ...any) { t.Logf("%v: "+f, append([]any{w.Now}, args...)...) }
 	}
 	w.advance(s) // lets all processes connect
-	return &machine{w}
+	return &machine{w: w}
 }
 
 // Check is the invariant that rapid checks after each action.
@@ -90,6 +95,11 @@
 		}
 		c.steps, c.runTime = append(c.steps, step), append(c.runTime, run)
 	}
+	if m.parallelSteps {
+		estimate := m.duration(t, 20*ms, 2*callerWait)
+		c.steps = append(c.steps, dispatch.Step{Tasks: 1, Needs: task.Resources{CPUMillis: 1000, MemoryMB: 100}, Estimate: estimate, DependsOn: []int{0}})
+		c.runTime = append(c.runTime, estimate)
+	}
 	m.w.clients = append(m.w.clients, c)
 	return c
 }
@@ -333,6 +343,18 @@
 	}
 }
 
+// Guards against tasks of a job that start after one of its other steps was refused, and
+// that nothing stops.
+func TestModelWithParallelSteps(t *testing.T) {
+	rapidflags.Set(t, focusChecks, modelSteps, 76637, "5s")
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t, noMutation)
+		m.parallelSteps = true
+		t.Repeat(actions(m, nil, nil))
+		m.checkRecovery(t)
+	})
+}
+
 // checkRecovery ends all faults and checks that a new job is completed in time.
 func (m *machine) checkRecovery(t *rapid.T) {
 	w := m.w
