Stop runs that an agent reports and the gateway does not have

Cause: a gateway ignored the report of a start that it had not placed. Contact to the gateway keeps a run going, so that one misordered message is enough for a run that outlives its job, and overlaps with that of the resubmission.

Change: the gateway answers such a report with a stop of that attempt, and logs it (6047). A start that has crossed the stop of its job gets a second stop, which agents ignore.

Evidence: TestRunThatTheGatewayDoesNotHaveIsStopped fails before, in all four cases.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -186,6 +186,8 @@
 	QueuesConfirmed = define(6045, "queues_confirmed", infoLevel, "the configuration of queues is confirmed again", noAction)
 	QueueUnreadable = define(6046, "queue_unreadable", errorLevel, "a field of the configuration cannot be decoded; the queue's requests get 503, the other queues are served",
 		"Correct the record in the store.")
+	UnknownRunStopped = define(6047, "unknown_run_stopped", infoLevel, "an agent has started a run that this gateway does not have; it is stopped",
+		"Nothing beside the end of the job, 6008: the start and the stop have crossed. Otherwise report it with the lines of the job.")
 	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/restartable/dispatch/abort_test.go
+++ b/restartable/dispatch/abort_test.go
@@ -82,6 +82,39 @@
 	}
 }
 
+// Guards against a run that goes on beside that of its job's resubmission because its
+// gateway does not have it: only contact to the gateway keeps a run going, so that the
+// gateway has to stop each one that it learns of and does not have.
+func TestRunThatTheGatewayDoesNotHaveIsStopped(t *testing.T) {
+	unknown := map[string]AttemptEvent{
+		"of no job":               newEvent("other", 0, 1, task.Started, ""),
+		"of an earlier attempt":   newEvent("j", 0, 7, task.Started, ""),
+		"of a task not placed":    newEvent("j", 5, 1, task.Started, ""),
+		"on an agent without one": newEvent("j", 0, 1, task.Started, ""),
+	}
+	for name, e := range unknown {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.addAgent("a", 32_000)
+			r.submit(newSubmission("j", 1, 100*ms))
+			r.addAgent("b", 32_000)
+			agent := "a"
+			if name == "on an agent without one" {
+				agent = "b"
+			}
+			r.reportEvent(agent, e)
+			want := Stop{Link: agent, Job: e.Task.Job, Task: e.Task, Attempt: e.Attempt}
+			if !slices.Equal(r.stops, []Stop{want}) {
+				t.Errorf("stops %+v, want %+v", r.stops, want)
+			}
+			r.reportEvent("a", newEvent("j", 0, 1, task.Started, ""))
+			if len(r.stops) != 1 {
+				t.Errorf("stops %+v, want none for the run that the gateway has", r.stops)
+			}
+		})
+	}
+}
+
 // wantNothingPlaced requires that no order has been sent after the first ones and that
 // the core counts no task as placed and no capacity as committed.
 func (r *rig) wantNothingPlaced(sent int) {
--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -86,6 +86,14 @@
 	Recall bool
 }
 
+// UnknownRun describes a run that an agent has started but that its gateway does not
+// have, for logs.
+type UnknownRun struct {
+	Agent   string
+	Task    task.ID
+	Attempt int
+}
+
 // Actions lists what the caller of a Core must carry out, log or count after calls
 // to it. Stops are carried out before orders, so that a stop of a job that was given up
 // does not end the tasks of its resubmission; no order is of a job that is stopped or
@@ -98,6 +106,8 @@
 	// ConfinementChanges are those of queues whose jobs crash their targets.
 	ConfinementChanges []ConfinementChange
 	Retries            []Retry
+	// UnknownRuns are runs that Stops ends since the gateway does not have them.
+	UnknownRuns []UnknownRun
 	// Suspended is the length of a suspension of this process that was detected, or
 	// 0.
 	Suspended time.Duration
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -194,6 +194,9 @@
 func (c *Core) applyEvent(now time.Duration, a *agent, e AttemptEvent) *job {
 	t := a.placed[e.Task]
 	if t == nil || t.attempt != e.Attempt {
+		if e.Outcome == task.Started {
+			c.stopUnknownRun(a, e)
+		}
 		return nil
 	}
 	j := c.jobs[e.Task.Job]
@@ -252,6 +255,16 @@
 	return j
 }
 
+// stopUnknownRun stops a run that an agent has started but this core has not placed, or
+// has given up. Nothing else would end it: the agent keeps a run as long as it has contact
+// with its gateway. Usually the start and the stop of its job have crossed, and the agent
+// ignores the second stop.
+func (c *Core) stopUnknownRun(a *agent, e AttemptEvent) {
+	stop := Stop{Link: a.Link, Job: e.Task.Job, Task: e.Task, Attempt: e.Attempt}
+	c.out.Stops = append(c.out.Stops, stop)
+	c.out.UnknownRuns = append(c.out.UnknownRuns, UnknownRun{Agent: a.Name, Task: e.Task, Attempt: e.Attempt})
+}
+
 // supersededSkip is added to a task's attempt number if the target has already
 // seen that number or a higher one, because an earlier submission of the job ran
 // there.
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -83,6 +83,9 @@
 	for _, r := range a.Retries {
 		d.logRetry(r)
 	}
+	for _, u := range a.UnknownRuns {
+		events.UnknownRunStopped.Log(d.log).Str("job", u.Task.Job).Stringer("task", u.Task).Int("attempt", u.Attempt).Str("agent", u.Agent).Send()
+	}
 	for _, ch := range a.ConfinementChanges {
 		event := events.QueueReleased
 		if ch.Confined {
