Log a read of the store that an agent fails to make for a gateway

Cause: storeReader.run dropped the error.

Change: the agent logs it, with the number of gateways that wait (6048).

Evidence: TestStoreReadAnswersOnlyRequestsBeforeIt now requires the line; the code before has no logger there, so that the test does not build on it.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -188,6 +188,8 @@
 		"Correct the record in the store.")
 	UnknownRunStopped = define(6047, "unknown_run_stopped", infoLevel, "an agent has started a run that this gateway does not have; it is stopped",
 		"Nothing beside the end of the job, 6008: the start and the stop have crossed. Otherwise report it with the lines of the job.")
+	StoreReadFailed = define(6048, "store_read_failed", warnLevel, "this agent could not read the platform's store for the gateways that asked it to; they ask other agents",
+		"Nothing while the store is down; otherwise check the path from this VM to the store.")
 	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -43,6 +43,7 @@
 func NewClient(name, zone string, r *runner.Runner, g *Gateways, log zerolog.Logger) *Client {
 	return &Client{
 		hello: &pb.AttachHello{Agent: name, Zone: zone}, runner: r, gateways: g, now: boottime.Now, log: log,
+		store:    storeReader{log: log},
 		attached: make(chan *agentLink), closed: make(chan string),
 	}
 }
--- a/restartable/link/storeread.go
+++ b/restartable/link/storeread.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/rhubarbsail/rhubarbsail/common/events"
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
 	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
@@ -21,6 +24,7 @@
 // storeReader reads the store for the gateways that ask an agent to.
 type storeReader struct {
 	read ReadStore
+	log  zerolog.Logger
 
 	mu sync.Mutex // guards the fields below
 	// waiting are the requests that no read has begun for.
@@ -57,6 +61,7 @@
 		c, err := r.read(ctx)
 		cancel()
 		if err != nil {
+			events.StoreReadFailed.Log(r.log).Int("gateways", len(requests)).Err(err).Send()
 			continue
 		}
 		for l, m := range requests {
--- a/restartable/link/storeread_test.go
+++ b/restartable/link/storeread_test.go
@@ -1,13 +1,16 @@
 package link
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
@@ -15,11 +18,13 @@
 )
 
 // Guards against a gateway that takes a configuration for the newest one although the
-// agent's read began before the gateway asked, and against a read for each gateway.
+// agent's read began before the gateway asked, against a read for each gateway, and
+// against a read that fails without a log line.
 func TestStoreReadAnswersOnlyRequestsBeforeIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var reads atomic.Uint64
-		r := &storeReader{read: func(context.Context) (configsync.Contents, error) {
+		var logged bytes.Buffer
+		r := &storeReader{log: zerolog.New(&logged), read: func(context.Context) (configsync.Contents, error) {
 			n := reads.Add(1)
 			c := configsync.Contents{Document: []byte("d"), Version: n, Drains: zones.New(n, "a")}
 			time.Sleep(100 * time.Millisecond)
@@ -58,5 +63,8 @@
 		if m := reply(links[0]); m != nil || reads.Load() != 3 {
 			t.Errorf("reply %v after a read that failed, %d reads", m, reads.Load())
 		}
+		if line := logged.String(); strings.Count(line, "\n") != 1 || !strings.Contains(line, `"gateways":1,"error":"rejected"`) {
+			t.Errorf("log %q, want one line with the error of the failed read", line)
+		}
 	})
 }
