--- a/restartable/link/storeread_test.go
+++ b/restartable/link/storeread_test.go
@@ -63,6 +63,7 @@
 		if m := reply(links[0]); m != nil || reads.Load() != 3 {
 			t.Errorf("reply %v after a read that failed, %d reads", m, reads.Load())
 		}
+		synctest.Wait() // orders the write of the log line before its reading
 		if line := logged.String(); strings.Count(line, "\n") != 1 || !strings.Contains(line, `"gateways":1,"error":"rejected"`) {
 			t.Errorf("log %q, want one line with the error of the failed read", line)
 		}
