--- a/restartable/dispatch/abort_test.go
+++ b/restartable/dispatch/abort_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -64,7 +65,11 @@
 // confirm it, although nothing of it has been sent: the caller could not know that it may
 // submit the job again at once.
 func TestJobWhoseOrdersAreWithdrawnIsRefusedAtOnce(t *testing.T) {
-	for name, refused := range unplaceableSteps {
+	steps := maps.Clone(unplaceableSteps)
+	// A job that has started waits for targets that may hold such a step.
+	steps["larger than any target"] = Step{Tasks: 1, Needs: task.Resources{CPUMillis: 99_000}, Estimate: 100 * ms}
+	steps["a label that no target has"] = Step{Tasks: 1, Needs: task.Resources{CPUMillis: 1000}, Estimate: 100 * ms, RequiredLabel: "gpu"}
+	for name, refused := range steps {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.advance(time.Minute) // StartupGrace is over
