--- a/integration/soak/main_test.go
+++ b/integration/soak/main_test.go
@@ -50,6 +50,9 @@
 	{4, "starts without an answer, sent after a crash, counted as crashes under their task"},
 	{6, "as seed 4"},
 	{3, "connections to the store that went silent were noticed one after the other"},
+	{319, "a signal ended an agent that had just started and could not handle one yet"},
+	{324, "as seed 319, at a gateway and an agent"},
+	{335, "as seed 319"},
 }
 
 // Guards against guarantees to callers and targets that hold under each single
