--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -244,6 +244,40 @@
 	awaitCompletedJob(t, d, "after")
 }
 
+// Guards against a job that waits for its deadline, and against an agent that stays out
+// of service, after all links have gone silent at the same time: a silent link tells
+// nobody of its end, and all gateways lose the agent at once.
+func TestJobsOfLinksThatGoSilentAreAnsweredAndTheLinksReplaced(t *testing.T) {
+	var gateways []*dispatch.Dispatcher
+	var proxies []*blackholeProxy
+	var addresses []string
+	for range 2 {
+		d, address := startGateway(t)
+		proxy := newBlackholeProxy(t, address)
+		gateways, proxies, addresses = append(gateways, d), append(proxies, proxy), append(addresses, proxy.listener.Addr().String())
+	}
+	startAgent(t, addresses...)
+	for _, d := range gateways {
+		awaitCompletedJob(t, d, "before")
+	}
+	for _, p := range proxies {
+		p.blackhole()
+	}
+	var wg sync.WaitGroup
+	for i, d := range gateways {
+		wg.Go(func() {
+			job := smallJob(fmt.Sprintf("during-%d", i))
+			job.Wait, job.Queue.Timeout = time.Minute, time.Minute
+			// On a busy machine the gateway may miss the agent's reports before it places the job.
+			if a := d.Submit(t.Context(), job); a.Cause != dispatch.CauseAgentLost && a.Cause != dispatch.CauseNoTarget {
+				t.Errorf("gateway %d answers %v (%s), want an answer because of the lost agent", i, a.State, a.Cause)
+			}
+			awaitCompletedJob(t, d, fmt.Sprintf("after-%d", i))
+		})
+	}
+	wg.Wait()
+}
+
 // gatewayCount is twice the number of gateways that an agent keeps links to.
 var gatewayCount = 2 * subset.DefaultOptions().Links
 
