Keep the runs of TestAllGatewaysLearnOfACrash going until the crash

Cause: the fake target ends each run after 300 ms. If the test is held up for that long between the start of the runs and the crash, nothing runs any more when the target restarts, and there is no crash to report. A delay of 400 ms there fails the test each time with the same message (trial); that the failed run was held up like this is not shown by a log, and 96 runs beside load did not repeat it.

Change: in this test runs last until the crash. The checks are as before.

Result: with the delay the test passes (trial), and 3 times with the race detector.

--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -34,7 +34,9 @@
 
 // fakeTarget completes every task in runTime.
 type fakeTarget struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// runFor is the run time of tasks that start from now on.
+	runFor  time.Duration
 	running map[runner.Attempt]time.Time // with the time of the end
 	ends    []runner.End
 	// incarnation is that of testTarget until restart.
@@ -42,13 +44,13 @@
 }
 
 func newFakeTarget() *fakeTarget {
-	return &fakeTarget{running: map[runner.Attempt]time.Time{}, incarnation: testTarget.Incarnation}
+	return &fakeTarget{runFor: runTime, running: map[runner.Attempt]time.Time{}, incarnation: testTarget.Incarnation}
 }
 
 func (f *fakeTarget) Start(_ context.Context, _ runner.Target, s runner.Start, _, _ int64) (runner.StartResult, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.running[runner.Attempt{Task: s.Task, Number: s.Attempt}] = time.Now().Add(runTime)
+	f.running[runner.Attempt{Task: s.Task, Number: s.Attempt}] = time.Now().Add(f.runFor)
 	return runner.StartAccepted, 1, nil
 }
 
@@ -59,6 +61,13 @@
 	return 1, nil
 }
 
+// setRunTime sets the run time of tasks that start from now on.
+func (f *fakeTarget) setRunTime(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runFor = d
+}
+
 // restart begins an incarnation, which has no runs.
 func (f *fakeTarget) restart(incarnation int64) {
 	f.mu.Lock()
@@ -420,6 +429,8 @@
 	first, address := startGateway(t)
 	known, r, f := startAgentWithTarget(t, address)
 	awaitCompletedJob(t, first, "before")
+	// The runs must not end before the crash, however late the test notices them.
+	f.setRunTime(time.Hour)
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
@@ -435,6 +446,7 @@
 		}
 	}
 	const lastIncarnation = 3
+	f.setRunTime(runTime)
 	f.restart(lastIncarnation)
 	for incarnation := testTarget.Incarnation + 1; incarnation <= lastIncarnation; incarnation++ {
 		restarted := testTarget
