Start a task elsewhere only once its unanswered start is excluded

Cause: the agent took a start without an answer as over once its deadline had passed on the target's clock. The clock of the next process begins anew, and it has seen no fencing token, so that it takes the call for a new one. The first call of the agent, with a higher token, comes too late. Nobody can refuse the late start, but nobody has to start the task elsewhere before it is excluded.

Change: such a start is in doubt while the target is out of contact. The attempt is not reported as ended; agents tell their gateways, which hold the task, a resubmission of the job, and what an agent that has gone may have started, and pass it on by way of other agents. The doubt ends with the target's answer to a call with a higher token. Found on the way by the model, and part of the same fault: while the target answers, a start without an answer is repeated there in place of being stopped and placed elsewhere; a run is stopped if an earlier start of its task comes into doubt elsewhere; a restarted agent whose clock was set back gets a token above those of its predecessors. Nothing starts while a call to the target has no answer, so that fewer starts come into doubt.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -190,6 +190,12 @@
 		"Nothing beside the end of the job, 6008: the start and the stop have crossed. Otherwise report it with the lines of the job.")
 	StoreReadFailed = define(6048, "store_read_failed", warnLevel, "this agent could not read the platform's store for the gateways that asked it to; they ask other agents",
 		"Nothing while the store is down; otherwise check the path from this VM to the store.")
+	StartInDoubt = define(6049, "start_in_doubt", warnLevel, "the target is out of contact, has not answered a start and may still carry it out; the task is not started elsewhere until the target is back",
+		"Check the target on this VM. The line run_ended of the attempt ends the doubt.")
+	JobHeld = define(6050, "job_held", warnLevel, "an earlier submission of the job has a start in doubt; nothing of it is started before the doubt has ended",
+		"Check the target of the agent named.")
+	DoubtfulRunStopped = define(6051, "doubtful_run_stopped", warnLevel, "a run is stopped, since an earlier start of its task got no answer from another target, which is out of contact now and may still carry it out",
+		"Check the target of the agent in_doubt_on.")
 	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
 	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
 	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -61,6 +61,7 @@
 	AgentsAccepting       = define(KindGauge, "agents_accepting", "agents", "Attached agents that take work.")
 	AgentsAvoided         = define(KindGauge, "agents_avoided", "agents", "Attached agents that get probes only.")
 	CrashedJobs           = define(KindGauge, "crashed_jobs", "jobs", "Jobs under which a target has crashed in the last minute.")
+	TasksInDoubt          = define(KindGauge, "tasks_in_doubt", "tasks", "Tasks that agents have started without an answer and that their targets may still carry out.")
 	QueuesConfined        = define(KindGauge, "queues_confined", "queues", "Queues that are confined to a part of the targets, since their jobs crash them.")
 	CapacityCPU           = define(KindGauge, "capacity_cpu_millis", "thousandths of a core", "Processors of all attached targets.")
 	CommittedCPU          = define(KindGauge, "committed_cpu_millis", "thousandths of a core", "Processors taken by running and queued tasks.")
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -19,6 +19,7 @@
 	capacity, committed := telemetry.CapacityCPU.Gauge(scope), telemetry.CommittedCPU.Gauge(scope)
 	version, confirmed := telemetry.QueuesVersion.Gauge(scope), telemetry.QueuesConfirmed.Gauge(scope)
 	drained := telemetry.ZonesDrained.Gauge(scope)
+	inDoubt := telemetry.TasksInDoubt.Gauge(scope)
 	crashed, confined := telemetry.CrashedJobs.Gauge(scope), telemetry.QueuesConfined.Gauge(scope)
 	for ctx.Err() == nil {
 		s := g.dispatcher.Status()
@@ -28,6 +29,7 @@
 		avoided.Update(float64(s.Avoided))
 		crashed.Update(float64(s.CrashedJobs))
 		confined.Update(float64(s.Confined))
+		inDoubt.Update(float64(s.TasksInDoubt))
 		capacity.Update(float64(s.Capacity))
 		committed.Update(float64(s.Committed))
 		version.Update(float64(g.queuesVersion()))
--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -94,6 +94,22 @@
 	Attempt int
 }
 
+// HeldJob describes a job that does not start since an earlier submission of it has a
+// start in doubt, for logs.
+type HeldJob struct {
+	ID, Queue string
+	// Agent is the agent of that start.
+	Agent string
+}
+
+// DoubtfulRun describes a run that is being stopped since an earlier start of its task has
+// come into doubt on another agent, for logs.
+type DoubtfulRun struct {
+	Task             task.ID
+	Attempt          int
+	Agent, InDoubtOn string
+}
+
 // Actions lists what the caller of a Core must carry out, log or count after calls
 // to it. Stops are carried out before orders, so that a stop of a job that was given up
 // does not end the tasks of its resubmission; no order is of a job that is stopped or
@@ -108,6 +124,9 @@
 	Retries            []Retry
 	// UnknownRuns are runs that Stops ends since the gateway does not have them.
 	UnknownRuns []UnknownRun
+	HeldJobs    []HeldJob
+	// DoubtfulRuns are runs that Stops ends.
+	DoubtfulRuns []DoubtfulRun
 	// Suspended is the length of a suspension of this process that was detected, or
 	// 0.
 	Suspended time.Duration
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -14,6 +14,8 @@
 	Name string
 	// Zone is the agent's availability zone.
 	Zone string
+	// Process identifies the process of the agent among those of its name.
+	Process uint64
 }
 
 // TargetInfo describes an agent's target.
@@ -41,6 +43,13 @@
 	FailedShare float64
 	// OrdersSeen is the highest order number that the load includes.
 	OrdersSeen uint64
+	// FencingToken is the token of the agent's calls to its target.
+	FencingToken int64
+	// Fenced is set once the target refuses the calls of earlier processes of the agent.
+	// TasksInDoubt are the tasks with a start that the target has not answered and may still
+	// carry out.
+	Fenced       bool
+	TasksInDoubt []task.ID
 }
 
 // unackedOrder is an order that the agent's last reported load does not include.
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -78,6 +78,8 @@
 	speedGains map[string]*speedGain
 	crashes    crashLog
 	bulkheads  bulkheads
+	doubts     doubts
+	fencing    fencingRecords
 	// startedAt is when this process started.
 	startedAt time.Duration
 	// lastTickAt is the time of the last tick. Until resumeAt all jobs are refused
@@ -89,7 +91,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads()}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: newDoubts(), fencing: fencingRecords{}}
 }
 
 // Take returns the actions that were decided since the last call.
@@ -108,13 +110,18 @@
 	// CrashedJobs is the number of jobs under which a target has crashed in the last
 	// minute, Confined that of queues that are confined to a part of the targets.
 	CrashedJobs, Confined int
+	// TasksInDoubt is the number of tasks with a start that a target may still carry out.
+	TasksInDoubt int
 	// Capacity and Committed are sums over all targets, in thousandths of a core.
 	Capacity, Committed int64
 }
 
 // Status returns the current state.
 func (c *Core) Status(now time.Duration) Status {
-	s := Status{Jobs: len(c.jobs), Agents: len(c.agents), CrashedJobs: len(c.crashes.jobs), Confined: c.bulkheads.countConfined()}
+	s := Status{
+		Jobs: len(c.jobs), Agents: len(c.agents), CrashedJobs: len(c.crashes.jobs), Confined: c.bulkheads.countConfined(),
+		TasksInDoubt: len(c.doubts.list(now)),
+	}
 	for _, a := range c.agents {
 		if a.load.Accepting && now-a.reportedAt <= c.opts.SuspectAfter {
 			s.Accepting++
@@ -149,8 +156,9 @@
 	}
 	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
 	j.callers = append(j.callers, caller)
-	// A target went down under an earlier submission of the job, so that it has run.
-	j.started = c.crashes.jobs[s.ID] != nil
+	// A target went down under an earlier submission of the job, so that it has run, or it
+	// may still run.
+	j.started = c.crashes.jobs[s.ID] != nil || c.jobInDoubt(now, s.ID)
 	if !s.supported() {
 		c.finish(now, j, Answer{State: NotRun, Cause: CauseUnsupported, RetryAfter: c.opts.UnsupportedRetryAfter})
 		return
@@ -204,6 +212,7 @@
 		if j != nil {
 			j.started = true
 		}
+		t.started = e.Reason != task.ReasonRepeated
 		t.overdueAt = overdueTime(now, t.expected)
 		return j
 	}
@@ -222,6 +231,9 @@
 			Agent: a.Name, Task: t.id, Attempt: e.Attempt, Outcome: e.Outcome, Reason: e.Reason, Ran: e.RunTime, Expected: t.expected,
 		})
 	}
+	if e.Reason == task.ReasonSuperseded {
+		t.attempt += supersededSkip
+	}
 	switch e.Outcome {
 	case task.Done:
 		t.state = done
@@ -239,9 +251,8 @@
 	case task.NotStarted:
 		switch e.Reason {
 		case task.ReasonUnanswered:
+			// Agents of earlier releases report such an attempt as not started.
 			j.unanswered = true
-		case task.ReasonSuperseded:
-			t.attempt += supersededSkip
 		case task.ReasonBusy:
 			t.busyRefusals++
 		case task.ReasonDuplicate:
@@ -297,6 +308,8 @@
 	c.detectSuspension(now)
 	c.lastTickAt = now
 	c.crashes.prune(now)
+	c.doubts.prune(now)
+	c.fencing.prune(now)
 	if now-c.bulkheads.updatedAt >= statsInterval {
 		c.updateBulkheads(now)
 	}
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -86,6 +86,13 @@
 	for _, u := range a.UnknownRuns {
 		events.UnknownRunStopped.Log(d.log).Str("job", u.Task.Job).Stringer("task", u.Task).Int("attempt", u.Attempt).Str("agent", u.Agent).Send()
 	}
+	for _, r := range a.DoubtfulRuns {
+		events.DoubtfulRunStopped.Log(d.log).Str("job", r.Task.Job).Stringer("task", r.Task).Int("attempt", r.Attempt).Str("agent", r.Agent).
+			Str("in_doubt_on", r.InDoubtOn).Send()
+	}
+	for _, h := range a.HeldJobs {
+		events.JobHeld.Log(d.log).Str("job", h.ID).Str("queue", h.Queue).Str("agent", h.Agent).Send()
+	}
 	for _, ch := range a.ConfinementChanges {
 		event := events.QueueReleased
 		if ch.Confined {
@@ -169,6 +176,26 @@
 	d.apply(func(c *Core, now time.Duration) { c.Report(now, link, load, attemptEvents) })
 }
 
+// TasksRelayed applies the tasks that an agent relays as in doubt from other gateways.
+func (d *Dispatcher) TasksRelayed(tasks []TaskInDoubt) {
+	d.apply(func(c *Core, now time.Duration) { c.TasksRelayed(now, tasks) })
+}
+
+// TasksInDoubt returns the tasks in doubt that this gateway tells its agents.
+func (d *Dispatcher) TasksInDoubt() []TaskInDoubt {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.TasksInDoubt(d.now())
+}
+
+// MinFencingToken returns the minimum token that an agent's calls to its target have to
+// carry, or 0.
+func (d *Dispatcher) MinFencingToken(agent string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.MinFencingToken(agent)
+}
+
 // CanPlace reports whether any agent accepts tasks.
 func (d *Dispatcher) CanPlace() bool {
 	d.mu.Lock()
--- /dev/null
+++ b/restartable/dispatch/indoubt.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/restartable/task"
+)
+
+const (
+	// doubtRetention is how long a start stays in doubt without news of its agent. It
+	// exceeds the delay with which targets carry out calls.
+	doubtRetention = 13 * time.Second
+	// relayRetention is how long a task stays in doubt after an agent has last relayed it,
+	// as it does with each frame.
+	relayRetention = time.Second
+)
+
+// taskDoubts holds tasks with a start in doubt, by job: for each until when the doubt is
+// kept.
+type taskDoubts map[string]map[task.ID]time.Duration
+
+func (d taskDoubts) add(until time.Duration, tasks ...task.ID) {
+	for _, id := range tasks {
+		if d[id.Job] == nil {
+			d[id.Job] = map[task.ID]time.Duration{}
+		}
+		d[id.Job][id] = max(d[id.Job][id], until)
+	}
+}
+
+func (d taskDoubts) hasJob(now time.Duration, job string) bool {
+	for _, until := range d[job] {
+		if now < until {
+			return true
+		}
+	}
+	return false
+}
+
+func (d taskDoubts) has(now time.Duration, id task.ID) bool { return now < d[id.Job][id] }
+
+// prune removes what has expired.
+func (d taskDoubts) prune(now time.Duration) {
+	for job, tasks := range d {
+		maps.DeleteFunc(tasks, func(_ task.ID, until time.Duration) bool { return now >= until })
+		if len(tasks) == 0 {
+			delete(d, job)
+		}
+	}
+}
+
+// TaskInDoubt is a task with a start in doubt on an agent.
+type TaskInDoubt struct {
+	Task  task.ID
+	Agent string
+}
+
+// doubts are the tasks, of this and of earlier submissions at any gateway, with a start
+// that a target has not answered and may still carry out. Until that is excluded, they
+// must not start again: two runs could overlap.
+type doubts struct {
+	// byAgent holds what this gateway knows of the agents that are or were linked to it.
+	byAgent map[string]taskDoubts
+	// relayed holds, by agent too, what agents relay from other gateways.
+	relayed map[string]taskDoubts
+}
+
+func newDoubts() doubts {
+	return doubts{byAgent: map[string]taskDoubts{}, relayed: map[string]taskDoubts{}}
+}
+
+// add records tasks with a start in doubt on an agent.
+func (d *doubts) add(now time.Duration, agent string, tasks ...task.ID) {
+	if len(tasks) == 0 {
+		return
+	}
+	doubtsOf(d.byAgent, agent).add(now+doubtRetention, tasks...)
+}
+
+// doubtsOf returns the doubts of an agent, to add to.
+func doubtsOf(all map[string]taskDoubts, agent string) taskDoubts {
+	if all[agent] == nil {
+		all[agent] = taskDoubts{}
+	}
+	return all[agent]
+}
+
+// reported applies the load of an agent. Doubts of before end only if the target refuses
+// all earlier calls: a restarted agent knows nothing of the starts of its predecessor.
+func (d *doubts) reported(now time.Duration, agent string, l Load) {
+	if l.Fenced {
+		delete(d.byAgent, agent)
+	}
+	d.add(now, agent, l.TasksInDoubt...)
+}
+
+// list returns the tasks in doubt on the agents that are or were linked to this gateway,
+// sorted.
+func (d *doubts) list(now time.Duration) []TaskInDoubt {
+	var out []TaskInDoubt
+	for agent, known := range d.byAgent {
+		for _, tasks := range known {
+			for id, until := range tasks {
+				if now < until {
+					out = append(out, TaskInDoubt{id, agent})
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y TaskInDoubt) int {
+		return cmp.Or(strings.Compare(x.Task.String(), y.Task.String()), strings.Compare(x.Agent, y.Agent))
+	})
+	return out
+}
+
+// prune removes what has expired.
+func (d *doubts) prune(now time.Duration) {
+	for _, all := range []map[string]taskDoubts{d.byAgent, d.relayed} {
+		for agent, known := range all {
+			known.prune(now)
+			if len(known) == 0 {
+				delete(all, agent)
+			}
+		}
+	}
+}
+
+// TasksRelayed records the tasks that an agent relays as in doubt from other gateways.
+func (c *Core) TasksRelayed(now time.Duration, tasks []TaskInDoubt) {
+	for _, t := range tasks {
+		doubtsOf(c.doubts.relayed, t.Agent).add(now+relayRetention, t.Task)
+		if !c.hearsFrom(now, t.Agent) {
+			c.stopElsewhere(t)
+		}
+	}
+}
+
+// stopElsewhere stops the run of a task that has come into doubt on another agent. An
+// earlier start there got no answer, and the task was started here before its target
+// went out of contact.
+func (c *Core) stopElsewhere(d TaskInDoubt) {
+	j := c.jobs[d.Task.Job]
+	if j == nil || d.Task.Step >= len(j.tasks) || d.Task.Index >= len(j.tasks[d.Task.Step]) {
+		return
+	}
+	t := j.tasks[d.Task.Step][d.Task.Index]
+	if t.state != placed || t.agent.Name == d.Agent {
+		return
+	}
+	t.state = recalled
+	c.out.Stops = append(c.out.Stops, Stop{Link: t.agent.Link, Job: j.ID, Task: t.id, Attempt: t.attempt})
+	c.out.DoubtfulRuns = append(c.out.DoubtfulRuns, DoubtfulRun{Task: t.id, Attempt: t.attempt, Agent: t.agent.Name, InDoubtOn: d.Agent})
+}
+
+// TasksInDoubt returns the tasks in doubt that this gateway tells its agents.
+func (c *Core) TasksInDoubt(now time.Duration) []TaskInDoubt { return c.doubts.list(now) }
+
+// hearsFrom reports whether an agent says on a link to this gateway what is in doubt. What
+// other gateways know of it is older then. It knows of all starts once its target refuses
+// the calls of its earlier processes.
+func (c *Core) hearsFrom(now time.Duration, name string) bool {
+	return slices.ContainsFunc(c.agents, func(a *agent) bool {
+		return a.Name == name && a.load.Fenced && now-a.reportedAt <= c.opts.SuspectAfter
+	})
+}
+
+// findDoubt returns an agent of whose doubts a condition holds, and false if there is none.
+func (c *Core) findDoubt(now time.Duration, holds func(d taskDoubts) bool) (string, bool) {
+	for agent, known := range c.doubts.byAgent {
+		if holds(known) {
+			return agent, true
+		}
+	}
+	for agent, known := range c.doubts.relayed {
+		if holds(known) && !c.hearsFrom(now, agent) {
+			return agent, true
+		}
+	}
+	return "", false
+}
+
+// jobInDoubt reports whether any task of a job is in doubt.
+func (c *Core) jobInDoubt(now time.Duration, job string) bool {
+	_, found := c.findDoubt(now, func(d taskDoubts) bool { return d.hasJob(now, job) })
+	return found
+}
+
+// taskInDoubt reports whether a task is in doubt.
+func (c *Core) taskInDoubt(now time.Duration, id task.ID) bool {
+	_, found := c.findDoubt(now, func(d taskDoubts) bool { return d.has(now, id) })
+	return found
+}
+
+// doubtPlaced records the tasks on an agent that is out of reach: it may have sent starts
+// that its successor does not know of. Agents of earlier releases, which name no process,
+// would not end the doubt.
+func (c *Core) doubtPlaced(now time.Duration, a *agent) {
+	if a.Process == 0 {
+		return
+	}
+	for id, t := range a.placed {
+		if !t.started {
+			c.doubts.add(now, a.Name, id)
+		}
+	}
+}
+
+// isHeld reports whether nothing of a job must start, since an earlier submission of it is
+// in doubt.
+func (c *Core) isHeld(now time.Duration, j *job) bool {
+	return j.attempts == 0 && c.jobInDoubt(now, j.ID)
+}
+
+// hold records that a job is held. It counts as started, since an earlier submission may
+// still run.
+func (c *Core) hold(now time.Duration, j *job) {
+	if !j.held {
+		agent, _ := c.findDoubt(now, func(d taskDoubts) bool { return d.hasJob(now, j.ID) })
+		c.out.HeldJobs = append(c.out.HeldJobs, HeldJob{j.ID, j.Queue.Name, agent})
+	}
+	j.started, j.held = true, true
+}
+
+// placeableTasks returns the waiting tasks of a step whose start is not in doubt.
+func (c *Core) placeableTasks(now time.Duration, j *job, step int) []*taskRecord {
+	tasks := j.waitingTasks(step)
+	if len(tasks) == 0 || !c.jobInDoubt(now, j.ID) {
+		return tasks
+	}
+	return slices.DeleteFunc(tasks, func(t *taskRecord) bool { return c.taskInDoubt(now, t.id) })
+}
+
+// giveUpDoubtful answers a job that cannot be completed in time any more because of a
+// start in doubt. It reports whether it did.
+func (c *Core) giveUpDoubtful(now time.Duration, j *job) bool {
+	blocked := c.blockedFor(now, j)
+	if blocked == 0 || onTimeProbability(blocked, j.deadline-now) >= minDeadlineProbability {
+		return false
+	}
+	j.started = true
+	c.abort(now, j, CauseInDoubt)
+	return true
+}
+
+// startInDoubt reports whether the agent of a placed task says that its start is in doubt.
+func (c *Core) startInDoubt(now time.Duration, t *taskRecord) bool {
+	return !t.started && c.doubts.byAgent[t.agent.Name].has(now, t.id)
+}
+
+// blockedFor returns the expected run time of what must not start before a doubt has
+// ended: a whole job that is held, or the longest task whose start is in doubt. It is 0 if
+// there is none.
+func (c *Core) blockedFor(now time.Duration, j *job) time.Duration {
+	if c.isHeld(now, j) {
+		return max(j.criticalPath(), 1)
+	}
+	if !c.jobInDoubt(now, j.ID) {
+		return 0
+	}
+	var longest time.Duration
+	for step, tasks := range j.tasks {
+		for _, t := range tasks {
+			blocked := t.state == waiting && j.ready(step) && c.taskInDoubt(now, t.id) || t.agent != nil && c.startInDoubt(now, t)
+			if blocked {
+				longest = max(longest, j.expected[step], 1)
+			}
+		}
+	}
+	return longest
+}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -94,6 +94,7 @@
 	CauseCancelled   Cause = "cancelled"   // a caller cancelled it
 	CauseEarlierRun  Cause = "earlier_run" // a run of an earlier submission of the job has not ended
 	CauseSuspended   Cause = "suspended"   // this gateway has just resumed after a suspension
+	CauseInDoubt     Cause = "in_doubt"    // a target has not answered a start and may still carry it out
 )
 
 // Answer is the final answer to a submission.
@@ -195,6 +196,9 @@
 	sentAt time.Duration
 	// expected is the predicted run time on the target.
 	expected time.Duration
+	// started is set once the agent has reported that the latest attempt has started, by a
+	// start that was sent once.
+	started bool
 	// overdueAt is the time from which the run is considered to hang.
 	overdueAt time.Duration
 	// failedOn is the agent of the last failed, lost or recalled attempt. The next attempt
@@ -222,6 +226,8 @@
 	// unanswered is set once a start got no answer. A target that restarts under its ID
 	// may execute it seconds later, so that the job is not answered as not run.
 	unanswered bool
+	// held is set once the job has been held for a start in doubt.
+	held bool
 	// trial is the task that was placed last while the job was suspected of crashing its
 	// targets.
 	trial *taskRecord
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -20,7 +20,12 @@
 		c.finish(now, j, Answer{State: Completed})
 		return
 	}
-	if c.giveUpCrashing(now, j) {
+	if c.giveUpCrashing(now, j) || c.giveUpDoubtful(now, j) {
+		return
+	}
+	if c.isHeld(now, j) {
+		// The next tick tries again.
+		c.hold(now, j)
 		return
 	}
 	for step := range j.Steps {
@@ -47,7 +52,7 @@
 	if now < c.resumeAt {
 		return true
 	}
-	tasks := c.onTrial(now, j, j.waitingTasks(step))
+	tasks := c.onTrial(now, j, c.placeableTasks(now, j, step))
 	if len(tasks) == 0 {
 		return true
 	}
@@ -183,7 +188,7 @@
 func (c *Core) place(now time.Duration, j *job, ch choice, o *Order) {
 	a, t := ch.agent, ch.task
 	t.attempt++
-	t.state, t.agent, t.sentAt, t.expected = placed, a, now, ch.run
+	t.state, t.agent, t.sentAt, t.expected, t.started = placed, a, now, ch.run, false
 	t.overdueAt = overdueTime(now+ch.wait, ch.run)
 	j.attempts++
 	j.inFlight++
--- a/restartable/dispatch/recall.go
+++ b/restartable/dispatch/recall.go
@@ -14,6 +14,10 @@
 			if t.state != placed || t.recalls >= maxRecalls || !c.overdue(now, j, t) {
 				continue
 			}
+			if c.startInDoubt(now, t) {
+				// It cannot be placed again before the doubt has ended.
+				continue
+			}
 			p := c.newPlan(now, j, step)
 			p.candidates = slices.DeleteFunc(p.candidates, func(cand *candidate) bool { return cand.agent == t.agent })
 			_, pr := p.bestCandidate(t)
--- a/restartable/dispatch/report.go
+++ b/restartable/dispatch/report.go
@@ -39,6 +39,7 @@
 	}
 	delete(c.byLink, link)
 	c.agents = slices.DeleteFunc(c.agents, func(o *agent) bool { return o == a })
+	c.doubtPlaced(now, a)
 	for _, j := range sortedJobs(a.jobs) {
 		if j.hasPlacedOn(a) {
 			c.abort(now, j, CauseAgentLost)
@@ -65,7 +66,13 @@
 	}
 	a.reportedAt = now
 	if load != nil {
+		c.fencing.reported(now, a.Name, a.Process, load.FencingToken)
+		load.Fenced = load.Fenced && load.FencingToken >= c.fencing.floor(a.Name)
 		a.applyLoad(now, *load)
+		c.doubts.reported(now, a.Name, *load)
+		for _, id := range load.TasksInDoubt {
+			c.stopElsewhere(TaskInDoubt{id, a.Name})
+		}
 		c.updateAvoidance(a)
 	}
 	affected := map[string]*job{}
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -145,10 +145,12 @@
 		BacklogMs: toMillis(load.Backlog), SlownessPermille: toPermille(load.Slowness),
 		AnomalyPermille: toPermille(load.Anomaly), Samples: toUint32(load.Samples),
 		Running: toUint32(load.Running), Queued: toUint32(load.Queued), FailedPermille: toPermille(load.FailedShare), OrdersSeen: ordersSeen,
+		FencingToken: load.FencingToken, Fenced: load.Fenced, TasksInDoubt: taskIDsToProto(load.TasksInDoubt),
 	}}
 	if !sent.hello {
 		f.Hello, sent.hello = l.client.hello, true
 	}
+	f.RelayedTasksInDoubt = l.client.relay.tasksFor(now, l.address)
 	// Whether the target drains shows in the load.
 	target.Draining = false
 	if !target.Equal(sent.target) {
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -28,6 +28,7 @@
 	now      boottime.Clock
 	log      zerolog.Logger
 	store    storeReader
+	relay    relay
 	// lastLinkNumber is the number of the newest link. linksUp counts the links
 	// that are up.
 	lastLinkNumber atomic.Uint64
@@ -42,8 +43,9 @@
 // NewClient returns a client without links.
 func NewClient(name, zone string, r *runner.Runner, g *Gateways, log zerolog.Logger) *Client {
 	return &Client{
-		hello: &pb.AttachHello{Agent: name, Zone: zone}, runner: r, gateways: g, now: boottime.Now, log: log,
+		hello: &pb.AttachHello{Agent: name, Zone: zone, Incarnation: r.Process()}, runner: r, gateways: g, now: boottime.Now, log: log,
 		store:    storeReader{log: log},
+		relay:    newRelay(),
 		attached: make(chan *agentLink), closed: make(chan string),
 	}
 }
@@ -173,6 +175,8 @@
 	if m := f.StoreRead; m != nil {
 		c.store.request(l, m)
 	}
+	c.runner.RaiseToken(f.MinFencingToken)
+	c.relay.received(c.now(), l.address, f.TasksInDoubt)
 	var starts []runner.Start
 	for _, s := range f.Starts {
 		starts = append(starts, startsFromProto(s)...)
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -95,7 +95,7 @@
 		return connect.NewError(connect.CodeInvalidArgument, errors.New("the first frame has no hello"))
 	}
 	info := dispatch.AgentInfo{
-		Link: hello.Agent + "#" + strconv.FormatUint(s.lastLinkNumber.Add(1), 10), Name: hello.Agent, Zone: hello.Zone,
+		Link: hello.Agent + "#" + strconv.FormatUint(s.lastLinkNumber.Add(1), 10), Name: hello.Agent, Zone: hello.Zone, Process: hello.Incarnation,
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -107,7 +107,7 @@
 	s.handleFrame(info.Link, first)
 	endReceive, endSend := streamend.Functions(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { cancel(s.write(ctx, stream, l, info.Zone)) })
+	wg.Go(func() { cancel(s.write(ctx, stream, l, info)) })
 	wg.Go(func() { cancel(s.read(stream, l, info.Link, cancel)) })
 	<-ctx.Done()
 	s.dispatcher.AgentDown(info, context.Cause(ctx))
@@ -151,6 +151,7 @@
 			Accepting: m.Accepting, Committed: resourcesFromProto(m.Committed), Backlog: fromMillis(m.BacklogMs),
 			Slowness: float64(m.SlownessPermille) / 1000,
 			Anomaly:  float64(m.AnomalyPermille) / 1000, Samples: int(m.Samples), FailedShare: float64(m.FailedPermille) / 1000, OrdersSeen: m.OrdersSeen,
+			FencingToken: m.FencingToken, Fenced: m.Fenced, TasksInDoubt: taskIDsFromProto(m.TasksInDoubt),
 		}
 	}
 	runEvents := make([]dispatch.AttemptEvent, 0, len(f.Events))
@@ -160,6 +161,9 @@
 			Attempt: int(e.Attempt), Outcome: outcomeFromProto(e.Outcome), Reason: task.Reason(e.Reason), RunTime: fromMillis(e.RunMs),
 		})
 	}
+	if len(f.RelayedTasksInDoubt) > 0 {
+		s.dispatcher.TasksRelayed(doubtsFromProto(f.RelayedTasksInDoubt))
+	}
 	for _, m := range f.Crashes {
 		s.dispatcher.TargetCrashed(link, crashFromProto(m))
 	}
@@ -177,7 +181,7 @@
 	return c
 }
 
-func (s *Server) write(ctx context.Context, stream *attachStream, l *gatewayLink, zone string) error {
+func (s *Server) write(ctx context.Context, stream *attachStream, l *gatewayLink, info dispatch.AgentInfo) error {
 	echo := time.NewTimer(0)
 	defer echo.Stop()
 	var sentVersion, sentRevision uint64
@@ -189,11 +193,13 @@
 		case <-echo.C:
 		}
 		f := l.nextFrame()
+		f.TasksInDoubt = doubtsToProto(s.dispatcher.TasksInDoubt())
+		f.MinFencingToken = s.dispatcher.MinFencingToken(info.Name)
 		if version, all := s.gateways.ChangesSince(sentVersion); version != sentVersion {
 			sentVersion, f.Gateways = version, all
 		}
 		if d := s.drains.Get(); d.Revision != sentRevision {
-			sentRevision, f.ZoneDrain = d.Revision, &pb.ZoneDrain{Revision: d.Revision, Drained: d.Contains(zone)}
+			sentRevision, f.ZoneDrain = d.Revision, &pb.ZoneDrain{Revision: d.Revision, Drained: d.Contains(info.Zone)}
 		}
 		if err := stream.Send(f); err != nil {
 			return err
--- a/restartable/modeltest/gateway_test.go
+++ b/restartable/modeltest/gateway_test.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// forgetDoubts makes the gateway believe that nothing of an agent is in doubt.
+func (g *gateway) forgetDoubts(a *agent) {
+	link := a.name + "#fenced"
+	g.apply(func(c *dispatch.Core) {
+		c.AgentUp(g.w.Now, dispatch.AgentInfo{Link: link, Name: a.name, Zone: "z", Process: uint64(a.run)})
+		c.Report(g.w.Now, link, &dispatch.Load{Fenced: true, FencingToken: 1 << 60}, nil)
+		c.AgentDown(g.w.Now, link)
+	})
+}
+
 // client is a caller with one job, which it sends again after failures.
 type client struct {
 	w       *world
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -93,6 +93,11 @@
 			c.CallFailed(now)
 		}
 	})
+	if result == StartUnanswered {
+		// The list tells whether the start has to be repeated. If this poll fails, the next
+		// regular one shows the same.
+		_ = r.poll(ctx, t, 0)
+	}
 }
 
 // stop sends a stop. Without an answer it is repeated after StopInterval, while the
--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -92,6 +92,36 @@
 	}
 }
 
+// Guards against a restarted agent that starts tasks before its target refuses the late
+// calls of the process before, whose fencing tokens were higher.
+func TestNothingStartsBeforeTheTargetHasSeenARequiredToken(t *testing.T) {
+	now := time.Minute
+	f := &fakeTarget{startedAt: time.Now(), pollFails: func(poll int) bool { return poll == 1 }}
+	r := syncedRunner(f, &now)
+	r.RaiseToken(100)
+	r.inFlight.Wait()
+	startAfter(r, &now, 0)
+	if n := len(f.startDeadlines); n != 0 {
+		t.Fatalf("%d starts before a call with the token was answered, want none", n)
+	}
+	if _, l, _ := r.Load(); l.FencingToken != 100 || l.Fenced {
+		t.Errorf("load %+v, want token 100, not fenced", l)
+	}
+	now++
+	_ = r.poll(t.Context(), smallTarget, 0)
+	r.inFlight.Wait()
+	if n := len(f.startDeadlines); n != 1 {
+		t.Errorf("%d starts after a call with the token was answered, want 1", n)
+	}
+	if _, l, _ := r.Load(); !l.Fenced {
+		t.Error("not fenced after a call with the token was answered")
+	}
+	r.RaiseToken(99)
+	if _, l, _ := r.Load(); l.FencingToken != 100 {
+		t.Errorf("token %d after a lower one was required, want 100", l.FencingToken)
+	}
+}
+
 // Guards against runs that outlive the agent or the gateway that started them, beside a
 // second run of their task (TWICE): while the target left stops unanswered, the lease of
 // all of its runs was renewed.
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -46,10 +46,15 @@
 	// synced is set once the target has listed its runs in answer to a poll with
 	// this agent's fencing token.
 	synced bool
-	runs   map[task.ID]*run
+	// syncAfter is the time of the request from which on a list counts for synced.
+	syncAfter time.Duration
+	runs      map[task.ID]*run
 	// finishedAt holds the times at which attempts ended. Snapshots that were
 	// requested earlier may still list them as running.
 	finishedAt map[Attempt]time.Duration
+	// lateStarts holds when a start of a task last got no answer: the target may carry it
+	// out seconds later.
+	lateStarts map[task.ID]time.Duration
 	queue      []*run
 	// used holds the resources of the runs that may be on the target, waiting those
 	// of the queued ones.
@@ -72,7 +77,7 @@
 // NewCore returns a core without a target.
 func NewCore(opts CoreOptions) *Core {
 	return &Core{
-		opts: opts, foreignRuns: map[Attempt]bool{}, runs: map[task.ID]*run{}, finishedAt: map[Attempt]time.Duration{},
+		opts: opts, foreignRuns: map[Attempt]bool{}, runs: map[task.ID]*run{}, finishedAt: map[Attempt]time.Duration{}, lateStarts: map[task.ID]time.Duration{},
 		leaseExpiry: map[string]time.Duration{}, retired: map[string]bool{}, stats: newStatistics(opts.SlownessMax),
 	}
 }
@@ -125,8 +130,16 @@
 	c.processQueue(now)
 }
 
-// Idle reports whether nothing is queued or on the target.
-func (c *Core) Idle() bool { return len(c.runs) == 0 }
+// Idle reports whether nothing is queued or on the target. Starts in doubt do not count:
+// nothing can be done about them, and the gateways remember them.
+func (c *Core) Idle() bool {
+	for _, r := range c.runs {
+		if !c.inDoubt(r) {
+			return false
+		}
+	}
+	return true
+}
 
 // Submit queues the starts requested by a gateway, or refuses them. The stamp is
 // the newest one that the gateway had received when it sent the request.
@@ -221,6 +234,8 @@
 		// overtake the start and find no run to stop.
 	case running:
 		c.stopRun(r)
+	case unanswered:
+		c.stopUnanswered(r)
 	}
 }
 
@@ -230,8 +245,7 @@
 	c.out.Stops = append(c.out.Stops, Attempt{r.Task, r.Attempt})
 }
 
-// Tick handles what is due: expired gateway leases, queue entries and unanswered
-// starts.
+// Tick handles what is due: expired gateway leases and queue entries.
 func (c *Core) Tick(now time.Duration) {
 	for gateway, until := range c.leaseExpiry {
 		if now > until {
@@ -239,13 +253,18 @@
 			c.RemoveGateway(now, gateway)
 		}
 	}
-	c.expireUnanswered(now)
+	c.reportDoubts(now)
 	c.reportOverdueStops(now)
 	for a, at := range c.finishedAt {
 		if now-at > finishedRetention {
 			delete(c.finishedAt, a)
 		}
 	}
+	for id, at := range c.lateStarts {
+		if now-at > lateCallRetention {
+			delete(c.lateStarts, id)
+		}
+	}
 	c.processQueue(now)
 }
 
@@ -259,25 +278,13 @@
 // reportOverdueStops reports each run once that has been revoked and does not end.
 func (c *Core) reportOverdueStops(now time.Duration) {
 	for _, r := range c.runs {
-		if r.revoked && !r.overdueReported && now-r.revokedAt > stopOverdueAfter {
+		if r.revoked && !r.overdueReported && !c.inDoubt(r) && now-r.revokedAt > stopOverdueAfter {
 			r.overdueReported = true
 			c.out.OverdueStops = append(c.out.OverdueStops, OverdueStop{Attempt{r.Task, r.Attempt}, r.gateway, now - r.revokedAt})
 		}
 	}
 }
 
-// expireUnanswered reports unanswered attempts on an unreachable target as lost
-// once they can no longer begin because the deadline that they carried has passed
-// on the target's clock.
-func (c *Core) expireUnanswered(now time.Duration) {
-	if c.reachable {
-		return
-	}
-	c.loseRuns(now, task.ReasonTargetSilent, func(r *run) bool {
-		return r.state == unanswered && now-r.startedAt > c.opts.UnansweredTimeout
-	})
-}
-
 // finish removes an attempt, releases its resources and reports its outcome.
 func (c *Core) finish(now time.Duration, r *run, outcome task.Outcome, reason task.Reason) {
 	var took time.Duration
--- a/restartable/runner/crash.go
+++ b/restartable/runner/crash.go
@@ -97,8 +97,7 @@
 
 // TargetDown records that the target's process had ended when a call was sent. The runs
 // that it had confirmed before have ended with it; later ones are on the next
-// incarnation. A start without an answer stays open until it can no longer take
-// effect: it may reach the next incarnation.
+// incarnation. A start without an answer is in doubt: it may reach the next incarnation.
 func (c *Core) TargetDown(now, sentAt time.Duration) {
 	c.CallFailed(now)
 	c.reachable, c.synced = false, false
@@ -110,23 +109,21 @@
 }
 
 // loseRuns reports the started runs that lost selects as lost, and the crash of
-// their target.
+// their target. The crash names the starts in doubt too, which may have caused it, unless
+// the next incarnation has listed its runs: they may be among those.
 func (c *Core) loseRuns(now time.Duration, reason task.Reason, lost func(*run) bool) {
-	signAt := now
-	if c.silent {
-		signAt = c.silentSince
-	}
 	crash := Crash{Target: c.target, At: now, Reason: reason}
 	for _, r := range c.sortedRuns() {
-		if r.state == queued || !lost(r) {
+		if r.state == queued {
 			continue
 		}
-		age, accepted := signAt-r.startedAt, r.state != unanswered
-		// A start that was sent after the crash and was not answered has not begun.
-		if accepted || age >= 0 {
-			crash.Runs = append(crash.Runs, LostRun{Attempt: Attempt{r.Task, r.Attempt}, Queue: r.Queue, Accepted: accepted, Prior: r.Suspicion, Age: age})
+		isLost := lost(r)
+		if isLost || c.inDoubt(r) && reason != task.ReasonTargetRestarted {
+			c.addLostRun(&crash, r)
+		}
+		if isLost {
+			c.finish(now, r, task.Lost, reason)
 		}
-		c.finish(now, r, task.Lost, reason)
 	}
 	if len(crash.Runs) == 0 {
 		return
@@ -135,3 +132,18 @@
 	assignSuspicion(crash.Runs)
 	c.out.Crashes = append(c.out.Crashes, crash)
 }
+
+// addLostRun adds a run to a crash, unless an earlier report of the same crash names it.
+func (c *Core) addLostRun(crash *Crash, r *run) {
+	signAt := crash.At
+	if c.silent {
+		signAt = c.silentSince
+	}
+	if r.crashReported {
+		return
+	}
+	r.crashReported = true
+	crash.Runs = append(crash.Runs, LostRun{
+		Attempt: r.attempt(), Queue: r.Queue, Accepted: r.state != unanswered, Prior: r.Suspicion, Age: signAt - r.startedAt,
+	})
+}
--- a/restartable/runner/lease.go
+++ b/restartable/runner/lease.go
@@ -52,5 +52,8 @@
 // Reachable reports whether the target answers.
 func (c *Core) Reachable() bool { return c.reachable }
 
+// Resync makes the core wait for a list of the target that is requested from now on.
+func (c *Core) Resync(now time.Duration) { c.synced, c.syncAfter = false, now }
+
 // Synced reports whether the target has listed its runs since contact to it was lost.
 func (c *Core) Synced() bool { return c.synced }
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -129,8 +129,15 @@
 	// confirmedAt is when the target last confirmed the state of this run. A
 	// snapshot that was requested earlier says nothing about the run.
 	confirmedAt time.Duration
-	// stopAcknowledged is set once the target has acknowledged the stop.
-	stopAcknowledged bool
+	// stopAcknowledged is set once the target has acknowledged the stop, stopPostponed
+	// while the stop waits for the target to answer again.
+	stopAcknowledged, stopPostponed bool
+	// repeated is set once the start was repeated, superseded if the target has then refused
+	// it as one that it has seen.
+	repeated, superseded bool
+	// crashReported is set once a crash of the target was reported with this run,
+	// doubtReported once its start was reported as in doubt.
+	crashReported, doubtReported bool
 	// revoked is set once the gateway has cancelled the attempt, at revokedAt.
 	// overdueReported is set once its stop was reported as overdue.
 	revoked         bool
@@ -162,6 +169,8 @@
 	Disconnect []string
 	// ForeignRuns lists runs newly found on the target that this core did not start.
 	ForeignRuns []Attempt
+	// StartsInDoubt lists the starts that have come into doubt.
+	StartsInDoubt []StartInDoubt
 	// OverdueStops lists runs that have not ended stopOverdueAfter their revocation.
 	OverdueStops []OverdueStop
 }
@@ -174,6 +183,14 @@
 	RevokedFor time.Duration
 }
 
+// StartInDoubt is a start that the target has not answered and may still carry out.
+type StartInDoubt struct {
+	Attempt Attempt
+	Gateway string
+	// Age is the time since the start.
+	Age time.Duration
+}
+
 // Attempt identifies one attempt of a task.
 type Attempt struct {
 	Task   task.ID
--- a/restartable/runner/queue.go
+++ b/restartable/runner/queue.go
@@ -57,6 +57,11 @@
 	if !c.synced || c.hasCandidate || len(c.foreignRuns) > 0 {
 		return false
 	}
+	// The target may have crashed: a start that gets no answer stays in doubt until it is
+	// back, while a task that waits here can still go to another target.
+	if c.silent {
+		return false
+	}
 	if r.MaxPerTarget > 0 && c.countStepRuns(r.Task.StepID) >= r.MaxPerTarget {
 		return false
 	}
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -28,7 +28,9 @@
 // Runner drives a Core: it carries out the core's actions by calling the target
 // and passes reports to the gateways.
 type Runner struct {
-	opts     Options
+	opts Options
+	// process is the first fencing token, which tells apart the processes of an agent.
+	process  uint64
 	client   TargetClient
 	now      boottime.Clock
 	log      zerolog.Logger
@@ -48,6 +50,7 @@
 	mu    sync.Mutex // guards the fields below
 	core  *Core
 	sinks map[string]Sink
+	// token is the fencing token of calls to the target.
 	token int64
 	// targetClock is the target's clock in milliseconds as read at clockReadAt on
 	// the core's clock; 0 if it is unknown.
@@ -82,7 +85,7 @@
 	callCtx, cancelCalls := context.WithCancel(context.Background())
 	return &Runner{
 		callCtx: callCtx, cancelCalls: cancelCalls,
-		opts: opts, client: client, now: now, log: log, observer: observer, core: core, token: token,
+		opts: opts, process: uint64(token), client: client, now: now, log: log, observer: observer, core: core, token: token,
 		sinks: map[string]Sink{}, heartbeatReceived: make(chan struct{}, 1), pollUnanswered: make(chan struct{}, 1),
 	}
 }
@@ -192,6 +195,10 @@
 	for _, f := range a.ForeignRuns {
 		events.ForeignRunFound.Log(r.log).Str("job", f.Task.Job).Stringer("task", f.Task).Int("attempt", f.Number).Send()
 	}
+	for _, s := range a.StartsInDoubt {
+		events.StartInDoubt.Log(r.log).Str("job", s.Attempt.Task.Job).Stringer("task", s.Attempt.Task).Int("attempt", s.Attempt.Number).
+			Str("gateway", s.Gateway).Int64("age_ms", s.Age.Milliseconds()).Send()
+	}
 	for _, s := range a.OverdueStops {
 		events.StopOverdue.Log(r.log).Str("job", s.Attempt.Task.Job).Stringer("task", s.Attempt.Task).Int("attempt", s.Attempt.Number).
 			Str("gateway", s.Gateway).Int64("revoked_for_ms", s.RevokedFor.Milliseconds()).Send()
@@ -208,7 +215,7 @@
 			s.Close()
 		}
 	}
-	if len(a.Starts)+len(a.Reports) > 0 {
+	if len(a.Starts)+len(a.Reports)+len(a.StartsInDoubt) > 0 {
 		r.notifyLoadChanged()
 	}
 }
@@ -367,7 +374,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	return r.core.target, r.core.Load(now), now
+	l := r.core.Load(now)
+	l.FencingToken = r.token
+	return r.core.target, l, now
+}
+
+// Process identifies this process of the agent.
+func (r *Runner) Process() uint64 { return r.process }
+
+// RaiseToken raises the fencing token to a minimum that a gateway requires because of the
+// calls of an earlier process. Nothing starts until the target has answered a call with
+// the new token.
+func (r *Runner) RaiseToken(minimum int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if minimum <= r.token {
+		return
+	}
+	r.token = minimum
+	r.core.Resync(r.now())
+	events.FencingTokenRaised.Log(r.log).Int64("token", r.token).Send()
+	if t, known := r.core.Target(); known {
+		// If this poll fails, the next regular one shows the same.
+		r.goCall(func() { _ = r.poll(r.callCtx, t, 0) })
+	}
 }
 
 // Attach registers the link of a gateway. Its lease begins with the stamp of its first
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -31,13 +31,13 @@
 		return
 	}
 	r.confirmedAt = now
+	if r.repeated && result != StartAccepted && result != StartUnanswered {
+		c.repetitionRefused(now, r, result)
+		return
+	}
 	switch result {
 	case StartAccepted:
-		r.state = running
-		c.out.Reports = append(c.out.Reports, Report{Gateway: r.gateway, Task: r.Task, Attempt: r.Attempt, Outcome: task.Started})
-		if r.revoked {
-			c.stopRun(r)
-		}
+		c.startConfirmed(r)
 	case StartRefused:
 		c.finish(now, r, task.NotStarted, task.ReasonRefused)
 	case StartSuperseded:
@@ -46,11 +46,27 @@
 		c.finish(now, r, task.NotStarted, task.ReasonNoTarget)
 	case StartUnanswered:
 		r.state = unanswered
-		c.out.Stops = append(c.out.Stops, a)
+		c.lateStarts[a.Task] = now
+		if r.revoked {
+			c.stopUnanswered(r)
+		}
 	}
 	c.processQueue(now)
 }
 
+// startConfirmed records that a run has begun.
+func (c *Core) startConfirmed(r *run) {
+	r.state = running
+	started := Report{Gateway: r.gateway, Task: r.Task, Attempt: r.Attempt, Outcome: task.Started}
+	if r.repeated {
+		started.Reason = task.ReasonRepeated
+	}
+	c.out.Reports = append(c.out.Reports, started)
+	if r.revoked {
+		c.stopRun(r)
+	}
+}
+
 // StopAnswered processes the answer to a stop. A stop that was not acknowledged
 // is sent again; the target ignores duplicates.
 func (c *Core) StopAnswered(now time.Duration, a Attempt, acknowledged bool) {
@@ -64,11 +80,14 @@
 	if r == nil || r.stopAcknowledged || (r.state != stopping && r.state != unanswered) {
 		return
 	}
-	if !acknowledged {
+	switch {
+	case acknowledged:
+		r.stopAcknowledged, r.confirmedAt = true, now
+	case r.state == unanswered:
+		c.stopUnanswered(r)
+	default:
 		c.out.Stops = append(c.out.Stops, a)
-		return
 	}
-	r.stopAcknowledged, r.confirmedAt = true, now
 }
 
 func (c *Core) findRun(a Attempt) *run {
@@ -127,7 +146,7 @@
 		c.applyEnd(now, e)
 	}
 	c.reconcile(now, s)
-	c.synced = true
+	c.synced = c.synced || s.RequestedAt >= c.syncAfter
 	c.processQueue(now)
 	return true
 }
@@ -165,35 +184,30 @@
 		}
 	}
 	for _, r := range c.sortedRuns() {
-		if !s.lacks(r, listed) {
-			continue
-		}
+		lacks := s.lacks(r, listed)
 		switch {
+		case r.state == unanswered:
+			c.reconcileUnanswered(now, r, lacks, listed[r.attempt()])
+		case !lacks:
 		case r.state == running, r.state == stopping && r.stopAcknowledged:
 			c.finish(now, r, task.Lost, task.ReasonNotListed)
-		case r.state == unanswered && r.startedAt < c.switchedAt:
-			// It cannot begin any more, since it carries an earlier fencing token, but may
-			// have run on the earlier incarnation.
-			c.finish(now, r, task.Lost, task.ReasonTargetRestarted)
-		case r.state == unanswered && c.cannotBegin(now, r):
-			c.finish(now, r, task.NotStarted, task.ReasonUnanswered)
 		}
 	}
 }
 
 // cannotBegin reports whether an unanswered start that is not listed can no longer take
-// effect: its stop was acknowledged, or its deadline has passed on the target's clock.
+// effect on the present incarnation: its stop was acknowledged, or its deadline has passed on the target's clock.
 func (c *Core) cannotBegin(now time.Duration, r *run) bool {
 	return r.stopAcknowledged || now-r.startedAt > c.opts.UnansweredTimeout
 }
 
 // Unreachable records that the target does not answer. If leasesExpired is set,
 // every lease that the target was granted has expired, and its runs are reported
-// as lost.
+// as lost, but for starts in doubt.
 func (c *Core) Unreachable(now time.Duration, leasesExpired bool) {
 	c.reachable = false
 	if leasesExpired {
-		c.loseRuns(now, task.ReasonTargetSilent, func(r *run) bool { return r.state != starting })
+		c.loseRuns(now, task.ReasonTargetSilent, func(r *run) bool { return r.state != starting && r.state != unanswered })
 		clear(c.foreignRuns)
 		c.synced = false
 	}
@@ -217,12 +231,19 @@
 	FailedShare float64
 	Running     int
 	Queued      int
+	// FencingToken is the token of the calls to the target.
+	FencingToken int64
+	// Fenced is set once the target refuses the calls of earlier processes of this agent,
+	// and has ended what they had started. TasksInDoubt are the tasks with a start in doubt.
+	Fenced       bool
+	TasksInDoubt []task.ID
 }
 
 // Load returns the current load.
 func (c *Core) Load(now time.Duration) Load {
 	l := Load{Committed: c.used.Plus(c.waiting), Queued: len(c.queue), Running: len(c.runs) - len(c.queue)}
 	l.Accepting, l.Reason = c.Accepting(now)
+	l.Fenced, l.TasksInDoubt = c.synced && len(c.foreignRuns) == 0, c.tasksInDoubt(now)
 	sp := c.stats.summary(now, c.elapsedRatios(now))
 	l.Slowness, l.Anomaly, l.Samples, l.FailedShare = sp.slowness, sp.anomaly, sp.samples, sp.failedShare
 	slowness := sp.slowness * sp.anomaly
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -103,6 +103,10 @@
 	ReasonTooLarge    Reason = "too_large"    // it needs more than the target's whole capacity, which may have shrunk
 )
 
+// ReasonRepeated is the reason for Started if the start was repeated: the next process of
+// the target may still carry out the first one.
+const ReasonRepeated Reason = "repeated"
+
 // Reasons for Lost.
 const (
 	ReasonTargetDown      Reason = "target_down"      // the target's process has ended
