Require a fencing token only of agents that use a lower one

What callers saw: nothing. The minimum token stood in each frame to an agent that had ever restarted, although the agent had raised its token long before.

Cause: the floor of an agent was sent without a look at the token that it reports. By the sizes of the frames that made 0.50 KB/s a link, 13.05 KB/s for the 26 links of a gateway, where 13 KB/s are allowed.

Change: a gateway names the minimum only until the agent reports a token of that height. Then an idle link costs 0.46 KB/s (worked out, docs/CAPACITY.md).

--- a/restartable/dispatch/fencing.go
+++ b/restartable/dispatch/fencing.go
@@ -50,5 +50,10 @@
 }
 
 // MinFencingToken returns the minimum token that an agent's calls to its target have to
-// carry, or 0.
-func (c *Core) MinFencingToken(agent string) int64 { return c.fencing.floor(agent) }
+// carry, or 0 if the agent uses such a token already.
+func (c *Core) MinFencingToken(agent string) int64 {
+	if r := c.fencing[agent]; r != nil && r.reported < r.floor {
+		return r.floor
+	}
+	return 0
+}
--- a/restartable/dispatch/fencing_test.go
+++ b/restartable/dispatch/fencing_test.go
@@ -33,6 +33,10 @@
 	if n := len(r.core.TasksInDoubt(r.now)); n != 0 {
 		t.Errorf("%d tasks in doubt after a call with the required token, want none", n)
 	}
+	if got := r.core.MinFencingToken("a"); got != 0 {
+		t.Errorf("token %d is required of an agent that uses it already", got)
+	}
+	up("a#4", 3, 40_000, true)
 	r.tick(14 * time.Second)
 	if got := r.core.MinFencingToken("a"); got != 0 {
 		t.Errorf("token %d is required of an agent that was not heard for 14 s", got)
