Send lists of tasks in doubt when they change, not with each frame

Cause: agents and gateways sent their lists of tasks in doubt with each frame, and each agent passed the lists of all gateways on to all others. The lists were long, since a start without an answer was remembered for 13 s although its task had long been done. The agents had no processor time left for their targets.

Change: a list is sent when it differs from the one sent before on that link; a task that gateways name twice is relayed once; a start is forgotten with the success of its task, after which the job starts nothing that could overlap. What an agent relays is kept with its link, in place of for a second.

--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -50,6 +50,8 @@
 	// carry out.
 	Fenced       bool
 	TasksInDoubt []task.ID
+	// DoubtsChanged is set if TasksInDoubt replaces the list that the agent sent before.
+	DoubtsChanged bool
 }
 
 // unackedOrder is an order that the agent's last reported load does not include.
@@ -79,6 +81,10 @@
 	lastPlacedAt time.Duration
 	// avoided is set while the target looks broken or slow and gets only probes.
 	avoided bool
+	// inDoubt are the tasks that the agent says are in doubt, relayed those that it relays
+	// from other gateways, by the agent that has started them.
+	inDoubt []task.ID
+	relayed map[string]taskDoubts
 	// reservedFor is the queue that is confined to this target and some others, if any.
 	reservedFor string
 	// doneSinceAvoided counts the successful runs since the target became avoided.
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -91,7 +91,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: newDoubts(), fencing: fencingRecords{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: doubts{}, fencing: fencingRecords{}}
 }
 
 // Take returns the actions that were decided since the last call.
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -176,9 +176,9 @@
 	d.apply(func(c *Core, now time.Duration) { c.Report(now, link, load, attemptEvents) })
 }
 
-// TasksRelayed applies the tasks that an agent relays as in doubt from other gateways.
-func (d *Dispatcher) TasksRelayed(tasks []TaskInDoubt) {
-	d.apply(func(c *Core, now time.Duration) { c.TasksRelayed(now, tasks) })
+// TasksRelayed applies all tasks that an agent relays as in doubt from other gateways.
+func (d *Dispatcher) TasksRelayed(link string, tasks []TaskInDoubt) {
+	d.apply(func(c *Core, now time.Duration) { c.TasksRelayed(now, link, tasks) })
 }
 
 // TasksInDoubt returns the tasks in doubt that this gateway tells its agents.
--- a/restartable/dispatch/fencing_test.go
+++ b/restartable/dispatch/fencing_test.go
@@ -14,7 +14,7 @@
 	r := newRig(t)
 	up := func(link string, process uint64, token int64, fenced bool, tasks ...task.ID) {
 		r.core.AgentUp(r.now, AgentInfo{Link: link, Name: "a", Zone: "z1", Process: process})
-		r.report(link, func(l *Load) { l.FencingToken, l.Fenced, l.TasksInDoubt = token, fenced, tasks })
+		r.report(link, func(l *Load) { l.FencingToken, l.Fenced, l.DoubtsChanged, l.TasksInDoubt = token, fenced, true, tasks })
 	}
 	up("a#1", 1, 50_000, false, firstTask("j"))
 	up("a#2", 1, 50_001, false, firstTask("j"))
--- a/restartable/dispatch/indoubt.go
+++ b/restartable/dispatch/indoubt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -10,14 +11,9 @@
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
-const (
-	// doubtRetention is how long a start stays in doubt without news of its agent. It
-	// exceeds the delay with which targets carry out calls.
-	doubtRetention = 13 * time.Second
-	// relayRetention is how long a task stays in doubt after an agent has last relayed it,
-	// as it does with each frame.
-	relayRetention = time.Second
-)
+// doubtRetention is how long a start stays in doubt without news of its agent. It exceeds
+// the delay with which targets carry out calls.
+const doubtRetention = 13 * time.Second
 
 // taskDoubts holds tasks with a start in doubt, by job: for each until when the doubt is
 // kept.
@@ -59,50 +55,28 @@
 	Agent string
 }
 
-// doubts are the tasks, of this and of earlier submissions at any gateway, with a start
-// that a target has not answered and may still carry out. Until that is excluded, they
-// must not start again: two runs could overlap.
-type doubts struct {
-	// byAgent holds what this gateway knows of the agents that are or were linked to it.
-	byAgent map[string]taskDoubts
-	// relayed holds, by agent too, what agents relay from other gateways.
-	relayed map[string]taskDoubts
-}
-
-func newDoubts() doubts {
-	return doubts{byAgent: map[string]taskDoubts{}, relayed: map[string]taskDoubts{}}
-}
+// doubts holds by agent the tasks, of this and of earlier submissions at any gateway, with
+// a start that a target has not answered and may still carry out. Until that is excluded,
+// they must not start again: two runs could overlap. It covers the agents that are or were
+// linked to this gateway.
+type doubts map[string]taskDoubts
 
 // add records tasks with a start in doubt on an agent.
-func (d *doubts) add(now time.Duration, agent string, tasks ...task.ID) {
+func (d doubts) add(now time.Duration, agent string, tasks ...task.ID) {
 	if len(tasks) == 0 {
 		return
 	}
-	doubtsOf(d.byAgent, agent).add(now+doubtRetention, tasks...)
-}
-
-// doubtsOf returns the doubts of an agent, to add to.
-func doubtsOf(all map[string]taskDoubts, agent string) taskDoubts {
-	if all[agent] == nil {
-		all[agent] = taskDoubts{}
+	if d[agent] == nil {
+		d[agent] = taskDoubts{}
 	}
-	return all[agent]
-}
-
-// reported applies the load of an agent. Doubts of before end only if the target refuses
-// all earlier calls: a restarted agent knows nothing of the starts of its predecessor.
-func (d *doubts) reported(now time.Duration, agent string, l Load) {
-	if l.Fenced {
-		delete(d.byAgent, agent)
-	}
-	d.add(now, agent, l.TasksInDoubt...)
+	d[agent].add(now+doubtRetention, tasks...)
 }
 
 // list returns the tasks in doubt on the agents that are or were linked to this gateway,
 // sorted.
-func (d *doubts) list(now time.Duration) []TaskInDoubt {
+func (d doubts) list(now time.Duration) []TaskInDoubt {
 	var out []TaskInDoubt
-	for agent, known := range d.byAgent {
+	for agent, known := range d {
 		for _, tasks := range known {
 			for id, until := range tasks {
 				if now < until {
@@ -118,21 +92,43 @@
 }
 
 // prune removes what has expired.
-func (d *doubts) prune(now time.Duration) {
-	for _, all := range []map[string]taskDoubts{d.byAgent, d.relayed} {
-		for agent, known := range all {
-			known.prune(now)
-			if len(known) == 0 {
-				delete(all, agent)
-			}
+func (d doubts) prune(now time.Duration) {
+	for agent, known := range d {
+		known.prune(now)
+		if len(known) == 0 {
+			delete(d, agent)
 		}
 	}
 }
 
-// TasksRelayed records the tasks that an agent relays as in doubt from other gateways.
-func (c *Core) TasksRelayed(now time.Duration, tasks []TaskInDoubt) {
+// reportDoubts applies what the load of an agent says of doubts. Those of before end only
+// if the target refuses all earlier calls: a restarted agent knows nothing of the starts of
+// its predecessor.
+func (c *Core) reportDoubts(now time.Duration, a *agent, l *Load) {
+	if l.Fenced {
+		delete(c.doubts, a.Name)
+	}
+	if l.DoubtsChanged {
+		a.inDoubt = l.TasksInDoubt
+	}
+	c.doubts.add(now, a.Name, a.inDoubt...)
+	for _, id := range a.inDoubt {
+		c.stopElsewhere(TaskInDoubt{id, a.Name})
+	}
+}
+
+// TasksRelayed records all tasks that an agent relays as in doubt from other gateways.
+func (c *Core) TasksRelayed(now time.Duration, link string, tasks []TaskInDoubt) {
+	a := c.byLink[link]
+	if a == nil {
+		return
+	}
+	a.relayed = map[string]taskDoubts{}
 	for _, t := range tasks {
-		doubtsOf(c.doubts.relayed, t.Agent).add(now+relayRetention, t.Task)
+		if a.relayed[t.Agent] == nil {
+			a.relayed[t.Agent] = taskDoubts{}
+		}
+		a.relayed[t.Agent].add(math.MaxInt64, t.Task)
 		if !c.hearsFrom(now, t.Agent) {
 			c.stopElsewhere(t)
 		}
@@ -170,14 +166,16 @@
 
 // findDoubt returns an agent of whose doubts a condition holds, and false if there is none.
 func (c *Core) findDoubt(now time.Duration, holds func(d taskDoubts) bool) (string, bool) {
-	for agent, known := range c.doubts.byAgent {
+	for agent, known := range c.doubts {
 		if holds(known) {
 			return agent, true
 		}
 	}
-	for agent, known := range c.doubts.relayed {
-		if holds(known) && !c.hearsFrom(now, agent) {
-			return agent, true
+	for _, a := range c.agents {
+		for agent, known := range a.relayed {
+			if holds(known) && !c.hearsFrom(now, agent) {
+				return agent, true
+			}
 		}
 	}
 	return "", false
@@ -248,7 +246,7 @@
 
 // startInDoubt reports whether the agent of a placed task says that its start is in doubt.
 func (c *Core) startInDoubt(now time.Duration, t *taskRecord) bool {
-	return !t.started && c.doubts.byAgent[t.agent.Name].has(now, t.id)
+	return !t.started && c.doubts[t.agent.Name].has(now, t.id)
 }
 
 // blockedFor returns the expected run time of what must not start before a doubt has
--- a/restartable/dispatch/indoubt_test.go
+++ b/restartable/dispatch/indoubt_test.go
@@ -15,7 +15,7 @@
 	r := newRig(t)
 	r.addAgent("a", 32_000)
 	r.addAgent("b", 32_000)
-	r.report("a", func(l *Load) { l.Accepting, l.TasksInDoubt = false, []task.ID{firstTask("j")} })
+	r.report("a", func(l *Load) { l.Accepting, l.DoubtsChanged, l.TasksInDoubt = false, true, []task.ID{firstTask("j")} })
 	return r
 }
 
@@ -49,7 +49,7 @@
 	r.wantHeld("j")
 	r.submit(newSubmission("other", 1, 100*ms))
 	r.wantPlaced("other")
-	r.report("a", func(l *Load) { l.Fenced = true })
+	r.report("a", func(l *Load) { l.Fenced, l.DoubtsChanged = true, true })
 	r.tick(20 * ms)
 	r.wantPlaced("j")
 }
@@ -61,7 +61,7 @@
 	r.submit(newSubmission("j", 1, 900*ms))
 	for range 50 {
 		r.tick(20 * ms)
-		r.report("a", func(l *Load) { l.Accepting, l.TasksInDoubt = false, []task.ID{firstTask("j")} })
+		r.report("a", func(l *Load) { l.Accepting, l.DoubtsChanged, l.TasksInDoubt = false, true, []task.ID{firstTask("j")} })
 	}
 	r.wantHeld("j")
 	r.wantAnswer("j", Unfinished, CauseInDoubt)
@@ -78,7 +78,7 @@
 	r.submit(newSubmission("j", 1, 900*ms))
 	for range 50 {
 		r.tick(20 * ms)
-		r.report("a", func(l *Load) { l.Accepting, l.TasksInDoubt = false, []task.ID{firstTask("j")} })
+		r.report("a", func(l *Load) { l.Accepting, l.DoubtsChanged, l.TasksInDoubt = false, true, []task.ID{firstTask("j")} })
 	}
 	r.wantAnswer("j", Unfinished, CauseInDoubt)
 }
@@ -90,7 +90,7 @@
 	r.addAgent("b", 32_000)
 	r.submit(newSubmission("j", 1, 900*ms))
 	r.reportEvent("b", newEvent("j", 0, 1, task.Started, ""))
-	r.core.TasksRelayed(r.now, []TaskInDoubt{{firstTask("j"), "a"}})
+	r.core.TasksRelayed(r.now, "b", []TaskInDoubt{{firstTask("j"), "a"}})
 	r.tick(800 * ms)
 	if len(r.answers) != 0 {
 		t.Fatalf("answers %v, want none", r.answers)
@@ -146,14 +146,13 @@
 func TestRelayedDoubtsHoldJobsAndAreNotPassedOn(t *testing.T) {
 	r := newRig(t)
 	r.addAgent("b", 32_000)
-	r.core.TasksRelayed(r.now, []TaskInDoubt{{firstTask("j"), "a"}})
+	r.core.TasksRelayed(r.now, "b", []TaskInDoubt{{firstTask("j"), "a"}})
 	r.submit(newSubmission("j", 1, 100*ms))
 	r.wantHeld("j")
 	if got := r.core.TasksInDoubt(r.now); len(got) != 0 {
 		t.Fatalf("the gateway passes on %v", got)
 	}
-	r.advance(relayRetention)
-	r.report("b", func(*Load) {})
+	r.core.TasksRelayed(r.now, "b", nil)
 	r.tick(20 * ms)
 	r.wantPlaced("j")
 }
@@ -163,10 +162,11 @@
 func TestRelayedDoubtsOfALinkedAgentAreIgnored(t *testing.T) {
 	r := newRig(t)
 	r.addAgent("a", 32_000)
-	r.core.TasksRelayed(r.now, []TaskInDoubt{{firstTask("j"), "a"}})
+	r.addAgent("b", 32_000)
+	r.core.TasksRelayed(r.now, "b", []TaskInDoubt{{firstTask("j"), "a"}})
 	r.submit(newSubmission("j", 1, 100*ms))
 	r.wantHeld("j")
-	r.report("a", func(l *Load) { l.Fenced = true })
+	r.report("a", func(l *Load) { l.Fenced, l.DoubtsChanged = true, true })
 	r.tick(20 * ms)
 	r.wantPlaced("j")
 }
@@ -191,10 +191,12 @@
 // carried the start out.
 func TestRunIsStoppedOnceAnEarlierStartComesIntoDoubtElsewhere(t *testing.T) {
 	doubts := map[string]func(r *rig){
-		"reported": func(r *rig) { r.report("a", func(l *Load) { l.TasksInDoubt = []task.ID{firstTask("j")} }) },
+		"reported": func(r *rig) {
+			r.report("a", func(l *Load) { l.DoubtsChanged, l.TasksInDoubt = true, []task.ID{firstTask("j")} })
+		},
 		"relayed": func(r *rig) {
 			r.core.AgentDown(r.now, "a")
-			r.core.TasksRelayed(r.now, []TaskInDoubt{{firstTask("j"), "a"}})
+			r.core.TasksRelayed(r.now, "b", []TaskInDoubt{{firstTask("j"), "a"}})
 			r.collect()
 		},
 	}
--- a/restartable/dispatch/report.go
+++ b/restartable/dispatch/report.go
@@ -69,10 +69,7 @@
 		c.fencing.reported(now, a.Name, a.Process, load.FencingToken)
 		load.Fenced = load.Fenced && load.FencingToken >= c.fencing.floor(a.Name)
 		a.applyLoad(now, *load)
-		c.doubts.reported(now, a.Name, *load)
-		for _, id := range load.TasksInDoubt {
-			c.stopElsewhere(TaskInDoubt{id, a.Name})
-		}
+		c.reportDoubts(now, a, load)
 		c.updateAvoidance(a)
 	}
 	affected := map[string]*job{}
--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -427,7 +427,7 @@
 	m := &dispatch.Load{
 		Accepting: load.Accepting, Committed: load.Committed, Backlog: load.Backlog, Slowness: load.Slowness,
 		Anomaly: load.Anomaly, Samples: load.Samples, FailedShare: load.FailedShare, OrdersSeen: l.ordersSeen,
-		Fenced: load.Fenced, TasksInDoubt: load.TasksInDoubt,
+		Fenced: load.Fenced, TasksInDoubt: load.TasksInDoubt, DoubtsChanged: true,
 	}
 	f.After(networkDelay, func() {
 		l.stamp = stamp
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -125,6 +126,9 @@
 	hello    bool
 	target   runner.Target
 	gateways uint64
+	// inDoubt are the tasks in doubt, relayed is the version of those of other gateways.
+	inDoubt []task.ID
+	relayed uint64
 }
 
 func (l *agentLink) nextFrame(sent *sentState) *pb.RunReport {
@@ -145,12 +149,18 @@
 		BacklogMs: toMillis(load.Backlog), SlownessPermille: toPermille(load.Slowness),
 		AnomalyPermille: toPermille(load.Anomaly), Samples: toUint32(load.Samples),
 		Running: toUint32(load.Running), Queued: toUint32(load.Queued), FailedPermille: toPermille(load.FailedShare), OrdersSeen: ordersSeen,
-		FencingToken: load.FencingToken, Fenced: load.Fenced, TasksInDoubt: taskIDsToProto(load.TasksInDoubt),
+		FencingToken: load.FencingToken, Fenced: load.Fenced,
 	}}
 	if !sent.hello {
 		f.Hello, sent.hello = l.client.hello, true
 	}
-	f.RelayedTasksInDoubt = l.client.relay.tasksFor(now, l.address)
+	if !slices.Equal(load.TasksInDoubt, sent.inDoubt) {
+		sent.inDoubt = load.TasksInDoubt
+		f.Load.DoubtsChanged, f.Load.TasksInDoubt = true, taskIDsToProto(load.TasksInDoubt)
+	}
+	if version, tasks := l.client.relay.changesSince(now, l.address, sent.relayed); version != sent.relayed {
+		sent.relayed, f.RelayedChanged, f.RelayedTasksInDoubt = version, true, tasks
+	}
 	// Whether the target drains shows in the load.
 	target.Draining = false
 	if !target.Equal(sent.target) {
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -176,7 +176,7 @@
 		c.store.request(l, m)
 	}
 	c.runner.RaiseToken(f.MinFencingToken)
-	c.relay.received(c.now(), l.address, f.TasksInDoubt)
+	c.relay.received(c.now(), l.address, f)
 	var starts []runner.Start
 	for _, s := range f.Starts {
 		starts = append(starts, startsFromProto(s)...)
--- a/restartable/link/relay.go
+++ b/restartable/link/relay.go
@@ -17,45 +17,68 @@
 // an agent: a caller may submit a job again to any of them, and not all are linked to the
 // agent whose start is in doubt.
 type relay struct {
-	mu sync.Mutex // guards the field below
+	mu sync.Mutex // guards the fields below
 	// lists holds the newest list of each gateway that is not empty.
 	lists map[string]relayedList
+	// version increases with each change of a list.
+	version uint64
 }
 
 // relayedList is the list that a gateway has sent.
 type relayedList struct {
-	tasks      []*pb.TaskInDoubt
-	receivedAt time.Duration
+	tasks []*pb.TaskInDoubt
+	// heardAt is when a frame of the gateway last arrived.
+	heardAt time.Duration
 }
 
 func newRelay() relay { return relay{lists: map[string]relayedList{}} }
 
-// received stores the list that a frame of a gateway carries.
-func (r *relay) received(now time.Duration, gateway string, tasks []*pb.TaskInDoubt) {
+// received applies a frame of a gateway, with its list if that has changed.
+func (r *relay) received(now time.Duration, gateway string, f *pb.RunOrder) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(tasks) == 0 {
+	l, known := r.lists[gateway]
+	if f.DoubtsChanged {
+		l.tasks = f.TasksInDoubt
+		r.version++
+	}
+	switch {
+	case len(l.tasks) > 0:
+		l.heardAt = now
+		r.lists[gateway] = l
+	case known:
 		delete(r.lists, gateway)
-		return
 	}
-	r.lists[gateway] = relayedList{tasks, now}
 }
 
-// tasksFor returns the tasks to relay to a gateway. Lists of several gateways may name the
-// same ones.
-func (r *relay) tasksFor(now time.Duration, gateway string) []*pb.TaskInDoubt {
+// changesSince returns the tasks to relay to a gateway and their version, or no tasks if
+// the version is the one that the gateway has.
+func (r *relay) changesSince(now time.Duration, gateway string, version uint64) (uint64, []*pb.TaskInDoubt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []*pb.TaskInDoubt
 	for from, l := range r.lists {
-		switch {
-		case now-l.receivedAt > relayRetention:
+		if now-l.heardAt > relayRetention {
 			delete(r.lists, from)
-		case from != gateway:
-			out = append(out, l.tasks...)
+			r.version++
 		}
 	}
-	return out
+	if version == r.version {
+		return version, nil
+	}
+	var out []*pb.TaskInDoubt
+	seen := map[dispatch.TaskInDoubt]bool{}
+	for from, l := range r.lists {
+		if from == gateway {
+			continue
+		}
+		for _, t := range l.tasks {
+			if key := doubtFromProto(t); !seen[key] {
+				seen[key] = true
+				out = append(out, t)
+			}
+		}
+	}
+	return r.version, out
 }
 
 func taskIDToProto(id task.ID) *pb.TaskID {
@@ -93,7 +116,11 @@
 func doubtsFromProto(list []*pb.TaskInDoubt) []dispatch.TaskInDoubt {
 	var out []dispatch.TaskInDoubt
 	for _, m := range list {
-		out = append(out, dispatch.TaskInDoubt{Task: taskIDFromProto(m.Task), Agent: m.Agent})
+		out = append(out, doubtFromProto(m))
 	}
 	return out
 }
+
+func doubtFromProto(m *pb.TaskInDoubt) dispatch.TaskInDoubt {
+	return dispatch.TaskInDoubt{Task: taskIDFromProto(m.Task), Agent: m.Agent}
+}
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -151,7 +152,8 @@
 			Accepting: m.Accepting, Committed: resourcesFromProto(m.Committed), Backlog: fromMillis(m.BacklogMs),
 			Slowness: float64(m.SlownessPermille) / 1000,
 			Anomaly:  float64(m.AnomalyPermille) / 1000, Samples: int(m.Samples), FailedShare: float64(m.FailedPermille) / 1000, OrdersSeen: m.OrdersSeen,
-			FencingToken: m.FencingToken, Fenced: m.Fenced, TasksInDoubt: taskIDsFromProto(m.TasksInDoubt),
+			FencingToken: m.FencingToken, Fenced: m.Fenced,
+			DoubtsChanged: m.DoubtsChanged, TasksInDoubt: taskIDsFromProto(m.TasksInDoubt),
 		}
 	}
 	runEvents := make([]dispatch.AttemptEvent, 0, len(f.Events))
@@ -161,8 +163,8 @@
 			Attempt: int(e.Attempt), Outcome: outcomeFromProto(e.Outcome), Reason: task.Reason(e.Reason), RunTime: fromMillis(e.RunMs),
 		})
 	}
-	if len(f.RelayedTasksInDoubt) > 0 {
-		s.dispatcher.TasksRelayed(doubtsFromProto(f.RelayedTasksInDoubt))
+	if f.RelayedChanged {
+		s.dispatcher.TasksRelayed(link, doubtsFromProto(f.RelayedTasksInDoubt))
 	}
 	for _, m := range f.Crashes {
 		s.dispatcher.TargetCrashed(link, crashFromProto(m))
@@ -185,6 +187,7 @@
 	echo := time.NewTimer(0)
 	defer echo.Stop()
 	var sentVersion, sentRevision uint64
+	var sentDoubts []dispatch.TaskInDoubt
 	for {
 		select {
 		case <-ctx.Done():
@@ -193,7 +196,9 @@
 		case <-echo.C:
 		}
 		f := l.nextFrame()
-		f.TasksInDoubt = doubtsToProto(s.dispatcher.TasksInDoubt())
+		if tasks := s.dispatcher.TasksInDoubt(); !slices.Equal(tasks, sentDoubts) {
+			sentDoubts, f.DoubtsChanged, f.TasksInDoubt = tasks, true, doubtsToProto(tasks)
+		}
 		f.MinFencingToken = s.dispatcher.MinFencingToken(info.Name)
 		if version, all := s.gateways.ChangesSince(sentVersion); version != sentVersion {
 			sentVersion, f.Gateways = version, all
--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -67,7 +67,7 @@
 	a.relay[l.gate] = relayedList{tasks, a.w.Now}
 }
 
-// relayedTasks mirrors link.relay.tasksFor.
+// relayedTasks mirrors link.relay.changesSince.
 func (a *agent) relayedTasks(to *gateway) []dispatch.TaskInDoubt {
 	var out []dispatch.TaskInDoubt
 	if a.w.mutation == relayNothing {
--- a/restartable/modeltest/link_test.go
+++ b/restartable/modeltest/link_test.go
@@ -239,7 +239,7 @@
 	f.load = dispatch.Load{
 		Accepting: load.Accepting, Committed: load.Committed, Slowness: 1, Anomaly: 1, OrdersSeen: l.ordersSeen,
 		Backlog:      time.Duration(load.Committed.CPUMillis) * meanRunTime / 4000,
-		FencingToken: l.agent.token, Fenced: load.Fenced, TasksInDoubt: load.TasksInDoubt,
+		FencingToken: l.agent.token, Fenced: load.Fenced, TasksInDoubt: load.TasksInDoubt, DoubtsChanged: true,
 	}
 	t.Draining = false
 	if !t.Equal(l.sentTarget) {
@@ -276,9 +276,7 @@
 	if f.target != nil {
 		g.apply(func(c *dispatch.Core) { c.AgentTarget(l.gateName, *f.target) })
 	}
-	if len(f.relayed) > 0 {
-		g.apply(func(c *dispatch.Core) { c.TasksRelayed(l.w.Now, f.relayed) })
-	}
+	g.apply(func(c *dispatch.Core) { c.TasksRelayed(l.w.Now, l.gateName, f.relayed) })
 	for _, m := range f.crashes {
 		g.apply(func(c *dispatch.Core) { c.TargetCrashed(l.w.Now, l.gateName, m) })
 	}
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -52,8 +52,8 @@
 	// finishedAt holds the times at which attempts ended. Snapshots that were
 	// requested earlier may still list them as running.
 	finishedAt map[Attempt]time.Duration
-	// lateStarts holds when a start of a task last got no answer: the target may carry it
-	// out seconds later.
+	// lateStarts holds when a start of a task that is not done last got no answer: the
+	// target may carry it out seconds later.
 	lateStarts map[task.ID]time.Duration
 	queue      []*run
 	// used holds the resources of the runs that may be on the target, waiting those
@@ -295,6 +295,11 @@
 		took = now - r.startedAt
 	}
 	delete(c.runs, r.Task)
+	if outcome == task.Done {
+		// Its job has no use for another run, so that no other one can overlap with a late
+		// start.
+		delete(c.lateStarts, r.Task)
+	}
 	if r.state != queued {
 		c.finishedAt[Attempt{r.Task, r.Attempt}] = now
 	}
