Test that a start is forgotten with its task, and correct comments

What callers saw: nothing; no program changes. The comments on the reasons of lost attempts and on UnansweredTimeout said what held before starts could be in doubt.

--- a/restartable/runner/indoubt_test.go
+++ b/restartable/runner/indoubt_test.go
@@ -185,6 +185,17 @@
 	r.wantInDoubt()
 }
 
+// Guards against long lists of tasks in doubt, which fill the links: a task that is done
+// starts nowhere else.
+func TestStartsOfTasksThatAreDoneAreNotInDoubt(t *testing.T) {
+	r := newCoreHarness(t)
+	r.submit(newStart("j", 0, 1000))
+	r.answerStart(firstAttempt("j", 0), StartUnanswered)
+	r.applyEnd(firstAttempt("j", 0), task.Done)
+	r.core.TargetDown(r.now, r.now)
+	r.wantInDoubt()
+}
+
 // Guards against a target that is flooded with stops while it does not answer.
 func TestStopsOfStartsInDoubtWaitForTheTarget(t *testing.T) {
 	r := newCoreHarness(t)
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -21,7 +21,8 @@
 	// refused as stale.
 	MaxOrderAge time.Duration
 	// UnansweredTimeout is the time after the decision on a start from which, if it was
-	// not answered, it can no longer take effect: the deadline that it carried, at most
+	// not answered, it can no longer take effect on the incarnation of the target that it
+	// was sent to: the deadline that it carried, at most
 	// GatewayLease later, has then passed on the target's clock.
 	UnansweredTimeout time.Duration
 	// HeartbeatTimeout is the time without a heartbeat of the target after which
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -196,7 +196,8 @@
 }
 
 // cannotBegin reports whether an unanswered start that is not listed can no longer take
-// effect on the present incarnation: its stop was acknowledged, or its deadline has passed on the target's clock.
+// effect on the present incarnation: its stop was acknowledged, or its deadline has passed
+// on the target's clock.
 func (c *Core) cannotBegin(now time.Duration, r *run) bool {
 	return r.stopAcknowledged || now-r.startedAt > c.opts.UnansweredTimeout
 }
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -84,7 +84,8 @@
 // Reason says why an attempt did not start, or how a run was lost.
 type Reason string
 
-// Reasons for NotStarted.
+// Reasons for NotStarted. Superseded and unanswered are reasons for Lost too: for a start
+// that got no answer and that the next process of the target may still carry out.
 const (
 	ReasonExpired     Reason = "expired"      // it waited too long in the agent's queue
 	ReasonDraining    Reason = "draining"     // the target is draining
