Let both targets work before one of them crashes in the tests of doubts

Cause: a fault of the test. A gateway is ready as soon as one agent is. If the target crashed before its agent's first call was answered, the agent sent no start, as it should, and the test had nothing to judge; its own check said so.

Change: the tests first wait for a job that runs a task on each target.

The checks are unchanged.

--- a/integration/platformdoubt_test.go
+++ b/integration/platformdoubt_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -14,10 +15,26 @@
 // crashBeforeStart lets a target crash silently and submits a job that needs both targets,
 // so that starts are sent to the silent one. The answer is sent to the channel.
 func (s *platformDeployment) crashBeforeStart(job string) <-chan int {
+	// An agent sends no start before its target has answered a first call.
+	s.awaitWorkOnBoth()
 	s.targets[0].CrashSilently()
 	return s.submitForBoth(0, job)
 }
 
+// awaitWorkOnBoth waits until both targets have run a task. The time limit is only reached
+// if the test fails.
+func (s *platformDeployment) awaitWorkOnBoth() {
+	s.t.Helper()
+	steps := []standin.Step{{Tasks: 2, MaxPerTarget: 1, Estimate: 20 * time.Millisecond}}
+	for n, end := 0, time.Now().Add(30*time.Second); time.Now().Before(end); n++ {
+		job := standin.Job{ID: fmt.Sprintf("first-%d", n), Spec: "ms=20", Steps: steps}
+		if status, _ := s.client(0).Submit(s.t.Context(), job); status == http.StatusOK {
+			return
+		}
+	}
+	s.t.Fatal("no job is completed on both targets within 30 s")
+}
+
 // submitForBoth submits a job with one task for each of two targets to a gateway. The answer
 // is sent to the channel.
 func (s *platformDeployment) submitForBoth(gateway int, job string) <-chan int {
