Let TestAllGatewaysLearnOfACrash wait until the runs have begun

Cause: the test waited until the agent had decided on three starts, not until they had reached the target. Its stand-in then began a new incarnation, and the three starts arrived there: nothing was lost, and there was no crash to learn of.

Change: the test waits until the stand-in has the three runs and has answered 20 later polls, so that the agent has taken the answers to the starts.

No check was changed.

--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -39,6 +39,7 @@
 	runFor  time.Duration
 	running map[runner.Attempt]time.Time // with the time of the end
 	ends    []runner.End
+	polls   int
 	// incarnation is that of testTarget until restart.
 	incarnation int64
 }
@@ -68,6 +69,27 @@
 	f.runFor = d
 }
 
+// awaitRuns waits until n runs have begun and the agent has learned of them: it takes the
+// answers to the starts long before those to later polls. The time limit is only reached if
+// the test fails.
+func (f *fakeTarget) awaitRuns(t *testing.T, n int) {
+	t.Helper()
+	const laterPolls = 20
+	polls := -1
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		switch {
+		case polls < 0 && len(f.running) == n:
+			polls = f.polls
+		case polls >= 0 && f.polls >= polls+laterPolls:
+			f.mu.Unlock()
+			return
+		}
+		f.mu.Unlock()
+	}
+	t.Fatalf("the target did not get %d runs", n)
+}
+
 // restart begins an incarnation, which has no runs.
 func (f *fakeTarget) restart(incarnation int64) {
 	f.mu.Lock()
@@ -89,6 +111,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.polls++
 	reply := runner.PollReply{Clock: 1, Incarnation: f.incarnation}
 	for a, due := range f.running {
 		if time.Now().After(due) {
@@ -437,14 +460,8 @@
 		first.Submit(t.Context(), smallJob("lost"))
 	}()
 	defer func() { <-answered }()
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
-		if _, l, _ := r.Load(); l.Running == 3 {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("the job does not run")
-		}
-	}
+	// A start that reaches the target after the crash is no lost run.
+	f.awaitRuns(t, 3)
 	const lastIncarnation = 3
 	f.setRunTime(runTime)
 	f.restart(lastIncarnation)
