Start a task only on a target that has its label and serves its queue

Cause: only the gateway compares labels, when it chooses an agent. The order did not name the label, and the agent's queue is kept when another incarnation of its target is confirmed. A target that restarts within 0.35 s as another kind gets the tasks that waited for its predecessor; so does one whose gateway has not yet heard of the change.

Change: an order names the service and the required label, and the agent compares them with its present target before each start, also before it repeats a start without an answer. What the target may not run is returned at once (reason "unsuitable") and placed elsewhere; what it may run keeps its place in the queue.

Result: a task starts only where its step allows it as far as heartbeats tell.

--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -16,8 +16,10 @@
 	Tasks  []Attempt
 	// Queue is the name of the job's queue.
 	Queue string
-	Spec  string
-	Needs task.Resources
+	// Service and RequiredLabel are what the target must have at the start.
+	Service, RequiredLabel string
+	Spec                   string
+	Needs                  task.Resources
 	// Expected is the run time expected on a target of slowness 1.
 	Expected time.Duration
 	// StartWithin is the longest time that a task may wait in the agent's queue.
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -178,7 +178,7 @@
 	}
 	a.lastOrder++
 	return &Order{
-		Link: a.Link, Number: a.lastOrder, Step: task.StepID{Job: j.ID, Step: step}, Queue: j.Queue.Name, Spec: j.Spec, Needs: st.Needs,
+		Link: a.Link, Number: a.lastOrder, Step: task.StepID{Job: j.ID, Step: step}, Queue: j.Queue.Name, Service: j.Queue.Service, RequiredLabel: st.RequiredLabel, Spec: j.Spec, Needs: st.Needs,
 		Expected: j.expected[step], StartWithin: within, AtOnce: true, DueWithin: due, Priority: j.Queue.Priority, MaxPerTarget: st.MaxPerTarget,
 		Suspicion: c.crashSuspicion(j),
 	}
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -205,6 +205,7 @@
 			Needs: resourcesFromProto(s.Requirement), Expected: fromMillis(s.ExpectedMs),
 			StartWithin: fromMillis(s.StartWithinMs), DueWithin: fromMillis(s.DueWithinMs), AtOnce: s.AtOnce,
 			Priority: int(s.Priority), MaxPerTarget: int(s.MaxPerTarget), Suspicion: float64(s.SuspicionPermille) / 1000,
+			Service: s.Service, RequiredLabel: s.RequiredLabel,
 		})
 	}
 	return out
--- a/restartable/link/gatewaylink.go
+++ b/restartable/link/gatewaylink.go
@@ -38,6 +38,7 @@
 		Job:    o.Step.Job, Occurrence: toUint32(o.Step.Occurrence), Step: toUint32(o.Step.Step), Spec: o.Spec,
 		Requirement: resourcesToProto(o.Needs), ExpectedMs: toMillis(o.Expected), StartWithinMs: toMillis(o.StartWithin),
 		DueWithinMs: toMillis(o.DueWithin), AtOnce: o.AtOnce, Priority: toUint32(o.Priority), MaxPerTarget: toUint32(o.MaxPerTarget), Queue: o.Queue, SuspicionPermille: toPermille(o.Suspicion),
+		Service: o.Service, RequiredLabel: o.RequiredLabel,
 	}
 	for _, t := range o.Tasks {
 		m.Tasks = append(m.Tasks, &pb.TaskAttempt{Index: toUint32(t.Index), Attempt: toUint32(t.Number)})
--- a/restartable/link/wire_test.go
+++ b/restartable/link/wire_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -28,3 +29,14 @@
 		}
 	}
 }
+
+// Guards against an order that does not name what the target must have: its agent could
+// not refuse tasks that a target of another kind must not run.
+func TestOrderNamesTheServiceAndTheRequiredLabel(t *testing.T) {
+	l := newGatewayLink()
+	l.Order(dispatch.Order{Tasks: []dispatch.Attempt{{Index: 1, Number: 2}}, Service: "s", RequiredLabel: "a"})
+	starts := startsFromProto(l.nextFrame().Starts[0])
+	if len(starts) != 1 || starts[0].Service != "s" || starts[0].RequiredLabel != "a" {
+		t.Errorf("the order arrives as %+v, want one start of service s that requires label a", starts)
+	}
+}
--- a/restartable/runner/indoubt.go
+++ b/restartable/runner/indoubt.go
@@ -80,6 +80,11 @@
 // repeatStart sends a start without an answer again to its target, which does not have it.
 // A target carries out an attempt only once.
 func (c *Core) repeatStart(now time.Duration, r *run) {
+	if !c.target.mayRun(r.Start) {
+		// The labels of the target have changed. The first start may still be carried out.
+		c.revoke(now, r)
+		return
+	}
 	r.ValidUntil = min(c.leaseExpiry[r.gateway], now+c.opts.GatewayLease)
 	if now >= r.ValidUntil {
 		// The expiry of the lease is about to revoke the run.
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -67,6 +67,12 @@
 		t.Draining == o.Draining && slices.Equal(t.Labels, o.Labels)
 }
 
+// mayRun reports whether the target serves the queue of a start and has the label that its
+// step requires.
+func (t Target) mayRun(s Start) bool {
+	return (s.Service == "" || s.Service == t.Service) && (s.RequiredLabel == "" || slices.Contains(t.Labels, s.RequiredLabel))
+}
+
 // sameCapacity reports whether two targets have the same capacity. On one VM,
 // such targets can be expected to run at about the same speed, whatever kind they
 // report.
@@ -80,8 +86,11 @@
 	Attempt int
 	// Queue is the name of the job's queue.
 	Queue string
-	Spec  string
-	Needs task.Resources
+	// Service and RequiredLabel are what the target must have at the start; empty for no
+	// condition.
+	Service, RequiredLabel string
+	Spec                   string
+	Needs                  task.Resources
 	// Expected is the run time expected on a target of slowness 1.
 	Expected time.Duration
 	// StartWithin is the maximum time in the queue. DueWithin is the time within
--- a/restartable/runner/queue.go
+++ b/restartable/runner/queue.go
@@ -40,6 +40,10 @@
 			c.finish(now, r, task.NotStarted, task.ReasonGatewayLost)
 		case !accepting:
 			c.finish(now, r, task.NotStarted, reason)
+		case !c.target.mayRun(r.Start):
+			// Only the first choice of the gateway has regarded this, and another incarnation
+			// may have replaced the target since, or its labels may have changed.
+			c.finish(now, r, task.NotStarted, task.ReasonUnsuitable)
 		case now > r.queueUntil:
 			c.finish(now, r, task.NotStarted, task.ReasonExpired)
 		case !r.Needs.Within(c.target.Capacity):
--- a/restartable/task/task.go
+++ b/restartable/task/task.go
@@ -101,6 +101,7 @@
 	ReasonGatewayLost Reason = "gateway_out"  // the gateway's lease expired
 	ReasonUnlinked    Reason = "unlinked"     // the agent is closing its link to the gateway
 	ReasonZoneDrained Reason = "zone_drained" // the agent's availability zone is drained
+	ReasonUnsuitable  Reason = "unsuitable"   // the target is of another service or lacks the required label; it may have been replaced
 	ReasonTooLarge    Reason = "too_large"    // it needs more than the target's whole capacity, which may have shrunk
 )
 
