Pass a cancellation on to all gateways, and refuse the job afterwards

Cause: callers are spread over the gateways, and one that is added takes some of them over. The gateway that gets a DELETE asked only its own dispatcher, and answered 410 for a job of another one.

Change: a gateway tells all others of each cancellation, also of a job that it has itself, since a resubmission may be in progress elsewhere. It answers 200 if any of them had the job and 410 if none had, once all have answered, but after 1.5 s at the latest; later than that the runs of a gateway that has died have ended. One that does not answer is told for a minute, and so is one that is reached for the first time, or again, in that minute. One call at a time goes to each gateway and takes all cancellations that have come meanwhile. All gateways refuse submissions of the job for a minute (502, cause "cancelled"): one that was sent before the cancellation may arrive after it. A gateway of an earlier release answers that it does not know the call, and is not asked again for it. Events 6052 (a gateway does not answer) and 6053 (a job is cancelled through another gateway).

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -196,11 +196,14 @@
 		"Check the target of the agent named.")
 	DoubtfulRunStopped = define(6051, "doubtful_run_stopped", warnLevel, "a run is stopped, since an earlier start of its task got no answer from another target, which is out of contact now and may still carry it out",
 		"Check the target of the agent in_doubt_on.")
-	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
-	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
-	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
-	TargetState   = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
-	Suspended     = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
+	CancelUnanswered = define(6052, "cancel_unanswered", warnLevel, "another gateway does not answer a cancellation of jobs; it is repeated for a minute, and the callers were answered without it",
+		"Nothing if the gateway was stopped; otherwise check the network between the gateways. A job of that gateway may run on meanwhile.")
+	JobCancelledByPeer = define(6053, "job_cancelled_by_peer", infoLevel, "a job in progress here is cancelled, since its caller's request has reached another gateway", noAction)
+	LinesDropped       = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
+	TargetAvoided      = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
+	TargetTrusted      = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
+	TargetState        = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
+	Suspended          = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
 )
 
 // Events of the stand-ins (9000 to 9099).
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbsail/rhubarbsail/common/events"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/restartable/cancel"
 	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
@@ -42,6 +43,7 @@
 	gateways   *link.Gateways
 	links      *link.Server
 	peers      *gatewayPeers
+	canceller  *cancel.Canceller
 	syncer     *configsync.Syncer
 	stopping   atomic.Bool
 }
@@ -66,6 +68,8 @@
 		name: n.Name, address: address, log: log, known: g.gateways, client: link.NewHTTPClient(),
 		registry: platform.NewGatewayRegistry(store), links: g.links,
 	}
+	g.canceller = cancel.New(g.dispatcher.Cancel, g.peers.peerAddresses, g.peers.dialForCancel, boottime.Now, log, cancel.DefaultOptions())
+	g.peers.onReached = g.canceller.Reached
 	syncOpts := configsync.DefaultOptions()
 	syncOpts.MaxAge = cmp.Or(n.Bounds.ConfigApply, syncOpts.MaxAge)
 	g.resolver = queues.NewResolver(g.config, boottime.Now, syncOpts.MaxAge)
@@ -96,6 +100,7 @@
 	g.stopping.Store(true)
 	err = servers.stop(g.node.Bounds.GracePeriod - exitReserve)
 	cancelBackground()
+	g.canceller.Stop()
 	wg.Wait()
 	err = errors.Join(err, g.metrics.Close())
 	events.ProcessStopped.Log(g.log).Err(err).Send()
@@ -121,7 +126,9 @@
 }
 
 // Cancel implements platform.Jobs.
-func (g *PlatformGateway) Cancel(id string) bool { return g.dispatcher.Cancel(id) }
+func (g *PlatformGateway) Cancel(ctx context.Context, id string) bool {
+	return g.canceller.Cancel(ctx, id)
+}
 
 // ReportRejection implements platform.Jobs.
 func (g *PlatformGateway) ReportRejection(r platform.Rejection) {
--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -17,6 +17,7 @@
 	pb "github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1"
 	"github.com/rhubarbsail/rhubarbsail/gen/rhubarbsail/restart/v1/restartv1connect"
 	"github.com/rhubarbsail/rhubarbsail/platform"
+	"github.com/rhubarbsail/rhubarbsail/restartable/cancel"
 	"github.com/rhubarbsail/rhubarbsail/restartable/configsync"
 	"github.com/rhubarbsail/rhubarbsail/restartable/link"
 	"github.com/rhubarbsail/rhubarbsail/restartable/zones"
@@ -76,6 +77,9 @@
 	// number of the current round. Only the goroutine of introduce uses them.
 	lastCalls map[string]introduceCall
 	round     int
+	// onReached is called with the address of each peer that answers for the first time, or
+	// again. It may be nil.
+	onReached func(address string)
 }
 
 // introduceCall is the round and outcome of an Introduce call.
@@ -246,6 +250,9 @@
 		}
 		return
 	}
+	if (lost || !called) && p.onReached != nil {
+		p.onReached(result.address)
+	}
 	if lost {
 		events.GatewayRegained.Log(p.log).Str("gateway", result.address).Send()
 	}
@@ -296,3 +303,34 @@
 	}
 	return nil
 }
+
+// cancelPeer is a connection to a gateway that cancellations are passed on to.
+type cancelPeer struct {
+	restartv1connect.DispatchServiceClient
+	http *http.Client
+	self string
+}
+
+// dialForCancel returns a connection of its own, which is closed once nothing is left to
+// cancel: one that is kept may be dead.
+func (p *gatewayPeers) dialForCancel(address string) cancel.Peer {
+	c := link.NewHTTPClient()
+	return &cancelPeer{restartv1connect.NewDispatchServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c, p.address}
+}
+
+// CancelJobs implements cancel.Peer.
+func (p *cancelPeer) CancelJobs(ctx context.Context, jobs []string) ([]string, error) {
+	r, err := p.DispatchServiceClient.CancelJobs(ctx, connect.NewRequest(&pb.CancelJobsRequest{Jobs: jobs, Gateway: p.self}))
+	switch {
+	case err == nil:
+		return r.Msg.Found, nil
+	case connect.CodeOf(err) == connect.CodeUnimplemented:
+		// Gateways of earlier releases cancel only at their own callers' request.
+		return nil, nil
+	default:
+		return nil, err
+	}
+}
+
+// Close implements cancel.Peer.
+func (p *cancelPeer) Close() { p.http.CloseIdleConnections() }
--- a/gen/rhubarbsail/restart/v1/restartv1connect/dispatch.connect.go
+++ b/gen/rhubarbsail/restart/v1/restartv1connect/dispatch.connect.go
@@ -41,6 +41,9 @@
 	// DispatchServiceIntroduceProcedure is the fully-qualified name of the DispatchService's Introduce
 	// RPC.
 	DispatchServiceIntroduceProcedure = "/rhubarbsail.restart.v1.DispatchService/Introduce"
+	// DispatchServiceCancelJobsProcedure is the fully-qualified name of the DispatchService's
+	// CancelJobs RPC.
+	DispatchServiceCancelJobsProcedure = "/rhubarbsail.restart.v1.DispatchService/CancelJobs"
 )
 
 // DispatchServiceClient is a client for the rhubarbsail.restart.v1.DispatchService service.
@@ -55,6 +58,10 @@
 	// Introduce adds a gateway to the list of gateways that is sent to agents, which
 	// attach to gateways of this list. The reply contains the list.
 	Introduce(context.Context, *connect.Request[v1.IntroduceRequest]) (*connect.Response[v1.IntroduceReply], error)
+	// CancelJobs cancels jobs that this gateway has in progress and refuses later
+	// submissions of them. Gateways tell each other of all cancellations: a caller's
+	// request may reach another one than the gateway of its job.
+	CancelJobs(context.Context, *connect.Request[v1.CancelJobsRequest]) (*connect.Response[v1.CancelJobsReply], error)
 }
 
 // NewDispatchServiceClient constructs a client for the rhubarbsail.restart.v1.DispatchService
@@ -86,6 +93,12 @@
 			connect.WithSchema(dispatchServiceMethods.ByName("Introduce")),
 			connect.WithClientOptions(opts...),
 		),
+		cancelJobs: connect.NewClient[v1.CancelJobsRequest, v1.CancelJobsReply](
+			httpClient,
+			baseURL+DispatchServiceCancelJobsProcedure,
+			connect.WithSchema(dispatchServiceMethods.ByName("CancelJobs")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -94,6 +107,7 @@
 	attach        *connect.Client[v1.RunReport, v1.RunOrder]
 	configuration *connect.Client[v1.ConfigurationRequest, v1.ConfigurationReply]
 	introduce     *connect.Client[v1.IntroduceRequest, v1.IntroduceReply]
+	cancelJobs    *connect.Client[v1.CancelJobsRequest, v1.CancelJobsReply]
 }
 
 // Attach calls rhubarbsail.restart.v1.DispatchService.Attach.
@@ -111,6 +125,11 @@
 	return c.introduce.CallUnary(ctx, req)
 }
 
+// CancelJobs calls rhubarbsail.restart.v1.DispatchService.CancelJobs.
+func (c *dispatchServiceClient) CancelJobs(ctx context.Context, req *connect.Request[v1.CancelJobsRequest]) (*connect.Response[v1.CancelJobsReply], error) {
+	return c.cancelJobs.CallUnary(ctx, req)
+}
+
 // DispatchServiceHandler is an implementation of the rhubarbsail.restart.v1.DispatchService
 // service.
 type DispatchServiceHandler interface {
@@ -124,6 +143,10 @@
 	// Introduce adds a gateway to the list of gateways that is sent to agents, which
 	// attach to gateways of this list. The reply contains the list.
 	Introduce(context.Context, *connect.Request[v1.IntroduceRequest]) (*connect.Response[v1.IntroduceReply], error)
+	// CancelJobs cancels jobs that this gateway has in progress and refuses later
+	// submissions of them. Gateways tell each other of all cancellations: a caller's
+	// request may reach another one than the gateway of its job.
+	CancelJobs(context.Context, *connect.Request[v1.CancelJobsRequest]) (*connect.Response[v1.CancelJobsReply], error)
 }
 
 // NewDispatchServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -151,6 +174,12 @@
 		connect.WithSchema(dispatchServiceMethods.ByName("Introduce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	dispatchServiceCancelJobsHandler := connect.NewUnaryHandler(
+		DispatchServiceCancelJobsProcedure,
+		svc.CancelJobs,
+		connect.WithSchema(dispatchServiceMethods.ByName("CancelJobs")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rhubarbsail.restart.v1.DispatchService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case DispatchServiceAttachProcedure:
@@ -159,6 +188,8 @@
 			dispatchServiceConfigurationHandler.ServeHTTP(w, r)
 		case DispatchServiceIntroduceProcedure:
 			dispatchServiceIntroduceHandler.ServeHTTP(w, r)
+		case DispatchServiceCancelJobsProcedure:
+			dispatchServiceCancelJobsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -179,3 +210,7 @@
 func (UnimplementedDispatchServiceHandler) Introduce(context.Context, *connect.Request[v1.IntroduceRequest]) (*connect.Response[v1.IntroduceReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsail.restart.v1.DispatchService.Introduce is not implemented"))
 }
+
+func (UnimplementedDispatchServiceHandler) CancelJobs(context.Context, *connect.Request[v1.CancelJobsRequest]) (*connect.Response[v1.CancelJobsReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsail.restart.v1.DispatchService.CancelJobs is not implemented"))
+}
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -80,6 +80,10 @@
 	bulkheads  bulkheads
 	doubts     doubts
 	fencing    fencingRecords
+	// cancelled holds until when a submission of a job is refused since the job was
+	// cancelled; prunedCancelledAt is when outdated entries were last removed.
+	cancelled         map[string]time.Duration
+	prunedCancelledAt time.Duration
 	// startedAt is when this process started.
 	startedAt time.Duration
 	// lastTickAt is the time of the last tick. Until resumeAt all jobs are refused
@@ -91,7 +95,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: doubts{}, fencing: fencingRecords{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: doubts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
 }
 
 // Take returns the actions that were decided since the last call.
@@ -163,6 +167,12 @@
 		c.finish(now, j, Answer{State: NotRun, Cause: CauseUnsupported, RetryAfter: c.opts.UnsupportedRetryAfter})
 		return
 	}
+	if now < c.cancelled[s.ID] {
+		// An earlier submission may have run.
+		j.started = true
+		c.abort(now, j, CauseCancelled)
+		return
+	}
 	c.detectSuspension(now)
 	if now < c.resumeAt {
 		c.abort(now, j, CauseSuspended)
@@ -186,17 +196,6 @@
 	}
 }
 
-// Cancel aborts a job at a caller's request. It reports whether the job was in
-// progress here.
-func (c *Core) Cancel(now time.Duration, id string) bool {
-	j := c.jobs[id]
-	if j == nil {
-		return false
-	}
-	c.abort(now, j, CauseCancelled)
-	return true
-}
-
 // applyEvent applies an agent's report of an attempt. It returns the job whose state
 // may have changed, or nil.
 func (c *Core) applyEvent(now time.Duration, a *agent, e AttemptEvent) *job {
@@ -310,6 +309,7 @@
 	c.crashes.prune(now)
 	c.doubts.prune(now)
 	c.fencing.prune(now)
+	c.pruneCancelled(now)
 	if now-c.bulkheads.updatedAt >= statsInterval {
 		c.updateBulkheads(now)
 	}
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -135,13 +135,23 @@
 	return Answer{State: Unfinished, Cause: CauseCallerLeft}
 }
 
-// Cancel aborts a job and reports whether it was in progress here.
+// Cancel aborts a job, refuses later submissions of it and reports whether it was in
+// progress here.
 func (d *Dispatcher) Cancel(id string) bool {
 	found := false
 	d.apply(func(c *Core, now time.Duration) { found = c.Cancel(now, id) })
 	return found
 }
 
+// CancelForPeer is Cancel for a cancellation that another gateway passes on.
+func (d *Dispatcher) CancelForPeer(id, gateway string) bool {
+	found := d.Cancel(id)
+	if found {
+		events.JobCancelledByPeer.Log(d.log).Str("job", id).Str("gateway", gateway).Send()
+	}
+	return found
+}
+
 // AgentUp adds an agent's link.
 func (d *Dispatcher) AgentUp(info AgentInfo, l Link) {
 	d.apply(func(c *Core, now time.Duration) {
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -83,6 +83,17 @@
 	return connect.NewResponse(&pb.IntroduceReply{Gateways: s.gateways.Reachable()}), nil
 }
 
+// CancelJobs cancels jobs at this gateway on behalf of another one.
+func (s *Server) CancelJobs(_ context.Context, r *connect.Request[pb.CancelJobsRequest]) (*connect.Response[pb.CancelJobsReply], error) {
+	reply := &pb.CancelJobsReply{}
+	for _, job := range r.Msg.Jobs {
+		if s.dispatcher.CancelForPeer(job, r.Msg.Gateway) {
+			reply.Found = append(reply.Found, job)
+		}
+	}
+	return connect.NewResponse(reply), nil
+}
+
 type attachStream = connect.BidiStream[pb.RunReport, pb.RunOrder]
 
 // Attach serves one agent until either side closes the link.
