Cancel jobs in the soak, at any gateway

Three callers of each deployment submit a chain of twenty tasks of 0.4 s and cancel it after 0.2 to 1.2 s at any gateway. The soak requires that no task of such a job starts later than 3 s after the acknowledgement, unless its agent or one of the two gateways had a fault in the 4 s before.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -44,14 +44,15 @@
 // crashSpec is the spec of jobs whose tasks crash their targets.
 const crashSpec = "crash"
 
-// First stream numbers of a seed's random generators for bursts and for calls to
-// targets, and the stream numbers for targetFaults and storeFaults. Stream 0 belongs to the schedule; those of the callers start at 1.
+// First stream numbers of a seed's random generators for bursts, for calls to targets and
+// for callers that cancel their jobs, and the stream numbers for targetFaults and storeFaults. Stream 0 belongs to the schedule; those of the callers start at 1.
 const (
 	burstStream = 1 << 32
 	callsStream = 2 << 32
 
 	targetFaultsStream = 3 << 32
 	storeFaultsStream  = 4 << 32
+	cancelsStream      = 5 << 32
 )
 
 // callers submits jobs from concurrent clients that behave like the platform's
@@ -85,6 +86,7 @@
 			}
 		})
 	}
+	c.startCancellers()
 	return c
 }
 
--- a/integration/soak/checker_test.go
+++ b/integration/soak/checker_test.go
@@ -40,9 +40,10 @@
 type checker struct {
 	system *system
 
-	mu       sync.Mutex // owns the fields below
-	jobs     []*job
-	reported map[string]bool
+	mu        sync.Mutex // owns the fields below
+	jobs      []*job
+	cancelled []*cancelledJob
+	reported  map[string]bool
 }
 
 func newChecker(s *system) *checker { return &checker{system: s, reported: map[string]bool{}} }
@@ -175,6 +176,7 @@
 			counts[s.outcome()]++
 		}
 	}
+	c.checkCancelled(byJob)
 	c.system.t.Logf("%d jobs; submissions by outcome: %v", len(c.jobs), counts)
 }
 
--- a/integration/soak/system_test.go
+++ b/integration/soak/system_test.go
@@ -344,7 +344,7 @@
 	main := jobQueue
 	main.Timeout += timeoutChange
 	s.queues = append(s.queues, versionQueue(s.version))
-	s.store.PutQueues(s.version, append([]queues.Queue{main}, s.queues...))
+	s.store.PutQueues(s.version, append([]queues.Queue{main, chainQueue}, s.queues...))
 	s.published[s.version] = time.Now()
 }
 
