--- a/restartable/modeltest/link_test.go
+++ b/restartable/modeltest/link_test.go
@@ -380,7 +380,11 @@
 				Task: task.ID{StepID: o.Step, Index: t.Index}, Attempt: t.Number, Queue: o.Queue, Spec: o.Spec, Needs: o.Needs,
 				Expected: o.Expected.Truncate(ms), StartWithin: o.StartWithin.Truncate(ms), DueWithin: o.DueWithin.Truncate(ms), AtOnce: o.AtOnce,
 				Priority: o.Priority, MaxPerTarget: o.MaxPerTarget, Suspicion: permille(o.Suspicion),
+				Service: o.Service, RequiredLabel: o.RequiredLabel,
 			})
+			if a.w.mutation == omitLabels {
+				starts[len(starts)-1].RequiredLabel = ""
+			}
 		}
 	}
 	for _, st := range starts {
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -91,6 +91,13 @@
 		}
 		c.steps, c.runTime = append(c.steps, step), append(c.runTime, run)
 	}
+	if m.w.changingKinds {
+		for i := range c.steps {
+			if rapid.Bool().Draw(t, "labelled") {
+				c.steps[i].RequiredLabel = usualKind
+			}
+		}
+	}
 	if m.parallelSteps {
 		estimate := m.duration(t, 20*ms, 2*callerWait)
 		c.steps = append(c.steps, dispatch.Step{Tasks: 1, Needs: task.Resources{CPUMillis: 1000, MemoryMB: 100}, Estimate: estimate, DependsOn: []int{0}})
@@ -354,6 +361,27 @@
 	})
 }
 
+// Guards against tasks that start on a target without the label that their step requires,
+// since the target has come back as another kind.
+func TestModelWithChangingKinds(t *testing.T) {
+	rapidflags.Set(t, focusChecks, modelSteps, 1, "5s")
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t, noMutation)
+		m.w.changingKinds = true
+		t.Repeat(actions(m, nil, nil))
+	})
+}
+
+// Guards against a model that cannot detect that agents do not compare labels.
+func TestModelFindsThatLabelsAreNotCompared(t *testing.T) {
+	rapidflags.Set(t, mutationChecks, modelSteps, 1, "0s")
+	wantViolation(t, omitLabels, func(t *rapid.T) {
+		m := newMachine(t, omitLabels)
+		m.w.changingKinds = true
+		t.Repeat(actions(m, nil, nil))
+	})
+}
+
 // checkRecovery ends all faults and checks that a new job is completed in time.
 func (m *machine) checkRecovery(t *rapid.T) {
 	w := m.w
@@ -427,6 +455,7 @@
 	forgetLostAgents     mutation = "starts of a lost agent are in doubt"
 	relayNothing         mutation = "agents relay doubts"
 	noTokenFloor         mutation = "fencing token above those of earlier processes"
+	omitLabels           mutation = "agents compare labels"
 )
 
 func (m mutation) agentOptions(c *runner.CoreOptions) {
@@ -494,20 +523,26 @@
 	for _, p := range mutationTests {
 		t.Run(string(p.without), func(t *testing.T) {
 			rapidflags.Set(t, mutationChecks, modelSteps, p.seed, "0s")
-			r := &failureRecorder{T: t}
-			ended := make(chan struct{})
-			go func() {
-				defer close(ended)
-				rapid.Check(r, func(t *rapid.T) {
-					t.Repeat(actions(newMachine(t, p.without), p.focus, nil))
-				})
-			}()
-			<-ended
-			seed := seedInFailure.FindStringSubmatch(r.text)
-			if seed == nil {
-				t.Fatalf("no violation without: %s", p.without)
-			}
-			t.Logf("violation found, seed %s: %s", seed[1], violationInFailure.FindString(r.text))
+			wantViolation(t, p.without, func(t *rapid.T) {
+				t.Repeat(actions(newMachine(t, p.without), p.focus, nil))
+			})
 		})
 	}
 }
+
+// wantViolation requires that a search without a protection finds a violation.
+func wantViolation(t *testing.T, without mutation, schedule func(*rapid.T)) {
+	t.Helper()
+	r := &failureRecorder{T: t}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		rapid.Check(r, schedule)
+	}()
+	<-ended
+	seed := seedInFailure.FindStringSubmatch(r.text)
+	if seed == nil {
+		t.Fatalf("no violation without: %s", without)
+	}
+	t.Logf("violation found, seed %s: %s", seed[1], violationInFailure.FindString(r.text))
+}
--- a/restartable/modeltest/target_test.go
+++ b/restartable/modeltest/target_test.go
@@ -175,9 +175,20 @@
 	return all
 }
 
+// usualKind and otherKind are the kinds of a target and the labels of these kinds.
+const usualKind, otherKind = "k", "l"
+
+// label returns the label of the present incarnation.
+func (t *target) label() string {
+	if t.w.changingKinds && t.incarnation%2 == 0 {
+		return otherKind
+	}
+	return usualKind
+}
+
 func (t *target) heartbeat() runner.Target {
 	return runner.Target{
-		ID: t.id, Incarnation: t.born, Seq: t.seq, Service: service, Kind: "k", Labels: []string{"k"}, Capacity: t.capacity,
+		ID: t.id, Incarnation: t.born, Seq: t.seq, Service: service, Kind: t.label(), Labels: []string{t.label()}, Capacity: t.capacity,
 	}
 }
 
--- a/restartable/modeltest/world_test.go
+++ b/restartable/modeltest/world_test.go
@@ -28,6 +28,8 @@
 	requests []*request
 	// calm disables all random faults.
 	calm bool
+	// changingKinds is set if each second incarnation of a target is of another kind.
+	changingKinds bool
 	// cuts holds the end of the cut of each direction.
 	cuts map[cut]time.Duration
 
@@ -174,6 +176,12 @@
 	if q != nil {
 		q.started = true
 	}
+	// Nobody can keep a new incarnation from carrying out a start of before here either.
+	if q != nil && !r.inherited {
+		if label := q.client.steps[r.attempt.Task.Step].RequiredLabel; label != "" && label != r.target.label() {
+			w.fail("started on a target with label %s, but requires %s: %v", r.target.label(), label, r)
+		}
+	}
 	used := task.Resources{}
 	for _, other := range r.target.runs {
 		used = used.Plus(other.needs)
