Close the connections of calls between gateways that time out

Each call of a cancellation to it has a client of its own, and closing that client's idle connections leaves the one whose call has just timed out: it counts as busy until the call has ended within the client.

Change: connections between processes are closed after 2 s without a call.

--- a/daemon/platformpeers_test.go
+++ b/daemon/platformpeers_test.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -180,3 +183,36 @@
 		t.Fatalf("the next round calls %v without the newly discovered gateway", addresses)
 	}
 }
+
+// Guards against connections that stay open: a gateway that is suspended takes connections
+// and answers nothing, and each call to it has its own.
+func TestCallsOfCancellationsLeaveNoConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			accepted <- c
+		}
+	}()
+	p := &gatewayPeers{address: "g:1"}
+	peer := p.dialForCancel(l.Addr().String())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := peer.CancelJobs(ctx, []string{"j"}); err == nil {
+		t.Error("a call without an answer succeeded")
+	}
+	peer.Close()
+	c := <-accepted
+	defer func() { _ = c.Close() }()
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, c); err != nil {
+		t.Errorf("the connection is still open: %v", err)
+	}
+}
--- a/restartable/link/dial.go
+++ b/restartable/link/dial.go
@@ -16,7 +16,7 @@
 	d := net.Dialer{Timeout: dialTimeout, ControlContext: setTCPUserTimeout}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, Protocols: protocols, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, Protocols: protocols, DisableCompression: true, IdleConnTimeout: idleTimeout}}
 }
 
 func setTCPUserTimeout(_ context.Context, _, _ string, c syscall.RawConn) error {
--- a/restartable/link/wire.go
+++ b/restartable/link/wire.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// idleTimeout is the time after which a connection without a call is closed. The one of
+	// a call that has timed out is not idle yet when its client closes idle connections, and
+	// a suspended VM does not close it either.
+	idleTimeout = 2 * time.Second
 	// dialTimeout limits the time to establish a connection. It is short because
 	// a VM without power does not answer at all, and is to be reached soon after it
 	// is back.
