Ask the target for its incarnation before a start that requires a label

It needs a silent crash of less than 0.1 s, or a suspended agent.

Change: before a start with a required label the agent polls the target, unless a poll that was sent in the last 2 ms is answered. Without an answer, or with that of another incarnation, the start is not sent, and its task is placed elsewhere. Other starts are as before.

Evidence: TestLabelledTaskStartsOnlyOnATargetThatConfirmsItsIncarnation fails without the question for a silent and for a replaced target.

--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -21,13 +21,14 @@
 	sinks  map[string]*link
 
 	// The fields of runner.Runner.
-	clockReadAt    time.Duration
-	targetClock    int64
-	lastEndSeq     int64
-	mayAcknowledge bool
-	leaseSentAt    time.Duration
-	lastPollAnswer time.Duration
-	crashes        []runner.Crash
+	clockReadAt     time.Duration
+	targetClock     int64
+	lastEndSeq      int64
+	mayAcknowledge  bool
+	leaseSentAt     time.Duration
+	lastPollAnswer  time.Duration
+	lastPollRequest time.Duration
+	crashes         []runner.Crash
 
 	coreOpts   runner.CoreOptions
 	confirming bool
@@ -106,7 +107,7 @@
 	a.sinks, a.links = map[string]*link{}, map[*gateway]*link{}
 	a.started = map[runner.Attempt]bool{}
 	a.relay = map[*gateway]relayedList{}
-	a.clockReadAt, a.targetClock, a.lastEndSeq, a.leaseSentAt, a.lastPollAnswer, a.crashes = 0, 0, 0, 0, 0, nil
+	a.clockReadAt, a.targetClock, a.lastEndSeq, a.leaseSentAt, a.lastPollAnswer, a.lastPollRequest, a.crashes = 0, 0, 0, 0, 0, 0, nil
 	a.extraPolling, a.pollUnanswered, a.confirming, a.mayAcknowledge = false, false, false, false
 	a.w.trace("%s starts, token %d", a.name, a.token)
 	a.every(a.opts.TickInterval, func() { a.apply(func() { a.core.Tick(a.w.Now) }) })
@@ -272,8 +273,30 @@
 	}
 }
 
-// start mirrors Runner.start and sendStart, and platform.TargetClient.Start.
+// confirmedFor is that of the runner.
+const confirmedFor = 2 * ms
+
+// start mirrors Runner.start, confirmTarget and startUnconfirmed.
 func (a *agent) start(t runner.Target, st runner.Start) {
+	if st.RequiredLabel == "" || a.w.Now-a.lastPollRequest <= confirmedFor {
+		a.sendStart(t, st)
+		return
+	}
+	a.poll(t, 0, func(success bool) {
+		if success {
+			a.sendStart(t, st)
+			return
+		}
+		a.w.trace("%s does not send the start of %v/%d: unconfirmed", a.name, st.Task, st.Attempt)
+		a.apply(func() {
+			a.core.CallFailed(a.w.Now)
+			a.core.StartAnswered(a.w.Now, runner.Attempt{Task: st.Task, Number: st.Attempt}, runner.StartUndelivered)
+		})
+	})
+}
+
+// sendStart mirrors the rest of Runner.start, and platform.TargetClient.Start.
+func (a *agent) sendStart(t runner.Target, st runner.Start) {
 	sentAt := a.w.Now
 	at := runner.Attempt{Task: st.Task, Number: st.Attempt}
 	token := a.token
@@ -404,7 +427,7 @@
 			applied = a.core.ApplySnapshot(a.w.Now, a.snapshot(r, requestedAt))
 			if applied {
 				a.setTargetClock(t, r.clock)
-				a.lastPollAnswer, a.mayAcknowledge = a.w.Now, true
+				a.lastPollAnswer, a.lastPollRequest, a.mayAcknowledge = a.w.Now, requestedAt, true
 				a.lastEndSeq = max(a.lastEndSeq, r.lastEnd)
 			} else {
 				a.mayAcknowledge = false
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -55,14 +55,49 @@
 // effect, and false if it must not be sent any more. The deadline of a start is one of the
 // target's lease too. The caller holds r.mu.
 func (r *Runner) startDeadline(t Target, s Start) (int64, bool) {
-	if _, pending := r.core.Candidate(); pending || !r.isCurrent(t) {
+	if _, pending := r.core.Candidate(); pending || !r.isCurrent(t) || !r.core.target.mayRun(s) {
 		return 0, false
 	}
 	return r.grantLease(r.now(), s.ValidUntil)
 }
 
+// confirmedFor is the time after the request of a poll that the target has answered in
+// which it is taken to run on. The answer itself may have waited while this process was
+// suspended.
+const confirmedFor = 2 * time.Millisecond
+
+// confirmTarget asks the target for its incarnation before a start that requires a label,
+// unless it has just answered. A target may be back under its id as another kind before a
+// call without an answer or a heartbeat tells of it, and it takes a start that names its id.
+func (r *Runner) confirmTarget(ctx context.Context, t Target, s Start) error {
+	if s.RequiredLabel == "" {
+		return nil
+	}
+	r.mu.Lock()
+	confirmed := r.now()-r.lastPollRequest <= confirmedFor
+	r.mu.Unlock()
+	if confirmed {
+		return nil
+	}
+	return r.poll(ctx, t, 0)
+}
+
+// startUnconfirmed handles a start that was not sent, since the target has not confirmed
+// its incarnation.
+func (r *Runner) startUnconfirmed(s Start, err error) {
+	events.RunNotAccepted.Log(r.log).Stringer("task", s.Task).Int("attempt", s.Attempt).Int("result", int(StartUndelivered)).Err(err).Send()
+	r.apply(func(c *Core, now time.Duration) {
+		c.CallFailed(now)
+		c.StartAnswered(now, Attempt{s.Task, s.Attempt}, StartUndelivered)
+	})
+}
+
 // start sends a start, unless its decision no longer holds.
 func (r *Runner) start(ctx context.Context, t Target, s Start) {
+	if err := r.confirmTarget(ctx, t, s); err != nil {
+		r.startUnconfirmed(s, err)
+		return
+	}
 	sentAt := r.now()
 	result, clock, err := StartUndelivered, int64(0), errStartExpired
 	r.mu.Lock()
@@ -178,7 +213,7 @@
 		applied := c.ApplySnapshot(now, reply.snapshot(requestedAt))
 		if applied {
 			r.setTargetClock(t, reply.Clock)
-			r.lastPollAnswer, r.mayAcknowledge = now, true
+			r.lastPollAnswer, r.lastPollRequest, r.mayAcknowledge = now, requestedAt, true
 			r.lastEndSeq = max(r.lastEndSeq, reply.LastEndSeq)
 		} else {
 			err = errors.Errorf("the poll was answered by another incarnation of the target: %d", reply.Incarnation)
--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -17,7 +17,7 @@
 const targetClockAtSync = 5000
 
 // syncedRunner returns a runner with an idle target and a gateway, g, at time *now.
-func syncedRunner(f *fakeTarget, now *time.Duration) *Runner {
+func syncedRunner(f TargetClient, now *time.Duration) *Runner {
 	r := New(NewCore(DefaultCoreOptions()), f, 1, func() time.Duration { return *now }, zerolog.Nop(), nopObserver{}, DefaultOptions())
 	r.Heartbeat(smallTarget)
 	r.Attach("g", &lostRunSink{make(chan struct{})})
--- a/restartable/runner/runner.go
+++ b/restartable/runner/runner.go
@@ -66,6 +66,8 @@
 	leaseSentAt time.Duration
 	// lastPollAnswer is when the target last answered a poll.
 	lastPollAnswer time.Duration
+	// lastPollRequest is when that poll was sent.
+	lastPollRequest time.Duration
 	// crashes are the last crashes of the target, for gateways that attach later.
 	crashes []Crash
 	// confirming is set while confirmCandidate runs.
--- a/restartable/runner/unsuitable_test.go
+++ b/restartable/runner/unsuitable_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
@@ -98,3 +99,44 @@
 		t.Fatalf("stops %v, want %v", r.actions.Stops, want)
 	}
 }
+
+// Guards against the start of a task on a target that is back under its id as another kind
+// (ROUTE): no call without an answer and no heartbeat has told of that yet, and the target
+// takes a start that names its id.
+func TestLabelledTaskStartsOnlyOnATargetThatConfirmsItsIncarnation(t *testing.T) {
+	answers, silent := func(int) bool { return false }, func(int) bool { return true }
+	for _, c := range []struct {
+		name   string
+		target TargetClient
+		label  string
+		starts int
+	}{
+		{"present", &fakeTarget{startedAt: time.Now(), pollFails: answers}, "a", 1},
+		{"silent", &fakeTarget{startedAt: time.Now(), pollFails: silent}, "a", 0},
+		{"replaced", &restartedTarget{}, "a", 0},
+		{"silent, without a label", &fakeTarget{startedAt: time.Now(), pollFails: silent}, "", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := 10 * time.Second
+			r := syncedRunner(c.target, &now)
+			labelled := smallTarget
+			labelled.Seq, labelled.Labels = 1, []string{"a"}
+			r.Heartbeat(labelled)
+			r.mu.Lock()
+			r.core.Submit(now, "g", now, []Start{newLabelledStart("a", c.label)})
+			r.execute(r.core.Take())
+			r.mu.Unlock()
+			r.inFlight.Wait()
+			f, ok := c.target.(*fakeTarget)
+			if !ok {
+				f = &c.target.(*restartedTarget).fakeTarget
+			}
+			if n := len(f.startDeadlines); n != c.starts {
+				t.Errorf("%d starts were sent, want %d", n, c.starts)
+			}
+			if idle := r.core.Idle(); idle != (c.starts == 0) {
+				t.Errorf("the agent is idle: %v, want %v: a start that was not sent is returned", idle, c.starts == 0)
+			}
+		})
+	}
+}
