Name the connection of cancellations, and limit what is remembered of them

Cancellations may name jobs that do not exist, so that callers could fill a gateway's memory: at most 500,000 of a minute are remembered, some 75 MB by reading. cancel.Peer is called cancel.Conn, since a peer is a gateway there.

--- a/daemon/platformpeers.go
+++ b/daemon/platformpeers.go
@@ -304,8 +304,8 @@
 	return nil
 }
 
-// cancelPeer is a connection to a gateway that cancellations are passed on to.
-type cancelPeer struct {
+// cancelConn is a connection to a gateway that cancellations are passed on to.
+type cancelConn struct {
 	restartv1connect.DispatchServiceClient
 	http *http.Client
 	self string
@@ -313,13 +313,13 @@
 
 // dialForCancel returns a connection of its own, which is closed once nothing is left to
 // cancel: one that is kept may be dead.
-func (p *gatewayPeers) dialForCancel(address string) cancel.Peer {
+func (p *gatewayPeers) dialForCancel(address string) cancel.Conn {
 	c := link.NewHTTPClient()
-	return &cancelPeer{restartv1connect.NewDispatchServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c, p.address}
+	return &cancelConn{restartv1connect.NewDispatchServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c, p.address}
 }
 
-// CancelJobs implements cancel.Peer.
-func (p *cancelPeer) CancelJobs(ctx context.Context, jobs []string) ([]string, error) {
+// CancelJobs implements cancel.Conn.
+func (p *cancelConn) CancelJobs(ctx context.Context, jobs []string) ([]string, error) {
 	r, err := p.DispatchServiceClient.CancelJobs(ctx, connect.NewRequest(&pb.CancelJobsRequest{Jobs: jobs, Gateway: p.self}))
 	switch {
 	case err == nil:
@@ -332,5 +332,5 @@
 	}
 }
 
-// Close implements cancel.Peer.
-func (p *cancelPeer) Close() { p.http.CloseIdleConnections() }
+// Close implements cancel.Conn.
+func (p *cancelConn) Close() { p.http.CloseIdleConnections() }
--- a/restartable/cancel/cancel.go
+++ b/restartable/cancel/cancel.go
@@ -15,8 +15,8 @@
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 )
 
-// Peer is a connection to another gateway.
-type Peer interface {
+// Conn is a connection to another gateway.
+type Conn interface {
 	// CancelJobs cancels jobs there. It returns those that were in progress.
 	CancelJobs(ctx context.Context, jobs []string) (found []string, err error)
 	Close()
@@ -55,7 +55,7 @@
 	local func(job string) bool
 	// addresses returns the addresses of the other gateways, dial connects to one.
 	addresses func() []string
-	dial      func(address string) Peer
+	dial      func(address string) Conn
 	now       boottime.Clock
 	log       zerolog.Logger
 	opts      Options
@@ -101,7 +101,7 @@
 }
 
 // New returns a canceller. Stop ends it.
-func New(local func(job string) bool, addresses func() []string, dial func(address string) Peer, now boottime.Clock, log zerolog.Logger, opts Options) *Canceller {
+func New(local func(job string) bool, addresses func() []string, dial func(address string) Conn, now boottime.Clock, log zerolog.Logger, opts Options) *Canceller {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Canceller{local: local, addresses: addresses, dial: dial, now: now, log: log, opts: opts, peers: map[string]*peer{}, ctx: ctx, stop: stop}
 }
@@ -195,7 +195,7 @@
 
 // run sends a peer what is pending until nothing is.
 func (c *Canceller) run(p *peer) {
-	var conn Peer
+	var conn Conn
 	hangUp := func() {
 		if conn != nil {
 			conn.Close()
--- a/restartable/cancel/cancel_test.go
+++ b/restartable/cancel/cancel_test.go
@@ -55,14 +55,14 @@
 	return slices.Clone(f.asked[address])
 }
 
-type fakePeer struct {
+type fakeConn struct {
 	f       *fakeGateways
 	address string
 }
 
-func (p fakePeer) Close() {}
+func (p fakeConn) Close() {}
 
-func (p fakePeer) CancelJobs(ctx context.Context, jobs []string) ([]string, error) {
+func (p fakeConn) CancelJobs(ctx context.Context, jobs []string) ([]string, error) {
 	if p.f.held != nil {
 		<-p.f.held
 	}
@@ -92,7 +92,7 @@
 }
 
 func newCanceller(t *testing.T, f *fakeGateways, local func(string) bool, opts Options) *Canceller {
-	c := New(local, f.addresses, func(a string) Peer { return fakePeer{f, a} }, boottime.Now, zerolog.Nop(), opts)
+	c := New(local, f.addresses, func(a string) Conn { return fakeConn{f, a} }, boottime.Now, zerolog.Nop(), opts)
 	t.Cleanup(c.Stop)
 	return c
 }
--- a/restartable/dispatch/cancel.go
+++ b/restartable/dispatch/cancel.go
@@ -9,10 +9,16 @@
 // before the cancellation may arrive after it. It is longer than callers try a job again.
 const cancelMemory = time.Minute
 
+// maxCancelled limits the memory for cancellations, which may name jobs that do not exist.
+// It is far above those of a minute in a wave.
+const maxCancelled = 500_000
+
 // Cancel aborts a job at a caller's request and refuses later submissions of it. It reports
 // whether the job was in progress here.
 func (c *Core) Cancel(now time.Duration, id string) bool {
-	c.cancelled[id] = now + cancelMemory
+	if len(c.cancelled) < maxCancelled {
+		c.cancelled[id] = now + cancelMemory
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return false
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -87,6 +87,7 @@
 func (r *Runner) startUnconfirmed(s Start, err error) {
 	events.RunNotAccepted.Log(r.log).Stringer("task", s.Task).Int("attempt", s.Attempt).Int("result", int(StartUndelivered)).Err(err).Send()
 	r.apply(func(c *Core, now time.Duration) {
+		// Nothing starts until the target has listed its runs again.
 		c.CallFailed(now)
 		c.StartAnswered(now, Attempt{s.Task, s.Attempt}, StartUndelivered)
 	})
