--- a/restartable/runner/queue.go
+++ b/restartable/runner/queue.go
@@ -41,8 +41,8 @@
 		case !accepting:
 			c.finish(now, r, task.NotStarted, reason)
 		case !c.target.mayRun(r.Start):
-			// Only the first choice of the gateway has regarded this, and another incarnation
-			// may have replaced the target since, or its labels may have changed.
+			// The gateway compared them with the target that it knew of. Another incarnation
+			// may have replaced that one, or its labels may have changed.
 			c.finish(now, r, task.NotStarted, task.ReasonUnsuitable)
 		case now > r.queueUntil:
 			c.finish(now, r, task.NotStarted, task.ReasonExpired)
