Wait for a job as long as its caller does, not until the queue's timeout

Callers of long jobs were answered 504 with every task at work: the gateway ended each job at the smaller of the wait that the caller states and the timeout of its queue (1.5 s), although the latency objective of a job that takes seven times the usual time lies beyond that.

Change: the deadline is the caller's. The timeout is the deadline of callers that state none, and the time within which the first task must have started; a job that has not started by then is revoked and refused with a time to retry. A target that is avoided is probed only by tasks that could still run elsewhere within the timeout, as before.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -301,8 +301,8 @@
 // are expected to connect.
 func (c *Core) inStartupGrace(now time.Duration) bool { return now-c.startedAt < c.opts.StartupGrace }
 
-// Tick aborts jobs whose deadline is at most AnswerMargin away, recalls overdue
-// runs and places waiting tasks.
+// Tick aborts jobs whose deadline is at most AnswerMargin away, refuses those of which
+// no task has started in time, recalls overdue runs and places waiting tasks.
 func (c *Core) Tick(now time.Duration) {
 	c.detectSuspension(now)
 	c.lastTickAt = now
@@ -318,6 +318,10 @@
 			c.abort(now, j, CauseDeadline)
 			continue
 		}
+		if j.revokeCause == CauseNone && !j.started && now >= j.startBy-c.opts.AnswerMargin {
+			c.revoke(now, j, CauseOverload)
+			continue
+		}
 		if j.revokeCause == CauseNone {
 			c.recallOverdue(now, j)
 		}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -36,7 +37,7 @@
 	Queue queues.Queue
 	Spec  string
 	Steps []Step
-	// Wait is how long the caller waits for the answer.
+	// Wait is how long the caller waits for the answer, 0 if it does not say.
 	Wait time.Duration
 	// Durable is set if the job must survive a restart of this process.
 	Durable bool
@@ -211,9 +212,10 @@
 	Submission
 	arrived time.Duration
 	// objective and deadline are the times until which the job should be and must be
-	// answered.
+	// answered. startBy is the time until which its first task must have started.
 	objective time.Duration
 	deadline  time.Duration
+	startBy   time.Duration
 	tasks     [][]*taskRecord // by step and index
 	remaining []int           // by step: the number of tasks that are not done
 	// expected holds, by step, the predicted run time of a task on a target of
@@ -246,7 +248,8 @@
 }
 
 func newJob(now time.Duration, s Submission, predict func(time.Duration) time.Duration) *job {
-	j := &job{Submission: s, arrived: now, deadline: now + min(s.Wait, s.Queue.Timeout), agents: map[*agent]int{}}
+	wait := cmp.Or(s.Wait, s.Queue.Timeout)
+	j := &job{Submission: s, arrived: now, deadline: now + wait, startBy: now + min(wait, s.Queue.Timeout), agents: map[*agent]int{}}
 	for step, st := range s.Steps {
 		records := make([]*taskRecord, st.Tasks)
 		for i := range records {
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -120,11 +120,12 @@
 }
 
 // canAffordProbe reports whether a task that hangs on the candidate could still
-// be recalled and run on another target before the job's deadline.
+// be recalled and run on another target by the end of the queue's timeout: a probe is
+// for short tasks, also where callers wait for long ones.
 func (p *plan) canAffordProbe(cand *candidate) bool {
 	usual := time.Duration(float64(cand.run) / max(cand.agent.load.Anomaly, 1))
 	hung := time.Duration(overdueFactor*float64(usual)) + overdueSlack + recallLatency
-	return p.now+hung+2*usual < p.job.deadline
+	return p.now+hung+2*usual < p.job.startBy
 }
 
 // countPlaced returns the number of tasks of a step that are placed on an agent.
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -91,6 +91,9 @@
 		if onTimeProbability(ch.finish, j.deadline-now) < minDeadlineProbability {
 			return CauseOverload, ch
 		}
+		if !j.started && now+ch.wait > j.startBy {
+			return CauseOverload, ch
+		}
 		if !j.started && ch.wait > 0 && onTimeProbability(ch.finish, j.objective-now) < minObjectiveProbability {
 			return CauseOverload, ch
 		}
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -361,6 +361,18 @@
 	})
 }
 
+// Guards against the faults of TestModel under callers that wait longer than the queue's
+// timeout, so that jobs and doubts live longer than any lease.
+func TestModelWithLongWaits(t *testing.T) {
+	rapidflags.Set(t, focusChecks, modelSteps, 1, "5s")
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t, noMutation)
+		m.w.callerWait = 4 * callerWait
+		t.Repeat(actions(m, nil, nil))
+		m.checkRecovery(t)
+	})
+}
+
 // Guards against tasks that start on a target without the label that their step requires,
 // since the target has come back as another kind.
 func TestModelWithChangingKinds(t *testing.T) {
--- a/restartable/queues/queues.go
+++ b/restartable/queues/queues.go
@@ -22,7 +22,8 @@
 	// MaxAttempts is the number of failed runs after which a task, and with it its
 	// job, has failed.
 	MaxAttempts int
-	// Timeout is the longest time from a job's arrival to its answer.
+	// Timeout is the longest time from a job's arrival to the start of its first task, and
+	// to its answer if the caller does not say how long it waits.
 	Timeout time.Duration
 	// StretchFactor and TargetLatency set the latency objective of a job:
 	// StretchFactor times the expected run time of its critical path, plus
