Recall a run only if its target is at fault, not if its job takes long

Cause: the run was compared with its own prediction only. The error of an estimate is common to the tasks of a job, so the other tasks of its step, on other targets, tell a long job from a hanging target.

Change: a run is overdue 2.5 times the smallest ratio of run time to prediction that comparable tasks of its step have on other targets. Without such tasks, a target on which later runs have ended in time gets three times as long. A target that has become slow is left if the task misses its objective there and is done in less than half of the time elsewhere: the deadline, by which this was decided, now lies far beyond the objective.

--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -89,6 +89,9 @@
 	reservedFor string
 	// doneSinceAvoided counts the successful runs since the target became avoided.
 	doneSinceAvoided int
+	// newestOnTime is the start of the newest run here that has ended about as soon as
+	// predicted: the target has worked at its usual speed since then.
+	newestOnTime time.Duration
 	// kindContribution is the target's contribution to the current statistics of its
 	// kind.
 	kindContribution slownessStats
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -212,7 +212,7 @@
 			j.started = true
 		}
 		t.started = e.Reason != task.ReasonRepeated
-		t.overdueAt = overdueTime(now, t.expected)
+		t.startAt = now
 		return j
 	}
 	delete(a.placed, e.Task)
@@ -237,6 +237,7 @@
 	case task.Done:
 		t.state = done
 		a.doneSinceAvoided++
+		c.recordRun(t, a, e.RunTime)
 		j.remaining[e.Task.Step]--
 		st := &j.Steps[e.Task.Step]
 		c.observeRun(j.Queue.Name, st.Estimate, e.RunTime, a, now, 1/float64(st.Tasks))
@@ -302,7 +303,7 @@
 func (c *Core) inStartupGrace(now time.Duration) bool { return now-c.startedAt < c.opts.StartupGrace }
 
 // Tick aborts jobs whose deadline is at most AnswerMargin away, refuses those of which
-// no task has started in time, recalls overdue runs and places waiting tasks.
+// no task has started in time, recalls stragglers and places waiting tasks.
 func (c *Core) Tick(now time.Duration) {
 	c.detectSuspension(now)
 	c.lastTickAt = now
@@ -323,7 +324,7 @@
 			continue
 		}
 		if j.revokeCause == CauseNone {
-			c.recallOverdue(now, j)
+			c.recallStragglers(now, j)
 		}
 		c.advance(now, j)
 	}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -200,8 +200,13 @@
 	// started is set once the agent has reported that the latest attempt has started, by a
 	// start that was sent once.
 	started bool
-	// overdueAt is the time from which the run is considered to hang.
-	overdueAt time.Duration
+	// startAt is when the latest attempt has started, or the predicted time until the
+	// agent has reported the start.
+	startAt time.Duration
+	// doneOn is the agent on which the task is done, and doneRatio the ratio of its run
+	// time there to the predicted one.
+	doneOn    string
+	doneRatio float64
 	// failedOn is the agent of the last failed, lost or recalled attempt. The next attempt
 	// avoids it.
 	failedOn string
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -124,7 +124,7 @@
 // for short tasks, also where callers wait for long ones.
 func (p *plan) canAffordProbe(cand *candidate) bool {
 	usual := time.Duration(float64(cand.run) / max(cand.agent.load.Anomaly, 1))
-	hung := time.Duration(overdueFactor*float64(usual)) + overdueSlack + recallLatency
+	hung := overdueAge(usual, 1) + recallLatency
 	return p.now+hung+2*usual < p.job.startBy
 }
 
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -192,7 +192,7 @@
 	a, t := ch.agent, ch.task
 	t.attempt++
 	t.state, t.agent, t.sentAt, t.expected, t.started = placed, a, now, ch.run, false
-	t.overdueAt = overdueTime(now+ch.wait, ch.run)
+	t.startAt = now + ch.wait
 	j.attempts++
 	j.inFlight++
 	j.agents[a]++
@@ -206,16 +206,3 @@
 // maxBusyRefusals is how often a task may be refused by targets that other gateways
 // have filled. After that it waits in the queue of the next target.
 const maxBusyRefusals = 2
-
-const (
-	// A run is overdue overdueFactor times its predicted run time plus overdueSlack
-	// after its start. Estimates are off by about 40%.
-	overdueFactor = 2.5
-	overdueSlack  = 50 * time.Millisecond
-)
-
-// overdueTime returns the time from which a run that starts at the given time is
-// overdue. Until the start is reported it is the predicted one.
-func overdueTime(start, expected time.Duration) time.Duration {
-	return start + time.Duration(overdueFactor*float64(expected)) + overdueSlack
-}
