Keep a recalled task at its target while its start may be carried out

A task that was overdue was recalled although its target had not answered the start. The agent stopped it and reported it as lost, and the gateway placed it elsewhere. The next process of the target knows of no stop: if the target crashed within the time in which calls are carried out late, it ran the task beside the run elsewhere, unless that one was stopped in time.

The gateway now remembers for 13 s where a start got no answer until it was stopped, and places the task at that target only. While the target takes no tasks the task waits, and its job is answered 502 once it cannot end in time.

Tests of restartable/dispatch and restartable/modeltest pass with the race detector.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -79,6 +79,7 @@
 	crashes    crashLog
 	bulkheads  bulkheads
 	doubts     doubts
+	lateStarts lateStarts
 	fencing    fencingRecords
 	// cancelled holds until when a submission of a job is refused since the job was
 	// cancelled; prunedCancelledAt is when outdated entries were last removed.
@@ -95,7 +96,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: doubts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: doubts{}, lateStarts: lateStarts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
 }
 
 // Take returns the actions that were decided since the last call.
@@ -199,6 +200,9 @@
 // applyEvent applies an agent's report of an attempt. It returns the job whose state
 // may have changed, or nil.
 func (c *Core) applyEvent(now time.Duration, a *agent, e AttemptEvent) *job {
+	if a.Process != 0 {
+		c.lateStarts.note(now, a.Name, e)
+	}
 	t := a.placed[e.Task]
 	if t == nil || t.attempt != e.Attempt {
 		if e.Outcome == task.Started {
@@ -308,6 +312,7 @@
 	c.lastTickAt = now
 	c.crashes.prune(now)
 	c.doubts.prune(now)
+	c.lateStarts.prune(now)
 	c.fencing.prune(now)
 	c.pruneCancelled(now)
 	if now-c.bulkheads.updatedAt >= statsInterval {
--- a/restartable/dispatch/indoubt.go
+++ b/restartable/dispatch/indoubt.go
@@ -223,13 +223,17 @@
 	j.started, j.held = true, true
 }
 
-// placeableTasks returns the waiting tasks of a step whose start is not in doubt.
+// placeableTasks returns the waiting tasks of a step whose start is not in doubt, and that
+// are not bound to a target that takes no tasks.
 func (c *Core) placeableTasks(now time.Duration, j *job, step int) []*taskRecord {
 	tasks := j.waitingTasks(step)
-	if len(tasks) == 0 || !c.jobInDoubt(now, j.ID) {
+	if len(tasks) == 0 {
 		return tasks
 	}
-	return slices.DeleteFunc(tasks, func(t *taskRecord) bool { return c.taskInDoubt(now, t.id) })
+	doubtful := c.jobInDoubt(now, j.ID)
+	return slices.DeleteFunc(tasks, func(t *taskRecord) bool {
+		return doubtful && c.taskInDoubt(now, t.id) || c.isBlocked(now, t.id)
+	})
 }
 
 // giveUpDoubtful answers a job that cannot be completed in time any more because of a
@@ -256,17 +260,29 @@
 	if c.isHeld(now, j) {
 		return max(j.criticalPath(), 1)
 	}
-	if !c.jobInDoubt(now, j.ID) {
+	doubtful := c.jobInDoubt(now, j.ID)
+	if !doubtful && len(c.lateStarts) == 0 {
 		return 0
 	}
 	var longest time.Duration
 	for step, tasks := range j.tasks {
 		for _, t := range tasks {
-			blocked := t.state == waiting && j.ready(step) && c.taskInDoubt(now, t.id) || t.agent != nil && c.startInDoubt(now, t)
-			if blocked {
+			if c.isTaskBlocked(now, j, t, doubtful) {
 				longest = max(longest, j.expected[step], 1)
 			}
 		}
 	}
 	return longest
 }
+
+// isTaskBlocked reports whether a task of a job must not start, or its start is in doubt.
+// doubtful is set if any task of the job is in doubt.
+func (c *Core) isTaskBlocked(now time.Duration, j *job, t *taskRecord, doubtful bool) bool {
+	switch {
+	case t.state == waiting && j.ready(t.id.Step):
+		return doubtful && c.taskInDoubt(now, t.id) || c.isBlocked(now, t.id)
+	case t.agent != nil:
+		return doubtful && c.startInDoubt(now, t)
+	}
+	return false
+}
--- a/restartable/dispatch/placement.go
+++ b/restartable/dispatch/placement.go
@@ -112,6 +112,9 @@
 // admits reports whether a task may be placed on a candidate: an avoided target gets
 // one probe at a time, and a step may limit its tasks on one target.
 func (p *plan) admits(cand *candidate, t *taskRecord) bool {
+	if p.core.lateStarts.excludes(p.now, t.id, cand.agent.Name) {
+		return false
+	}
 	if cand.agent.avoided && (cand.tasks > 0 || len(cand.agent.placed) > 0 || !p.canAffordProbe(cand)) {
 		return false
 	}
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -87,6 +87,28 @@
 	return c, crashed.agent
 }
 
+// firstStartIsLate makes the first start be carried out late, and gives later ones to the
+// same target another fate. It returns the place of that target.
+func (sc *scenario) firstStartIsLate(lateBy time.Duration, later callFate) **target {
+	var first *target
+	for _, a := range sc.w.agents {
+		a.target.lateBy = lateBy
+		a.target.fate = func(call string) callFate {
+			switch {
+			case !strings.Contains(call, "start"):
+				return delivered
+			case first == nil:
+				first = a.target
+				return lateCall
+			case first == a.target:
+				return later
+			}
+			return delivered
+		}
+	}
+	return &first
+}
+
 // loseCalls loses all calls of one kind to a target.
 func (tg *target) loseCalls(kind string) {
 	tg.fate = func(call string) callFate {
@@ -291,6 +313,23 @@
 		a.target.postponeLateCalls = 2 * s
 		sc.w.advance(6 * s)
 	}},
+	// The task was overdue before the target had answered the start. It was recalled and
+	// started elsewhere, and the next process of the target carried the first start out while
+	// the stops of the run elsewhere got lost.
+	{"recalled start without an answer", moveRecalled, func(sc *scenario) {
+		first := sc.firstStartIsLate(480*ms, lostCall)
+		c := sc.newClient()
+		c.addStep(1, 50*ms, 4*s)
+		c.submit(sc.w.gateways[0], false)
+		sc.w.advance(200 * ms)
+		for _, a := range sc.w.agents {
+			a.target.loseCalls("stop")
+		}
+		(*first).fate = nil
+		sc.w.advance(270 * ms)
+		(*first).crash(20*ms, (*first).id, false)
+		sc.w.advance(300 * ms)
+	}},
 	// The answer to the start was lost, and the ends of the incarnation that had run the
 	// task were forgotten, so that the task was reported as not started.
 	{"unanswered start and a new incarnation", noMutation, func(sc *scenario) {
--- a/restartable/modeltest/link_test.go
+++ b/restartable/modeltest/link_test.go
@@ -168,6 +168,9 @@
 
 // report mirrors link.agentLink.Report.
 func (l *link) report(r runner.Report) {
+	if l.w.mutation == moveRecalled && r.Reason == task.ReasonUnanswered {
+		r.Reason = ""
+	}
 	l.pendingEvents = append(l.pendingEvents, dispatch.AttemptEvent{
 		Task: r.Task, Attempt: r.Attempt, Outcome: r.Outcome, Reason: r.Reason, RunTime: r.RunTime.Truncate(ms),
 	})
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -455,6 +455,7 @@
 	forgetLostAgents     mutation = "starts of a lost agent are in doubt"
 	relayNothing         mutation = "agents relay doubts"
 	noTokenFloor         mutation = "fencing token above those of earlier processes"
+	moveRecalled         mutation = "recalled starts without an answer go to the same target"
 	omitLabels           mutation = "agents compare labels"
 )
 
