--- a/integration/harness/build.go
+++ b/integration/harness/build.go
@@ -28,7 +28,17 @@
 // Main builds the daemons with the race detector into a temporary directory,
 // runs the tests and removes the directory. It returns the exit code.
 func Main(m *testing.M, daemons ...string) int {
-	dir, err := build(daemons)
+	return runWith(m, daemons, "-race")
+}
+
+// MainWithoutRace does the same as Main without the race detector, for tests of the
+// memory that a daemon uses: the race detector multiplies it.
+func MainWithoutRace(m *testing.M, daemons ...string) int {
+	return runWith(m, daemons)
+}
+
+func runWith(m *testing.M, daemons []string, flags ...string) int {
+	dir, err := build(daemons, flags)
 	if dir != "" {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
@@ -40,12 +50,12 @@
 	return m.Run()
 }
 
-func build(daemons []string) (string, error) {
+func build(daemons, flags []string) (string, error) {
 	dir, err := os.MkdirTemp("", "rhubarbsail-integration-")
 	if err != nil {
 		return "", errors.Wrap(err, "create temporary directory")
 	}
-	args := []string{"build", "-race", "-buildvcs=false", "-o", dir + string(filepath.Separator)}
+	args := append([]string{"build", "-buildvcs=false", "-o", dir + string(filepath.Separator)}, flags...)
 	for _, d := range daemons {
 		args = append(args, "github.com/rhubarbsail/rhubarbsail/cmd/"+d)
 	}
