Limits of unfinished requests on all listeners

Cause: the crowd tests: unfinished requests of legal size take hundreds of megabytes and any number of descriptors; in the project's own gateway, bodies that were only announced keep ordinary callers out.

Change: common/httplimit applies common/requestlimit to an http.Server. It counts a connection with 20 KiB, header lines as they are read (net/http puts them into maps before a handler runs; 160 B a line), what may be left of a second request in the buffer, and twice the bytes of a body until the end of its request. Bodies that are discarded after a 413 and messages of streams are not counted. Requests on an HTTP/2 connection count for themselves, and only their body ends. A body has 30 s on the platform, the read timeout elsewhere. daemon/servers.go, httpapi/server.go, the internal server of the gateway and the servers of the agent use it. On the platform the bytes are a quarter of limits.memory_mb and the connections max_fds less 200 and a quarter; the garbage collector gets 60% of the memory as its soft limit. Without these settings 1 GiB and 10,000 connections a listener apply. The project's own programs have http.held_bytes, http.connections and clients.*. At most one log line in 10 s (1102), a counter by listener and limit, a gauge.

The own gateway reserves body_total_bytes for bytes that have arrived, not for announced ones. A body that does not arrive in time is answered with 408. The own gateway's internal server and the own agent limit headers to 16 KiB, where net/http's default was 1 MiB.

Tests changed: those of daemon and httpapi pass the options of a listener. drain.Options.MaxConnections stays but no product code uses it: it would make ordinary clients wait behind unfinished ones.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -29,6 +29,8 @@
 	pingTimeout  = 5 * time.Second
 	// headerTimeout bounds the reading of a request's headers.
 	headerTimeout = 5 * time.Second
+	// maxHeaderBytes is the largest header of a request.
+	maxHeaderBytes = 16 << 10
 	// closeTimeout bounds each of the last steps on stop: sending the last frames,
 	// announcing that the agent leaves, and releasing the lease.
 	closeTimeout = 2 * time.Second
@@ -180,6 +182,9 @@
 		a.opts.Advertise = link.Addr().String()
 	}
 	linkServer, targetServer := a.linkServer(), a.targetServer()
+	if limit := a.deps.LimitRequests; limit != nil {
+		link, target = limit("link", linkServer, link), limit("announce", targetServer, target)
+	}
 	// The background loops continue until running tasks have ended and their
 	// outcomes were delivered.
 	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
@@ -237,6 +242,7 @@
 	s := &http.Server{
 		Handler:           streamend.Handler(mux),
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         new(http.Protocols),
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
--- a/agent/options.go
+++ b/agent/options.go
@@ -121,6 +121,9 @@
 	// LinkListener and TargetListener are used instead of listening on the
 	// addresses in Options. The agent closes them.
 	LinkListener, TargetListener net.Listener
+	// LimitRequests limits what unfinished requests to a server hold. It returns the
+	// listener that the server has to serve. If it is nil, there is no limit.
+	LimitRequests func(name string, s *http.Server, l net.Listener) net.Listener
 }
 
 const (
--- a/agent/targetapi.go
+++ b/agent/targetapi.go
@@ -177,7 +177,7 @@
 		return c.JSON(http.StatusOK, LeaveReply{Running: a.leaveTarget()})
 	})
 	e.GET("/live", func(c echo.Context) error { return c.NoContent(http.StatusNoContent) })
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout}
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 func (a *Agent) postAnnounce(c echo.Context) error {
--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -31,6 +31,8 @@
 
 // Events of the HTTP APIs (1100 to 1299).
 var (
+	ConnectionsClosed = define(1102, "connections_closed", warnLevel, "connections were closed, since unfinished requests hold too much memory or too many descriptors",
+		"See \"A crowd of unfinished requests\" in docs/OPERATIONS.md.")
 	RequestFault = define(1101, "request_fault", errorLevel, "a request handler failed",
 		"Report the stack as a bug; the caller got internal_error.")
 	ConfigAccepted        = define(1201, "config_accepted", infoLevel, "a configuration change was accepted", noAction)
--- a/common/largebody/largebody.go
+++ b/common/largebody/largebody.go
@@ -32,6 +32,9 @@
 	if err := errors.Join(duplexErr, control.Flush(), control.SetReadDeadline(time.Now().Add(discardTimeout))); err != nil {
 		return errors.Wrap(err, "answer before the end of the body")
 	}
+	if b, ok := c.Request().Body.(interface{ Discard() }); ok {
+		b.Discard()
+	}
 	// Ignore errors, since the client may stop sending at any time.
 	_, _ = io.CopyN(io.Discard, c.Request().Body, maxDiscardBytes)
 	return nil
--- a/common/settings/agent.go
+++ b/common/settings/agent.go
@@ -16,10 +16,17 @@
 	Timing            Timing    `json:"timing" doc:"Times of the at-most-once rules; the same in the whole cell."`
 	Ledger            Ledger    `json:"ledger" doc:"Bounds of the start ledger."`
 	Target            Target    `json:"target" doc:"The target beside the agent."`
+	Clients           Clients   `json:"clients" doc:"Bounds of the connections to the agent."`
 	Shutdown          Shutdown  `json:"shutdown" doc:"Times of the graceful shutdown."`
 	Telemetry         Telemetry `json:"telemetry" doc:"Logs and traces."`
 }
 
+// Clients holds the limits of connections to an agent.
+type Clients struct {
+	Connections int64 `json:"connections" strict:"min=8,max=1000000" doc:"Most connections to each address; beyond it those with unfinished requests are closed."`
+	HeldBytes   int64 `json:"held_bytes" strict:"min=4194304,max=17179869184" doc:"Bound of the memory that connections and their requests hold, by estimate; beyond it those with unfinished requests are closed."`
+}
+
 // Lease holds the settings for renewing the worker's lease.
 type Lease struct {
 	TTL   Milliseconds `json:"ttl_ms" strict:"min=500,max=600000" doc:"Time that a renewal lasts; no task is started without a valid lease."`
@@ -45,6 +52,7 @@
 		Timing:    defaultTiming(),
 		Ledger:    Ledger{EntriesMax: 120_000, BytesMax: 64 << 20, ResultBytes: defaultResultBytes},
 		Target:    Target{HeartbeatTimeout: 3000, QueueTasks: 128},
+		Clients:   Clients{Connections: 10_000, HeldBytes: 256 << 20},
 		Shutdown:  Shutdown{Notice: 0, Timeout: 125_000},
 		Telemetry: defaultTelemetry(),
 	}
--- a/common/settings/gateway.go
+++ b/common/settings/gateway.go
@@ -53,7 +53,8 @@
 	ReadTimeout   Milliseconds `json:"read_timeout_ms" strict:"min=100,max=600000" doc:"Time in which header and body must arrive."`
 	WriteTimeout  Milliseconds `json:"write_timeout_ms" strict:"min=100,max=900000" doc:"Time from the header to the end of the answer."`
 	IdleTimeout   Milliseconds `json:"idle_timeout_ms" strict:"min=100,max=900000" doc:"Time after which an idle connection is closed."`
-	Connections   int64        `json:"connections" strict:"min=1,max=1000000" doc:"Most connections to each API."`
+	Connections   int64        `json:"connections" strict:"min=1,max=1000000" doc:"Most connections to each API; beyond it those with unfinished requests are closed."`
+	HeldBytes     int64        `json:"held_bytes" strict:"min=0,max=17179869184" doc:"Bound of the memory that connections and their requests hold, by estimate; beyond it those with unfinished requests are closed. 0: one and a half times limits.body_total_bytes, and at least four times limits.body_bytes."`
 }
 
 // Log holds the settings for using the platform's log.
@@ -90,6 +91,16 @@
 	}
 }
 
+// HeldBytes returns the bound of the memory that connections and their requests hold.
+// By default, unfinished bodies are closed before they take the room that
+// limits.body_total_bytes leaves to complete ones: a body holds twice its size.
+func (g *Gateway) HeldBytes() int64 {
+	if g.HTTP.HeldBytes > 0 {
+		return g.HTTP.HeldBytes
+	}
+	return max(g.Limits.BodyTotalBytes*3/2, g.Limits.BodyBytes*bodyCost)
+}
+
 // Advertised returns the address at which gateways and agents reach this gateway.
 func (g *Gateway) Advertised() string {
 	if g.AdvertisedAddress != "" {
@@ -114,12 +125,19 @@
 	g.checkTimes(c)
 }
 
+// bodyCost is the least ratio of the memory of all requests to the largest body: a body
+// holds twice its size until its request ends.
+const bodyCost = 4
+
 func (g *Gateway) checkLimits(c *checker) {
 	l := g.Limits
 	c.requireAtMost(keyValue{"limits.payload_bytes", l.PayloadBytes}, keyValue{"limits.body_bytes", l.BodyBytes},
 		"a body has to hold a payload of the largest size")
 	c.requireAtMost(keyValue{"limits.body_bytes", l.BodyBytes}, keyValue{"limits.body_total_bytes", l.BodyTotalBytes},
 		"one body has to fit into the bound of all")
+	if h := g.HTTP.HeldBytes; h != 0 && h < l.BodyBytes*bodyCost && !c.invalidKeys["limits.body_bytes"] {
+		c.addf("http.held_bytes", "%d must be at least %d times limits.body_bytes (%d): the largest request has to fit beside others", h, bodyCost, l.BodyBytes)
+	}
 	c.requireAtMost(keyValue{"limits.job_timeout_min_ms", int64(l.TimeoutMin)}, keyValue{"limits.job_timeout_default_ms", int64(l.TimeoutDefault)},
 		"the default has to be within the bounds")
 	c.requireAtMost(keyValue{"limits.job_timeout_default_ms", int64(l.TimeoutDefault)}, keyValue{"limits.job_timeout_max_ms", int64(l.TimeoutMax)},
--- a/common/settings/settings_test.go
+++ b/common/settings/settings_test.go
@@ -46,6 +46,8 @@
 		{"probe slower than validity", `,"probing":{"probe_interval_ms":2000}`, "probing.probe_interval_ms: 2000 must be less than timing.validity_ms (2000)"},
 		{"shutdown cuts requests", `,"shutdown":{"timeout_ms":1000}`, "shutdown.timeout_ms: 1000 conflicts with limits.job_timeout_max_ms"},
 		{"answer after the write timeout", `,"http":{"write_timeout_ms":139000}`, "http.write_timeout_ms: 139000 must be above the sum of http.read_timeout_ms (20000) and limits.job_timeout_max_ms (120000)"},
+		{"memory for less than a few bodies", `,"http":{"held_bytes":8388608}`, "http.held_bytes: 8388608 must be at least 4 times limits.body_bytes (8388608)"},
+		{"negative memory", `,"http":{"held_bytes":-1}`, "http.held_bytes: -1 is out of bounds; want 0 to 17179869184"},
 		{"host name", `,"advertised_address":"gateway-1:7002"`, "is not an address of the form"},
 		{"unreachable address", `,"advertised_address":"0.0.0.0:7002"`, "is not an address that others can reach"},
 		{"own address as peer", `,"peers":["127.0.0.1:7002"]`, "peers[0]: 127.0.0.1:7002 is this process's own address"},
--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -8,6 +8,10 @@
 		"Time from the request's header to the end of its answer.", "api", "route")
 	HTTPInProgress = define(KindGauge, "http_requests_in_progress", "requests",
 		"Requests being handled.", "api")
+	ConnectionsClosed = define(KindCounter, "connections_closed_total", "connections",
+		"Connections and requests ended, since unfinished requests held too much, by listener and limit (bytes, connections).", "listener", "limit")
+	RequestBytesHeld = define(KindGauge, "request_bytes_held", "bytes",
+		"Estimate of the memory that open connections and their requests hold.")
 	BuildInfo = define(KindGauge, "build_info", "1",
 		"Always 1; the labels give the version of the program and of Go.", "version", "go")
 	Ready = define(KindGauge, "ready", "0 or 1", "1 while the process takes new requests.")
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarbsail/rhubarbsail/agent"
 	"github.com/rhubarbsail/rhubarbsail/agent/ledger"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/httplimit"
 	"github.com/rhubarbsail/rhubarbsail/common/settings"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
@@ -30,6 +31,7 @@
 		events.ListenFailed.Log(t.Log).Err(err).Send()
 		return err
 	}
+	budget := newBudget(s.Clients.HeldBytes, t.Log, t.Metrics)
 	a, err := agent.New(agentOptions(s), agent.Dependencies{
 		Lease:          logservice.NewHTTP(s.PlatformLeaseURL, &http.Client{}),
 		Log:            t.Log,
@@ -37,6 +39,9 @@
 		Metrics:        newAgentMetrics(t.Metrics.Scope),
 		LinkListener:   l.link,
 		TargetListener: l.target,
+		LimitRequests: func(name string, server *http.Server, listener net.Listener) net.Listener {
+			return httplimit.Apply(server, listener, httplimit.Options{Group: budget.NewGroup(name, int(s.Clients.Connections)), BodyTimeout: bodyTimeout})
+		},
 	})
 	if err != nil {
 		return err
@@ -44,7 +49,9 @@
 	var stopping atomic.Bool
 	cancelNotify := context.AfterFunc(ctx, func() { stopping.Store(true) })
 	defer cancelNotify()
-	health := httpapi.NewServer(healthHandler(t.Metrics.Handler, &stopping), httpapi.DefaultServerLimits())
+	limits := httpapi.DefaultServerLimits()
+	limits.Connections = int(s.Clients.Connections)
+	health := httpapi.NewServer("operators", healthHandler(t.Metrics.Handler, &stopping), limits, budget)
 	served := make(chan error, 1)
 	go func() { served <- health.Serve(l.operators) }()
 	events.ProcessStarted.Log(t.Log).Str("id", s.ID).Str("link", s.LinkAddress).Send()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -61,8 +61,9 @@
 	}
 	return g.Serve(ctx, l, gateway.ServeOptions{
 		Limits: httpapi.LimitsFromSettings(*s),
-		Server: httpapi.ServerLimitsFromSettings(s.HTTP),
+		Server: httpapi.ServerLimitsFromSettings(*s),
 		Notice: s.Shutdown.Notice.Duration(),
+		Budget: newBudget(s.HeldBytes(), t.Log, t.Metrics),
 		API:    httpapi.Options{Scope: t.Metrics.Scope, Tracer: t.Tracer, Log: t.Log, Metrics: t.Metrics.Handler},
 	})
 }
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/requestlimit"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/platform"
@@ -32,6 +33,7 @@
 	links    *link.Client
 	registry *platform.GatewayRegistry
 	records  *platform.TargetRecords
+	budget   *requestlimit.Budget
 }
 
 // NewPlatformAgent returns an agent configured by the platform's settings.
@@ -44,6 +46,7 @@
 		node: n, log: log, metrics: telemetry.NewMetrics("agent", n.Name, log), gateways: link.NewGateways(boottime.Now, n.Seeds...),
 		registry: platform.NewGatewayRegistry(store), records: platform.NewTargetRecords(store, n.Name),
 	}
+	a.budget = newNodeBudget(n, log, a.metrics)
 	a.runner = runner.New(runner.NewCore(runner.DefaultCoreOptions()), platform.NewTargetClient(n.TargetAddr, log), token,
 		boottime.Now, log, newAttemptObserver(a.metrics.Scope), runner.DefaultOptions())
 	a.links = link.NewClient(n.Name, n.Zone, a.runner, a.gateways, log)
@@ -55,9 +58,10 @@
 // Run serves until ctx is done and the runs on the target have ended or the
 // shutdown time is over.
 func (a *PlatformAgent) Run(ctx context.Context, env Env) error {
-	set := &serverSet{env: env}
-	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner, a.log), false)
-	set.add(a.node.MetricsAddr, a.metrics.Handler, false)
+	set := &serverSet{env: env, budget: a.budget}
+	limits := limitsFor(a.node.Descriptors)
+	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner, a.log), listenerOptions{"heartbeats", limits.internal, false})
+	set.add(a.node.MetricsAddr, a.metrics.Handler, listenerOptions{"metrics", limits.checks, false})
 	if set.err != nil {
 		events.ListenFailed.Log(a.log).Err(set.err).Send()
 		return set.err
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/requestlimit"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/restartable/cancel"
@@ -45,6 +46,7 @@
 	peers      *gatewayPeers
 	canceller  *cancel.Canceller
 	syncer     *configsync.Syncer
+	budget     *requestlimit.Budget
 	stopping   atomic.Bool
 }
 
@@ -56,6 +58,7 @@
 		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log), config: &queues.CurrentConfig{},
 		drains: &zones.Current{}, gateways: link.NewGateways(boottime.Now, append([]string{address}, n.Seeds...)...),
 	}
+	g.budget = newNodeBudget(n, log, g.metrics)
 	// The gateways that agents are told about always include this one.
 	g.gateways.MarkLinked(address)
 	opts := dispatch.DefaultOptions(n.Zone)
@@ -108,11 +111,12 @@
 }
 
 func (g *PlatformGateway) listen(env Env) (*serverSet, error) {
-	set := &serverSet{env: env}
-	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), true)
-	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), false)
-	set.add(g.node.LinkAddr, g.links.Handler(), false)
-	set.add(g.node.MetricsAddr, g.metrics.Handler, false)
+	set := &serverSet{env: env, budget: g.budget}
+	limits := limitsFor(g.node.Descriptors)
+	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), listenerOptions{"callers", limits.callers, true})
+	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), listenerOptions{"readiness", limits.checks, false})
+	set.add(g.node.LinkAddr, g.links.Handler(), listenerOptions{"link", limits.internal, false})
+	set.add(g.node.MetricsAddr, g.metrics.Handler, listenerOptions{"metrics", limits.checks, false})
 	return set, set.err
 }
 
--- a/daemon/platformmain.go
+++ b/daemon/platformmain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -53,6 +54,9 @@
 		return exitFailed
 	}
 	args.Apply(node)
+	if node.MemoryBytes > 0 {
+		debug.SetMemoryLimit(node.MemoryBytes / 100 * memoryLimitPercent)
+	}
 	out, closeLog := events.NewBoundedWriter(os.Stdout)
 	defer func() { _ = closeLog() }()
 	log, err := events.NewLogger(out, "info", process, node.Name)
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -12,6 +12,8 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/drain"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/httplimit"
+	"github.com/rhubarbsail/rhubarbsail/common/requestlimit"
 	"github.com/rhubarbsail/rhubarbsail/common/wait"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 )
@@ -20,10 +22,22 @@
 // add; later calls of add then do nothing.
 type serverSet struct {
 	env     Env
+	budget  *requestlimit.Budget
 	servers []*boundServer
 	err     error
 }
 
+// listenerOptions describe a listener of a process.
+type listenerOptions struct {
+	// name is the name of the listener in metrics and log lines.
+	name string
+	// maxConnections is the largest number of open connections.
+	maxConnections int
+	// callers is true for the callers' API, which speaks only HTTP/1.1 and shuts down
+	// gracefully.
+	callers bool
+}
+
 type boundServer struct {
 	listener net.Listener
 	http     *http.Server
@@ -37,6 +51,13 @@
 const (
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
+	// bodyTimeout limits the time for reading a body: the largest one of a submission,
+	// 256 KiB, takes that long at 70 kbit/s.
+	bodyTimeout = 30 * time.Second
+	// streamsPerConnection limits the requests of an HTTP/2 connection in progress, whose
+	// headers are not counted before they are complete. A gateway or an agent has less
+	// than ten.
+	streamsPerConnection = 100
 )
 
 // callerKeepAlive detects callers whose connection broke without a FIN or RST.
@@ -48,7 +69,7 @@
 	Enable: true, Idle: time.Second, Interval: time.Second, Count: int(idleTimeout / time.Second),
 }
 
-func (s *serverSet) add(address string, h http.Handler, callers bool) {
+func (s *serverSet) add(address string, h http.Handler, o listenerOptions) {
 	if s.err != nil {
 		return
 	}
@@ -59,16 +80,19 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	// Callers use HTTP/1.1 only.
-	protocols.SetUnencryptedHTTP2(!callers)
+	protocols.SetUnencryptedHTTP2(!o.callers)
 	b := &boundServer{listener: l, http: &http.Server{
 		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: httpapi.DefaultServerLimits().HeaderBytes,
+		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: streamsPerConnection},
 	}}
-	if callers {
+	if o.callers {
 		b.callers = drain.NewListener(l, drain.Options{KeepAlive: callerKeepAlive, HeaderTimeout: headerTimeout})
 		b.listener, b.http.ConnState = b.callers, drain.TrackIdle
 	}
+	b.listener = httplimit.Apply(b.http, b.listener, httplimit.Options{
+		Group: s.budget.NewGroup(o.name, o.maxConnections), BodyTimeout: bodyTimeout,
+	})
 	s.servers = append(s.servers, b)
 }
 
--- a/daemon/servers_test.go
+++ b/daemon/servers_test.go
@@ -12,6 +12,9 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
+
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
+	"github.com/rhubarbsail/rhubarbsail/common/requestlimit"
 )
 
 // callerRetryDelay is the time after which a caller resubmits a job whose
@@ -22,12 +25,19 @@
 // its first probe.
 const detectTimeout = 10 * time.Second
 
+// testCallers are the options of a callers' listener.
+var testCallers = listenerOptions{name: "callers", maxConnections: 100, callers: true}
+
+func newTestBudget() *requestlimit.Budget {
+	return requestlimit.New(requestlimit.Options{Bytes: defaultBudgetBytes, Now: boottime.Now})
+}
+
 // Guards against a job that continues after its caller's connection broke unnoticed:
 // the caller resubmits the job to another gateway, and its tasks would run twice at
 // the same time.
 func TestDisconnectedCallerIsDetectedBeforeItRetries(t *testing.T) {
 	listener := &recordingListener{conns: make(chan *net.TCPConn, 1)}
-	set := &serverSet{env: Env{Listen: listener.listen}}
+	set := &serverSet{budget: newTestBudget(), env: Env{Listen: listener.listen}}
 	started, ended := make(chan struct{}), make(chan struct{})
 	set.add("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		// The server detects a closed connection only after the body has been read.
@@ -35,7 +45,7 @@
 		close(started)
 		<-r.Context().Done()
 		close(ended)
-	}), true)
+	}), testCallers)
 	if set.err != nil {
 		t.Fatal(set.err)
 	}
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -15,8 +15,8 @@
 // closes idle connections, although it has read them or could still read them.
 func TestStopAnswersRequestsThatArriveAsItClosesConnections(t *testing.T) {
 	draintest.TestStop(t, func(t *testing.T, l net.Listener) (*http.Server, func(), func() error) {
-		set := &serverSet{env: Env{Listen: func(string, string) (net.Listener, error) { return l, nil }}}
-		set.add("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), true)
+		set := &serverSet{budget: newTestBudget(), env: Env{Listen: func(string, string) (net.Listener, error) { return l, nil }}}
+		set.add("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), testCallers)
 		if set.err != nil {
 			t.Fatal(set.err)
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,7 +9,10 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/httplimit"
+	"github.com/rhubarbsail/rhubarbsail/common/requestlimit"
 	"github.com/rhubarbsail/rhubarbsail/httpapi"
 )
 
@@ -26,6 +29,8 @@
 	// Notice is the time for which the callers' listener stays open after the gateway
 	// has become not ready, so that the load balancer stops sending requests first.
 	Notice time.Duration
+	// Budget limits what the connections of all servers hold; nil for limits of their own.
+	Budget *requestlimit.Budget
 }
 
 // internalShutdownGrace is the time for the internal server to finish requests of
@@ -43,18 +48,24 @@
 	if err != nil {
 		return err
 	}
-	callers := httpapi.NewServer(httpapi.NewCallersHandler(g, o.Limits, o.API), o.Server)
-	operators := httpapi.NewServer(httpapi.NewOperatorsHandler(g, o.API), o.Server)
+	if o.Budget == nil {
+		o.Budget = requestlimit.New(requestlimit.Options{Bytes: o.Server.HeldBytes, Now: boottime.Now})
+	}
+	callers := httpapi.NewServer("callers", httpapi.NewCallersHandler(g, o.Limits, o.API), o.Server, o.Budget)
+	operators := httpapi.NewServer("operators", httpapi.NewOperatorsHandler(g, o.API), o.Server, o.Budget)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	internalServer := &http.Server{
 		Handler: internal, Protocols: protocols,
-		ReadHeaderTimeout: o.Server.HeaderTimeout, IdleTimeout: internalIdleTimeout,
+		ReadHeaderTimeout: o.Server.HeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: o.Server.HeaderBytes,
 	}
+	internalListener := httplimit.Apply(internalServer, l.Internal, httplimit.Options{
+		Group: o.Budget.NewGroup("internal", o.Server.Connections), BodyTimeout: o.Server.ReadTimeout,
+	})
 	var running errgroup.Group
 	running.Go(func() error { return callers.Serve(l.Callers) })
 	running.Go(func() error { return operators.Serve(l.Operators) })
-	running.Go(func() error { return ignoreClosed(internalServer.Serve(l.Internal)) })
+	running.Go(func() error { return ignoreClosed(internalServer.Serve(internalListener)) })
 	g.Start()
 	g.goRun(func(ctx context.Context) { httpapi.Watch(ctx, g, g.deps.Logger) })
 	events.ProcessStarted.Log(g.deps.Logger).Str("id", g.opts.ID).Str("callers", l.Callers.Addr().String()).
--- a/httpapi/reader.go
+++ b/httpapi/reader.go
@@ -52,32 +52,51 @@
 	if r.ContentLength > b.maxBytes {
 		return nil, nil, b.tooLarge()
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = b.maxBytes
-	}
-	if b.reservedBytes.Add(reserved) > b.maxTotalBytes {
-		b.reservedBytes.Add(-reserved)
-		return nil, nil, &bodyError{http.StatusTooManyRequests, model.ReasonOverload,
-			"the gateway holds as many request bodies as it may"}
-	}
 	// http.MaxBytesReader makes only net/http's own writer close the connection.
 	w := serverWriter(c.Response().Writer)
-	data, err := readAll(http.MaxBytesReader(w, r.Body, b.maxBytes), r.ContentLength)
+	body := &reservingReader{Reader: http.MaxBytesReader(w, r.Body, b.maxBytes), bodies: b}
+	data, err := readAll(body, r.ContentLength)
 	if err != nil {
-		b.reservedBytes.Add(-reserved)
+		body.release()
 		return nil, nil, b.bodyErrorFrom(err)
 	}
-	b.reservedBytes.Add(int64(len(data)) - reserved)
 	// The server's read timeout is meant for the body only. It must not expire while
 	// the job waits, since that would cancel the request's context.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return data, func() { b.reservedBytes.Add(-int64(len(data))) }, nil
+	return data, body.release, nil
+}
+
+// errBodiesHeld is the error of reading a body beyond the total size of all.
+var errBodiesHeld = errors.New("the gateway holds as many request bodies as it may")
+
+// reservingReader adds the bytes that it reads to the total size: a client reserves
+// nothing for what it has only announced.
+type reservingReader struct {
+	io.Reader
+	bodies *bodyReader
+	bytes  int64
 }
 
+// Read implements io.Reader.
+func (r *reservingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.bytes += int64(n)
+	if r.bodies.reservedBytes.Add(int64(n)) > r.bodies.maxTotalBytes {
+		// io.ReadFull would ignore an error beside the last byte.
+		return 0, errBodiesHeld
+	}
+	return n, err
+}
+
+func (r *reservingReader) release() { r.bodies.reservedBytes.Add(-r.bytes) }
+
+// preallocatedBytes is the largest body for which memory is allocated before it has
+// arrived.
+const preallocatedBytes = 64 << 10
+
 // readAll reads length bytes, or everything if length is negative.
 func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
+	if length < 0 || length > preallocatedBytes {
 		return io.ReadAll(r)
 	}
 	data := make([]byte, length)
@@ -97,6 +116,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return b.tooLarge()
+	case errors.Is(err, errBodiesHeld):
+		return &bodyError{http.StatusTooManyRequests, model.ReasonOverload, errBodiesHeld.Error()}
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &netErr) && netErr.Timeout():
 		return &bodyError{http.StatusRequestTimeout, model.ReasonInvalid,
 			"the request body did not arrive within the read timeout"}
--- a/httpapi/server.go
+++ b/httpapi/server.go
@@ -9,7 +9,10 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/drain"
+	"github.com/rhubarbsail/rhubarbsail/common/httplimit"
+	"github.com/rhubarbsail/rhubarbsail/common/requestlimit"
 )
 
 // ServerLimits are limits on the connections of one listener.
@@ -22,9 +25,13 @@
 	// WriteTimeout bounds the time from the end of the request header to the end of
 	// the response. It must be longer than the longest job timeout.
 	WriteTimeout time.Duration
-	// Connections is the largest number of open connections. Further ones wait in
-	// the kernel's accept queue.
+	// Connections is the largest number of open connections. Beyond it those are closed
+	// that have held most without a complete request; while all serve complete requests,
+	// further ones wait in the kernel's accept queue.
 	Connections int
+	// HeldBytes is the largest memory that connections and their requests may hold,
+	// counted over all servers with the same budget.
+	HeldBytes int64
 }
 
 // DefaultServerLimits returns limits for job timeouts of up to 120 s.
@@ -36,6 +43,7 @@
 		IdleTimeout:   90 * time.Second,
 		WriteTimeout:  150 * time.Second,
 		Connections:   10_000,
+		HeldBytes:     384 << 20,
 	}
 }
 
@@ -44,13 +52,19 @@
 type Server struct {
 	http     *http.Server
 	limits   ServerLimits
+	group    *requestlimit.Group
 	listener atomic.Pointer[drain.Listener] // set by Serve
 	stopping atomic.Bool
 }
 
-// NewServer returns a server for the handler.
-func NewServer(handler http.Handler, limits ServerLimits) *Server {
-	s := &Server{limits: limits}
+// NewServer returns a server for the handler. Its connections count towards the budget;
+// if it is nil, towards one of their own. name is that of the listener in what the budget
+// reports.
+func NewServer(name string, handler http.Handler, limits ServerLimits, budget *requestlimit.Budget) *Server {
+	if budget == nil {
+		budget = requestlimit.New(requestlimit.Options{Bytes: limits.HeldBytes, Now: boottime.Now})
+	}
+	s := &Server{limits: limits, group: budget.NewGroup(name, limits.Connections)}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	s.http = &http.Server{
@@ -116,11 +130,10 @@
 
 // Serve accepts connections until Stop. It returns nil after Stop.
 func (s *Server) Serve(l net.Listener) error {
-	d := drain.NewListener(l, drain.Options{
-		HeaderTimeout: s.limits.HeaderTimeout, MaxConnections: s.limits.Connections,
-	})
+	d := drain.NewListener(l, drain.Options{HeaderTimeout: s.limits.HeaderTimeout})
 	s.listener.Store(d)
-	err := s.http.Serve(d)
+	// ReadTimeout limits the time of a body.
+	err := s.http.Serve(httplimit.Apply(s.http, d, httplimit.Options{Group: s.group}))
 	// Stop closes the listener before it shuts the server down.
 	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
--- a/httpapi/server_test.go
+++ b/httpapi/server_test.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(newTestCallersHandler(jobs, DefaultLimits()), limits)
+	s := NewServer("callers", newTestCallersHandler(jobs, DefaultLimits()), limits, nil)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
@@ -98,7 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(newTestCallersHandler(&fakeJobs{}, limits), DefaultServerLimits())
+	s := NewServer("callers", newTestCallersHandler(&fakeJobs{}, limits), DefaultServerLimits(), nil)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	defer func() {
--- a/httpapi/settings.go
+++ b/httpapi/settings.go
@@ -18,7 +18,8 @@
 }
 
 // ServerLimitsFromSettings returns the connection limits of a gateway's settings.
-func ServerLimitsFromSettings(h settings.HTTP) ServerLimits {
+func ServerLimitsFromSettings(g settings.Gateway) ServerLimits {
+	h := g.HTTP
 	return ServerLimits{
 		HeaderBytes:   int(h.HeaderBytes),
 		HeaderTimeout: h.HeaderTimeout.Duration(),
@@ -26,5 +27,6 @@
 		IdleTimeout:   h.IdleTimeout.Duration(),
 		WriteTimeout:  h.WriteTimeout.Duration(),
 		Connections:   int(h.Connections),
+		HeldBytes:     g.HeldBytes(),
 	}
 }
--- a/httpapi/settings_test.go
+++ b/httpapi/settings_test.go
@@ -14,7 +14,7 @@
 	if got := LimitsFromSettings(g); got != DefaultLimits() {
 		t.Errorf("limits are %+v, want %+v", got, DefaultLimits())
 	}
-	if got := ServerLimitsFromSettings(g.HTTP); got != DefaultServerLimits() {
+	if got := ServerLimitsFromSettings(g); got != DefaultServerLimits() {
 		t.Errorf("server limits are %+v, want %+v", got, DefaultServerLimits())
 	}
 }
--- a/httpapi/stop_test.go
+++ b/httpapi/stop_test.go
@@ -16,7 +16,7 @@
 // closes idle connections, although it has read them or could still read them.
 func TestStopAnswersRequestsThatArriveAsItClosesConnections(t *testing.T) {
 	draintest.TestStop(t, func(t *testing.T, l net.Listener) (*http.Server, func(), func() error) {
-		s := NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), DefaultServerLimits())
+		s := NewServer("callers", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), DefaultServerLimits(), nil)
 		serve := func() {
 			done := make(chan error, 1)
 			go func() { done <- s.Serve(l) }()
--- a/integration/crowd/main_test.go
+++ b/integration/crowd/main_test.go
@@ -44,8 +44,11 @@
 
 // machine and machineWithFewFD are the VMs that the settings describe.
 var (
-	machine          = resources{memoryMB: memoryMB, descriptors: descriptors}
-	machineWithFewFD = resources{memoryMB: memoryMB, descriptors: fewDescriptors}
+	machine = resources{memoryMB: memoryMB, descriptors: descriptors}
+	// machineOfOwnAgent has the descriptors of its three listeners and as many for files
+	// and connections to others.
+	machineOfOwnAgent = resources{memoryMB: memoryMB, descriptors: 6 * ownConnections}
+	machineWithFewFD  = resources{memoryMB: memoryMB, descriptors: fewDescriptors}
 )
 
 // resources are those of a VM.
--- a/integration/crowd/own_test.go
+++ b/integration/crowd/own_test.go
@@ -15,6 +15,8 @@
 	ownBodyBytes      = 1 << 20
 	ownBodyTotalBytes = 8 << 20
 	ownConnections    = 100
+	// ownAgentBytes is what connections to the project's own agent may hold.
+	ownAgentBytes = 8 << 20
 	// ownClients is the number of clients of each crowd.
 	ownClients = 200
 	// taskTime is the run time of the task of an ordinary caller.
@@ -68,3 +70,43 @@
 		})
 	}
 }
+
+// Guards against the same at the listeners of the project's own agent.
+func TestOwnAgent(t *testing.T) {
+	const announcePath, linkPath = "/v1/announce", "/rhubarbsail.v1.AgentService/Link"
+	kinds := []struct {
+		name    string
+		address func(*settings.Agent) string
+		request request
+	}{
+		{"announce, short header lines", func(s *settings.Agent) string { return s.AnnounceAddress }, shortHeaderLines(announcePath)},
+		{"announce, few bytes of a body", func(s *settings.Agent) string { return s.AnnounceAddress }, chunkedBody(announcePath, smallChunkBytes, smallChunkBytes)},
+		{"link, connections", func(s *settings.Agent) string { return s.LinkAddress }, shortHeaderLines(linkPath)},
+		{"operators, odd header lines", func(s *settings.Agent) string { return s.OperatorsAddress }, oddHeaderLines("/metrics")},
+	}
+	for _, k := range kinds {
+		t.Run(k.name, func(t *testing.T) {
+			var agent settings.Agent
+			c := harness.Start(t, harness.Options{Gateways: 1, Targets: 1, AdjustAgent: func(s *settings.Agent) {
+				s.Clients = settings.Clients{Connections: ownConnections, HeldBytes: ownAgentBytes}
+				agent = *s
+			}})
+			checkAll := func(when string) {
+				t.Helper()
+				if r := c.Submit(0, harness.NewJob(1, taskTime)); !r.Complete() {
+					t.Errorf("%s: %v", when, r)
+				}
+				if !answers(t, "http://"+agent.OperatorsAddress+"/ready") {
+					t.Errorf("%s: the agent is not ready", when)
+				}
+			}
+			checkAll("before the crowd")
+			w := startWatch(t, c.Agents[0], machineOfOwnAgent)
+			crowd := startCrowd(t, k.address(&agent), headerClients, k.request)
+			checkAll("while the crowd is there")
+			crowd.leave()
+			checkAll("after the crowd")
+			w.check()
+		})
+	}
+}
