Remember a start without an answer beyond its agent's process

An attempt whose start got no answer may end as stopped, failed or lost, and its task goes elsewhere. The agent brings the start into doubt as soon as its target goes out of contact, but its next process does not know of it. The gateway of the job could, if it lived, but forgot it with the end of the attempt.

The agent lists such tasks for its gateways, under its own name among those that it relays, when the list changes. A gateway brings them into doubt once the link is gone or the target of the agent's next process is out of contact, for which "fenced" now ends with the contact. Starts of a job that is given up before the agent has told of them are remembered in the same way.

The mutations of two older cases now take the second memory out too, which would cover what they take out.

--- a/restartable/dispatch/abort.go
+++ b/restartable/dispatch/abort.go
@@ -37,7 +37,7 @@
 // abort answers a job that will not be completed and stops its remaining tasks.
 func (c *Core) abort(now time.Duration, j *job, cause Cause) {
 	state := NotRun
-	if stopped := c.stopAll(j); stopped || j.started || j.unanswered {
+	if stopped := c.stopAll(now, j); stopped || j.started || j.unanswered {
 		state = Unfinished
 	}
 	c.finish(now, j, Answer{State: state, Cause: cause, RetryAfter: c.opts.RetryAfter, Open: j.openTasks(now)})
@@ -45,7 +45,7 @@
 
 // stopAll withdraws the orders of a job that have not been sent and tells all agents to
 // stop their tasks of the job. It reports whether any agent had one.
-func (c *Core) stopAll(j *job) bool {
+func (c *Core) stopAll(now time.Duration, j *job) bool {
 	c.withdrawOrders(j)
 	stopped := false
 	for a := range j.agents {
@@ -53,9 +53,13 @@
 			continue
 		}
 		stopped = true
-		for id := range a.placed {
-			if id.Job == j.ID {
-				delete(a.placed, id)
+		for id, t := range a.placed {
+			if id.Job != j.ID {
+				continue
+			}
+			delete(a.placed, id)
+			if !t.started && a.Process != 0 {
+				c.lateStarts.add(now, id, lateStart{agent: a.Name, attempt: t.attempt})
 			}
 		}
 		if c.byLink[a.Link] == a {
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -81,9 +81,11 @@
 	lastPlacedAt time.Duration
 	// avoided is set while the target looks broken or slow and gets only probes.
 	avoided bool
-	// inDoubt are the tasks that the agent says are in doubt, relayed those that it relays
+	// inDoubt are the tasks that the agent says are in doubt, late those with a start that
+	// its target may carry out late, relayed those that it relays
 	// from other gateways, by the agent that has started them.
 	inDoubt []task.ID
+	late    []task.ID
 	relayed map[string]taskDoubts
 	// reservedFor is the queue that is confined to this target and some others, if any.
 	reservedFor string
--- a/restartable/dispatch/crashes.go
+++ b/restartable/dispatch/crashes.go
@@ -189,7 +189,7 @@
 	jc := c.crashes.jobs[j.ID]
 	switch {
 	case jc.exhausted() && jc.crashing && jc.maxCertain() >= maxCrashes:
-		c.stopAll(j)
+		c.stopAll(now, j)
 		c.finish(now, j, Answer{State: Failed, Cause: CauseCrashes})
 	case jc.exhausted():
 		c.abort(now, j, CauseCrashes)
--- a/restartable/dispatch/indoubt.go
+++ b/restartable/dispatch/indoubt.go
@@ -63,13 +63,18 @@
 
 // add records tasks with a start in doubt on an agent.
 func (d doubts) add(now time.Duration, agent string, tasks ...task.ID) {
+	d.addUntil(now+doubtRetention, agent, tasks...)
+}
+
+// addUntil records tasks with a start in doubt on an agent until a time.
+func (d doubts) addUntil(until time.Duration, agent string, tasks ...task.ID) {
 	if len(tasks) == 0 {
 		return
 	}
 	if d[agent] == nil {
 		d[agent] = taskDoubts{}
 	}
-	d[agent].add(now+doubtRetention, tasks...)
+	d[agent].add(until, tasks...)
 }
 
 // list returns the tasks in doubt on the agents that are or were linked to this gateway,
@@ -107,6 +112,8 @@
 func (c *Core) reportDoubts(now time.Duration, a *agent, l *Load) {
 	if l.Fenced {
 		delete(c.doubts, a.Name)
+	} else {
+		c.doubtLateStarts(now, a.Name)
 	}
 	if l.DoubtsChanged {
 		a.inDoubt = l.TasksInDoubt
@@ -117,13 +124,16 @@
 	}
 }
 
-// TasksRelayed records all tasks that an agent relays as in doubt from other gateways.
+// TasksRelayed records all tasks that an agent relays as in doubt from other gateways, and
+// its own late tasks, which come into doubt if it is not heard from.
 func (c *Core) TasksRelayed(now time.Duration, link string, tasks []TaskInDoubt) {
 	a := c.byLink[link]
 	if a == nil {
 		return
 	}
 	a.relayed = map[string]taskDoubts{}
+	a.late = lateTasksOf(a.Name, tasks)
+	c.lateStarts.told(now, a.Name, a.late)
 	for _, t := range tasks {
 		if a.relayed[t.Agent] == nil {
 			a.relayed[t.Agent] = taskDoubts{}
--- a/restartable/dispatch/latestarts.go
+++ b/restartable/dispatch/latestarts.go
@@ -2,41 +2,85 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
-// lateStarts holds the tasks whose attempt has ended with a start that got no answer. The
-// next process of the target may still carry it out, so that the task goes to no other
-// target meanwhile: while it ran there, nobody could stop it in time.
+// lateStarts holds the tasks with a start that a target may carry out late, although the
+// attempt has ended or its job was given up: one that got no answer, or one of which the
+// agent has not told. The agent reports when the next process of its target may carry it
+// out, but the agent's own next process does not know of it.
 type lateStarts map[task.ID][]lateStart
 
 // lateStart is a start that an agent's target may carry out late.
 type lateStart struct {
 	agent string
-	// until is the time from which it is not carried out any more.
+	// attempt is the number of the first such attempt on that agent, or anyAttempt.
+	attempt int
+	// until is the time from which none is carried out any more.
 	until time.Duration
+	// boundUntil is the time before which the task must not start on another target, since
+	// the start got no answer until it was stopped; 0 for any time.
+	boundUntil time.Duration
 }
 
 // note records what an event of an attempt says of its start.
 func (l lateStarts) note(now time.Duration, agent string, e AttemptEvent) {
-	switch {
-	case e.Outcome == task.Done:
+	switch e.Outcome {
+	case task.Done:
 		// Its job has no use for another run.
-		l.remove(agent, e.Task)
-	case e.Outcome == task.Lost && (e.Reason == task.ReasonUnanswered || e.Reason == task.ReasonSuperseded):
-		l.add(now, e.Task, agent)
+		l.remove(agent, e.Task, 0)
+	case task.Started, task.NotStarted:
+		l.remove(agent, e.Task, e.Attempt)
+	case task.Lost:
+		if e.Reason == task.ReasonUnanswered || e.Reason == task.ReasonSuperseded {
+			l.add(now, e.Task, lateStart{agent: agent, attempt: anyAttempt, boundUntil: now + doubtRetention})
+		}
 	}
 }
 
-func (l lateStarts) add(now time.Duration, id task.ID, agent string) {
-	l.remove(agent, id)
-	l[id] = append(l[id], lateStart{agent, now + doubtRetention})
+// lateTasksOf returns an agent's own tasks among those that it relays.
+func lateTasksOf(agent string, relayed []TaskInDoubt) []task.ID {
+	var own []task.ID
+	for _, t := range relayed {
+		if t.Agent == agent {
+			own = append(own, t.Task)
+		}
+	}
+	return own
+}
+
+// told records the late tasks that an agent lists. It forgets none: those that are missing
+// may be of the agent's earlier process.
+func (l lateStarts) told(now time.Duration, agent string, tasks []task.ID) {
+	for _, id := range tasks {
+		l.add(now, id, lateStart{agent: agent, attempt: anyAttempt})
+	}
+}
+
+// anyAttempt is the attempt of a late start that is forgotten only with the end of its task.
+const anyAttempt = -1
+
+func (l lateStarts) add(now time.Duration, id task.ID, s lateStart) {
+	s.until = now + doubtRetention
+	i := slices.IndexFunc(l[id], func(known lateStart) bool { return known.agent == s.agent })
+	if i < 0 {
+		l[id] = append(l[id], s)
+		return
+	}
+	known := &l[id][i]
+	known.until, known.boundUntil = s.until, max(known.boundUntil, s.boundUntil)
+	if s.attempt == anyAttempt {
+		known.attempt = anyAttempt
+	}
 }
 
-func (l lateStarts) remove(agent string, id task.ID) {
-	l.filter(id, func(s lateStart) bool { return s.agent != agent })
+// remove forgets the starts of a task on an agent. If attempt is not 0, it forgets only
+// that one.
+func (l lateStarts) remove(agent string, id task.ID, attempt int) {
+	l.filter(id, func(s lateStart) bool { return s.agent != agent || attempt != 0 && s.attempt != attempt })
 }
 
 func (l lateStarts) filter(id task.ID, keep func(lateStart) bool) {
@@ -58,15 +102,51 @@
 // excludes reports whether a task must not start on an agent, since it is bound to the
 // target of another one.
 func (l lateStarts) excludes(now time.Duration, id task.ID, agent string) bool {
-	return slices.ContainsFunc(l[id], func(s lateStart) bool { return s.agent != agent && now < s.until })
+	return slices.ContainsFunc(l[id], func(s lateStart) bool { return now < s.boundUntil && s.agent != agent })
+}
+
+// isBound reports whether a task must not start on any target but one.
+func (l lateStarts) isBound(now time.Duration, id task.ID) bool {
+	return slices.ContainsFunc(l[id], func(s lateStart) bool { return now < s.boundUntil })
+}
+
+// on returns the tasks with a late start on an agent, sorted.
+func (l lateStarts) on(agent string) []task.ID {
+	var tasks []task.ID
+	for id := range l {
+		if l.until(agent, id) > 0 {
+			tasks = append(tasks, id)
+		}
+	}
+	slices.SortFunc(tasks, func(x, y task.ID) int { return strings.Compare(x.String(), y.String()) })
+	return tasks
+}
+
+// until returns the time up to which a task's late start on an agent may be carried out, or
+// 0 if there is none.
+func (l lateStarts) until(agent string, id task.ID) time.Duration {
+	for _, s := range l[id] {
+		if s.agent == agent {
+			return s.until
+		}
+	}
+	return 0
+}
+
+// doubtLateStarts brings the late starts on an agent into doubt, and stops the runs of
+// their tasks elsewhere: its target may have crashed, and it may not know of them.
+func (c *Core) doubtLateStarts(now time.Duration, agent string) {
+	for _, id := range c.lateStarts.on(agent) {
+		if until := c.lateStarts.until(agent, id); now < until {
+			c.doubts.addUntil(until, agent, id)
+			c.stopElsewhere(TaskInDoubt{id, agent})
+		}
+	}
 }
 
 // isBlocked reports whether a waiting task is bound to a target that takes no tasks now.
 func (c *Core) isBlocked(now time.Duration, id task.ID) bool {
-	if len(c.lateStarts[id]) == 0 {
-		return false
-	}
-	return !slices.ContainsFunc(c.agents, func(a *agent) bool {
+	return c.lateStarts.isBound(now, id) && !slices.ContainsFunc(c.agents, func(a *agent) bool {
 		return a.load.Accepting && now-a.reportedAt <= c.opts.SuspectAfter && !c.lateStarts.excludes(now, id, a.Name)
 	})
 }
--- a/restartable/dispatch/latestarts_test.go
+++ b/restartable/dispatch/latestarts_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -66,3 +67,91 @@
 		t.Errorf("the answer took %v of 1.5 s, although the job takes 0.9 s", waited)
 	}
 }
+
+func (r *rig) wantInDoubt(when string, want ...TaskInDoubt) {
+	r.t.Helper()
+	if got := r.core.TasksInDoubt(r.now); !slices.Equal(got, want) {
+		r.t.Fatalf("tasks in doubt %s: %v, want %v", when, got, want)
+	}
+}
+
+// Guards against two runs of a task at the same time: an agent restarted after one of its
+// starts had got no answer, and neither it nor a gateway remembered the start when the
+// target crashed.
+func TestLateTasksOfAnAgentOutlastItsProcess(t *testing.T) {
+	r := newRig(t)
+	late := TaskInDoubt{firstTask("j"), "a"}
+	r.addAgent("a", 32_000)
+	r.addAgent("b", 32_000)
+	report := func(link string, token int64, fenced bool) {
+		r.report(link, func(l *Load) { l.Accepting, l.FencingToken, l.Fenced = false, token, fenced })
+	}
+	report("a", 1<<20, true)
+	r.core.TasksRelayed(r.now, "a", []TaskInDoubt{late})
+	r.submit(newSubmission("j", 1, 100*ms))
+	r.wantPlaced("j")
+	r.reportEvent("b", newEvent("j", 0, 1, task.Started, ""))
+	r.wantInDoubt("while the target answers")
+	r.core.AgentDown(r.now, "a")
+	r.collect()
+	if want := (Stop{Link: "b", Job: "j", Task: late.Task, Attempt: 1}); !slices.Equal(r.stops, []Stop{want}) {
+		t.Fatalf("stops %+v, want %+v", r.stops, want)
+	}
+	r.wantInDoubt("once the agent is lost", late)
+	r.core.AgentUp(r.now, AgentInfo{Link: "a2", Name: "a", Zone: "z1", Process: 2})
+	report("a2", 1<<21, true)
+	r.wantInDoubt("once the next process has fenced the calls of the first")
+	report("a2", 1<<21, false)
+	r.wantInDoubt("once the target is out of contact with the next process", late)
+	r.tick(14 * time.Second)
+	report("a2", 1<<21, false)
+	r.wantInDoubt("after 14 s")
+}
+
+// Guards against a late task that a gateway forgets although its agent, which sends its list
+// only when it changes, still has it.
+func TestLateTaskIsKeptWhileItsAgentListsIt(t *testing.T) {
+	r := newRig(t)
+	late := TaskInDoubt{firstTask("j"), "a"}
+	r.addAgent("a", 32_000)
+	r.core.TasksRelayed(r.now, "a", []TaskInDoubt{late})
+	for range 20 {
+		r.tick(time.Second)
+		r.report("a", func(l *Load) { l.Fenced = true })
+	}
+	r.core.AgentDown(r.now, "a")
+	r.wantInDoubt("once the agent is lost", late)
+}
+
+// Guards against two runs of a task at the same time: a job was given up before its agent
+// had told whether a start was answered, and then the agent ended.
+func TestStartsOfAJobThatIsGivenUpAreInDoubtOnceTheirAgentIsLost(t *testing.T) {
+	cases := map[string]struct {
+		told    []AttemptEvent
+		inDoubt bool
+	}{
+		"nothing was told":   {inDoubt: true},
+		"it had not started": {told: []AttemptEvent{newEvent("j", 0, 1, task.NotStarted, task.ReasonRevoked)}},
+		"it had started once": {told: []AttemptEvent{
+			newEvent("j", 0, 1, task.Started, ""), newEvent("j", 0, 1, task.Stopped, ""),
+		}},
+		"its start had no answer": {inDoubt: true, told: []AttemptEvent{newEvent("j", 0, 1, task.Lost, task.ReasonUnanswered)}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.addAgent("a", 32_000)
+			caller := &Caller{Answer: func(Answer) {}}
+			r.core.Submit(r.now, newSubmission("j", 1, 100*ms), caller)
+			r.collect()
+			r.core.RemoveCaller(r.now, "j", caller)
+			for _, e := range c.told {
+				r.reportEvent("a", e)
+			}
+			r.core.AgentDown(r.now, "a")
+			if got := len(r.core.TasksInDoubt(r.now)) > 0; got != c.inDoubt {
+				t.Errorf("in doubt: %v, want %v", got, c.inDoubt)
+			}
+		})
+	}
+}
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -31,7 +31,7 @@
 	for step := range j.Steps {
 		for _, t := range j.tasks[step] {
 			if t.failures >= j.Queue.MaxAttempts {
-				c.stopAll(j)
+				c.stopAll(now, j)
 				c.finish(now, j, Answer{State: Failed, Cause: CauseAttempts})
 				return
 			}
--- a/restartable/dispatch/report.go
+++ b/restartable/dispatch/report.go
@@ -40,6 +40,7 @@
 	delete(c.byLink, link)
 	c.agents = slices.DeleteFunc(c.agents, func(o *agent) bool { return o == a })
 	c.doubtPlaced(now, a)
+	c.doubtLateStarts(now, a.Name)
 	for _, j := range sortedJobs(a.jobs) {
 		if j.hasPlacedOn(a) {
 			c.abort(now, j, CauseAgentLost)
@@ -69,6 +70,7 @@
 		c.fencing.reported(now, a.Name, a.Process, load.FencingToken)
 		load.Fenced = load.Fenced && load.FencingToken >= c.fencing.floor(a.Name)
 		a.applyLoad(now, *load)
+		c.lateStarts.told(now, a.Name, a.late)
 		c.reportDoubts(now, a, load)
 		c.updateAvoidance(a)
 	}
--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -126,9 +126,12 @@
 	hello    bool
 	target   runner.Target
 	gateways uint64
-	// inDoubt are the tasks in doubt, relayed is the version of those of other gateways.
-	inDoubt []task.ID
-	relayed uint64
+	// inDoubt are the tasks in doubt, late those with a start that may be carried out late.
+	// relayed are the tasks in doubt of other gateways, of the given version.
+	inDoubt        []task.ID
+	late           []task.ID
+	relayed        []*pb.TaskInDoubt
+	relayedVersion uint64
 }
 
 func (l *agentLink) nextFrame(sent *sentState) *pb.RunReport {
@@ -158,8 +161,15 @@
 		sent.inDoubt = load.TasksInDoubt
 		f.Load.DoubtsChanged, f.Load.TasksInDoubt = true, taskIDsToProto(load.TasksInDoubt)
 	}
-	if version, tasks := l.client.relay.changesSince(now, l.address, sent.relayed); version != sent.relayed {
-		sent.relayed, f.RelayedChanged, f.RelayedTasksInDoubt = version, true, tasks
+	version, tasks := l.client.relay.changesSince(now, l.address, sent.relayedVersion)
+	if version != sent.relayedVersion {
+		sent.relayed, sent.relayedVersion, f.RelayedChanged = tasks, version, true
+	}
+	if !slices.Equal(load.LateTasks, sent.late) {
+		sent.late, f.RelayedChanged = load.LateTasks, true
+	}
+	if f.RelayedChanged {
+		f.RelayedTasksInDoubt = append(slices.Clone(sent.relayed), lateTasksToProto(load.LateTasks, l.client.hello.Agent)...)
 	}
 	// Whether the target drains shows in the load.
 	target.Draining = false
--- a/restartable/link/link_test.go
+++ b/restartable/link/link_test.go
@@ -40,6 +40,8 @@
 	running map[runner.Attempt]time.Time // with the time of the end
 	ends    []runner.End
 	polls   int
+	// loseAnswers makes the answers to starts get lost.
+	loseAnswers atomic.Bool
 	// incarnation is that of testTarget until restart.
 	incarnation int64
 }
@@ -52,6 +54,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running[runner.Attempt{Task: s.Task, Number: s.Attempt}] = time.Now().Add(f.runFor)
+	if f.loseAnswers.Load() {
+		return runner.StartUnanswered, 0, nil
+	}
 	return runner.StartAccepted, 1, nil
 }
 
@@ -220,6 +225,12 @@
 // startAgentWithTarget also returns the agent's runner and its target.
 func startAgentWithTarget(t *testing.T, gateways ...string) (*link.Gateways, *runner.Runner, *fakeTarget) {
 	f := newFakeTarget()
+	known, r, _ := startAgentOf(t, f, gateways...)
+	return known, r, f
+}
+
+// startAgentOf starts the agent of a target, and also returns a function that ends it.
+func startAgentOf(t *testing.T, f *fakeTarget, gateways ...string) (*link.Gateways, *runner.Runner, func()) {
 	r := runner.New(runner.NewCore(runner.DefaultCoreOptions()), f, 1, boottime.Now, zerolog.Nop(), nopObserver{}, runner.DefaultOptions())
 	known := link.NewGateways(boottime.Now, gateways...)
 	c := link.NewClient("agent", "z", r, known, zerolog.Nop())
@@ -228,11 +239,12 @@
 	wg.Go(func() { r.Run(ctx) })
 	wg.Go(func() { c.Run(ctx) })
 	r.Heartbeat(testTarget)
-	t.Cleanup(func() {
+	end := func() {
 		cancel()
 		wg.Wait()
-	})
-	return known, r, f
+	}
+	t.Cleanup(end)
+	return known, r, end
 }
 
 var testTarget = runner.Target{ID: "t", Incarnation: 1, Service: "s", Capacity: task.Resources{CPUMillis: 200_000, MemoryMB: 1000}}
@@ -482,3 +494,48 @@
 		}
 	}
 }
+
+// Guards against two runs of a task at the same time: a start got no answer, the gateway of
+// its job and the agent died, and the other gateways did not remember the start when the
+// target crashed.
+func TestAgentTellsAllGatewaysOfLateTasks(t *testing.T) {
+	d, address := startGateway(t)
+	other, otherAddress := startGateway(t)
+	f := newFakeTarget()
+	_, r, endAgent := startAgentOf(t, f, address, otherAddress)
+	awaitCompletedJob(t, d, "first")
+	awaitCompletedJob(t, other, "second")
+	f.loseAnswers.Store(true)
+	f.setRunTime(time.Minute)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		// On a busy machine the gateway may refuse the job, since it misses a report.
+		for ctx.Err() == nil {
+			d.Submit(ctx, smallJob("late"))
+		}
+	}()
+	f.awaitRuns(t, 3)
+	leave()
+	awaitTrue(t, "three tasks are late", func() bool {
+		_, load, _ := r.Load()
+		return len(load.LateTasks) == 3
+	})
+	// Longer than the interval of reports.
+	time.Sleep(500 * time.Millisecond)
+	if tasks := other.TasksInDoubt(); len(tasks) != 0 {
+		t.Errorf("%v are in doubt while the target answers, want none", tasks)
+	}
+	endAgent()
+	awaitTrue(t, "three tasks are in doubt", func() bool { return len(other.TasksInDoubt()) == 3 })
+}
+
+// awaitTrue waits until a condition holds. The time limit is only reached if the test fails.
+func awaitTrue(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within 10 s: %s", what)
+}
--- a/restartable/link/relay.go
+++ b/restartable/link/relay.go
@@ -105,6 +105,16 @@
 	return out
 }
 
+// lateTasksToProto returns an agent's own late tasks in the form of those that it relays: a
+// gateway disregards these as long as it hears from the agent.
+func lateTasksToProto(tasks []task.ID, agent string) []*pb.TaskInDoubt {
+	var out []*pb.TaskInDoubt
+	for _, id := range tasks {
+		out = append(out, &pb.TaskInDoubt{Task: taskIDToProto(id), Agent: agent})
+	}
+	return out
+}
+
 func doubtsToProto(tasks []dispatch.TaskInDoubt) []*pb.TaskInDoubt {
 	var out []*pb.TaskInDoubt
 	for _, t := range tasks {
--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -68,7 +68,7 @@
 	a.relay[l.gate] = relayedList{tasks, a.w.Now}
 }
 
-// relayedTasks mirrors link.relay.changesSince.
+// relayedTasks mirrors link.relay.changesSince, and link.lateTasksToProto.
 func (a *agent) relayedTasks(to *gateway) []dispatch.TaskInDoubt {
 	var out []dispatch.TaskInDoubt
 	if a.w.mutation == relayNothing {
@@ -79,6 +79,12 @@
 			out = append(out, list.tasks...)
 		}
 	}
+	if a.w.mutation == forgetLateTasks {
+		return out
+	}
+	for _, id := range a.core.Load(a.w.Now).LateTasks {
+		out = append(out, dispatch.TaskInDoubt{Task: id, Agent: a.name})
+	}
 	return out
 }
 
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -330,6 +330,21 @@
 		(*first).crash(20*ms, (*first).id, false)
 		sc.w.advance(300 * ms)
 	}},
+	// The gateway of the job died and the agent restarted, so that nobody remembered the
+	// start when its target crashed.
+	{"agent restarts after a start without an answer", forgetLateTasks, func(sc *scenario) {
+		g := sc.w.gateways
+		first := sc.firstStartIsLate(1500*ms, delivered)
+		c := sc.submit(g[0], 1, 4*s)
+		sc.w.advance(300 * ms)
+		c.next = g[1]
+		g[0].kill(5*s, false)
+		sc.w.advance(200 * ms)
+		(*first).agent.kill(100 * ms)
+		sc.w.advance(500 * ms)
+		(*first).crash(1300*ms, (*first).id, true)
+		sc.w.advance(3 * s)
+	}},
 	// The answer to the start was lost, and the ends of the incarnation that had run the
 	// task were forgotten, so that the task was reported as not started.
 	{"unanswered start and a new incarnation", noMutation, func(sc *scenario) {
--- a/restartable/modeltest/link_test.go
+++ b/restartable/modeltest/link_test.go
@@ -285,7 +285,9 @@
 	}
 	switch l.w.mutation {
 	case ignoreDoubts:
-		f.load.TasksInDoubt = nil
+		f.load.TasksInDoubt, f.load.Fenced = nil, true
+	case forgetLostAgents:
+		f.load.Fenced = true
 	case noTokenFloor:
 		f.load.FencingToken = int64(l.agentRun) << 40
 	}
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -456,6 +456,7 @@
 	relayNothing         mutation = "agents relay doubts"
 	noTokenFloor         mutation = "fencing token above those of earlier processes"
 	moveRecalled         mutation = "recalled starts without an answer go to the same target"
+	forgetLateTasks      mutation = "agents tell of late tasks"
 	omitLabels           mutation = "agents compare labels"
 )
 
--- a/restartable/runner/indoubt.go
+++ b/restartable/runner/indoubt.go
@@ -55,6 +55,20 @@
 	return slices.Compact(tasks)
 }
 
+// lateTasks returns the tasks whose run has ended otherwise than done, or was revoked, and
+// of which a start without an answer may be carried out late, sorted. They may start
+// elsewhere while the target answers. This agent's next process does not know of them.
+func (c *Core) lateTasks(now time.Duration) []task.ID {
+	var tasks []task.ID
+	for id, at := range c.lateStarts {
+		if r := c.runs[id]; (r == nil || r.revoked) && now-at <= lateCallRetention {
+			tasks = append(tasks, id)
+		}
+	}
+	slices.SortFunc(tasks, func(x, y task.ID) int { return cmp.Compare(x.String(), y.String()) })
+	return tasks
+}
+
 // reconcileUnanswered handles a start without an answer once the target has listed its
 // runs: whether the list lacks the run for certain, and whether it has it.
 func (c *Core) reconcileUnanswered(now time.Duration, r *run, lacks, listed bool) {
--- a/restartable/runner/indoubt_test.go
+++ b/restartable/runner/indoubt_test.go
@@ -272,3 +272,56 @@
 		t.Fatal("not fenced although the target runs nothing of the predecessor")
 	}
 }
+
+// Guards against two runs of a task at the same time: a start got no answer, its attempt
+// ended, the agent restarted and its target crashed, and nobody remembered the start. Guards
+// against long lists too, which fill the links: most starts without an answer are of runs
+// that their gateway still has.
+func TestLateTasksAreThoseThatTheirGatewayHasGivenUpOrMayRunElsewhere(t *testing.T) {
+	r := newCoreHarness(t)
+	want := func(when string, jobs ...string) {
+		t.Helper()
+		var got []string
+		for _, id := range r.core.Load(r.now).LateTasks {
+			got = append(got, id.Job)
+		}
+		if !slices.Equal(got, jobs) {
+			t.Errorf("jobs with a late task %s: %v, want %v", when, got, jobs)
+		}
+	}
+	start := func(jobs ...string) {
+		var running []Attempt
+		for _, job := range jobs {
+			r.submit(newStart(job, 0, 1000))
+			r.answerStart(firstAttempt(job, 0), StartUnanswered)
+			running = append(running, firstAttempt(job, 0))
+		}
+		r.applyRunning(running...)
+	}
+	start("done", "failed")
+	want("while both run")
+	r.applyEnd(firstAttempt("done", 0), task.Done)
+	r.applyEnd(firstAttempt("failed", 0), task.Failed)
+	want("after a success and a failure", "failed")
+	r.advance(3 * time.Second)
+	r.core.RenewGatewayLease("g", r.now)
+	start("given up")
+	r.core.StopJobs(r.now, "g", []string{"given up"})
+	want("after another was given up", "failed", "given up")
+	r.advance(11 * time.Second)
+	want("after 14 and 11 s", "given up")
+}
+
+// Guards against an agent that is taken to know all starts of its predecessor's, although
+// the next process of its target may carry some out.
+func TestAgentIsNotFencedWhileItsTargetIsOutOfContact(t *testing.T) {
+	r := newCoreHarness(t)
+	r.core.Unreachable(r.now, false)
+	if r.core.Load(r.now).Fenced {
+		t.Error("fenced while the target does not answer")
+	}
+	r.applyRunning()
+	if !r.core.Load(r.now).Fenced {
+		t.Error("not fenced once the target answers again")
+	}
+}
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -234,17 +234,20 @@
 	Queued      int
 	// FencingToken is the token of the calls to the target.
 	FencingToken int64
-	// Fenced is set once the target refuses the calls of earlier processes of this agent,
-	// and has ended what they had started. TasksInDoubt are the tasks with a start in doubt.
+	// Fenced is set while the target refuses the calls of earlier processes of this agent,
+	// and has ended what they had started. TasksInDoubt are the tasks with a start in doubt,
+	// LateTasks those that come into doubt if the target goes out of contact.
 	Fenced       bool
 	TasksInDoubt []task.ID
+	LateTasks    []task.ID
 }
 
 // Load returns the current load.
 func (c *Core) Load(now time.Duration) Load {
 	l := Load{Committed: c.used.Plus(c.waiting), Queued: len(c.queue), Running: len(c.runs) - len(c.queue)}
 	l.Accepting, l.Reason = c.Accepting(now)
-	l.Fenced, l.TasksInDoubt = c.synced && len(c.foreignRuns) == 0, c.tasksInDoubt(now)
+	l.Fenced, l.TasksInDoubt = c.synced && c.reachable && len(c.foreignRuns) == 0, c.tasksInDoubt(now)
+	l.LateTasks = c.lateTasks(now)
 	sp := c.stats.summary(now, c.elapsedRatios(now))
 	l.Slowness, l.Anomaly, l.Samples, l.FailedShare = sp.slowness, sp.anomaly, sp.samples, sp.failedShare
 	slowness := sp.slowness * sp.anomaly
