Continue the attempt numbers of a submission that was given up

A gateway gave a job up while its orders were held up on the way to the agent, and got the job again. Both submissions ordered attempt 1 of the same task at the same agent. The agent's report that the first had not started was taken for that of the second: the job was answered as not run, and then its order, which had only waited, was carried out.

A gateway remembers the given-up attempts on each link until their ends are reported, for 13 s at most, and a later submission continues their numbers.

TestReportOfAGivenUpAttemptIsNotThatOfTheResubmission fails before. Tests of restartable/dispatch (with the race detector), restartable/modeltest and restartable/fleet pass.

--- a/restartable/dispatch/abort.go
+++ b/restartable/dispatch/abort.go
@@ -58,6 +58,7 @@
 				continue
 			}
 			delete(a.placed, id)
+			a.givenUp.add(now, t)
 			if !t.started && a.Process != 0 {
 				c.lateStarts.add(now, id, lateStart{agent: a.Name, attempt: t.attempt})
 			}
--- a/restartable/dispatch/abort_test.go
+++ b/restartable/dispatch/abort_test.go
@@ -138,3 +138,45 @@
 		}
 	}
 }
+
+// Guards against an answer that a job has not run although it does: the agent's report that
+// a given-up attempt had not started was taken for that of the resubmission, which bore the
+// same number.
+func TestReportOfAGivenUpAttemptIsNotThatOfTheResubmission(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	caller := &Caller{Answer: func(Answer) {}}
+	r.core.Submit(r.now, newSubmission("j", 1, 100*ms), caller)
+	r.collect()
+	r.core.RemoveCaller(r.now, "j", caller)
+	r.collect()
+	r.submit(newSubmission("j", 1, 100*ms))
+	if _, attempt := r.placedOn("j", 0); attempt != 2 {
+		t.Fatalf("the resubmission begins with attempt %d, want 2", attempt)
+	}
+	r.report("a", func(l *Load) { l.Accepting = false }, newEvent("j", 0, 1, task.NotStarted, task.ReasonRevoked))
+	r.tick(100 * ms)
+	if len(r.answers) != 0 {
+		t.Fatalf("answers %v by the report of the first submission, want none", r.answers)
+	}
+	r.reportEvent("a", newEvent("j", 0, 2, task.Done, ""))
+	r.wantAnswer("j", Completed, CauseNone)
+}
+
+// Guards against attempts that are remembered for ever: an order that was withdrawn has no
+// end.
+func TestGivenUpAttemptsAreForgotten(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	caller := &Caller{Answer: func(Answer) {}}
+	r.core.Submit(r.now, newSubmission("j", 1, 100*ms), caller)
+	r.collect()
+	r.core.RemoveCaller(r.now, "j", caller)
+	if n := len(r.core.byLink["a"].givenUp); n != 1 {
+		t.Fatalf("%d attempts are remembered, want 1", n)
+	}
+	r.tick(14 * time.Second)
+	if n := len(r.core.byLink["a"].givenUp); n != 0 {
+		t.Fatalf("%d attempts are remembered after 14 s, want none", n)
+	}
+}
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -77,6 +78,8 @@
 	// the unanswered jobs that had any task there.
 	placed map[task.ID]*taskRecord
 	jobs   map[string]*job
+	// givenUp holds the attempts of jobs that were given up, until their ends are reported.
+	givenUp givenUpAttempts
 	// lastPlacedAt is when a task was last placed on the agent.
 	lastPlacedAt time.Duration
 	// avoided is set while the target looks broken or slow and gets only probes.
@@ -118,3 +121,32 @@
 func (a *agent) hasLabel(label string) bool {
 	return label == "" || slices.Contains(a.target.Labels, label)
 }
+
+// givenUpAttempts holds the last attempt of each task whose job was given up before the
+// agent has reported its end. A later submission of the job continues its numbers, so that
+// the report is not taken for one of its own attempts.
+type givenUpAttempts map[task.ID]givenUpAttempt
+
+type givenUpAttempt struct {
+	number int
+	at     time.Duration
+}
+
+func (g givenUpAttempts) add(now time.Duration, t *taskRecord) {
+	g[t.id] = givenUpAttempt{t.attempt, now}
+}
+
+// ended forgets an attempt whose end is reported.
+func (g givenUpAttempts) ended(id task.ID, number int) {
+	if g[id].number == number {
+		delete(g, id)
+	}
+}
+
+// givenUpRetention is how long the end of an attempt is awaited. An order that was withdrawn
+// before it was sent has none.
+const givenUpRetention = 13 * time.Second
+
+func (g givenUpAttempts) prune(now time.Duration) {
+	maps.DeleteFunc(g, func(_ task.ID, a givenUpAttempt) bool { return now-a.at > givenUpRetention })
+}
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -207,6 +207,8 @@
 	if t == nil || t.attempt != e.Attempt {
 		if e.Outcome == task.Started {
 			c.stopUnknownRun(a, e)
+		} else {
+			a.givenUp.ended(e.Task, e.Attempt)
 		}
 		return nil
 	}
@@ -313,6 +315,9 @@
 	c.crashes.prune(now)
 	c.doubts.prune(now)
 	c.lateStarts.prune(now)
+	for _, a := range c.agents {
+		a.givenUp.prune(now)
+	}
 	c.fencing.prune(now)
 	c.pruneCancelled(now)
 	if now-c.bulkheads.updatedAt >= statsInterval {
--- a/restartable/dispatch/report.go
+++ b/restartable/dispatch/report.go
@@ -17,7 +17,7 @@
 
 // AgentUp adds an agent's link.
 func (c *Core) AgentUp(now time.Duration, info AgentInfo) {
-	a := &agent{AgentInfo: info, reportedAt: now, placed: map[task.ID]*taskRecord{}, jobs: map[string]*job{}}
+	a := &agent{AgentInfo: info, reportedAt: now, placed: map[task.ID]*taskRecord{}, jobs: map[string]*job{}, givenUp: givenUpAttempts{}}
 	c.agents = append(c.agents, a)
 	c.byLink[info.Link] = a
 }
