Remember the repeated starts of a job that is answered as unfinished

A start without an answer was forgotten once its task was done: no other run of it was expected. But a job of which another task is not done in time is answered 502 or 504 and submitted again, and its tasks that were done run again. If the target crashed in between, its next process carried the first start out beside the new run, with all agents and gateways alive.

Tests of restartable/dispatch (with the race detector) and restartable/modeltest pass.

--- a/restartable/dispatch/abort.go
+++ b/restartable/dispatch/abort.go
@@ -106,6 +106,9 @@
 // finish removes a job and answers its callers.
 func (c *Core) finish(now time.Duration, j *job, a Answer) {
 	delete(c.jobs, j.ID)
+	if a.State == Unfinished {
+		c.keepLateStarts(now, j)
+	}
 	for ag := range j.agents {
 		delete(ag.jobs, j.ID)
 	}
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -213,6 +213,9 @@
 		return nil
 	}
 	j := c.jobs[e.Task.Job]
+	if a.Process != 0 && e.mayBeLate() {
+		t.lateOn = append(t.lateOn, a.Name)
+	}
 	if e.Outcome == task.Started {
 		if j != nil {
 			j.started = true
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -199,6 +199,8 @@
 	// started is set once the agent has reported that the latest attempt has started, by a
 	// start that was sent once.
 	started bool
+	// lateOn are the agents whose targets may carry out an earlier or the present start late.
+	lateOn []string
 	// overdueAt is the time from which the run is considered to hang.
 	overdueAt time.Duration
 	// failedOn is the agent of the last failed, lost or recalled attempt. The next attempt
--- a/restartable/dispatch/latestarts.go
+++ b/restartable/dispatch/latestarts.go
@@ -30,17 +30,41 @@
 func (l lateStarts) note(now time.Duration, agent string, e AttemptEvent) {
 	switch e.Outcome {
 	case task.Done:
-		// Its job has no use for another run.
+		// This submission has no use for another run.
 		l.remove(agent, e.Task, 0)
 	case task.Started, task.NotStarted:
 		l.remove(agent, e.Task, e.Attempt)
 	case task.Lost:
-		if e.Reason == task.ReasonUnanswered || e.Reason == task.ReasonSuperseded {
+		if e.mayBeLate() {
 			l.add(now, e.Task, lateStart{agent: agent, attempt: anyAttempt, boundUntil: now + doubtRetention})
 		}
 	}
 }
 
+// mayBeLate reports whether an event says that a start of the attempt may still be carried
+// out.
+func (e *AttemptEvent) mayBeLate() bool {
+	switch e.Outcome {
+	case task.Started:
+		return e.Reason == task.ReasonRepeated
+	case task.Lost:
+		return e.Reason == task.ReasonUnanswered || e.Reason == task.ReasonSuperseded
+	}
+	return false
+}
+
+// keepLateStarts records the starts of a job that is answered as unfinished: its caller may
+// submit it again, so that tasks which are done run again as well.
+func (c *Core) keepLateStarts(now time.Duration, j *job) {
+	for _, step := range j.tasks {
+		for _, t := range step {
+			for _, agent := range t.lateOn {
+				c.lateStarts.add(now, t.id, lateStart{agent: agent, attempt: anyAttempt})
+			}
+		}
+	}
+}
+
 // lateTasksOf returns an agent's own tasks among those that it relays.
 func lateTasksOf(agent string, relayed []TaskInDoubt) []task.ID {
 	var own []task.ID
--- a/restartable/dispatch/latestarts_test.go
+++ b/restartable/dispatch/latestarts_test.go
@@ -155,3 +155,26 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at the same time: a task whose start had been repeated
+// was done, and ran again for the resubmission of its job, when the target crashed and its
+// next process carried out the first start.
+func TestRepeatedStartsOfAnUnfinishedJobAreRemembered(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	s := newSubmission("j", 1, 100*ms)
+	s.Steps = append(s.Steps, s.Steps[0])
+	s.Steps[1].DependsOn = []int{0}
+	caller := &Caller{Answer: func(Answer) {}}
+	r.core.Submit(r.now, s, caller)
+	r.collect()
+	r.reportEvent("a", newEvent("j", 0, 1, task.Started, task.ReasonRepeated))
+	r.reportEvent("a", newEvent("j", 0, 1, task.Done, ""))
+	second := newEvent("j", 0, 1, task.Started, "")
+	second.Task.Step = 1
+	r.reportEvent("a", second)
+	r.core.RemoveCaller(r.now, "j", caller)
+	r.collect()
+	r.report("a", func(l *Load) { l.Accepting = false })
+	r.wantInDoubt("once the target is out of contact", TaskInDoubt{firstTask("j"), "a"})
+}
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -345,6 +345,20 @@
 		(*first).crash(1300*ms, (*first).id, true)
 		sc.w.advance(3 * s)
 	}},
+	// A task whose start was repeated was done, but its job was not completed in time. It ran
+	// again for the resubmission, and the next process of the target carried the first start
+	// out.
+	{"task that is done of an unfinished job", forgetRepeated, func(sc *scenario) {
+		first := sc.firstStartIsLate(2500*ms, delivered)
+		c := sc.newClient()
+		c.addStep(1, 300*ms, 300*ms)
+		c.addStep(1, 400*ms, 4*s, 0)
+		c.submit(sc.w.gateways[0], false)
+		c.next = sc.w.gateways[1]
+		sc.w.advance(2 * s)
+		(*first).crash(s, (*first).id, true)
+		sc.w.advance(3 * s)
+	}},
 	// The answer to the start was lost, and the ends of the incarnation that had run the
 	// task were forgotten, so that the task was reported as not started.
 	{"unanswered start and a new incarnation", noMutation, func(sc *scenario) {
--- a/restartable/modeltest/link_test.go
+++ b/restartable/modeltest/link_test.go
@@ -168,7 +168,7 @@
 
 // report mirrors link.agentLink.Report.
 func (l *link) report(r runner.Report) {
-	if l.w.mutation == moveRecalled && r.Reason == task.ReasonUnanswered {
+	if l.w.mutation == moveRecalled && r.Reason == task.ReasonUnanswered || l.w.mutation == forgetRepeated && r.Reason == task.ReasonRepeated {
 		r.Reason = ""
 	}
 	l.pendingEvents = append(l.pendingEvents, dispatch.AttemptEvent{
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -457,6 +457,7 @@
 	noTokenFloor         mutation = "fencing token above those of earlier processes"
 	moveRecalled         mutation = "recalled starts without an answer go to the same target"
 	forgetLateTasks      mutation = "agents tell of late tasks"
+	forgetRepeated       mutation = "repeated starts of unfinished jobs are remembered"
 	omitLabels           mutation = "agents compare labels"
 )
 
