Disregard the recall of a start that has no answer

The agent now goes on repeating the one attempt. A gateway that has recalled it because an earlier start of the task is in doubt elsewhere stops it once it has started, also if it had been recalled for being overdue before.

--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -220,6 +220,7 @@
 		if j != nil {
 			j.started = true
 		}
+		c.confirmRecall(a, t)
 		t.started = e.Reason != task.ReasonRepeated
 		t.overdueAt = overdueTime(now, t.expected)
 		return j
--- a/restartable/dispatch/indoubt.go
+++ b/restartable/dispatch/indoubt.go
@@ -154,10 +154,10 @@
 		return
 	}
 	t := j.tasks[d.Task.Step][d.Task.Index]
-	if t.state != placed || t.agent.Name == d.Agent {
+	if t.agent == nil || t.agent.Name == d.Agent || t.inDoubtOn != "" {
 		return
 	}
-	t.state = recalled
+	t.state, t.inDoubtOn = recalled, d.Agent
 	c.out.Stops = append(c.out.Stops, Stop{Link: t.agent.Link, Job: j.ID, Task: t.id, Attempt: t.attempt})
 	c.out.DoubtfulRuns = append(c.out.DoubtfulRuns, DoubtfulRun{Task: t.id, Attempt: t.attempt, Agent: t.agent.Name, InDoubtOn: d.Agent})
 }
--- a/restartable/dispatch/indoubt_test.go
+++ b/restartable/dispatch/indoubt_test.go
@@ -220,3 +220,51 @@
 		})
 	}
 }
+
+// Guards against a run that goes on although an earlier start of its task is in doubt
+// elsewhere: the agent disregards a stop while the start has no answer.
+func TestRunInDoubtElsewhereIsStoppedAgainOnceItHasStarted(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("b", 32_000)
+	r.submit(newSubmission("j", 1, 100*ms))
+	r.addAgent("a", 32_000)
+	r.report("a", func(l *Load) { l.DoubtsChanged, l.TasksInDoubt = true, []task.ID{firstTask("j")} })
+	r.report("a", func(*Load) {})
+	want := Stop{Link: "b", Job: "j", Task: firstTask("j"), Attempt: 1}
+	if !slices.Equal(r.stops, []Stop{want}) {
+		t.Fatalf("stops %+v, want %+v", r.stops, want)
+	}
+	r.reportEvent("b", newEvent("j", 0, 1, task.Started, task.ReasonRepeated))
+	if !slices.Equal(r.stops, []Stop{want, want}) {
+		t.Fatalf("stops %+v after the start, want two of %+v", r.stops, want)
+	}
+}
+
+// Guards against a task that is in doubt elsewhere and runs on, since it had been recalled
+// before and its agent disregarded that.
+func TestRecalledRunIsStoppedOnceItIsInDoubtElsewhere(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	r.addAgent("b", 32_000)
+	r.submit(newSubmission("j", 1, 100*ms))
+	agent, _ := r.placedOn("j", 0)
+	for range 30 {
+		r.tick(20 * ms)
+		for _, name := range []string{"a", "b"} {
+			r.report(name, func(*Load) {})
+		}
+	}
+	recall := Stop{Link: agent, Job: "j", Task: firstTask("j"), Attempt: 1}
+	if !slices.Equal(r.stops, []Stop{recall}) {
+		t.Fatalf("stops %+v of the overdue task, want %+v", r.stops, recall)
+	}
+	r.reportEvent(agent, newEvent("j", 0, 1, task.Started, task.ReasonRepeated))
+	if len(r.stops) != 1 {
+		t.Fatalf("stops %+v after the start, want the recall alone", r.stops)
+	}
+	other := map[string]string{"a": "b", "b": "a"}[agent]
+	r.report(other, func(l *Load) { l.DoubtsChanged, l.TasksInDoubt = true, []task.ID{firstTask("j")} })
+	if len(r.stops) != 2 {
+		t.Fatalf("stops %+v once it is in doubt elsewhere, want a second one", r.stops)
+	}
+}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -199,6 +199,9 @@
 	// started is set once the agent has reported that the latest attempt has started, by a
 	// start that was sent once.
 	started bool
+	// inDoubtOn is the agent on which an earlier start of the recalled task is in doubt, if
+	// that is why it was recalled.
+	inDoubtOn string
 	// lateOn are the agents whose targets may carry out an earlier or the present start late.
 	lateOn []string
 	// overdueAt is the time from which the run is considered to hang.
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -188,7 +188,7 @@
 func (c *Core) place(now time.Duration, j *job, ch choice, o *Order) {
 	a, t := ch.agent, ch.task
 	t.attempt = max(t.attempt, a.givenUp[t.id].number) + 1
-	t.state, t.agent, t.sentAt, t.expected, t.started = placed, a, now, ch.run, false
+	t.state, t.agent, t.sentAt, t.expected, t.started, t.inDoubtOn = placed, a, now, ch.run, false, ""
 	t.overdueAt = overdueTime(now+ch.wait, ch.run)
 	j.attempts++
 	j.inFlight++
--- a/restartable/dispatch/recall.go
+++ b/restartable/dispatch/recall.go
@@ -55,3 +55,17 @@
 // recallLatency is the approximate time from the recall of a run until its end is
 // reported.
 const recallLatency = 60 * time.Millisecond
+
+// confirmRecall handles the start of a task that was recalled before. Its agent may have
+// disregarded the recall while the start had no answer. The run goes on, unless an earlier
+// start of the task is in doubt elsewhere.
+func (c *Core) confirmRecall(a *agent, t *taskRecord) {
+	if t.state != recalled {
+		return
+	}
+	if t.inDoubtOn == "" {
+		t.state = placed
+		return
+	}
+	c.out.Stops = append(c.out.Stops, Stop{Link: a.Link, Job: t.id.Job, Task: t.id, Attempt: t.attempt})
+}
--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -638,6 +638,9 @@
 			a.core.StopJobs(now, gateway, stopJobs)
 		}
 		for _, at := range stops {
+			if a.w.mutation == moveRecalled {
+				a.core.StopJobs(now, gateway, []string{at.Task.Job})
+			}
 			a.core.StopAttempt(now, gateway, at)
 		}
 		if len(starts) > 0 {
--- a/restartable/modeltest/model_test.go
+++ b/restartable/modeltest/model_test.go
@@ -455,7 +455,7 @@
 	forgetLostAgents     mutation = "starts of a lost agent are in doubt"
 	relayNothing         mutation = "agents relay doubts"
 	noTokenFloor         mutation = "fencing token above those of earlier processes"
-	moveRecalled         mutation = "recalled starts without an answer go to the same target"
+	moveRecalled         mutation = "recalls of starts without an answer are disregarded"
 	forgetLateTasks      mutation = "agents tell of late tasks"
 	forgetRepeated       mutation = "repeated starts of unfinished jobs are remembered"
 	omitLabels           mutation = "agents compare labels"
--- a/restartable/runner/core.go
+++ b/restartable/runner/core.go
@@ -185,13 +185,16 @@
 	c.processQueue(now)
 }
 
-// StopAttempt removes one attempt from the queue or stops it.
+// StopAttempt removes one attempt from the queue or stops it. One whose start has no answer
+// goes on: its task could go nowhere else, since the start may be carried out late.
 func (c *Core) StopAttempt(now time.Duration, gateway string, a Attempt) {
 	r := c.runs[a.Task]
-	if r != nil && r.gateway == gateway && r.Attempt == a.Number {
-		c.revoke(now, r)
-		c.processQueue(now)
+	if r == nil || r.gateway != gateway || r.Attempt != a.Number || r.hasUnansweredStart() {
+		return
 	}
+	r.recalled = r.state == starting && !r.revoked
+	c.revoke(now, r)
+	c.processQueue(now)
 }
 
 // Retire refuses new starts from a gateway; its queued and running tasks
@@ -222,6 +225,9 @@
 }
 
 func (c *Core) revoke(now time.Duration, r *run) {
+	if r.revoked {
+		r.recalled = false
+	}
 	r.revokedEndBy = min(c.endBy(r), now+c.opts.RunLimit)
 	if !r.revoked {
 		r.revoked, r.revokedAt = true, now
--- a/restartable/runner/indoubt.go
+++ b/restartable/runner/indoubt.go
@@ -14,7 +14,8 @@
 // of the start lies ahead on its clock, which begins anew. Two rules keep the task from
 // running twice at a time:
 //
-//   - While the target answers, the start is repeated there and goes to no other target.
+//   - While the target answers, the start is repeated there and goes to no other target. A
+//     recall of its attempt is disregarded.
 //   - While it does not, the start is in doubt: the attempt is not reported as ended, and
 //     no gateway starts the task, until the target has answered a call with a higher
 //     fencing token and listed its runs.
--- a/restartable/runner/indoubt_test.go
+++ b/restartable/runner/indoubt_test.go
@@ -325,3 +325,57 @@
 		t.Error("not fenced once the target answers again")
 	}
 }
+
+// Guards against two runs of a task at the same time: a start without an answer was recalled
+// and its task started again, on this or another target, and the next process of the target
+// carried the first start out. The next attempt here might get no answer either.
+func TestRecallOfAStartWithoutAnswerIsDisregarded(t *testing.T) {
+	a := firstAttempt("j", 0)
+	cases := map[string]struct {
+		before, after []StartResult
+		stops         int
+		started       bool
+	}{
+		"before the target has answered": {after: []StartResult{StartUnanswered, StartAccepted}, started: true},
+		"without an answer":              {before: []StartResult{StartUnanswered}, after: []StartResult{StartAccepted}, started: true},
+		"the target accepts the first":   {after: []StartResult{StartAccepted}, started: true, stops: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newCoreHarness(t)
+			answer := func(results []StartResult) {
+				for _, result := range results {
+					r.answerStart(a, result)
+					if result == StartUnanswered {
+						r.applyRunning()
+					}
+				}
+			}
+			r.submit(newStart("j", 0, 1000))
+			answer(c.before)
+			r.core.StopAttempt(r.now, "g", a)
+			r.collect()
+			answer(c.after)
+			if n := len(r.actions.Stops); n != c.stops || len(r.actions.Reports) != 0 {
+				t.Errorf("%d stops, reports %v; want %d stops and no report", n, r.actions.Reports, c.stops)
+			}
+			if started := len(r.startedJobs) > 0; started != c.started {
+				t.Errorf("reported as started: %v, want %v", started, c.started)
+			}
+		})
+	}
+}
+
+// Guards against a run of a job that is given up which goes on, since the attempt had been
+// recalled before.
+func TestJobThatIsGivenUpAfterARecallIsStopped(t *testing.T) {
+	a := firstAttempt("j", 0)
+	r := newCoreHarness(t)
+	r.submit(newStart("j", 0, 1000))
+	r.core.StopAttempt(r.now, "g", a)
+	r.core.StopJobs(r.now, "g", []string{"j"})
+	r.answerStart(a, StartUnanswered)
+	if !slices.Equal(r.actions.Stops, []Attempt{a}) {
+		t.Errorf("stops %v, want one", r.actions.Stops)
+	}
+}
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -153,10 +153,24 @@
 	revoked         bool
 	revokedAt       time.Duration
 	overdueReported bool
+	// recalled is set if only this attempt was cancelled, before its start was answered.
+	recalled bool
 	// revokedEndBy is the time by which a revoked run must have ended; 0 unless revoked.
 	revokedEndBy time.Duration
 }
 
+// hasUnansweredStart reports whether a start of a run got no answer, and the target has not
+// yet accepted another one.
+func (r *run) hasUnansweredStart() bool {
+	return r.state == unanswered || r.state == starting && r.repeated
+}
+
+// resume takes back the cancellation of a run that was only recalled.
+func (r *run) resume() {
+	r.recalled, r.revoked, r.overdueReported = false, false, false
+	r.revokedAt, r.revokedEndBy = 0, 0
+}
+
 func (r *run) attempt() Attempt { return Attempt{r.Task, r.Attempt} }
 
 // Report tells a gateway that an attempt has started or ended.
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -47,6 +47,9 @@
 	case StartUnanswered:
 		r.state = unanswered
 		c.lateStarts[a.Task] = now
+		if r.recalled {
+			r.resume()
+		}
 		if r.revoked {
 			c.stopUnanswered(r)
 		}
