--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -207,14 +207,20 @@
 	if t == nil || t.attempt != e.Attempt {
 		if e.Outcome == task.Started {
 			c.stopUnknownRun(a, e)
+		} else {
+			a.givenUp.ended(e.Task, e.Attempt)
 		}
 		return nil
 	}
 	j := c.jobs[e.Task.Job]
+	if a.Process != 0 && e.mayBeLate() {
+		t.lateOn = append(t.lateOn, a.Name)
+	}
 	if e.Outcome == task.Started {
 		if j != nil {
 			j.started = true
 		}
+		c.confirmRecall(a, t)
 		t.started = e.Reason != task.ReasonRepeated
 		t.startAt = now
 		return j
@@ -314,6 +320,9 @@
 	c.crashes.prune(now)
 	c.doubts.prune(now)
 	c.lateStarts.prune(now)
+	for _, a := range c.agents {
+		a.givenUp.prune(now)
+	}
 	c.fencing.prune(now)
 	c.pruneCancelled(now)
 	if now-c.bulkheads.updatedAt >= statsInterval {
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -207,6 +207,11 @@
 	// time there to the predicted one.
 	doneOn    string
 	doneRatio float64
+	// inDoubtOn is the agent on which an earlier start of the recalled task is in doubt, if
+	// that is why it was recalled.
+	inDoubtOn string
+	// lateOn are the agents whose targets may carry out an earlier or the present start late.
+	lateOn []string
 	// failedOn is the agent of the last failed, lost or recalled attempt. The next attempt
 	// avoids it.
 	failedOn string
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -31,7 +31,7 @@
 	for step := range j.Steps {
 		for _, t := range j.tasks[step] {
 			if t.failures >= j.Queue.MaxAttempts {
-				c.stopAll(j)
+				c.stopAll(now, j)
 				c.finish(now, j, Answer{State: Failed, Cause: CauseAttempts})
 				return
 			}
@@ -190,8 +190,8 @@
 // place adds the task of a choice to an order and records that it is on its agent.
 func (c *Core) place(now time.Duration, j *job, ch choice, o *Order) {
 	a, t := ch.agent, ch.task
-	t.attempt++
-	t.state, t.agent, t.sentAt, t.expected, t.started = placed, a, now, ch.run, false
+	t.attempt = max(t.attempt, a.givenUp[t.id].number) + 1
+	t.state, t.agent, t.sentAt, t.expected, t.started, t.inDoubtOn = placed, a, now, ch.run, false, ""
 	t.startAt = now + ch.wait
 	j.attempts++
 	j.inFlight++
--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -68,7 +68,7 @@
 	a.relay[l.gate] = relayedList{tasks, a.w.Now}
 }
 
-// relayedTasks mirrors link.relay.changesSince.
+// relayedTasks mirrors link.relay.changesSince, and link.lateTasksToProto.
 func (a *agent) relayedTasks(to *gateway) []dispatch.TaskInDoubt {
 	var out []dispatch.TaskInDoubt
 	if a.w.mutation == relayNothing {
@@ -79,6 +79,12 @@
 			out = append(out, list.tasks...)
 		}
 	}
+	if a.w.mutation == forgetLateTasks {
+		return out
+	}
+	for _, id := range a.core.Load(a.w.Now).LateTasks {
+		out = append(out, dispatch.TaskInDoubt{Task: id, Agent: a.name})
+	}
 	return out
 }
 
@@ -632,6 +638,9 @@
 			a.core.StopJobs(now, gateway, stopJobs)
 		}
 		for _, at := range stops {
+			if a.w.mutation == moveRecalled {
+				a.core.StopJobs(now, gateway, []string{at.Task.Job})
+			}
 			a.core.StopAttempt(now, gateway, at)
 		}
 		if len(starts) > 0 {
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -330,6 +330,35 @@
 		(*first).crash(20*ms, (*first).id, false)
 		sc.w.advance(300 * ms)
 	}},
+	// The gateway of the job died and the agent restarted, so that nobody remembered the
+	// start when its target crashed.
+	{"agent restarts after a start without an answer", forgetLateTasks, func(sc *scenario) {
+		g := sc.w.gateways
+		first := sc.firstStartIsLate(1500*ms, delivered)
+		c := sc.submit(g[0], 1, 4*s)
+		sc.w.advance(300 * ms)
+		c.next = g[1]
+		g[0].kill(5*s, false)
+		sc.w.advance(200 * ms)
+		(*first).agent.kill(100 * ms)
+		sc.w.advance(500 * ms)
+		(*first).crash(1300*ms, (*first).id, true)
+		sc.w.advance(3 * s)
+	}},
+	// A task whose start was repeated was done, but its job was not completed in time. It ran
+	// again for the resubmission, and the next process of the target carried the first start
+	// out.
+	{"task that is done of an unfinished job", forgetRepeated, func(sc *scenario) {
+		first := sc.firstStartIsLate(2500*ms, delivered)
+		c := sc.newClient()
+		c.addStep(1, 300*ms, 300*ms)
+		c.addStep(1, 400*ms, 4*s, 0)
+		c.submit(sc.w.gateways[0], false)
+		c.next = sc.w.gateways[1]
+		sc.w.advance(2 * s)
+		(*first).crash(s, (*first).id, true)
+		sc.w.advance(3 * s)
+	}},
 	// The answer to the start was lost, and the ends of the incarnation that had run the
 	// task were forgotten, so that the task was reported as not started.
 	{"unanswered start and a new incarnation", noMutation, func(sc *scenario) {
--- a/restartable/runner/indoubt.go
+++ b/restartable/runner/indoubt.go
@@ -14,7 +14,8 @@
 // of the start lies ahead on its clock, which begins anew. Two rules keep the task from
 // running twice at a time:
 //
-//   - While the target answers, the start is repeated there and goes to no other target.
+//   - While the target answers, the start is repeated there and goes to no other target. A
+//     recall of its attempt is disregarded.
 //   - While it does not, the start is in doubt: the attempt is not reported as ended, and
 //     no gateway starts the task, until the target has answered a call with a higher
 //     fencing token and listed its runs.
@@ -55,6 +56,20 @@
 	return slices.Compact(tasks)
 }
 
+// lateTasks returns the tasks whose run has ended otherwise than done, or was revoked, and
+// of which a start without an answer may be carried out late, sorted. They may start
+// elsewhere while the target answers. This agent's next process does not know of them.
+func (c *Core) lateTasks(now time.Duration) []task.ID {
+	var tasks []task.ID
+	for id, at := range c.lateStarts {
+		if r := c.runs[id]; (r == nil || r.revoked) && now-at <= lateCallRetention {
+			tasks = append(tasks, id)
+		}
+	}
+	slices.SortFunc(tasks, func(x, y task.ID) int { return cmp.Compare(x.String(), y.String()) })
+	return tasks
+}
+
 // reconcileUnanswered handles a start without an answer once the target has listed its
 // runs: whether the list lacks the run for certain, and whether it has it.
 func (c *Core) reconcileUnanswered(now time.Duration, r *run, lacks, listed bool) {
