--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -224,7 +224,7 @@
 	s.awaitQueueVersion(2)
 	answered := make(chan string, 1)
 	go func() {
-		_, state := s.submit(0, "aa", "ms=150", 1)
+		_, state := s.submit(0, "aa", "ms=5000", 1)
 		answered <- state
 	}()
 	for range crashes {
@@ -232,8 +232,8 @@
 		x := s.targets[i]
 		s.servers[i].SetSilent(true)
 		s.servers[i].SilenceConnections()
-		for x.Running() > 0 {
-			time.Sleep(time.Millisecond)
+		for _, r := range x.Runs() {
+			x.Complete(r.Task, r.Attempt)
 		}
 		x.Crash()
 		s.servers[i].SetSilent(false)
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -144,11 +144,17 @@
 	r.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
 	defer cancel()
-	repetition := time.AfterFunc(r.opts.StopInterval, func() { r.stopUnanswered(a) })
+	repetition := time.AfterFunc(r.opts.StopInterval, func() {
+		r.apply(func(c *Core, _ time.Duration) { c.StopFailed(a, false) })
+		r.stopUnanswered(a)
+	})
 	clock, err := r.client.Stop(call, t, a, token)
 	repeated := !repetition.Stop()
 	if err != nil {
-		r.apply(func(*Core, time.Duration) { r.raiseTokenIfFenced(token, err) })
+		r.apply(func(c *Core, _ time.Duration) {
+			r.raiseTokenIfFenced(token, err)
+			c.StopFailed(a, errors.Is(err, ErrNotListening))
+		})
 		if !repeated {
 			wait.For(ctx, r.opts.RetryDelay)
 			r.stopUnanswered(a)
--- a/restartable/runner/crash.go
+++ b/restartable/runner/crash.go
@@ -136,14 +136,16 @@
 }
 
 // addLostRun adds a run to a crash, unless an earlier report of the same crash names it.
-// endsSeen tells whether the end of a run before the crash would have been noticed. The end
-// by a stop would not: the target may have carried it out without an answer.
+// endsSeen tells whether the end of a run before the crash would have been noticed, unless
+// it ended by a stop.
 func (c *Core) addLostRun(crash *Crash, r *run, endsSeen bool) {
 	if r.crashReported {
 		return
 	}
 	r.crashReported = true
+	sign := c.crashSign(crash.At)
+	onTarget := (r.state == running || r.state == stopping) && !r.mayBeStopped(sign) && endsSeen
 	crash.Runs = append(crash.Runs, LostRun{
-		Attempt: r.attempt(), Queue: r.Queue, Accepted: r.state == running && endsSeen, Prior: r.Suspicion, Age: c.crashSign(crash.At) - r.startedAt,
+		Attempt: r.attempt(), Queue: r.Queue, Accepted: onTarget, Prior: r.Suspicion, Age: sign - r.startedAt,
 	})
 }
--- a/restartable/runner/crash_test.go
+++ b/restartable/runner/crash_test.go
@@ -246,3 +246,48 @@
 		}
 	}
 }
+
+// Guards against a crash that is not counted since the caller leaves, or its gateway gives
+// the run up, when the target has already crashed.
+func TestStopThatComesAfterTheCrashLeavesTheRunInIt(t *testing.T) {
+	a := firstAttempt("a", 0)
+	cases := map[string]struct {
+		stop     func(r *coreHarness)
+		accepted bool
+	}{
+		"after the first sign": {func(r *coreHarness) {
+			r.core.CallFailed(r.now)
+			r.advance(ms)
+			r.core.StopJobs(r.now, "g", []string{"a"})
+		}, true},
+		"refused": {func(r *coreHarness) {
+			r.core.StopJobs(r.now, "g", []string{"a"})
+			r.core.StopFailed(a, true)
+		}, true},
+		"no answer, then refused": {func(r *coreHarness) {
+			r.core.StopJobs(r.now, "g", []string{"a"})
+			r.core.StopFailed(a, false)
+			r.core.StopFailed(a, true)
+		}, false},
+		"no answer after the first sign": {func(r *coreHarness) {
+			r.core.CallFailed(r.now)
+			r.core.StopJobs(r.now, "g", []string{"a"})
+			r.core.StopFailed(a, false)
+		}, false},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newCoreHarness(t)
+			r.submit(newStart("a", 0, 1000))
+			r.answerStart(a, StartAccepted)
+			r.advance(ms)
+			k.stop(r)
+			r.advance(ms)
+			r.core.TargetDown(r.now, r.now)
+			r.collect()
+			if got := r.lostRun("a").Accepted; got != k.accepted {
+				t.Errorf("the run was certainly on the target: %v, want %v", got, k.accepted)
+			}
+		})
+	}
+}
--- a/restartable/runner/model.go
+++ b/restartable/runner/model.go
@@ -142,6 +142,9 @@
 	// stopAcknowledged is set once the target has acknowledged the stop, stopPostponed
 	// while the stop waits for the target to answer again.
 	stopAcknowledged, stopPostponed bool
+	// stopRefused is set once a stop has found no process of the target, stopDelivered once
+	// the target may have carried out one without an answer.
+	stopRefused, stopDelivered bool
 	// repeated is set once the start was repeated, superseded if the target has then refused
 	// it as one that it has seen.
 	repeated, superseded bool
--- a/restartable/runner/unseen.go
+++ b/restartable/runner/unseen.go
@@ -40,6 +40,32 @@
 	return !c.endsMissed && sign+clockError < c.leaseLimit(sign)
 }
 
+// StopFailed records that a stop got no answer, and whether it was refused since the process
+// of the target had ended.
+func (c *Core) StopFailed(a Attempt, refused bool) {
+	r := c.findRun(a)
+	if r == nil {
+		return
+	}
+	if refused {
+		r.stopRefused = true
+	} else {
+		r.stopDelivered = true
+	}
+}
+
+// mayBeStopped reports whether the target may have carried out a stop of the run before the
+// first sign of a crash.
+func (r *run) mayBeStopped(sign time.Duration) bool {
+	switch {
+	case r.state != stopping:
+		return false
+	case r.stopAcknowledged, r.stopDelivered:
+		return true
+	}
+	return r.revokedAt < sign && !r.stopRefused
+}
+
 // checkFailedPoll records whether runs may have ended unseen during a poll that was sent at
 // sentAt and has failed. They have not if its connection ended with the process: until then
 // the poll was waiting. A process that took a connection long after the first sign of its
