Answer long jobs before their gateway ends at a planned stop

With the caller's wait as the deadline a job may outlive the grace period of a stop.

Change: a stopping gateway limits the deadline of all its jobs to 0.2 s before its servers stop. What takes longer is answered 504 by then, and a new job that would take longer is refused as not run at once.

Evidence: TestJobsAreAnsweredBeforeTheirGatewayEnds.

--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -30,6 +30,9 @@
 	// exitReserve is the part of the platform's grace period that is reserved for
 	// ending the process after the servers have stopped.
 	exitReserve = 300 * time.Millisecond
+	// lastAnswerReserve is the time for the answers to the jobs that are not done when the
+	// servers are about to stop.
+	lastAnswerReserve = 200 * time.Millisecond
 )
 
 // PlatformGateway is a gateway of restartable jobs on the users' platform.
@@ -101,7 +104,9 @@
 	<-ctx.Done()
 	events.ProcessStopping.Log(g.log).Send()
 	g.stopping.Store(true)
-	err = servers.stop(g.node.Bounds.GracePeriod - exitReserve)
+	limit := g.node.Bounds.GracePeriod - exitReserve
+	g.dispatcher.StopIn(limit - lastAnswerReserve)
+	err = servers.stop(limit)
 	cancelBackground()
 	g.canceller.Stop()
 	wg.Wait()
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -87,6 +87,8 @@
 	prunedCancelledAt time.Duration
 	// startedAt is when this process started.
 	startedAt time.Duration
+	// stopAt is when this process ends, 0 while it is not known.
+	stopAt time.Duration
 	// lastTickAt is the time of the last tick. Until resumeAt all jobs are refused
 	// because of a suspension that ended at resumedAt.
 	lastTickAt, resumeAt, resumedAt time.Duration
@@ -161,6 +163,7 @@
 	}
 	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
 	j.callers = append(j.callers, caller)
+	c.limitToStop(j)
 	// A target went down under an earlier submission of the job, so that it has run, or it
 	// may still run.
 	j.started = c.crashes.jobs[s.ID] != nil || c.jobInDoubt(now, s.ID)
@@ -305,6 +308,23 @@
 	}
 }
 
+// StopAt announces that this process ends at a time. Jobs that are not done by then are
+// answered before, and new ones that would not be are refused: their callers would lose
+// their connections.
+func (c *Core) StopAt(at time.Duration) {
+	c.stopAt = at
+	for _, j := range c.jobs {
+		c.limitToStop(j)
+	}
+}
+
+// limitToStop lets a job end before this process does.
+func (c *Core) limitToStop(j *job) {
+	if c.stopAt > 0 {
+		j.deadline, j.startBy = min(j.deadline, c.stopAt), min(j.startBy, c.stopAt)
+	}
+}
+
 // SetStartTime sets the time at which this process started.
 func (c *Core) SetStartTime(now time.Duration) { c.startedAt = now }
 
--- a/restartable/dispatch/deadline_test.go
+++ b/restartable/dispatch/deadline_test.go
@@ -88,3 +88,25 @@
 		t.Error("the refusal has no time to retry")
 	}
 }
+
+// A gateway is stopped while long jobs run. Guards against callers whose connection ends
+// without an answer at the end of the grace period, against new jobs that would meet the
+// same, and against refusing those that can be done before.
+func TestJobsAreAnsweredBeforeTheirGatewayEnds(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	r.submit(newLongSubmission("long", 1, 8*time.Second))
+	r.startAll()
+	r.core.StopAt(r.now + 5*time.Second)
+	r.submit(newLongSubmission("new", 1, 15*time.Second))
+	r.wantAnswer("new", NotRun, CauseOverload)
+	r.submit(newLongSubmission("short", 1, 100*ms))
+	r.reportEvent("a", newEvent("short", 0, 1, task.Done, ""))
+	r.wantAnswer("short", Completed, CauseNone)
+	r.tickSilently(4900 * ms)
+	if _, answered := r.answers["long"]; answered {
+		t.Fatal("a job is given up before its gateway ends")
+	}
+	r.tickSilently(100 * ms)
+	r.wantAnswer("long", Unfinished, CauseDeadline)
+}
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -135,6 +135,12 @@
 	return Answer{State: Unfinished, Cause: CauseCallerLeft}
 }
 
+// StopIn announces that this process ends after a time. Jobs that take longer are answered
+// before.
+func (d *Dispatcher) StopIn(after time.Duration) {
+	d.apply(func(c *Core, now time.Duration) { c.StopAt(now + after) })
+}
+
 // Cancel aborts a job, refuses later submissions of it and reports whether it was in
 // progress here.
 func (d *Dispatcher) Cancel(id string) bool {
