Let no fencing token be lower than the start of the target's process

An agent sent a start that got no answer, and restarted with the clock of its VM set back, while all gateways restarted, which would have required a higher token of it. The target's next process had seen the new agent's lower tokens only, and carried the old start out beside other runs: capacity exceeded.

Before it applies a list of a target's process, the agent raises its token to the time at which that process says that it has started, and waits for the next list. Calls that were sent before carry earlier times, but for tokens that had been raised beyond them.

Named case "clock was set back and all gateways restarted" needs the rule, which TestTokenIsNotBeforeTheStartOfTheTarget checks at the runner.

The mutations of the fencing token now take this rule out too.

--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -400,6 +400,19 @@
 	}
 }
 
+// fenceCallsBefore mirrors Runner.fenceCallsBefore.
+func (a *agent) fenceCallsBefore(incarnation int64) {
+	switch a.w.mutation {
+	case ignoreTargetStart, keepToken, noTokenFloor:
+		return
+	}
+	if incarnation > a.token {
+		a.token = incarnation
+		a.core.Resync(a.w.Now)
+		a.w.trace("%s raises its token to %d, the start of its target", a.name, a.token)
+	}
+}
+
 // fenceEarlierCalls mirrors Runner.fenceEarlierCalls.
 func (a *agent) fenceEarlierCalls() {
 	if a.w.mutation != keepToken {
@@ -430,6 +443,9 @@
 		}
 		applied := false
 		a.apply(func() {
+			if current, known := a.core.Target(); known && r.born == current.Incarnation {
+				a.fenceCallsBefore(r.born)
+			}
 			applied = a.core.ApplySnapshot(a.w.Now, a.snapshot(r, requestedAt))
 			if applied {
 				a.setTargetClock(t, r.clock)
@@ -599,6 +615,9 @@
 
 // candidateAnswered mirrors Runner.candidateAnswered.
 func (a *agent) candidateAnswered(t runner.Target, requestedAt time.Duration, r reply) {
+	if r.born == t.Incarnation {
+		a.fenceCallsBefore(r.born)
+	}
 	if !a.core.ConfirmCandidate(a.w.Now, t, a.snapshot(r, requestedAt)) {
 		a.w.trace("%s: the candidate %s, born %d, is not confirmed by %d", a.name, t.ID, t.Incarnation, r.born)
 		return
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -345,6 +345,29 @@
 		(*first).crash(1300*ms, (*first).id, true)
 		sc.w.advance(3 * s)
 	}},
+	// All gateways and the agent restarted, the agent with its clock set back, so that nobody
+	// knew the token of the start, which the target's next process carried out beside a run.
+	{"clock was set back and all gateways restarted", ignoreTargetStart, func(sc *scenario) {
+		first := sc.firstStartIsLate(1500*ms, delivered)
+		c := sc.submit(sc.w.gateways[0], 1, 50*ms)
+		sc.w.advance(300 * ms)
+		c.ended = true
+		a := (*first).agent
+		a.clockBehind = 10 * s
+		a.kill(500 * ms)
+		for _, g := range sc.w.gateways {
+			g.kill(200*ms, false)
+		}
+		(*first).crash(100*ms, (*first).id, false)
+		for _, other := range sc.w.agents {
+			if other != a {
+				other.kill(5 * s)
+			}
+		}
+		sc.w.advance(1050 * ms)
+		sc.submit(sc.w.gateways[0], 2, 4*s)
+		sc.w.advance(s)
+	}},
 	// A task whose start was repeated was done, but its job was not completed in time. It ran
 	// again for the resubmission, and the next process of the target carried the first start
 	// out.
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -183,6 +183,23 @@
 	}
 }
 
+// maxTokenRaise bounds how far the start of a target's process may raise the fencing token,
+// in milliseconds: the target's clock may be wrong.
+const maxTokenRaise = 24 * 60 * 60 * 1000
+
+// fenceCallsBefore raises the fencing token to the time at which an incarnation of the target
+// has started, before its list is applied. Calls of an earlier process of this agent may
+// carry higher tokens than the present ones if the clock of the VM was set back since, but
+// those that were sent before that start had earlier times. The caller holds r.mu.
+func (r *Runner) fenceCallsBefore(incarnation int64) {
+	if incarnation <= r.token || incarnation-r.token > maxTokenRaise {
+		return
+	}
+	r.token = incarnation
+	r.core.Resync(r.now())
+	events.FencingTokenRaised.Log(r.log).Int64("token", r.token).Send()
+}
+
 // fenceEarlierCalls makes the target refuse the calls that were sent before, from the
 // next call on. Some of them may be executed seconds late, by an incarnation that
 // started meanwhile under the same ID and on whose clock their deadlines lie far ahead.
@@ -211,6 +228,9 @@
 		return err
 	}
 	r.apply(func(c *Core, now time.Duration) {
+		if reply.Incarnation == c.target.Incarnation {
+			r.fenceCallsBefore(reply.Incarnation)
+		}
 		applied := c.ApplySnapshot(now, reply.snapshot(requestedAt))
 		if applied {
 			r.setTargetClock(t, reply.Clock)
--- a/restartable/runner/calls_test.go
+++ b/restartable/runner/calls_test.go
@@ -122,6 +122,33 @@
 	}
 }
 
+// Guards against late calls of an earlier process of the agent that a restarted target takes
+// for newer ones, since the clock was set back between the two processes.
+func TestTokenIsNotBeforeTheStartOfTheTarget(t *testing.T) {
+	cases := map[string]struct{ token, want int64 }{
+		"clock was set back":           {smallTarget.Incarnation - 10_000, smallTarget.Incarnation},
+		"target started before":        {smallTarget.Incarnation + 1, smallTarget.Incarnation + 1},
+		"clock of the target is wrong": {smallTarget.Incarnation - maxTokenRaise - 1, smallTarget.Incarnation - maxTokenRaise - 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Minute
+			r := syncedRunner(&fakeTarget{startedAt: time.Now(), pollFails: func(int) bool { now += ms; return false }}, &now)
+			r.token = c.token
+			now += ms
+			if err := r.poll(t.Context(), smallTarget, 0); err != nil {
+				t.Fatal(err)
+			}
+			if r.token != c.want {
+				t.Errorf("token %d, want %d", r.token, c.want)
+			}
+			if synced := r.core.Synced(); synced != (c.token == c.want) {
+				t.Errorf("synced by a list that was requested with token %d: %v", c.token, synced)
+			}
+		})
+	}
+}
+
 // Guards against runs that outlive the agent or the gateway that started them, beside a
 // second run of their task (TWICE): while the target left stops unanswered, the lease of
 // all of its runs was renewed.
--- a/restartable/runner/confirm.go
+++ b/restartable/runner/confirm.go
@@ -60,6 +60,9 @@
 // candidateAnswered applies the list that a candidate has answered with. The caller
 // holds r.mu and carries out the core's actions.
 func (r *Runner) candidateAnswered(now time.Duration, t Target, requestedAt time.Duration, reply PollReply) {
+	if reply.Incarnation == t.Incarnation {
+		r.fenceCallsBefore(reply.Incarnation)
+	}
 	if !r.core.ConfirmCandidate(now, t, reply.snapshot(requestedAt)) {
 		events.TargetUnconfirmed.Log(r.log).Str("target", t.ID).Int64("born", t.Incarnation).Int64("answered_by", reply.Incarnation).Send()
 		return
