--- a/common/httplimit/httplimit.go
+++ b/common/httplimit/httplimit.go
@@ -44,6 +44,10 @@
 	// BodyTimeout limits the time in which a body arrives, from the end of its header. It
 	// does not apply to streams. Zero leaves the deadline that the server sets.
 	BodyTimeout time.Duration
+	// WriteTimeout limits each write of a response on an HTTP/1 connection, so that a
+	// client that reads nothing does not hold its connection. Zero leaves the deadline
+	// that the server sets.
+	WriteTimeout time.Duration
 }
 
 // Apply makes a server, which must not have been started, obey the limits on the
@@ -67,7 +71,7 @@
 		}
 		return ctx
 	}
-	return &listener{Listener: l, group: o.Group, closed: make(chan struct{})}
+	return &listener{Listener: l, options: o, closed: make(chan struct{})}
 }
 
 // longAgo is a read deadline that ends a read at once.
@@ -82,9 +86,9 @@
 // listener adds the connections that it accepts to a group.
 type listener struct {
 	net.Listener
-	group  *requestlimit.Group
-	closed chan struct{}
-	once   sync.Once
+	options Options
+	closed  chan struct{}
+	once    sync.Once
 }
 
 // Accept implements net.Listener. It waits while all connections serve complete requests.
@@ -93,15 +97,15 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &conn{Conn: c}
+	k := &conn{Conn: c, writeTimeout: l.options.WriteTimeout}
 	client := clientOf(c.RemoteAddr())
 	for {
-		if h, ok := l.group.Open(client, connectionBytes, func() { _ = c.Close() }); ok {
+		if h, ok := l.options.Group.Open(client, connectionBytes, func() { _ = c.Close() }); ok {
 			k.holder = h
 			return k, nil
 		}
 		select {
-		case <-l.group.Freed():
+		case <-l.options.Group.Freed():
 		case <-l.closed:
 			_ = c.Close()
 			return nil, net.ErrClosed
@@ -142,10 +146,13 @@
 // conn is a connection of a client.
 type conn struct {
 	net.Conn
-	holder *requestlimit.Holder
+	holder       *requestlimit.Holder
+	writeTimeout time.Duration
 
 	mu    sync.Mutex // guards the fields below
 	state connState
+	// requests is the number of requests in progress of an HTTP/2 connection.
+	requests int
 	// buffered is the most that a read since the start of the request may have left in
 	// the buffer of net/http.
 	buffered int64
@@ -201,16 +208,40 @@
 	}
 }
 
-// setMultiplexed marks an HTTP/2 connection.
-func (c *conn) setMultiplexed() {
+// beginRequest marks an HTTP/2 connection with a request in progress.
+func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != multiplexed {
-		c.state = multiplexed
-		c.holder.Complete()
+	c.state = multiplexed
+	c.requests++
+	c.holder.Receive(0)
+	c.holder.Complete()
+}
+
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests--
+	if c.requests == 0 {
+		c.holder.Idle(connectionBytes)
 	}
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.writeTimeout > 0 && !c.isMultiplexed() {
+		// The write fails if the deadline cannot be set.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) isMultiplexed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == multiplexed
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	defer c.holder.Close()
@@ -241,7 +272,8 @@
 	}
 	holder := k.holder
 	if r.ProtoMajor > 1 {
-		k.setMultiplexed()
+		k.beginRequest()
+		defer k.endRequest()
 		q, opened, ok := h.openRequest(w, r)
 		if !ok {
 			w.Header().Set("Retry-After", "1")
--- a/common/httplimit/httplimit_test.go
+++ b/common/httplimit/httplimit_test.go
@@ -35,6 +35,11 @@
 
 // startServer serves a handler until the end of the test.
 func startServer(t *testing.T, connections int, bodyTimeout time.Duration, h http.Handler) *server {
+	t.Helper()
+	return startServerWith(t, connections, httplimit.Options{BodyTimeout: bodyTimeout}, h)
+}
+
+func startServerWith(t *testing.T, connections int, o httplimit.Options, h http.Handler) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,7 +50,8 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	hs := &http.Server{Handler: h, Protocols: protocols, MaxHeaderBytes: 16 << 10, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout}
-	limited := httplimit.Apply(hs, l, httplimit.Options{Group: s.budget.NewGroup("test", connections), BodyTimeout: bodyTimeout})
+	o.Group = s.budget.NewGroup("test", connections)
+	limited := httplimit.Apply(hs, l, o)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -322,3 +328,46 @@
 	}
 	_ = out.Close()
 }
+
+// Guards against HTTP/2 connections without a request that keep others out.
+func TestIdleHTTP2ConnectionsMakeRoom(t *testing.T) {
+	const connections = 4
+	s := startServer(t, connections, testTimeout, readBody)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	for range 2 * connections {
+		transport := &http.Transport{Protocols: protocols}
+		defer transport.CloseIdleConnections()
+		r, err := (&http.Client{Transport: transport, Timeout: testTimeout}).Get("http://" + s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = r.Body.Close()
+	}
+	if status := answer(s.send(ordinary)); status != http.StatusOK {
+		t.Errorf("status %d of an ordinary request", status)
+	}
+}
+
+// Guards against clients that send complete requests, read no response and keep their
+// connections, of which none may be closed in favor of others.
+func TestClientThatReadsNothingIsClosed(t *testing.T) {
+	const connections = 2
+	response := make([]byte, 16<<20)
+	started := make(chan struct{}, connections)
+	s := startServerWith(t, connections, httplimit.Options{WriteTimeout: 50 * time.Millisecond}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			started <- struct{}{}
+			_, _ = w.Write(response)
+		}
+	}))
+	for range connections {
+		s.send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	for range connections {
+		<-started
+	}
+	if status := answer(s.send(ordinary)); status != http.StatusOK {
+		t.Errorf("status %d of an ordinary request", status)
+	}
+}
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -54,6 +54,9 @@
 	// bodyTimeout limits the time for reading a body: the largest one of a submission,
 	// 256 KiB, takes that long at 70 kbit/s.
 	bodyTimeout = 30 * time.Second
+	// writeTimeout limits the time for which a response waits for a client that reads
+	// nothing. A response fits into the buffers of an ordinary connection.
+	writeTimeout = 5 * time.Second
 	// streamsPerConnection limits the requests of an HTTP/2 connection in progress, whose
 	// headers are not counted before they are complete. A gateway or an agent has less
 	// than ten.
@@ -91,7 +94,7 @@
 		b.listener, b.http.ConnState = b.callers, drain.TrackIdle
 	}
 	b.listener = httplimit.Apply(b.http, b.listener, httplimit.Options{
-		Group: s.budget.NewGroup(o.name, o.maxConnections), BodyTimeout: bodyTimeout,
+		Group: s.budget.NewGroup(o.name, o.maxConnections), BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
 	})
 	s.servers = append(s.servers, b)
 }
