Refuse jobs of queues above their share at admission

Change: with fair shares switched on, a job of which nothing was sent and whose first task would have to wait is answered with cause share if its queue uses more than its share while another one wants capacity. Loads may name the use by queue; orders since the report count too. Events 6070 to 6073. Evidence: go test -race ./restartable/dispatch. Without the switch, 200 jobs on full targets lead to the same orders, stops and answers whether agents report the use or not (TestWithoutFairSharesNothingChanges). Taking out the conditions on orders sent, waits, stale reports or unacknowledged orders fails a test each. Result: nothing sets the switch yet.

--- a/common/events/catalogue.go
+++ b/common/events/catalogue.go
@@ -199,11 +199,17 @@
 	CancelUnanswered = define(6052, "cancel_unanswered", warnLevel, "another gateway does not answer a cancellation of jobs; it is repeated for a minute, and the callers were answered without it",
 		"Nothing if the gateway was stopped; otherwise check the network between the gateways. A job of that gateway may run on meanwhile.")
 	JobCancelledByPeer = define(6053, "job_cancelled_by_peer", infoLevel, "a job in progress here is cancelled, since its caller's request has reached another gateway", noAction)
-	LinesDropped       = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
-	TargetAvoided      = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
-	TargetTrusted      = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
-	TargetState        = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
-	Suspended          = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
+	ShareLimitStarted  = define(6070, "share_limit_started", infoLevel, "a queue uses more than its share of a service while another one wants capacity; its jobs are refused until it uses less",
+		"Nothing if the weights are as wanted; see docs/OPERATIONS.md.")
+	ShareLimitEnded    = define(6071, "share_limit_ended", infoLevel, "no job of a queue was refused because of its share in the last second", noAction)
+	FairSharesApplied  = define(6072, "fair_shares_applied", infoLevel, "settings of fair shares are in force", noAction)
+	FairSharesRejected = define(6073, "fair_shares_rejected", errorLevel, "the settings file could not be read again; the settings of fair shares in force are kept",
+		"Correct the settings file and send SIGHUP again.")
+	LinesDropped  = define(6017, "lines_dropped", warnLevel, "log lines were dropped, since the output or the rate limit was full", noAction)
+	TargetAvoided = define(6018, "target_avoided", warnLevel, "a target receives only probes, since its tasks fail or its agent is silent", noAction)
+	TargetTrusted = define(6019, "target_trusted", infoLevel, "a target receives work again", noAction)
+	TargetState   = define(6021, "target_state", infoLevel, "periodic report of the target's load", noAction)
+	Suspended     = define(6020, "suspended", warnLevel, "the process was not scheduled for a while", "Look for a suspension or overload of the VM.")
 )
 
 // Events of the stand-ins (9000 to 9099).
--- a/restartable/dispatch/actions.go
+++ b/restartable/dispatch/actions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/restartable/fairshare"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -123,7 +124,9 @@
 	AvoidanceChanges []AvoidanceChange
 	// ConfinementChanges are those of queues whose jobs crash their targets.
 	ConfinementChanges []ConfinementChange
-	Retries            []Retry
+	// ShareChanges are the starts and ends of limits by fair shares.
+	ShareChanges []fairshare.Change
+	Retries      []Retry
 	// UnknownRuns are runs that Stops ends since the gateway does not have them.
 	UnknownRuns []UnknownRun
 	HeldJobs    []HeldJob
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -52,6 +52,10 @@
 	TasksInDoubt []task.ID
 	// DoubtsChanged is set if TasksInDoubt replaces the list that the agent sent before.
 	DoubtsChanged bool
+	// QueueUse is the use by queue, which is reported at the gateway's request. It replaces
+	// the one reported before if QueueUseChanged is set.
+	QueueUse        []QueueUse
+	QueueUseChanged bool
 }
 
 // unackedOrder is an order that the agent's last reported load does not include.
@@ -59,7 +63,8 @@
 	number uint64
 	needs  task.Resources
 	// work is the expected work in thousandths of a core times milliseconds.
-	work float64
+	work  float64
+	queue string
 }
 
 // agent is the gateway's view of one agent. It belongs to a Core.
@@ -87,6 +92,10 @@
 	relayed map[string]taskDoubts
 	// reservedFor is the queue that is confined to this target and some others, if any.
 	reservedFor string
+	// queueUse is the use by queue that the agent has reported, reportsQueueUse is set once
+	// it has.
+	queueUse        []QueueUse
+	reportsQueueUse bool
 	// doneSinceAvoided counts the successful runs since the target became avoided.
 	doneSinceAvoided int
 	// kindContribution is the target's contribution to the current statistics of its
@@ -97,6 +106,7 @@
 // applyLoad applies a reported load.
 func (a *agent) applyLoad(now time.Duration, l Load) {
 	a.reportedAt, a.load = now, l
+	a.applyQueueUse(&l)
 	a.unacked = slices.DeleteFunc(a.unacked, func(o unackedOrder) bool { return o.number <= l.OrdersSeen })
 }
 
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -6,9 +6,11 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/restartable/fairshare"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -46,6 +48,8 @@
 	// to wait before it retries. It is longer since only an upgrade changes the
 	// answer.
 	UnsupportedRetryAfter time.Duration
+	// Random returns a number in [0, 1). It spreads the times at which callers retry.
+	Random func() float64
 }
 
 // DefaultOptions returns options for the deployments that docs/design.md describes
@@ -55,7 +59,7 @@
 		Zone: zone, SameZoneDelay: 300 * time.Microsecond, CrossZoneDelay: 1500 * time.Microsecond,
 		AnswerMargin: 10 * time.Millisecond, SuspectAfter: 350 * time.Millisecond,
 		SuspendedAfter: 400 * time.Millisecond, ResumeDelay: 250 * time.Millisecond, MaxTickDelay: 60 * time.Millisecond, ResumeMax: 2 * time.Second,
-		StartupGrace: 300 * time.Millisecond, ProbeInterval: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second, UnsupportedRetryAfter: time.Minute,
+		StartupGrace: 300 * time.Millisecond, ProbeInterval: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second, UnsupportedRetryAfter: time.Minute, Random: rand.Float64,
 	}
 }
 
@@ -78,6 +82,7 @@
 	speedGains map[string]*speedGain
 	crashes    crashLog
 	bulkheads  bulkheads
+	shares     *fairshare.Admission
 	doubts     doubts
 	fencing    fencingRecords
 	// cancelled holds until when a submission of a job is refused since the job was
@@ -95,7 +100,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: doubts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), shares: fairshare.NewAdmission(), doubts: doubts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
 }
 
 // Take returns the actions that were decided since the last call.
@@ -310,6 +315,7 @@
 	c.doubts.prune(now)
 	c.fencing.prune(now)
 	c.pruneCancelled(now)
+	c.expireShareLimits(now)
 	if now-c.bulkheads.updatedAt >= statsInterval {
 		c.updateBulkheads(now)
 	}
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -100,6 +100,7 @@
 		}
 		event.Log(d.log).Str("queue", ch.Queue).Str("service", ch.Service).Float64("crashing_jobs", ch.CrashingJobs).Int("targets", ch.Targets).Send()
 	}
+	d.logShareChanges(a.ShareChanges)
 	for _, ch := range a.AvoidanceChanges {
 		event := events.TargetTrusted
 		if ch.Avoided {
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/restartable/fairshare"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
@@ -161,6 +162,8 @@
 	// Objective and Deadline are the times that were left until the job's objective
 	// and deadline.
 	Objective, Deadline time.Duration
+	// Share is the share of the job's queue if the job was refused for it.
+	Share *fairshare.Share
 }
 
 // taskState is the gateway's state of one task.
--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -66,6 +66,9 @@
 	if j.attempts == 0 {
 		c.observeSpeedGain(p)
 	}
+	if c.refuseByShare(now, j, choices, cause) {
+		return false
+	}
 	if cause != CauseNone {
 		j.refusal = c.refusalDetails(now, j, step, last)
 		c.revoke(now, j, cause)
@@ -196,7 +199,7 @@
 	a.placed[t.id] = t
 	a.jobs[j.ID] = j
 	a.lastPlacedAt = now
-	a.unacked = append(a.unacked, unackedOrder{o.Number, o.Needs, float64(o.Needs.CPUMillis) * float64(ch.run.Milliseconds())})
+	a.unacked = append(a.unacked, unackedOrder{o.Number, o.Needs, float64(o.Needs.CPUMillis) * float64(ch.run.Milliseconds()), j.Queue.Name})
 	o.Tasks = append(o.Tasks, Attempt{t.id.Index, t.attempt})
 }
 
