Report the use of each queue to gateways that ask for it

Cause: only agents know what all gateways run on a target. Change: a gateway with fair shares switched on sets report_queue_use in its frames; the agent then names the processors of each queue, running, starting and queued tasks, in each load in which they differ from the last one sent on the link. All fields are new and optional: agents of earlier releases ignore the question, and gateways of earlier releases do not ask it. Sent on change since it costs nothing while idle, and as much as in each load under load. Result: gateways know the use of queues over their links.

--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -29,6 +29,8 @@
 	pendingStoreRead *pb.StoreReadReply
 	ordersSeen       uint64
 	retirement       retirement
+	// reportQueueUse is set while the gateway asks for the use by queue.
+	reportQueueUse bool
 }
 
 func newAgentLink(c *Client, address string, cancel context.CancelCauseFunc) *agentLink {
@@ -82,6 +84,13 @@
 	l.mu.Unlock()
 }
 
+// setReportQueueUse records whether the gateway asks for the use by queue.
+func (l *agentLink) setReportQueueUse(asked bool) {
+	l.mu.Lock()
+	l.reportQueueUse = asked
+	l.mu.Unlock()
+}
+
 func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -127,8 +136,9 @@
 	target   runner.Target
 	gateways uint64
 	// inDoubt are the tasks in doubt, relayed is the version of those of other gateways.
-	inDoubt []task.ID
-	relayed uint64
+	inDoubt  []task.ID
+	relayed  uint64
+	queueUse queueUseSent
 }
 
 func (l *agentLink) nextFrame(sent *sentState) *pb.RunReport {
@@ -143,6 +153,7 @@
 	if l.retirement.frameSent(now) {
 		load.Accepting, load.Reason = false, task.ReasonUnlinked
 	}
+	reportQueueUse := l.reportQueueUse
 	l.mu.Unlock()
 	f := &pb.RunReport{Stamp: int64(now), Events: runEvents, Crashes: crashes, StoreRead: storeRead, Load: &pb.TargetLoad{
 		Accepting: load.Accepting, Reason: string(load.Reason), Committed: resourcesToProto(load.Committed),
@@ -158,6 +169,7 @@
 		sent.inDoubt = load.TasksInDoubt
 		f.Load.DoubtsChanged, f.Load.TasksInDoubt = true, taskIDsToProto(load.TasksInDoubt)
 	}
+	sent.queueUse.addTo(f.Load, load.QueueUse, reportQueueUse)
 	if version, tasks := l.client.relay.changesSince(now, l.address, sent.relayed); version != sent.relayed {
 		sent.relayed, f.RelayedChanged, f.RelayedTasksInDoubt = version, true, tasks
 	}
--- a/restartable/link/client.go
+++ b/restartable/link/client.go
@@ -175,6 +175,7 @@
 	if m := f.StoreRead; m != nil {
 		c.store.request(l, m)
 	}
+	l.setReportQueueUse(f.ReportQueueUse)
 	c.runner.RaiseToken(f.MinFencingToken)
 	c.relay.received(c.now(), l.address, f)
 	var starts []runner.Start
--- a/restartable/link/server.go
+++ b/restartable/link/server.go
@@ -165,6 +165,7 @@
 			Anomaly:  float64(m.AnomalyPermille) / 1000, Samples: int(m.Samples), FailedShare: float64(m.FailedPermille) / 1000, OrdersSeen: m.OrdersSeen,
 			FencingToken: m.FencingToken, Fenced: m.Fenced,
 			DoubtsChanged: m.DoubtsChanged, TasksInDoubt: taskIDsFromProto(m.TasksInDoubt),
+			QueueUseChanged: m.QueueUseChanged, QueueUse: queueUseFromProto(m.QueueUse),
 		}
 	}
 	runEvents := make([]dispatch.AttemptEvent, 0, len(f.Events))
@@ -210,6 +211,7 @@
 		if tasks := s.dispatcher.TasksInDoubt(); !slices.Equal(tasks, sentDoubts) {
 			sentDoubts, f.DoubtsChanged, f.TasksInDoubt = tasks, true, doubtsToProto(tasks)
 		}
+		f.ReportQueueUse = s.dispatcher.WantsQueueUse()
 		f.MinFencingToken = s.dispatcher.MinFencingToken(info.Name)
 		if version, all := s.gateways.ChangesSince(sentVersion); version != sentVersion {
 			sentVersion, f.Gateways = version, all
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -238,12 +238,15 @@
 	// and has ended what they had started. TasksInDoubt are the tasks with a start in doubt.
 	Fenced       bool
 	TasksInDoubt []task.ID
+	// QueueUse holds the parts of Committed by queue, sorted by queue.
+	QueueUse []QueueUse
 }
 
 // Load returns the current load.
 func (c *Core) Load(now time.Duration) Load {
 	l := Load{Committed: c.used.Plus(c.waiting), Queued: len(c.queue), Running: len(c.runs) - len(c.queue)}
 	l.Accepting, l.Reason = c.Accepting(now)
+	l.QueueUse = c.queueUse()
 	l.Fenced, l.TasksInDoubt = c.synced && len(c.foreignRuns) == 0, c.tasksInDoubt(now)
 	sp := c.stats.summary(now, c.elapsedRatios(now))
 	l.Slowness, l.Anomaly, l.Samples, l.FailedShare = sp.slowness, sp.anomaly, sp.samples, sp.failedShare
