Read fair shares from a gateway's settings file, also on SIGHUP

Cause: operators have to switch fair shares on and change weights while the gateway serves. Change: the key fair_shares of the platform's settings file, with findings by line, column and key; a gateway reads it again on SIGHUP and keeps what is in force if the file has findings. An agent does not read it. The signal stays handled until the process ends. The line of a job that was refused by share has share, use, demand and Retry-After; a counter of refusals and gauges of share and use by queue; sections in CONFIG, OPERATIONS and events. Evidence: go test -race ./platform ./daemon; the daemon's test sends itself SIGHUP with changed settings, with a malformed file and with the switch off.

--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -20,6 +20,7 @@
 	version, confirmed := telemetry.QueuesVersion.Gauge(scope), telemetry.QueuesConfirmed.Gauge(scope)
 	drained := telemetry.ZonesDrained.Gauge(scope)
 	inDoubt := telemetry.TasksInDoubt.Gauge(scope)
+	shares := &shareGauges{gateway: g, shown: map[shownQueue]bool{}}
 	crashed, confined := telemetry.CrashedJobs.Gauge(scope), telemetry.QueuesConfined.Gauge(scope)
 	for ctx.Err() == nil {
 		s := g.dispatcher.Status()
@@ -30,6 +31,7 @@
 		crashed.Update(float64(s.CrashedJobs))
 		confined.Update(float64(s.Confined))
 		inDoubt.Update(float64(s.TasksInDoubt))
+		shares.update()
 		capacity.Update(float64(s.Capacity))
 		committed.Update(float64(s.Committed))
 		version.Update(float64(g.queuesVersion()))
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -62,6 +62,12 @@
 			Int64("wait_ms", details.Wait.Milliseconds()).Int64("run_ms", details.Run.Milliseconds()).
 			Int64("objective_ms", details.Objective.Milliseconds()).Int64("deadline_ms", details.Deadline.Milliseconds())
 	}
+	if details := a.Refusal; details != nil && details.Share != nil {
+		s := details.Share
+		line = line.Int64("share_cpu_millis", int64(s.Share)).Int64("use_cpu_millis", int64(s.Use)).
+			Int64("demand_cpu_millis", int64(s.Demand)).Int64("retry_after_ms", a.RetryAfter.Milliseconds())
+		telemetry.ShareRejections.Counter(o.metrics.scope, e.Queue).Inc(1)
+	}
 	if a.State == dispatch.Unfinished && len(a.Open) > 0 {
 		line = line.Array("open", openTasks(a.Open))
 	}
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -63,6 +63,7 @@
 		opts.RemoteFactor = n.Bounds.RemoteFactor
 	}
 	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
+	g.applyFairShares(n.FairShares)
 	g.links = link.NewServer(g.dispatcher, g.config, g.drains, g.gateways)
 	g.peers = &gatewayPeers{
 		name: n.Name, address: address, log: log, known: g.gateways, client: link.NewHTTPClient(),
@@ -93,6 +94,8 @@
 	wg.Go(func() { g.peers.introduce(background) })
 	wg.Go(func() { g.peers.register(background) })
 	wg.Go(func() { g.updateGauges(background) })
+	hangups := sighups()
+	wg.Go(func() { g.reloadSettings(background, hangups, platform.LoadNode) })
 	servers.start(&wg, g.log)
 	events.ProcessStarted.Log(g.log).Str("callers", g.node.ClientAddr).Str("link", g.node.LinkAddr).Str("advertised", g.node.AdvertisedLinkAddr()).Send()
 	<-ctx.Done()
--- a/daemon/platformmain.go
+++ b/daemon/platformmain.go
@@ -37,8 +37,8 @@
 func (*PlatformAgentArguments) Apply(*platform.Node) {}
 
 // PlatformMain runs a daemon with the platform's settings until SIGTERM or
-// SIGINT and returns the exit code. It ignores SIGHUP, by which the platform
-// announces changed settings: no setting in use changes while a process runs.
+// SIGINT and returns the exit code. SIGHUP, by which the platform announces changed
+// settings, is ignored unless run handles it.
 func PlatformMain(process string, args PlatformArguments, run func(context.Context, *platform.Node, zerolog.Logger) error) int {
 	// First, since the platform may send SIGHUP as soon as the process exists.
 	signal.Ignore(syscall.SIGHUP)
