Count a wait as lack of capacity only while no target has room

Change: a job that waits is unmet only if no target could start one of its tasks immediately. TestWaitForAFastTarget... of restartable/dispatch fails without the change. go test -race ./restartable/dispatch ./restartable/fairshare.

--- a/restartable/dispatch/progress.go
+++ b/restartable/dispatch/progress.go
@@ -66,7 +66,7 @@
 	if j.attempts == 0 {
 		c.observeSpeedGain(p)
 	}
-	if c.refuseByShare(now, j, choices, cause) {
+	if c.refuseByShare(now, j, step, choices, cause) {
 		return false
 	}
 	if cause != CauseNone {
--- a/restartable/dispatch/shares.go
+++ b/restartable/dispatch/shares.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbsail/rhubarbsail/restartable/fairshare"
@@ -76,7 +77,7 @@
 // no spare capacity for it and its queue uses more than its share. There is none if the
 // first task would have to wait, which does not depend on the number of tasks: if any task
 // counted, large jobs would be refused more often than small ones.
-func (c *Core) refuseByShare(now time.Duration, j *job, choices []choice, cause Cause) bool {
+func (c *Core) refuseByShare(now time.Duration, j *job, step int, choices []choice, cause Cause) bool {
 	if !c.shares.Enabled() || j.attempts > 0 || j.started {
 		return false
 	}
@@ -85,7 +86,7 @@
 		share = c.exceededShare(now, j.Queue)
 	}
 	if cause == CauseNone || cause == CauseOverload {
-		met := cause == CauseNone && share == nil && !hasWait(choices)
+		met := cause == CauseNone && share == nil && !c.hasToWait(now, j, step, choices)
 		c.shares.Observe(now, j.Queue.Service, j.Queue.Name, j.demand(), met)
 	}
 	if share == nil {
@@ -110,14 +111,12 @@
 	return &share
 }
 
-// hasWait reports whether a task would have to wait for its target.
-func hasWait(choices []choice) bool {
-	for i := range choices {
-		if choices[i].wait > 0 {
-			return true
-		}
-	}
-	return false
+// hasToWait reports whether a task of a step waits for its target while no target could
+// start one immediately. A wait for a fast target while others are free takes nothing from
+// the job's queue.
+func (c *Core) hasToWait(now time.Duration, j *job, step int, choices []choice) bool {
+	waits := slices.ContainsFunc(choices, func(ch choice) bool { return ch.wait > 0 })
+	return waits && !c.newPlan(now, j, step).hasSpareCapacity()
 }
 
 // demand returns what the job asks of its service.
--- a/restartable/dispatch/shares_test.go
+++ b/restartable/dispatch/shares_test.go
@@ -53,6 +53,18 @@
 	r.submitJob("greedy", "greedy-0", 1)
 }
 
+// Jobs of both queues have to wait for their targets while others have room. Guards against
+// a wait for the best target that counts as lack of capacity.
+func TestWaitForAFastTargetIsNoLackOfCapacity(t *testing.T) {
+	r := newShareRig(t, equalShares)
+	r.addAgent("free", 30_000)
+	r.report("free", func(l *Load) { l.Slowness, l.QueueUseChanged = 20, true })
+	r.crowdOut()
+	if a, ok := r.answers["greedy-0"]; ok {
+		t.Errorf("a job is answered while a target has room: %+v", a)
+	}
+}
+
 // One queue has filled the service and another one wants a part. Guards against jobs of
 // the first that are taken on, and against a refusal without share, use or a time to
 // return. The use on a service without load is not a reason to refuse.
--- a/restartable/fairshare/admission.go
+++ b/restartable/fairshare/admission.go
@@ -61,7 +61,7 @@
 func (a *Admission) Set(s Settings) { a.settings = s }
 
 // Observe records a job that has arrived. met is set if it was accepted and does not
-// have to wait for capacity.
+// have to wait for lack of capacity.
 func (a *Admission) Observe(now time.Duration, service, queue string, j Job, met bool) {
 	a.record(key{service, queue}).window.add(now, j, met)
 }
