--- a/restartable/fleet/fleet.go
+++ b/restartable/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/virtualtime"
 	"github.com/rhubarbsail/rhubarbsail/restartable/dispatch"
+	"github.com/rhubarbsail/rhubarbsail/restartable/fairshare"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 	"github.com/rhubarbsail/rhubarbsail/restartable/runner"
 	"github.com/rhubarbsail/rhubarbsail/restartable/subset"
@@ -42,6 +43,9 @@
 	// OneCrashingJobAfter is the time from which the next job of the first kind has a
 	// task that crashes its targets; 0 for none.
 	OneCrashingJobAfter time.Duration
+	// FairShares are the settings of fair shares of all gateways.
+	FairShares fairshare.Settings
+	Burst      Burst
 }
 
 // MixedOptions returns a fleet of targets of two speeds with three kinds of jobs.
@@ -200,6 +204,7 @@
 	var names []string
 	for i := range f.opts.Gateways {
 		g := &gateway{name: fmt.Sprintf("gateway-%d", i), core: dispatch.NewCore(dispatch.DefaultOptions("z")), links: map[string]*link{}}
+		g.core.SetFairShares(f.opts.FairShares)
 		f.gateways = append(f.gateways, g)
 		byName[g.name] = g
 		names = append(names, g.name)
@@ -429,6 +434,7 @@
 		Anomaly: load.Anomaly, Samples: load.Samples, FailedShare: load.FailedShare, OrdersSeen: l.ordersSeen,
 		Fenced: load.Fenced, TasksInDoubt: load.TasksInDoubt, DoubtsChanged: true,
 	}
+	addQueueUse(m, load, l.gateway.core.WantsQueueUse())
 	f.After(networkDelay, func() {
 		l.stamp = stamp
 		f.atGateway(l.gateway, func(c *dispatch.Core) {
@@ -441,7 +447,7 @@
 }
 
 // scheduleJobs schedules the arrivals of all jobs as Poisson processes, one for
-// each kind of jobs.
+// each kind of jobs. The rate of one of them rises during bursts.
 func (f *Fleet) scheduleJobs(start time.Duration) {
 	var capacity float64
 	for _, t := range f.targets {
@@ -455,7 +461,8 @@
 		}
 		meanInterval := cpuTimePerJob / (capacity * f.opts.Load * share)
 		n := 0
-		for at := f.rng.ExpFloat64() * meanInterval; at < f.opts.Duration.Seconds(); at += f.rng.ExpFloat64() * meanInterval {
+		next := func(at float64) float64 { return at + f.rng.ExpFloat64()*meanInterval/f.opts.Burst.rate(k.Name, at) }
+		for at := next(0); at < f.opts.Duration.Seconds(); at = next(at) {
 			n++
 			id := fmt.Sprintf("%s-%d", k.Name, n)
 			wait := start - f.Now + time.Duration(at*float64(time.Second))
@@ -480,7 +487,7 @@
 	arrived := f.Now
 	objective := time.Duration(q.StretchFactor*float64(longest)) + q.TargetLatency
 	job := f.result.add(k, run*time.Duration(tasks))
-	job.Crashing = f.crashing[id]
+	job.Crashing, job.Arrived = f.crashing[id], arrived-startTime-linkSetupTime
 	job.Possible = time.Duration(float64(longest)*f.fastest) <= min(objective, q.Timeout)
 	s := dispatch.Submission{
 		ID: id, Queue: q, Wait: q.Timeout,
@@ -490,7 +497,7 @@
 		f.result.Attempts += a.Attempts
 		f.result.Tasks += tasks
 
-		job.State, job.Elapsed = a.State, f.Now-arrived
+		job.State, job.Cause, job.Elapsed = a.State, a.Cause, f.Now-arrived
 		if a.State == dispatch.Completed {
 			f.result.Stretches = append(f.result.Stretches, job.Elapsed.Seconds()/run.Seconds())
 			job.InTime = job.Elapsed <= objective
--- a/restartable/fleet/result.go
+++ b/restartable/fleet/result.go
@@ -37,10 +37,13 @@
 	// Possible is set if the fastest targets, all idle, complete the job within its
 	// objective and its deadline. No dispatcher can do more.
 	Possible bool
-	// State is how the job was answered, 0 if it has not been. Elapsed is the time
-	// from its arrival to the answer.
+	// State is how the job was answered and Cause why, 0 and empty if it has not been.
+	// Elapsed is the time from its arrival to the answer.
 	State   dispatch.State
+	Cause   dispatch.Cause
 	Elapsed time.Duration
+	// Arrived is the time from the start of the arrivals to its own.
+	Arrived time.Duration
 	// InTime is set if it was completed within its objective.
 	InTime bool
 	// Crashing is set if its first task crashes its targets.
