Switch fair shares on in one of five seeds of the soak

Cause: the processes had not been run with fair shares under faults. Change: seeds with the remainder 2 of a division by 5, which no regression has, give two of three gateways fair shares with a weight of 2 for the jobs that are cancelled. Evidence: partial. None of the runs shows an untrue refusal, overlapping runs or a target over its capacity. In one run of seed 2, 41 jobs were refused because of their share. Result: to be repeated on a quiet machine.

--- a/integration/soak/system_test.go
+++ b/integration/soak/system_test.go
@@ -200,6 +200,7 @@
 		relay := s.relay(n.Name, n.LinkAddr)
 		seeds = append(seeds, relay)
 		n.Seeds = seeds[:min(len(seeds), seedsMax)]
+		n.FairShares = fairSharesOf(seed, i)
 		g := &node{clientAddr: n.ClientAddr, readinessAddr: n.ReadinessAddr}
 		g.Process = s.newProcess("platform-gateway", n, "--advertise-link", relay)
 		s.gateways = append(s.gateways, g)
