--- a/restartable/link/agentlink.go
+++ b/restartable/link/agentlink.go
@@ -29,6 +29,8 @@
 	pendingStoreRead *pb.StoreReadReply
 	ordersSeen       uint64
 	retirement       retirement
+	// reportQueueUse is set while the gateway asks for the use by queue.
+	reportQueueUse bool
 }
 
 func newAgentLink(c *Client, address string, cancel context.CancelCauseFunc) *agentLink {
@@ -82,6 +84,13 @@
 	l.mu.Unlock()
 }
 
+// setReportQueueUse records whether the gateway asks for the use by queue.
+func (l *agentLink) setReportQueueUse(asked bool) {
+	l.mu.Lock()
+	l.reportQueueUse = asked
+	l.mu.Unlock()
+}
+
 func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -132,6 +141,7 @@
 	late           []task.ID
 	relayed        []*pb.TaskInDoubt
 	relayedVersion uint64
+	queueUse       queueUseSent
 }
 
 func (l *agentLink) nextFrame(sent *sentState) *pb.RunReport {
@@ -146,6 +156,7 @@
 	if l.retirement.frameSent(now) {
 		load.Accepting, load.Reason = false, task.ReasonUnlinked
 	}
+	reportQueueUse := l.reportQueueUse
 	l.mu.Unlock()
 	f := &pb.RunReport{Stamp: int64(now), Events: runEvents, Crashes: crashes, StoreRead: storeRead, Load: &pb.TargetLoad{
 		Accepting: load.Accepting, Reason: string(load.Reason), Committed: resourcesToProto(load.Committed),
@@ -161,6 +172,7 @@
 		sent.inDoubt = load.TasksInDoubt
 		f.Load.DoubtsChanged, f.Load.TasksInDoubt = true, taskIDsToProto(load.TasksInDoubt)
 	}
+	sent.queueUse.addTo(f.Load, load.QueueUse, reportQueueUse)
 	version, tasks := l.client.relay.changesSince(now, l.address, sent.relayedVersion)
 	if version != sent.relayedVersion {
 		sent.relayed, sent.relayedVersion, f.RelayedChanged = tasks, version, true
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -243,6 +243,8 @@
 	Fenced       bool
 	TasksInDoubt []task.ID
 	LateTasks    []task.ID
+	// QueueUse holds the parts of Committed by queue, sorted by queue.
+	QueueUse []QueueUse
 }
 
 // Load returns the current load.
@@ -251,6 +253,7 @@
 	l.Accepting, l.Reason = c.Accepting(now)
 	l.Fenced, l.TasksInDoubt = c.synced && c.reachable && len(c.foreignRuns) == 0, c.tasksInDoubt(now)
 	l.LateTasks = c.lateTasks(now)
+	l.QueueUse = c.queueUse()
 	sp := c.stats.summary(now, c.elapsedRatios(now))
 	l.Slowness, l.Anomaly, l.Samples, l.FailedShare = sp.slowness, sp.anomaly, sp.samples, sp.failedShare
 	slowness := sp.slowness * sp.anomaly
