--- a/common/telemetry/metrics.go
+++ b/common/telemetry/metrics.go
@@ -8,6 +8,10 @@
 		"Time from the request's header to the end of its answer.", "api", "route")
 	HTTPInProgress = define(KindGauge, "http_requests_in_progress", "requests",
 		"Requests being handled.", "api")
+	ConnectionsClosed = define(KindCounter, "connections_closed_total", "connections",
+		"Connections and requests ended, since unfinished requests held too much, by listener and limit (bytes, connections).", "listener", "limit")
+	RequestBytesHeld = define(KindGauge, "request_bytes_held", "bytes",
+		"Estimate of the memory that open connections and their requests hold.")
 	BuildInfo = define(KindGauge, "build_info", "1",
 		"Always 1; the labels give the version of the program and of Go.", "version", "go")
 	Ready = define(KindGauge, "ready", "0 or 1", "1 while the process takes new requests.")
@@ -63,6 +67,9 @@
 	CrashedJobs           = define(KindGauge, "crashed_jobs", "jobs", "Jobs under which a target has crashed in the last minute.")
 	TasksInDoubt          = define(KindGauge, "tasks_in_doubt", "tasks", "Tasks that agents have started without an answer and that their targets may still carry out.")
 	QueuesConfined        = define(KindGauge, "queues_confined", "queues", "Queues that are confined to a part of the targets, since their jobs crash them.")
+	ShareRejections       = define(KindCounter, "share_rejections_total", "jobs", "Jobs refused since their queue used more than its share of the service.", "queue")
+	QueueShare            = define(KindGauge, "queue_share_cpu_millis", "thousandths of a core", "Fair share of a queue: at most its demand.", "service", "queue")
+	QueueUse              = define(KindGauge, "queue_use_cpu_millis", "thousandths of a core", "Processors taken by running and queued tasks of a queue, as its agents report them for all gateways.", "service", "queue")
 	CapacityCPU           = define(KindGauge, "capacity_cpu_millis", "thousandths of a core", "Processors of all attached targets.")
 	CommittedCPU          = define(KindGauge, "committed_cpu_millis", "thousandths of a core", "Processors taken by running and queued tasks.")
 	QueuesVersion         = define(KindGauge, "queues_version", "version", "Version of the configuration of queues in force.")
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/rhubarbsail/rhubarbsail/common/boottime"
 	"github.com/rhubarbsail/rhubarbsail/common/events"
+	"github.com/rhubarbsail/rhubarbsail/common/requestlimit"
 	"github.com/rhubarbsail/rhubarbsail/common/telemetry"
 	"github.com/rhubarbsail/rhubarbsail/platform"
 	"github.com/rhubarbsail/rhubarbsail/restartable/cancel"
@@ -29,6 +30,9 @@
 	// exitReserve is the part of the platform's grace period that is reserved for
 	// ending the process after the servers have stopped.
 	exitReserve = 300 * time.Millisecond
+	// lastAnswerReserve is the time for the answers to the jobs that are not done when the
+	// servers are about to stop.
+	lastAnswerReserve = 200 * time.Millisecond
 )
 
 // PlatformGateway is a gateway of restartable jobs on the users' platform.
@@ -45,6 +49,7 @@
 	peers      *gatewayPeers
 	canceller  *cancel.Canceller
 	syncer     *configsync.Syncer
+	budget     *requestlimit.Budget
 	stopping   atomic.Bool
 }
 
@@ -56,6 +61,7 @@
 		node: n, log: log, metrics: telemetry.NewMetrics("gateway", n.Name, log), config: &queues.CurrentConfig{},
 		drains: &zones.Current{}, gateways: link.NewGateways(boottime.Now, append([]string{address}, n.Seeds...)...),
 	}
+	g.budget = newNodeBudget(n, log, g.metrics)
 	// The gateways that agents are told about always include this one.
 	g.gateways.MarkLinked(address)
 	opts := dispatch.DefaultOptions(n.Zone)
@@ -63,6 +69,7 @@
 		opts.RemoteFactor = n.Bounds.RemoteFactor
 	}
 	g.dispatcher = dispatch.New(dispatch.NewCore(opts), boottime.Now, log, newJobObserver(log, g.metrics.Scope))
+	g.applyFairShares(n.FairShares)
 	g.links = link.NewServer(g.dispatcher, g.config, g.drains, g.gateways)
 	g.peers = &gatewayPeers{
 		name: n.Name, address: address, log: log, known: g.gateways, client: link.NewHTTPClient(),
@@ -93,12 +100,16 @@
 	wg.Go(func() { g.peers.introduce(background) })
 	wg.Go(func() { g.peers.register(background) })
 	wg.Go(func() { g.updateGauges(background) })
+	hangups := sighups()
+	wg.Go(func() { g.reloadSettings(background, hangups, platform.LoadNode) })
 	servers.start(&wg, g.log)
 	events.ProcessStarted.Log(g.log).Str("callers", g.node.ClientAddr).Str("link", g.node.LinkAddr).Str("advertised", g.node.AdvertisedLinkAddr()).Send()
 	<-ctx.Done()
 	events.ProcessStopping.Log(g.log).Send()
 	g.stopping.Store(true)
-	err = servers.stop(g.node.Bounds.GracePeriod - exitReserve)
+	limit := g.node.Bounds.GracePeriod - exitReserve
+	g.dispatcher.StopIn(limit - lastAnswerReserve)
+	err = servers.stop(limit)
 	cancelBackground()
 	g.canceller.Stop()
 	wg.Wait()
@@ -108,11 +119,12 @@
 }
 
 func (g *PlatformGateway) listen(env Env) (*serverSet, error) {
-	set := &serverSet{env: env}
-	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), true)
-	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), false)
-	set.add(g.node.LinkAddr, g.links.Handler(), false)
-	set.add(g.node.MetricsAddr, g.metrics.Handler, false)
+	set := &serverSet{env: env, budget: g.budget}
+	limits := limitsFor(g.node.Descriptors)
+	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), listenerOptions{"callers", limits.callers, true})
+	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), listenerOptions{"readiness", limits.checks, false})
+	set.add(g.node.LinkAddr, g.links.Handler(), listenerOptions{"link", limits.internal, false})
+	set.add(g.node.MetricsAddr, g.metrics.Handler, listenerOptions{"metrics", limits.checks, false})
 	return set, set.err
 }
 
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -52,6 +53,10 @@
 	TasksInDoubt []task.ID
 	// DoubtsChanged is set if TasksInDoubt replaces the list that the agent sent before.
 	DoubtsChanged bool
+	// QueueUse is the use by queue, which is reported at the gateway's request. It replaces
+	// the one reported before if QueueUseChanged is set.
+	QueueUse        []QueueUse
+	QueueUseChanged bool
 }
 
 // unackedOrder is an order that the agent's last reported load does not include.
@@ -59,7 +64,8 @@
 	number uint64
 	needs  task.Resources
 	// work is the expected work in thousandths of a core times milliseconds.
-	work float64
+	work  float64
+	queue string
 }
 
 // agent is the gateway's view of one agent. It belongs to a Core.
@@ -77,16 +83,24 @@
 	// the unanswered jobs that had any task there.
 	placed map[task.ID]*taskRecord
 	jobs   map[string]*job
+	// givenUp holds the attempts of jobs that were given up, until their ends are reported.
+	givenUp givenUpAttempts
 	// lastPlacedAt is when a task was last placed on the agent.
 	lastPlacedAt time.Duration
 	// avoided is set while the target looks broken or slow and gets only probes.
 	avoided bool
-	// inDoubt are the tasks that the agent says are in doubt, relayed those that it relays
+	// inDoubt are the tasks that the agent says are in doubt, late those with a start that
+	// its target may carry out late, relayed those that it relays
 	// from other gateways, by the agent that has started them.
 	inDoubt []task.ID
+	late    []task.ID
 	relayed map[string]taskDoubts
 	// reservedFor is the queue that is confined to this target and some others, if any.
 	reservedFor string
+	// queueUse is the use by queue that the agent has reported, reportsQueueUse is set once
+	// it has.
+	queueUse        []QueueUse
+	reportsQueueUse bool
 	// doneSinceAvoided counts the successful runs since the target became avoided.
 	doneSinceAvoided int
 	// newestOnTime is the start of the newest run here that has ended about as soon as
@@ -100,6 +114,7 @@
 // applyLoad applies a reported load.
 func (a *agent) applyLoad(now time.Duration, l Load) {
 	a.reportedAt, a.load = now, l
+	a.applyQueueUse(&l)
 	a.unacked = slices.DeleteFunc(a.unacked, func(o unackedOrder) bool { return o.number <= l.OrdersSeen })
 }
 
@@ -119,3 +134,32 @@
 func (a *agent) hasLabel(label string) bool {
 	return label == "" || slices.Contains(a.target.Labels, label)
 }
+
+// givenUpAttempts holds the last attempt of each task whose job was given up before the
+// agent has reported its end. A later submission of the job continues its numbers, so that
+// the report is not taken for one of its own attempts.
+type givenUpAttempts map[task.ID]givenUpAttempt
+
+type givenUpAttempt struct {
+	number int
+	at     time.Duration
+}
+
+func (g givenUpAttempts) add(now time.Duration, t *taskRecord) {
+	g[t.id] = givenUpAttempt{t.attempt, now}
+}
+
+// ended forgets an attempt whose end is reported.
+func (g givenUpAttempts) ended(id task.ID, number int) {
+	if g[id].number == number {
+		delete(g, id)
+	}
+}
+
+// givenUpRetention is how long the end of an attempt is awaited. An order that was withdrawn
+// before it was sent has none.
+const givenUpRetention = 13 * time.Second
+
+func (g givenUpAttempts) prune(now time.Duration) {
+	maps.DeleteFunc(g, func(_ task.ID, a givenUpAttempt) bool { return now-a.at > givenUpRetention })
+}
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -6,9 +6,11 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/restartable/fairshare"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
 
@@ -46,6 +48,8 @@
 	// to wait before it retries. It is longer since only an upgrade changes the
 	// answer.
 	UnsupportedRetryAfter time.Duration
+	// Random returns a number in [0, 1). It spreads the times at which callers retry.
+	Random func() float64
 }
 
 // DefaultOptions returns options for the deployments that docs/design.md describes
@@ -55,7 +59,7 @@
 		Zone: zone, SameZoneDelay: 300 * time.Microsecond, CrossZoneDelay: 1500 * time.Microsecond,
 		AnswerMargin: 10 * time.Millisecond, SuspectAfter: 350 * time.Millisecond,
 		SuspendedAfter: 400 * time.Millisecond, ResumeDelay: 250 * time.Millisecond, MaxTickDelay: 60 * time.Millisecond, ResumeMax: 2 * time.Second,
-		StartupGrace: 300 * time.Millisecond, ProbeInterval: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second, UnsupportedRetryAfter: time.Minute,
+		StartupGrace: 300 * time.Millisecond, ProbeInterval: time.Second, RemoteFactor: 1.5, RetryAfter: time.Second, UnsupportedRetryAfter: time.Minute, Random: rand.Float64,
 	}
 }
 
@@ -78,7 +82,9 @@
 	speedGains map[string]*speedGain
 	crashes    crashLog
 	bulkheads  bulkheads
+	shares     *fairshare.Admission
 	doubts     doubts
+	lateStarts lateStarts
 	fencing    fencingRecords
 	// cancelled holds until when a submission of a job is refused since the job was
 	// cancelled; prunedCancelledAt is when outdated entries were last removed.
@@ -86,6 +92,8 @@
 	prunedCancelledAt time.Duration
 	// startedAt is when this process started.
 	startedAt time.Duration
+	// stopAt is when this process ends, 0 while it is not known.
+	stopAt time.Duration
 	// lastTickAt is the time of the last tick. Until resumeAt all jobs are refused
 	// because of a suspension that ended at resumedAt.
 	lastTickAt, resumeAt, resumedAt time.Duration
@@ -95,7 +103,7 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), doubts: doubts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
+	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), shares: fairshare.NewAdmission(), doubts: doubts{}, lateStarts: lateStarts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
 }
 
 // Take returns the actions that were decided since the last call.
@@ -160,6 +168,7 @@
 	}
 	j := newJob(now, s, c.estimator(s.Queue.Name).predict)
 	j.callers = append(j.callers, caller)
+	c.limitToStop(j)
 	// A target went down under an earlier submission of the job, so that it has run, or it
 	// may still run.
 	j.started = c.crashes.jobs[s.ID] != nil || c.jobInDoubt(now, s.ID)
@@ -199,18 +208,27 @@
 // applyEvent applies an agent's report of an attempt. It returns the job whose state
 // may have changed, or nil.
 func (c *Core) applyEvent(now time.Duration, a *agent, e AttemptEvent) *job {
+	if a.Process != 0 {
+		c.lateStarts.note(now, a.Name, e)
+	}
 	t := a.placed[e.Task]
 	if t == nil || t.attempt != e.Attempt {
 		if e.Outcome == task.Started {
 			c.stopUnknownRun(a, e)
+		} else {
+			a.givenUp.ended(e.Task, e.Attempt)
 		}
 		return nil
 	}
 	j := c.jobs[e.Task.Job]
+	if a.Process != 0 && e.mayBeLate() {
+		t.lateOn = append(t.lateOn, a.Name)
+	}
 	if e.Outcome == task.Started {
 		if j != nil {
 			j.started = true
 		}
+		c.confirmRecall(a, t)
 		t.started = e.Reason != task.ReasonRepeated
 		t.startAt = now
 		return j
@@ -295,6 +313,23 @@
 	}
 }
 
+// StopAt announces that this process ends at a time. Jobs that are not done by then are
+// answered before, and new ones that would not be are refused: their callers would lose
+// their connections.
+func (c *Core) StopAt(at time.Duration) {
+	c.stopAt = at
+	for _, j := range c.jobs {
+		c.limitToStop(j)
+	}
+}
+
+// limitToStop lets a job end before this process does.
+func (c *Core) limitToStop(j *job) {
+	if c.stopAt > 0 {
+		j.deadline, j.startBy = min(j.deadline, c.stopAt), min(j.startBy, c.stopAt)
+	}
+}
+
 // SetStartTime sets the time at which this process started.
 func (c *Core) SetStartTime(now time.Duration) { c.startedAt = now }
 
@@ -309,8 +344,13 @@
 	c.lastTickAt = now
 	c.crashes.prune(now)
 	c.doubts.prune(now)
+	c.lateStarts.prune(now)
+	for _, a := range c.agents {
+		a.givenUp.prune(now)
+	}
 	c.fencing.prune(now)
 	c.pruneCancelled(now)
+	c.expireShareLimits(now)
 	if now-c.bulkheads.updatedAt >= statsInterval {
 		c.updateBulkheads(now)
 	}
--- a/restartable/dispatch/dispatcher.go
+++ b/restartable/dispatch/dispatcher.go
@@ -100,6 +100,7 @@
 		}
 		event.Log(d.log).Str("queue", ch.Queue).Str("service", ch.Service).Float64("crashing_jobs", ch.CrashingJobs).Int("targets", ch.Targets).Send()
 	}
+	d.logShareChanges(a.ShareChanges)
 	for _, ch := range a.AvoidanceChanges {
 		event := events.TargetTrusted
 		if ch.Avoided {
@@ -135,6 +136,12 @@
 	return Answer{State: Unfinished, Cause: CauseCallerLeft}
 }
 
+// StopIn announces that this process ends after a time. Jobs that take longer are answered
+// before.
+func (d *Dispatcher) StopIn(after time.Duration) {
+	d.apply(func(c *Core, now time.Duration) { c.StopAt(now + after) })
+}
+
 // Cancel aborts a job, refuses later submissions of it and reports whether it was in
 // progress here.
 func (d *Dispatcher) Cancel(id string) bool {
--- a/restartable/dispatch/indoubt.go
+++ b/restartable/dispatch/indoubt.go
@@ -63,13 +63,18 @@
 
 // add records tasks with a start in doubt on an agent.
 func (d doubts) add(now time.Duration, agent string, tasks ...task.ID) {
+	d.addUntil(now+doubtRetention, agent, tasks...)
+}
+
+// addUntil records tasks with a start in doubt on an agent until a time.
+func (d doubts) addUntil(until time.Duration, agent string, tasks ...task.ID) {
 	if len(tasks) == 0 {
 		return
 	}
 	if d[agent] == nil {
 		d[agent] = taskDoubts{}
 	}
-	d[agent].add(now+doubtRetention, tasks...)
+	d[agent].add(until, tasks...)
 }
 
 // list returns the tasks in doubt on the agents that are or were linked to this gateway,
@@ -107,6 +112,8 @@
 func (c *Core) reportDoubts(now time.Duration, a *agent, l *Load) {
 	if l.Fenced {
 		delete(c.doubts, a.Name)
+	} else {
+		c.doubtLateStarts(now, a.Name)
 	}
 	if l.DoubtsChanged {
 		a.inDoubt = l.TasksInDoubt
@@ -117,13 +124,16 @@
 	}
 }
 
-// TasksRelayed records all tasks that an agent relays as in doubt from other gateways.
+// TasksRelayed records all tasks that an agent relays as in doubt from other gateways, and
+// its own late tasks, which come into doubt if it is not heard from.
 func (c *Core) TasksRelayed(now time.Duration, link string, tasks []TaskInDoubt) {
 	a := c.byLink[link]
 	if a == nil {
 		return
 	}
 	a.relayed = map[string]taskDoubts{}
+	a.late = lateTasksOf(a.Name, tasks)
+	c.lateStarts.told(now, a.Name, a.late)
 	for _, t := range tasks {
 		if a.relayed[t.Agent] == nil {
 			a.relayed[t.Agent] = taskDoubts{}
@@ -144,10 +154,10 @@
 		return
 	}
 	t := j.tasks[d.Task.Step][d.Task.Index]
-	if t.state != placed || t.agent.Name == d.Agent {
+	if t.agent == nil || t.agent.Name == d.Agent || t.inDoubtOn != "" {
 		return
 	}
-	t.state = recalled
+	t.state, t.inDoubtOn = recalled, d.Agent
 	c.out.Stops = append(c.out.Stops, Stop{Link: t.agent.Link, Job: j.ID, Task: t.id, Attempt: t.attempt})
 	c.out.DoubtfulRuns = append(c.out.DoubtfulRuns, DoubtfulRun{Task: t.id, Attempt: t.attempt, Agent: t.agent.Name, InDoubtOn: d.Agent})
 }
@@ -223,13 +233,17 @@
 	j.started, j.held = true, true
 }
 
-// placeableTasks returns the waiting tasks of a step whose start is not in doubt.
+// placeableTasks returns the waiting tasks of a step whose start is not in doubt, and that
+// are not bound to a target that takes no tasks.
 func (c *Core) placeableTasks(now time.Duration, j *job, step int) []*taskRecord {
 	tasks := j.waitingTasks(step)
-	if len(tasks) == 0 || !c.jobInDoubt(now, j.ID) {
+	if len(tasks) == 0 {
 		return tasks
 	}
-	return slices.DeleteFunc(tasks, func(t *taskRecord) bool { return c.taskInDoubt(now, t.id) })
+	doubtful := c.jobInDoubt(now, j.ID)
+	return slices.DeleteFunc(tasks, func(t *taskRecord) bool {
+		return doubtful && c.taskInDoubt(now, t.id) || c.isBlocked(now, t.id)
+	})
 }
 
 // giveUpDoubtful answers a job that cannot be completed in time any more because of a
@@ -256,17 +270,29 @@
 	if c.isHeld(now, j) {
 		return max(j.criticalPath(), 1)
 	}
-	if !c.jobInDoubt(now, j.ID) {
+	doubtful := c.jobInDoubt(now, j.ID)
+	if !doubtful && len(c.lateStarts) == 0 {
 		return 0
 	}
 	var longest time.Duration
 	for step, tasks := range j.tasks {
 		for _, t := range tasks {
-			blocked := t.state == waiting && j.ready(step) && c.taskInDoubt(now, t.id) || t.agent != nil && c.startInDoubt(now, t)
-			if blocked {
+			if c.isTaskBlocked(now, j, t, doubtful) {
 				longest = max(longest, j.expected[step], 1)
 			}
 		}
 	}
 	return longest
 }
+
+// isTaskBlocked reports whether a task of a job must not start, or its start is in doubt.
+// doubtful is set if any task of the job is in doubt.
+func (c *Core) isTaskBlocked(now time.Duration, j *job, t *taskRecord, doubtful bool) bool {
+	switch {
+	case t.state == waiting && j.ready(t.id.Step):
+		return doubtful && c.taskInDoubt(now, t.id) || c.isBlocked(now, t.id)
+	case t.agent != nil:
+		return doubtful && c.startInDoubt(now, t)
+	}
+	return false
+}
--- a/restartable/dispatch/job.go
+++ b/restartable/dispatch/job.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbsail/rhubarbsail/restartable/fairshare"
 	"github.com/rhubarbsail/rhubarbsail/restartable/queues"
 	"github.com/rhubarbsail/rhubarbsail/restartable/task"
 )
@@ -162,6 +163,8 @@
 	// Objective and Deadline are the times that were left until the job's objective
 	// and deadline.
 	Objective, Deadline time.Duration
+	// Share is the share of the job's queue if the job was refused for it.
+	Share *fairshare.Share
 }
 
 // taskState is the gateway's state of one task.
@@ -207,6 +210,11 @@
 	// time there to the predicted one.
 	doneOn    string
 	doneRatio float64
+	// inDoubtOn is the agent on which an earlier start of the recalled task is in doubt, if
+	// that is why it was recalled.
+	inDoubtOn string
+	// lateOn are the agents whose targets may carry out an earlier or the present start late.
+	lateOn []string
 	// failedOn is the agent of the last failed, lost or recalled attempt. The next attempt
 	// avoids it.
 	failedOn string
--- a/restartable/dispatch/recall.go
+++ b/restartable/dispatch/recall.go
@@ -147,3 +147,17 @@
 	end := t.sentAt + time.Duration(float64(t.expected)*t.agent.load.Anomaly)
 	return end > j.deadline || end > j.objective && float64(end-now) > minRecallGain*float64(rerun)
 }
+
+// confirmRecall handles the start of a task that was recalled before. Its agent may have
+// disregarded the recall while the start had no answer. The run goes on, unless an earlier
+// start of the task is in doubt elsewhere.
+func (c *Core) confirmRecall(a *agent, t *taskRecord) {
+	if t.state != recalled {
+		return
+	}
+	if t.inDoubtOn == "" {
+		t.state = placed
+		return
+	}
+	c.out.Stops = append(c.out.Stops, Stop{Link: a.Link, Job: t.id.Job, Task: t.id, Attempt: t.attempt})
+}
--- a/restartable/modeltest/agent_test.go
+++ b/restartable/modeltest/agent_test.go
@@ -68,7 +68,7 @@
 	a.relay[l.gate] = relayedList{tasks, a.w.Now}
 }
 
-// relayedTasks mirrors link.relay.changesSince.
+// relayedTasks mirrors link.relay.changesSince, and link.lateTasksToProto.
 func (a *agent) relayedTasks(to *gateway) []dispatch.TaskInDoubt {
 	var out []dispatch.TaskInDoubt
 	if a.w.mutation == relayNothing {
@@ -79,6 +79,12 @@
 			out = append(out, list.tasks...)
 		}
 	}
+	if a.w.mutation == forgetLateTasks {
+		return out
+	}
+	for _, id := range a.core.Load(a.w.Now).LateTasks {
+		out = append(out, dispatch.TaskInDoubt{Task: id, Agent: a.name})
+	}
 	return out
 }
 
@@ -394,6 +400,19 @@
 	}
 }
 
+// fenceCallsBefore mirrors Runner.fenceCallsBefore.
+func (a *agent) fenceCallsBefore(incarnation int64) {
+	switch a.w.mutation {
+	case ignoreTargetStart, keepToken, noTokenFloor:
+		return
+	}
+	if incarnation > a.token {
+		a.token = incarnation
+		a.core.Resync(a.w.Now)
+		a.w.trace("%s raises its token to %d, the start of its target", a.name, a.token)
+	}
+}
+
 // fenceEarlierCalls mirrors Runner.fenceEarlierCalls.
 func (a *agent) fenceEarlierCalls() {
 	if a.w.mutation != keepToken {
@@ -424,6 +443,9 @@
 		}
 		applied := false
 		a.apply(func() {
+			if current, known := a.core.Target(); known && r.born == current.Incarnation {
+				a.fenceCallsBefore(r.born)
+			}
 			applied = a.core.ApplySnapshot(a.w.Now, a.snapshot(r, requestedAt))
 			if applied {
 				a.setTargetClock(t, r.clock)
@@ -593,6 +615,9 @@
 
 // candidateAnswered mirrors Runner.candidateAnswered.
 func (a *agent) candidateAnswered(t runner.Target, requestedAt time.Duration, r reply) {
+	if r.born == t.Incarnation {
+		a.fenceCallsBefore(r.born)
+	}
 	if !a.core.ConfirmCandidate(a.w.Now, t, a.snapshot(r, requestedAt)) {
 		a.w.trace("%s: the candidate %s, born %d, is not confirmed by %d", a.name, t.ID, t.Incarnation, r.born)
 		return
@@ -632,6 +657,9 @@
 			a.core.StopJobs(now, gateway, stopJobs)
 		}
 		for _, at := range stops {
+			if a.w.mutation == moveRecalled {
+				a.core.StopJobs(now, gateway, []string{at.Task.Job})
+			}
 			a.core.StopAttempt(now, gateway, at)
 		}
 		if len(starts) > 0 {
--- a/restartable/modeltest/cases_test.go
+++ b/restartable/modeltest/cases_test.go
@@ -87,6 +87,28 @@
 	return c, crashed.agent
 }
 
+// firstStartIsLate makes the first start be carried out late, and gives later ones to the
+// same target another fate. It returns the place of that target.
+func (sc *scenario) firstStartIsLate(lateBy time.Duration, later callFate) **target {
+	var first *target
+	for _, a := range sc.w.agents {
+		a.target.lateBy = lateBy
+		a.target.fate = func(call string) callFate {
+			switch {
+			case !strings.Contains(call, "start"):
+				return delivered
+			case first == nil:
+				first = a.target
+				return lateCall
+			case first == a.target:
+				return later
+			}
+			return delivered
+		}
+	}
+	return &first
+}
+
 // loseCalls loses all calls of one kind to a target.
 func (tg *target) loseCalls(kind string) {
 	tg.fate = func(call string) callFate {
@@ -291,6 +313,75 @@
 		a.target.postponeLateCalls = 2 * s
 		sc.w.advance(6 * s)
 	}},
+	// The task was overdue before the target had answered the start. It was recalled and
+	// started elsewhere, and the next process of the target carried the first start out while
+	// the stops of the run elsewhere got lost.
+	{"recalled start without an answer", moveRecalled, func(sc *scenario) {
+		first := sc.firstStartIsLate(480*ms, lostCall)
+		c := sc.newClient()
+		c.addStep(1, 50*ms, 4*s)
+		c.submit(sc.w.gateways[0], false)
+		sc.w.advance(200 * ms)
+		for _, a := range sc.w.agents {
+			a.target.loseCalls("stop")
+		}
+		(*first).fate = nil
+		sc.w.advance(270 * ms)
+		(*first).crash(20*ms, (*first).id, false)
+		sc.w.advance(300 * ms)
+	}},
+	// The gateway of the job died and the agent restarted, so that nobody remembered the
+	// start when its target crashed.
+	{"agent restarts after a start without an answer", forgetLateTasks, func(sc *scenario) {
+		g := sc.w.gateways
+		first := sc.firstStartIsLate(1500*ms, delivered)
+		c := sc.submit(g[0], 1, 4*s)
+		sc.w.advance(300 * ms)
+		c.next = g[1]
+		g[0].kill(5*s, false)
+		sc.w.advance(200 * ms)
+		(*first).agent.kill(100 * ms)
+		sc.w.advance(500 * ms)
+		(*first).crash(1300*ms, (*first).id, true)
+		sc.w.advance(3 * s)
+	}},
+	// All gateways and the agent restarted, the agent with its clock set back, so that nobody
+	// knew the token of the start, which the target's next process carried out beside a run.
+	{"clock was set back and all gateways restarted", ignoreTargetStart, func(sc *scenario) {
+		first := sc.firstStartIsLate(1500*ms, delivered)
+		c := sc.submit(sc.w.gateways[0], 1, 50*ms)
+		sc.w.advance(300 * ms)
+		c.ended = true
+		a := (*first).agent
+		a.clockBehind = 10 * s
+		a.kill(500 * ms)
+		for _, g := range sc.w.gateways {
+			g.kill(200*ms, false)
+		}
+		(*first).crash(100*ms, (*first).id, false)
+		for _, other := range sc.w.agents {
+			if other != a {
+				other.kill(5 * s)
+			}
+		}
+		sc.w.advance(1050 * ms)
+		sc.submit(sc.w.gateways[0], 2, 4*s)
+		sc.w.advance(s)
+	}},
+	// A task whose start was repeated was done, but its job was not completed in time. It ran
+	// again for the resubmission, and the next process of the target carried the first start
+	// out.
+	{"task that is done of an unfinished job", forgetRepeated, func(sc *scenario) {
+		first := sc.firstStartIsLate(2500*ms, delivered)
+		c := sc.newClient()
+		c.addStep(1, 300*ms, 300*ms)
+		c.addStep(1, 400*ms, 4*s, 0)
+		c.submit(sc.w.gateways[0], false)
+		c.next = sc.w.gateways[1]
+		sc.w.advance(2 * s)
+		(*first).crash(s, (*first).id, true)
+		sc.w.advance(3 * s)
+	}},
 	// The answer to the start was lost, and the ends of the incarnation that had run the
 	// task were forgotten, so that the task was reported as not started.
 	{"unanswered start and a new incarnation", noMutation, func(sc *scenario) {
--- a/restartable/modeltest/link_test.go
+++ b/restartable/modeltest/link_test.go
@@ -168,6 +168,9 @@
 
 // report mirrors link.agentLink.Report.
 func (l *link) report(r runner.Report) {
+	if l.w.mutation == moveRecalled && r.Reason == task.ReasonUnanswered || l.w.mutation == forgetRepeated && r.Reason == task.ReasonRepeated {
+		r.Reason = ""
+	}
 	l.pendingEvents = append(l.pendingEvents, dispatch.AttemptEvent{
 		Task: r.Task, Attempt: r.Attempt, Outcome: r.Outcome, Reason: r.Reason, RunTime: r.RunTime.Truncate(ms),
 	})
@@ -282,7 +285,9 @@
 	}
 	switch l.w.mutation {
 	case ignoreDoubts:
-		f.load.TasksInDoubt = nil
+		f.load.TasksInDoubt, f.load.Fenced = nil, true
+	case forgetLostAgents:
+		f.load.Fenced = true
 	case noTokenFloor:
 		f.load.FencingToken = int64(l.agentRun) << 40
 	}
--- a/restartable/runner/calls.go
+++ b/restartable/runner/calls.go
@@ -144,11 +144,17 @@
 	r.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
 	defer cancel()
-	repetition := time.AfterFunc(r.opts.StopInterval, func() { r.stopUnanswered(a) })
+	repetition := time.AfterFunc(r.opts.StopInterval, func() {
+		r.apply(func(c *Core, _ time.Duration) { c.StopFailed(a, false) })
+		r.stopUnanswered(a)
+	})
 	clock, err := r.client.Stop(call, t, a, token)
 	repeated := !repetition.Stop()
 	if err != nil {
-		r.apply(func(*Core, time.Duration) { r.raiseTokenIfFenced(token, err) })
+		r.apply(func(c *Core, _ time.Duration) {
+			r.raiseTokenIfFenced(token, err)
+			c.StopFailed(a, errors.Is(err, ErrNotListening))
+		})
 		if !repeated {
 			wait.For(ctx, r.opts.RetryDelay)
 			r.stopUnanswered(a)
@@ -183,6 +189,23 @@
 	}
 }
 
+// maxTokenRaise bounds how far the start of a target's process may raise the fencing token,
+// in milliseconds: the target's clock may be wrong.
+const maxTokenRaise = 24 * 60 * 60 * 1000
+
+// fenceCallsBefore raises the fencing token to the time at which an incarnation of the target
+// has started, before its list is applied. Calls of an earlier process of this agent may
+// carry higher tokens than the present ones if the clock of the VM was set back since, but
+// those that were sent before that start had earlier times. The caller holds r.mu.
+func (r *Runner) fenceCallsBefore(incarnation int64) {
+	if incarnation <= r.token || incarnation-r.token > maxTokenRaise {
+		return
+	}
+	r.token = incarnation
+	r.core.Resync(r.now())
+	events.FencingTokenRaised.Log(r.log).Int64("token", r.token).Send()
+}
+
 // fenceEarlierCalls makes the target refuse the calls that were sent before, from the
 // next call on. Some of them may be executed seconds late, by an incarnation that
 // started meanwhile under the same ID and on whose clock their deadlines lie far ahead.
@@ -195,15 +218,19 @@
 	if r.mayAcknowledge && r.now()-r.lastPollAnswer <= r.opts.PollWait {
 		q.LastEndSeq = r.lastEndSeq
 	}
+	requestedAt := r.now()
+	number := r.openPolls.begin(requestedAt)
 	r.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, q.Wait+r.opts.CallTimeout)
+	timeout := q.Wait + r.opts.CallTimeout
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	requestedAt := r.now()
 	reply, err := r.client.Poll(call, t, q)
 	if err != nil {
 		r.apply(func(_ *Core, now time.Duration) {
+			r.openPolls.end(number)
 			r.mayAcknowledge = false
 			r.raiseTokenIfFenced(q.Token, err)
+			r.checkFailedPoll(now, requestedAt, err)
 			if errors.Is(err, ErrNotListening) {
 				r.connectionRefused(now, t, requestedAt, err)
 			}
@@ -211,7 +238,15 @@
 		return err
 	}
 	r.apply(func(c *Core, now time.Duration) {
+		r.openPolls.end(number)
+		if reply.Incarnation == c.target.Incarnation {
+			r.fenceCallsBefore(reply.Incarnation)
+		}
 		applied := c.ApplySnapshot(now, reply.snapshot(requestedAt))
+		if applied && now-requestedAt > timeout {
+			// This process was suspended, and no poll was waiting since the target answered.
+			c.EndsMissed()
+		}
 		if applied {
 			r.setTargetClock(t, reply.Clock)
 			r.lastPollAnswer, r.lastPollRequest, r.mayAcknowledge = now, requestedAt, true
@@ -250,6 +285,7 @@
 	if !r.isCurrent(t) || r.lastPollAnswer > sentAt {
 		return
 	}
+	r.checkOpenPolls(now)
 	r.loseContact(err, func(c *Core) { c.TargetDown(now, sentAt) })
 }
 
--- a/restartable/runner/indoubt_test.go
+++ b/restartable/runner/indoubt_test.go
@@ -272,3 +272,110 @@
 		t.Fatal("not fenced although the target runs nothing of the predecessor")
 	}
 }
+
+// Guards against two runs of a task at the same time: a start got no answer, its attempt
+// ended, the agent restarted and its target crashed, and nobody remembered the start. Guards
+// against long lists too, which fill the links: most starts without an answer are of runs
+// that their gateway still has.
+func TestLateTasksAreThoseThatTheirGatewayHasGivenUpOrMayRunElsewhere(t *testing.T) {
+	r := newCoreHarness(t)
+	want := func(when string, jobs ...string) {
+		t.Helper()
+		var got []string
+		for _, id := range r.core.Load(r.now).LateTasks {
+			got = append(got, id.Job)
+		}
+		if !slices.Equal(got, jobs) {
+			t.Errorf("jobs with a late task %s: %v, want %v", when, got, jobs)
+		}
+	}
+	start := func(jobs ...string) {
+		var running []Attempt
+		for _, job := range jobs {
+			r.submit(newStart(job, 0, 1000))
+			r.answerStart(firstAttempt(job, 0), StartUnanswered)
+			running = append(running, firstAttempt(job, 0))
+		}
+		r.applyRunning(running...)
+	}
+	start("done", "failed")
+	want("while both run")
+	r.applyEnd(firstAttempt("done", 0), task.Done)
+	r.applyEnd(firstAttempt("failed", 0), task.Failed)
+	want("after a success and a failure", "failed")
+	r.advance(3 * time.Second)
+	r.core.RenewGatewayLease("g", r.now)
+	start("given up")
+	r.core.StopJobs(r.now, "g", []string{"given up"})
+	want("after another was given up", "failed", "given up")
+	r.advance(11 * time.Second)
+	want("after 14 and 11 s", "given up")
+}
+
+// Guards against an agent that is taken to know all starts of its predecessor's, although
+// the next process of its target may carry some out.
+func TestAgentIsNotFencedWhileItsTargetIsOutOfContact(t *testing.T) {
+	r := newCoreHarness(t)
+	r.core.Unreachable(r.now, false)
+	if r.core.Load(r.now).Fenced {
+		t.Error("fenced while the target does not answer")
+	}
+	r.applyRunning()
+	if !r.core.Load(r.now).Fenced {
+		t.Error("not fenced once the target answers again")
+	}
+}
+
+// Guards against two runs of a task at the same time: a start without an answer was recalled
+// and its task started again, on this or another target, and the next process of the target
+// carried the first start out. The next attempt here might get no answer either.
+func TestRecallOfAStartWithoutAnswerIsDisregarded(t *testing.T) {
+	a := firstAttempt("j", 0)
+	cases := map[string]struct {
+		before, after []StartResult
+		stops         int
+		started       bool
+	}{
+		"before the target has answered": {after: []StartResult{StartUnanswered, StartAccepted}, started: true},
+		"without an answer":              {before: []StartResult{StartUnanswered}, after: []StartResult{StartAccepted}, started: true},
+		"the target accepts the first":   {after: []StartResult{StartAccepted}, started: true, stops: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newCoreHarness(t)
+			answer := func(results []StartResult) {
+				for _, result := range results {
+					r.answerStart(a, result)
+					if result == StartUnanswered {
+						r.applyRunning()
+					}
+				}
+			}
+			r.submit(newStart("j", 0, 1000))
+			answer(c.before)
+			r.core.StopAttempt(r.now, "g", a)
+			r.collect()
+			answer(c.after)
+			if n := len(r.actions.Stops); n != c.stops || len(r.actions.Reports) != 0 {
+				t.Errorf("%d stops, reports %v; want %d stops and no report", n, r.actions.Reports, c.stops)
+			}
+			if started := len(r.startedJobs) > 0; started != c.started {
+				t.Errorf("reported as started: %v, want %v", started, c.started)
+			}
+		})
+	}
+}
+
+// Guards against a run of a job that is given up which goes on, since the attempt had been
+// recalled before.
+func TestJobThatIsGivenUpAfterARecallIsStopped(t *testing.T) {
+	a := firstAttempt("j", 0)
+	r := newCoreHarness(t)
+	r.submit(newStart("j", 0, 1000))
+	r.core.StopAttempt(r.now, "g", a)
+	r.core.StopJobs(r.now, "g", []string{"j"})
+	r.answerStart(a, StartUnanswered)
+	if !slices.Equal(r.actions.Stops, []Attempt{a}) {
+		t.Errorf("stops %v, want one", r.actions.Stops)
+	}
+}
--- a/restartable/runner/target.go
+++ b/restartable/runner/target.go
@@ -47,6 +47,9 @@
 	case StartUnanswered:
 		r.state = unanswered
 		c.lateStarts[a.Task] = now
+		if r.recalled {
+			r.resume()
+		}
 		if r.revoked {
 			c.stopUnanswered(r)
 		}
@@ -141,7 +144,7 @@
 		return false
 	}
 	c.reachable, c.confirmed = true, true
-	c.silent = false
+	c.silent, c.endsMissed = false, s.Incomplete
 	for _, e := range s.Ended {
 		c.applyEnd(now, e)
 	}
@@ -234,17 +237,23 @@
 	Queued      int
 	// FencingToken is the token of the calls to the target.
 	FencingToken int64
-	// Fenced is set once the target refuses the calls of earlier processes of this agent,
-	// and has ended what they had started. TasksInDoubt are the tasks with a start in doubt.
+	// Fenced is set while the target refuses the calls of earlier processes of this agent,
+	// and has ended what they had started. TasksInDoubt are the tasks with a start in doubt,
+	// LateTasks those that come into doubt if the target goes out of contact.
 	Fenced       bool
 	TasksInDoubt []task.ID
+	LateTasks    []task.ID
+	// QueueUse holds the parts of Committed by queue, sorted by queue.
+	QueueUse []QueueUse
 }
 
 // Load returns the current load.
 func (c *Core) Load(now time.Duration) Load {
 	l := Load{Committed: c.used.Plus(c.waiting), Queued: len(c.queue), Running: len(c.runs) - len(c.queue)}
 	l.Accepting, l.Reason = c.Accepting(now)
-	l.Fenced, l.TasksInDoubt = c.synced && len(c.foreignRuns) == 0, c.tasksInDoubt(now)
+	l.Fenced, l.TasksInDoubt = c.synced && c.reachable && len(c.foreignRuns) == 0, c.tasksInDoubt(now)
+	l.LateTasks = c.lateTasks(now)
+	l.QueueUse = c.queueUse()
 	sp := c.stats.summary(now, c.elapsedRatios(now))
 	l.Slowness, l.Anomaly, l.Samples, l.FailedShare = sp.slowness, sp.anomaly, sp.samples, sp.failedShare
 	slowness := sp.slowness * sp.anomaly
