--- a/common/httplimit/httplimit.go
+++ b/common/httplimit/httplimit.go
@@ -204,6 +204,7 @@
 		if c.buffered > idleBytes {
 			c.state = inHeader
 			c.holder.Receive(c.buffered)
+			c.buffered = 0
 		}
 	}
 }
@@ -212,7 +213,13 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = multiplexed
+	if c.state != multiplexed {
+		c.state = multiplexed
+		if c.writeTimeout > 0 {
+			// A deadline of the settings frame would end the streams of the connection.
+			_ = c.Conn.SetWriteDeadline(time.Time{})
+		}
+	}
 	c.requests++
 	c.holder.Receive(0)
 	c.holder.Complete()
@@ -229,17 +236,19 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	if c.writeTimeout > 0 && !c.isMultiplexed() {
-		// The write fails if the deadline cannot be set.
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
-	}
+	c.limitWrite()
 	return c.Conn.Write(b)
 }
 
-func (c *conn) isMultiplexed() bool {
+// limitWrite sets the deadline of a write, except on an HTTP/2 connection, whose responses
+// may be streams.
+func (c *conn) limitWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == multiplexed
+	if c.writeTimeout > 0 && c.state != multiplexed {
+		// The write fails if the deadline cannot be set.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+	}
 }
 
 // Close implements net.Conn.
@@ -286,7 +295,9 @@
 	}
 	switch {
 	case r.Body == nil || r.Body == http.NoBody || isStream(r):
-		holder.Complete()
+		if !holder.Complete() {
+			return
+		}
 	default:
 		if t := h.options.BodyTimeout; t > 0 {
 			// A connection that cannot have a deadline is still limited by the budget.
@@ -341,8 +352,12 @@
 }
 
 // isStream reports whether the body of a request is a stream of messages, which lasts as
-// long as the request and of which only the latest message is held.
+// long as the request and of which only the latest message is held. Streams use HTTP/2,
+// which the listener of callers does not offer.
 func isStream(r *http.Request) bool {
+	if r.ProtoMajor < 2 {
+		return false
+	}
 	t := r.Header.Get("Content-Type")
 	return strings.HasPrefix(t, "application/connect+") || strings.HasPrefix(t, "application/grpc")
 }
@@ -360,8 +375,8 @@
 	if n > 0 && !b.discarded && !b.holder.Receive(int64(n)*bodyFactor) {
 		return 0, errClosed
 	}
-	if errors.Is(err, io.EOF) {
-		b.holder.Complete()
+	if errors.Is(err, io.EOF) && !b.holder.Complete() {
+		return 0, errClosed
 	}
 	return n, err
 }
--- a/common/httplimit/httplimit_test.go
+++ b/common/httplimit/httplimit_test.go
@@ -259,6 +259,63 @@
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
 
+// echoMessages answers a stream with what it reads.
+func echoMessages(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	buffer := make([]byte, 1<<10)
+	for {
+		n, err := r.Body.Read(buffer)
+		if _, writeErr := w.Write(buffer[:n]); err != nil || writeErr != nil {
+			return
+		}
+		_ = control.Flush()
+	}
+}
+
+// Guards against links between processes that break after the timeout of a write: the
+// first frame of an HTTP/2 connection is sent before it is known as one.
+func TestStreamOutlastsTheTimeoutOfWrites(t *testing.T) {
+	const writeTimeout = 50 * time.Millisecond
+	s := startServerWith(t, 10, httplimit.Options{WriteTimeout: writeTimeout}, http.HandlerFunc(echoMessages))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	in, out := io.Pipe()
+	defer func() { _ = out.Close() }()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.address+"/", in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Content-Type", "application/connect+proto")
+	stream, err := transport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stream.Body.Close() }()
+	echoed := make([]byte, 1)
+	for range 2 {
+		time.Sleep(2 * writeTimeout)
+		if _, err := out.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(stream.Body, echoed); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against unfinished bodies that are not counted since their clients call them
+// streams.
+func TestHTTP1BodyIsNoStream(t *testing.T) {
+	s := startServer(t, 10, 50*time.Millisecond, readBody)
+	c := s.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Type: application/grpc\r\nContent-Length: 9\r\n\r\nx")
+	if status := answer(c); status != http.StatusBadRequest {
+		t.Errorf("status %d, want that of a body that did not arrive in time", status)
+	}
+}
+
 // Guards against an HTTP/2 connection of another process that is closed although its
 // stream is in use, and against bodies on it that are not counted.
 func TestStreamsAreKeptBesideUnfinishedBodies(t *testing.T) {
@@ -267,16 +324,7 @@
 			readBody(w, r)
 			return
 		}
-		control := http.NewResponseController(w)
-		_ = control.Flush()
-		buffer := make([]byte, 1<<10)
-		for {
-			n, err := r.Body.Read(buffer)
-			if _, writeErr := w.Write(buffer[:n]); err != nil || writeErr != nil {
-				return
-			}
-			_ = control.Flush()
-		}
+		echoMessages(w, r)
 	}))
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
--- a/common/requestlimit/budget.go
+++ b/common/requestlimit/budget.go
@@ -144,7 +144,7 @@
 		spare := g.max/spareShare + 1
 		victims = b.release(LimitConnections, g, func() bool { return g.count <= g.max-spare })
 	}
-	if b.held+bytes > b.options.Bytes {
+	if b.held+bytes > b.options.Bytes && b.heldByComplete()+bytes <= b.options.Bytes {
 		goal := b.options.Bytes - b.options.Bytes/spareShare - bytes
 		victims = append(victims, b.release(LimitBytes, nil, func() bool { return b.held <= goal })...)
 	}
@@ -163,6 +163,18 @@
 	return h, ok
 }
 
+// heldByComplete returns the bytes of the requests that are being served. If these alone
+// exceed the limit, closing the other connections does not help.
+func (b *Budget) heldByComplete() int64 {
+	var sum int64
+	for h := range b.holders {
+		if h.phase == complete {
+			sum += h.bytes
+		}
+	}
+	return sum
+}
+
 // hasOther reports whether there is a holder besides h that serves or receives a request.
 func (b *Budget) hasOther(h *Holder) bool {
 	for o := range b.holders {
@@ -192,7 +204,7 @@
 	// A single request is served although it exceeds the budget: nobody waits for its
 	// memory.
 	if b.held > b.options.Bytes && b.hasOther(h) {
-		goal := b.options.Bytes - b.options.Bytes/spareShare
+		goal := max(b.options.Bytes-b.options.Bytes/spareShare, b.heldByComplete())
 		victims = b.release(LimitBytes, nil, func() bool { return b.held <= goal })
 	}
 	kept := h.phase != ended
@@ -201,14 +213,20 @@
 	return kept
 }
 
-// Complete marks the end of the request's bytes.
-func (h *Holder) Complete() {
+// Complete marks the end of the request's bytes. It returns false if the connection was
+// closed before because of a limit: the request must not be served then, since its client
+// takes it for refused.
+func (h *Holder) Complete() bool {
 	b := h.group.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.phase == unfinished {
-		h.phase = complete
+	if h.phase == ended {
+		return false
 	}
+	// A request that arrived together with the one before begins while the connection
+	// counts as idle.
+	h.phase = complete
+	return true
 }
 
 // Idle marks the end of the response. The connection holds only the given bytes from
--- a/common/requestlimit/budget_test.go
+++ b/common/requestlimit/budget_test.go
@@ -163,6 +163,44 @@
 	}
 }
 
+// Load: complete requests that hold all of the budget beside idle connections.
+// Guards against idle connections that are closed although that cannot make room.
+func TestIdleConnectionsAreKeptIfCompleteRequestsHoldTheBudget(t *testing.T) {
+	c := newClients(1<<20, 100)
+	waiting := c.open(t, "a", connectionBytes)
+	waiting.Complete()
+	waiting.Idle(connectionBytes)
+	for range 12 {
+		k := c.open(t, "b", connectionBytes)
+		if !k.Receive(66<<10) || !k.Complete() {
+			break
+		}
+	}
+	c.now += time.Second
+	for range 5 {
+		c.group.Open("c", largeRequest, func() {})
+	}
+	if waiting.closed {
+		t.Error("an idle connection was closed, although complete requests hold the budget")
+	}
+}
+
+// Load: a crowd that displaces a request whose last bytes have just arrived.
+// Guards against a request that is served although its connection was closed: its client
+// takes it for refused.
+func TestClosedRequestIsNotComplete(t *testing.T) {
+	c := newClients(1<<20, 100)
+	k := c.open(t, "a", connectionBytes)
+	k.Receive(largeRequest)
+	c.now += time.Second
+	for range 40 {
+		c.open(t, "b", connectionBytes)
+	}
+	if !k.closed || k.Complete() {
+		t.Errorf("closed: %v; a closed request is complete", k.closed)
+	}
+}
+
 // Load: none but one request, larger than the budget.
 // Guards against a request within the legal limits that is never served.
 func TestSingleRequestIsServed(t *testing.T) {
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -40,7 +40,7 @@
 		LinkListener:   l.link,
 		TargetListener: l.target,
 		LimitRequests: func(name string, server *http.Server, listener net.Listener) net.Listener {
-			return httplimit.Apply(server, listener, httplimit.Options{Group: budget.NewGroup(name, int(s.Clients.Connections)), BodyTimeout: bodyTimeout})
+			return httplimit.Apply(server, listener, httplimit.Options{Group: budget.NewGroup(name, int(s.Clients.Connections))})
 		},
 	})
 	if err != nil {
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -171,7 +171,7 @@
 	c.limitToStop(j)
 	// A target went down under an earlier submission of the job, so that it has run, or it
 	// may still run.
-	j.started = c.crashes.jobs[s.ID] != nil || c.jobInDoubt(now, s.ID)
+	j.started = c.crashes.jobs[s.ID] != nil || c.jobInDoubt(now, s.ID) || c.lateStarts.ofJob(now, s.ID)
 	if !s.supported() {
 		c.finish(now, j, Answer{State: NotRun, Cause: CauseUnsupported, RetryAfter: c.opts.UnsupportedRetryAfter})
 		return
--- a/restartable/dispatch/latestarts.go
+++ b/restartable/dispatch/latestarts.go
@@ -33,7 +33,9 @@
 		// This submission has no use for another run.
 		l.remove(agent, e.Task, 0)
 	case task.Started, task.NotStarted:
-		l.remove(agent, e.Task, e.Attempt)
+		if !e.mayBeLate() {
+			l.remove(agent, e.Task, e.Attempt)
+		}
 	case task.Lost:
 		if e.mayBeLate() {
 			l.add(now, e.Task, lateStart{agent: agent, attempt: anyAttempt, boundUntil: now + doubtRetention})
@@ -96,7 +98,8 @@
 	}
 	known := &l[id][i]
 	known.until, known.boundUntil = s.until, max(known.boundUntil, s.boundUntil)
-	if s.attempt == anyAttempt {
+	if s.attempt != known.attempt {
+		// The report of one attempt says nothing of the other.
 		known.attempt = anyAttempt
 	}
 }
@@ -129,6 +132,16 @@
 	return slices.ContainsFunc(l[id], func(s lateStart) bool { return now < s.boundUntil && s.agent != agent })
 }
 
+// ofJob reports whether a start of any task of a job may be carried out late.
+func (l lateStarts) ofJob(now time.Duration, job string) bool {
+	for id, starts := range l {
+		if id.Job == job && slices.ContainsFunc(starts, func(s lateStart) bool { return now < s.until }) {
+			return true
+		}
+	}
+	return false
+}
+
 // isBound reports whether a task must not start on any target but one.
 func (l lateStarts) isBound(now time.Duration, id task.ID) bool {
 	return slices.ContainsFunc(l[id], func(s lateStart) bool { return now < s.boundUntil })
--- a/restartable/dispatch/latestarts_test.go
+++ b/restartable/dispatch/latestarts_test.go
@@ -135,6 +135,7 @@
 		"it had started once": {told: []AttemptEvent{
 			newEvent("j", 0, 1, task.Started, ""), newEvent("j", 0, 1, task.Stopped, ""),
 		}},
+		"its start was repeated":  {inDoubt: true, told: []AttemptEvent{newEvent("j", 0, 1, task.Started, task.ReasonRepeated)}},
 		"its start had no answer": {inDoubt: true, told: []AttemptEvent{newEvent("j", 0, 1, task.Lost, task.ReasonUnanswered)}},
 	}
 	for name, c := range cases {
@@ -156,6 +157,30 @@
 	}
 }
 
+// Guards against a late start that is forgotten with an earlier attempt on the same agent,
+// and against a resubmission that is answered as not run meanwhile: an earlier submission may
+// still run.
+func TestLateStartOutlastsTheReportOfAnEarlierAttempt(t *testing.T) {
+	r := newRig(t)
+	r.addAgent("a", 32_000)
+	for range 2 {
+		caller := &Caller{Answer: func(Answer) {}}
+		r.core.Submit(r.now, newSubmission("j", 1, 100*ms), caller)
+		r.collect()
+		r.core.RemoveCaller(r.now, "j", caller)
+		r.collect()
+	}
+	r.reportEvent("a", newEvent("j", 0, 1, task.NotStarted, task.ReasonRevoked))
+	r.core.AgentDown(r.now, "a")
+	r.collect()
+	r.wantInDoubt("once the agent is lost", TaskInDoubt{firstTask("j"), "a"})
+	r.submit(newSubmission("j", 1, 100*ms))
+	for range 100 {
+		r.tick(20 * ms)
+	}
+	r.wantAnswer("j", Unfinished, CauseInDoubt)
+}
+
 // Guards against two runs of a task at the same time: a task whose start had been repeated
 // was done, and ran again for the resubmission of its job, when the target crashed and its
 // next process carried out the first start.
