--- a/common/requestlimit/budget.go
+++ b/common/requestlimit/budget.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// spareShare is the part of a limit that is freed beyond the need, as a divisor, so
+	// spareDivisor is the part of a limit that is freed beyond the need, as a divisor, so
 	// that a crowd does not cause a comparison of all connections for each new one.
-	spareShare = 32
+	spareDivisor = 32
 	// minAge counts for bytes that were received just now. Otherwise new connections
 	// would hold nothing, however many there are.
 	minAge = time.Millisecond
@@ -124,34 +124,34 @@
 
 // Open adds a connection of a client that holds some bytes. Others are closed if it
 // exceeds a limit. It returns false if it cannot be added, since all connections serve
-// complete requests. close closes the connection; it is called at most once, without
+// complete requests. closeConn closes the connection; it is called at most once, without
 // locks, and possibly by another goroutine.
-func (g *Group) Open(client string, bytes int64, close func()) (*Holder, bool) {
-	return g.open(client, bytes, close, true)
+func (g *Group) Open(client string, bytes int64, closeConn func()) (*Holder, bool) {
+	return g.open(client, bytes, closeConn, true)
 }
 
 // OpenRequest does the same for a request on a connection that carries several at a
 // time, which is not counted as a connection.
-func (g *Group) OpenRequest(client string, bytes int64, close func()) (*Holder, bool) {
-	return g.open(client, bytes, close, false)
+func (g *Group) OpenRequest(client string, bytes int64, closeConn func()) (*Holder, bool) {
+	return g.open(client, bytes, closeConn, false)
 }
 
-func (g *Group) open(client string, bytes int64, close func(), connection bool) (*Holder, bool) {
+func (g *Group) open(client string, bytes int64, closeConn func(), connection bool) (*Holder, bool) {
 	b := g.budget
 	b.mu.Lock()
 	var victims []victim
 	if connection && g.count >= g.max {
-		spare := g.max/spareShare + 1
+		spare := g.max/spareDivisor + 1
 		victims = b.release(LimitConnections, g, func() bool { return g.count <= g.max-spare })
 	}
 	if b.held+bytes > b.options.Bytes && b.heldByComplete()+bytes <= b.options.Bytes {
-		goal := b.options.Bytes - b.options.Bytes/spareShare - bytes
+		goal := b.options.Bytes - b.options.Bytes/spareDivisor - bytes
 		victims = append(victims, b.release(LimitBytes, nil, func() bool { return b.held <= goal })...)
 	}
 	ok := (!connection || g.count < g.max) && (b.held+bytes <= b.options.Bytes || !b.hasOther(nil))
 	var h *Holder
 	if ok {
-		h = &Holder{group: g, client: client, close: close, countsAsConnection: connection, bytes: bytes, since: b.options.Now()}
+		h = &Holder{group: g, client: client, close: closeConn, countsAsConnection: connection, bytes: bytes, since: b.options.Now()}
 		b.holders[h] = struct{}{}
 		b.held += bytes
 		if connection {
@@ -204,7 +204,7 @@
 	// A single request is served although it exceeds the budget: nobody waits for its
 	// memory.
 	if b.held > b.options.Bytes && b.hasOther(h) {
-		goal := max(b.options.Bytes-b.options.Bytes/spareShare, b.heldByComplete())
+		goal := max(b.options.Bytes-b.options.Bytes/spareDivisor, b.heldByComplete())
 		victims = b.release(LimitBytes, nil, func() bool { return b.held <= goal })
 	}
 	kept := h.phase != ended
--- a/daemon/platformagent.go
+++ b/daemon/platformagent.go
@@ -60,8 +60,8 @@
 func (a *PlatformAgent) Run(ctx context.Context, env Env) error {
 	set := &serverSet{env: env, budget: a.budget}
 	limits := limitsFor(a.node.Descriptors)
-	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner, a.log), listenerOptions{"heartbeats", limits.internal, false})
-	set.add(a.node.MetricsAddr, a.metrics.Handler, listenerOptions{"metrics", limits.checks, false})
+	set.add(a.node.InternalAddr, platform.HeartbeatHandler(a.runner, a.log), listenerOptions{name: "heartbeats", maxConnections: limits.internal})
+	set.add(a.node.MetricsAddr, a.metrics.Handler, listenerOptions{name: "metrics", maxConnections: limits.checks})
 	if set.err != nil {
 		events.ListenFailed.Log(a.log).Err(set.err).Send()
 		return set.err
--- a/daemon/platformgateway.go
+++ b/daemon/platformgateway.go
@@ -121,10 +121,10 @@
 func (g *PlatformGateway) listen(env Env) (*serverSet, error) {
 	set := &serverSet{env: env, budget: g.budget}
 	limits := limitsFor(g.node.Descriptors)
-	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), listenerOptions{"callers", limits.callers, true})
-	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), listenerOptions{"readiness", limits.checks, false})
-	set.add(g.node.LinkAddr, g.links.Handler(), listenerOptions{"link", limits.internal, false})
-	set.add(g.node.MetricsAddr, g.metrics.Handler, listenerOptions{"metrics", limits.checks, false})
+	set.add(g.node.ClientAddr, platform.ClientHandler(g.resolver, g), listenerOptions{name: "callers", maxConnections: limits.callers, callers: true})
+	set.add(g.node.ReadinessAddr, platform.ReadyHandler(g.ready), listenerOptions{name: "readiness", maxConnections: limits.checks})
+	set.add(g.node.LinkAddr, g.links.Handler(), listenerOptions{name: "link", maxConnections: limits.internal})
+	set.add(g.node.MetricsAddr, g.metrics.Handler, listenerOptions{name: "metrics", maxConnections: limits.checks})
 	return set, set.err
 }
 
--- a/daemon/requestlimits.go
+++ b/daemon/requestlimits.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// budgetShare is the part of the VM's memory that connections and their requests may
+	// budgetDivisor is the part of the VM's memory that connections and their requests may
 	// hold, as a divisor. The garbage collector lets the heap grow to twice its live part,
 	// and the process needs about 20 MB besides.
-	budgetShare = 4
+	budgetDivisor = 4
 	// defaultBudgetBytes applies if the memory is not known. It is enough for a thousand
 	// clients with a header and a body of the largest size each.
 	defaultBudgetBytes = 1 << 30
@@ -27,10 +27,10 @@
 	// runs more often. The rest is for the program text and for growth during a cycle.
 	memoryLimitPercent = 60
 
-	// fileDescriptors are reserved for files, reserveShare is the part of all descriptors
+	// fileDescriptors are reserved for files, reserveDivisor is the part of all descriptors
 	// that is reserved for agents, the store and other gateways, as a divisor.
 	fileDescriptors = 200
-	reserveShare    = 4
+	reserveDivisor  = 4
 	// defaultConnections applies to each listener if the descriptors are not known.
 	defaultConnections = 10_000
 	// checkConnections limits the connections of readiness checks and of metrics. A
@@ -50,7 +50,7 @@
 	if descriptors == 0 {
 		return connectionLimits{defaultConnections, defaultConnections, defaultConnections}
 	}
-	reserve := descriptors / reserveShare
+	reserve := descriptors / reserveDivisor
 	return connectionLimits{
 		callers: max(1, descriptors-fileDescriptors-reserve), internal: reserve / 2, checks: min(checkConnections, reserve/8),
 	}
@@ -60,7 +60,7 @@
 func newNodeBudget(n *platform.Node, log zerolog.Logger, m *telemetry.Metrics) *requestlimit.Budget {
 	bytes := int64(defaultBudgetBytes)
 	if n.MemoryBytes > 0 {
-		bytes = n.MemoryBytes / budgetShare
+		bytes = n.MemoryBytes / budgetDivisor
 	}
 	return newBudget(bytes, log, m)
 }
--- a/integration/crowd/main_test.go
+++ b/integration/crowd/main_test.go
@@ -42,7 +42,7 @@
 	stepClients = 60
 )
 
-// machine and machineWithFewFD are the VMs that the settings describe.
+// The VMs that the settings describe.
 var (
 	machine = resources{memoryMB: memoryMB, descriptors: descriptors}
 	// machineOfOwnAgent has the descriptors of its three listeners and as many for files
--- a/integration/crowd/watch_test.go
+++ b/integration/crowd/watch_test.go
@@ -22,6 +22,7 @@
 	bound   resources
 	pid     int
 	stop    chan struct{}
+	once    sync.Once // closes stop
 	wg      sync.WaitGroup
 	// mostDescriptors is owned by the sampling goroutine until stop is closed.
 	mostDescriptors int
@@ -41,14 +42,20 @@
 			}
 		}
 	})
+	t.Cleanup(w.end)
 	return w
 }
 
+// end ends the sampling.
+func (w *watch) end() {
+	w.once.Do(func() { close(w.stop) })
+	w.wg.Wait()
+}
+
 // check fails the test if the process has ended or has exceeded a bound.
 func (w *watch) check() {
 	w.t.Helper()
-	close(w.stop)
-	w.wg.Wait()
+	w.end()
 	if w.process.PID() != w.pid {
 		out, errOut := w.process.Output()
 		w.t.Fatalf("%s has ended: %v\n%s\n%s", w.process.Name, w.process.Err(), tail(out), tail(errOut))
--- a/restartable/dispatch/agent.go
+++ b/restartable/dispatch/agent.go
@@ -89,11 +89,13 @@
 	lastPlacedAt time.Duration
 	// avoided is set while the target looks broken or slow and gets only probes.
 	avoided bool
-	// inDoubt are the tasks that the agent says are in doubt, late those with a start that
-	// its target may carry out late, relayed those that it relays
-	// from other gateways, by the agent that has started them.
+	// inDoubt are the tasks that the agent says are in doubt.
 	inDoubt []task.ID
-	late    []task.ID
+	// late are the tasks with a start that the agent's target may carry out late. They come
+	// into doubt once the agent or its target is out of contact.
+	late []task.ID
+	// relayed are the tasks in doubt that the agent relays from other gateways, by the agent
+	// that has started them.
 	relayed map[string]taskDoubts
 	// reservedFor is the queue that is confined to this target and some others, if any.
 	reservedFor string
@@ -156,10 +158,8 @@
 	}
 }
 
-// givenUpRetention is how long the end of an attempt is awaited. An order that was withdrawn
-// before it was sent has none.
-const givenUpRetention = 13 * time.Second
-
+// prune forgets attempts whose end was not reported within doubtRetention: an order that was
+// withdrawn before it was sent has none.
 func (g givenUpAttempts) prune(now time.Duration) {
-	maps.DeleteFunc(g, func(_ task.ID, a givenUpAttempt) bool { return now-a.at > givenUpRetention })
+	maps.DeleteFunc(g, func(_ task.ID, a givenUpAttempt) bool { return now-a.at > doubtRetention })
 }
--- a/restartable/dispatch/core.go
+++ b/restartable/dispatch/core.go
@@ -103,7 +103,20 @@
 
 // NewCore returns a core without agents.
 func NewCore(opts Options) *Core {
-	return &Core{opts: opts, byLink: map[string]*agent{}, jobs: map[string]*job{}, estimators: map[string]*estimator{}, speedGains: map[string]*speedGain{}, crashes: newCrashLog(), bulkheads: newBulkheads(), shares: fairshare.NewAdmission(), doubts: doubts{}, lateStarts: lateStarts{}, fencing: fencingRecords{}, cancelled: map[string]time.Duration{}}
+	return &Core{
+		opts:       opts,
+		byLink:     map[string]*agent{},
+		jobs:       map[string]*job{},
+		estimators: map[string]*estimator{},
+		speedGains: map[string]*speedGain{},
+		crashes:    newCrashLog(),
+		bulkheads:  newBulkheads(),
+		shares:     fairshare.NewAdmission(),
+		doubts:     doubts{},
+		lateStarts: lateStarts{},
+		fencing:    fencingRecords{},
+		cancelled:  map[string]time.Duration{},
+	}
 }
 
 // Take returns the actions that were decided since the last call.
--- a/restartable/dispatch/shares_test.go
+++ b/restartable/dispatch/shares_test.go
@@ -14,7 +14,7 @@
 
 const sharedAgents = 4
 
-// newShareRig returns a rig whose targets of 30 cores are full: queue "greedy" takes more
+// newShareRig returns a rig whose targets of 30 cores are full: queue "bursting" takes more
 // than half of each.
 func newShareRig(t *testing.T, s fairshare.Settings) *rig {
 	r := newRig(t)
@@ -29,11 +29,11 @@
 
 // reportUse reports targets that are full, with the use of both queues on each. The work
 // that is committed ends soon.
-func (r *rig) reportUse(greedy, modest int64) {
+func (r *rig) reportUse(bursting, steady int64) {
 	for i := range sharedAgents {
 		r.report(agentName(i), func(l *Load) {
-			l.Committed, l.Backlog = task.Resources{CPUMillis: greedy + modest}, 20*ms
-			l.QueueUse, l.QueueUseChanged = []QueueUse{{"greedy", greedy}, {"modest", modest}}, true
+			l.Committed, l.Backlog = task.Resources{CPUMillis: bursting + steady}, 20*ms
+			l.QueueUse, l.QueueUseChanged = []QueueUse{{"bursting", bursting}, {"steady", steady}}, true
 		})
 	}
 }
@@ -45,12 +45,12 @@
 	r.submit(s)
 }
 
-// crowdOut submits jobs to both queues. All would have to wait.
-func (r *rig) crowdOut() {
+// submitBeyondCapacity submits jobs to both queues. All would have to wait.
+func (r *rig) submitBeyondCapacity() {
 	for i := range 4 {
-		r.submitJob("modest", fmt.Sprintf("modest-%d", i), 1)
+		r.submitJob("steady", fmt.Sprintf("steady-%d", i), 1)
 	}
-	r.submitJob("greedy", "greedy-0", 1)
+	r.submitJob("bursting", "bursting-0", 1)
 }
 
 // Jobs of both queues have to wait for their targets while others have room. Guards against
@@ -59,8 +59,8 @@
 	r := newShareRig(t, equalShares)
 	r.addAgent("free", 30_000)
 	r.report("free", func(l *Load) { l.Slowness, l.QueueUseChanged = 20, true })
-	r.crowdOut()
-	if a, ok := r.answers["greedy-0"]; ok {
+	r.submitBeyondCapacity()
+	if a, ok := r.answers["bursting-0"]; ok {
 		t.Errorf("a job is answered while a target has room: %+v", a)
 	}
 }
@@ -70,9 +70,9 @@
 // return. The use on a service without load is not a reason to refuse.
 func TestQueueAboveItsShareIsRefused(t *testing.T) {
 	r := newShareRig(t, equalShares)
-	r.crowdOut()
-	r.wantAnswer("greedy-0", NotRun, CauseShare)
-	a := r.answers["greedy-0"]
+	r.submitBeyondCapacity()
+	r.wantAnswer("bursting-0", NotRun, CauseShare)
+	a := r.answers["bursting-0"]
 	if a.RetryAfter < time.Second || a.Refusal == nil || a.Refusal.Share == nil {
 		t.Fatalf("answer %+v without share or time to return", a)
 	}
@@ -80,7 +80,7 @@
 		t.Errorf("share %+v of the refused job", s)
 	}
 	for i := range 4 {
-		if a, ok := r.answers[fmt.Sprintf("modest-%d", i)]; ok {
+		if a, ok := r.answers[fmt.Sprintf("steady-%d", i)]; ok {
 			t.Errorf("a job of the other queue is answered: %+v", a)
 		}
 	}
@@ -89,12 +89,12 @@
 // Guards against refusals while a target has room: capacity would be left unused.
 func TestQueueAboveItsShareUsesSpareCapacity(t *testing.T) {
 	r := newShareRig(t, equalShares)
-	r.crowdOut()
+	r.submitBeyondCapacity()
 	for i := range sharedAgents {
 		r.report(agentName(i), func(l *Load) { l.Committed, l.Backlog = task.Resources{CPUMillis: 20_000}, 20*ms })
 	}
-	r.submitJob("greedy", "greedy-1", 1)
-	if a, ok := r.answers["greedy-1"]; ok {
+	r.submitJob("bursting", "bursting-1", 1)
+	if a, ok := r.answers["bursting-1"]; ok {
 		t.Errorf("a job for which there is room is answered: %+v", a)
 	}
 }
@@ -105,13 +105,13 @@
 	r := newShareRig(t, equalShares)
 	r.reportUse(6_000, 6_000)
 	s := newSubmission("steps", 1, 100*ms)
-	s.Queue.Name = "greedy"
+	s.Queue.Name = "bursting"
 	s.Steps = append(s.Steps, s.Steps[0])
 	s.Steps[1].DependsOn = []int{0}
 	r.submit(s)
 	r.reportUse(24_000, 6_000)
-	r.crowdOut()
-	r.wantAnswer("greedy-0", NotRun, CauseShare)
+	r.submitBeyondCapacity()
+	r.wantAnswer("bursting-0", NotRun, CauseShare)
 	agent, attempt := r.placedOn("steps", 0)
 	r.reportEvent(agent, newEvent("steps", 0, attempt, task.Done, ""))
 	if a, ok := r.answers["steps"]; ok {
@@ -127,10 +127,10 @@
 // refusal of the job as not run although orders of the first step are sent.
 func TestJobWithAPlacedStepIsNotRefusedByShare(t *testing.T) {
 	r := newShareRig(t, equalShares)
-	r.crowdOut()
+	r.submitBeyondCapacity()
 	r.reportUse(22_000, 6_000)
 	s := newSubmission("steps", 1, 100*ms)
-	s.Queue.Name = "greedy"
+	s.Queue.Name = "bursting"
 	s.Steps = append(s.Steps, s.Steps[0])
 	s.Steps[0].Needs.CPUMillis, s.Steps[1].Needs.CPUMillis = 1000, 5000
 	r.submit(s)
@@ -147,8 +147,8 @@
 func TestOrdersBetweenReportsCountAsUse(t *testing.T) {
 	r := newShareRig(t, equalShares)
 	r.reportUse(3_000, 3_000)
-	r.submitJob("greedy", "j", 4)
-	if got := r.core.serviceUsage(r.now, "s").Queues["greedy"]; got != 4*3_000+4*3_000 {
+	r.submitJob("bursting", "j", 4)
+	if got := r.core.serviceUsage(r.now, "s").Queues["bursting"]; got != 4*3_000+4*3_000 {
 		t.Errorf("use %g with four tasks of 3000 sent since the report", got)
 	}
 }
@@ -166,12 +166,12 @@
 		r.report(agentName(i), func(l *Load) {
 			l.Committed, l.Backlog = task.Resources{CPUMillis: 30_000}, 20*ms
 			if i == 0 {
-				l.QueueUse, l.QueueUseChanged = []QueueUse{{"greedy", 24_000}, {"modest", 6_000}}, true
+				l.QueueUse, l.QueueUseChanged = []QueueUse{{"bursting", 24_000}, {"steady", 6_000}}, true
 			}
 		})
 	}
-	r.crowdOut()
-	if a, ok := r.answers["greedy-0"]; ok {
+	r.submitBeyondCapacity()
+	if a, ok := r.answers["bursting-0"]; ok {
 		t.Errorf("a job is answered by the report of one agent of four: %+v", a)
 	}
 }
@@ -180,7 +180,7 @@
 // one from before the shares were switched on again.
 func TestUseOfAgentsThatAreGoneIsNotCounted(t *testing.T) {
 	r := newShareRig(t, equalShares)
-	use := func() float64 { return r.core.serviceUsage(r.now, "s").Queues["greedy"] }
+	use := func() float64 { return r.core.serviceUsage(r.now, "s").Queues["bursting"] }
 	if got := use(); got != 4*24_000 {
 		t.Fatalf("use %g of all agents", got)
 	}
@@ -193,9 +193,9 @@
 	if got := use(); got != 0 {
 		t.Errorf("use %g before agents have reported again", got)
 	}
-	r.report(agentName(1), func(l *Load) { l.QueueUse, l.QueueUseChanged = []QueueUse{{"greedy", 24_000}}, true })
+	r.report(agentName(1), func(l *Load) { l.QueueUse, l.QueueUseChanged = []QueueUse{{"bursting", 24_000}}, true })
 	r.advance(r.core.opts.SuspectAfter + ms)
-	if u := r.core.serviceUsage(r.now, "s"); u.Agents != 0 || u.Queues["greedy"] != 0 {
+	if u := r.core.serviceUsage(r.now, "s"); u.Agents != 0 || u.Queues["bursting"] != 0 {
 		t.Errorf("usage %+v of stale reports", u)
 	}
 }
@@ -204,16 +204,16 @@
 func TestLimitIsReportedOnceWithItsEnd(t *testing.T) {
 	r := newShareRig(t, equalShares)
 	for i := range 4 {
-		r.submitJob("modest", fmt.Sprintf("modest-%d", i), 1)
+		r.submitJob("steady", fmt.Sprintf("steady-%d", i), 1)
 	}
 	for i := range 3 {
 		r.core.Submit(r.now, func() Submission {
-			s := newSubmission(fmt.Sprintf("greedy-%d", i), 1, 100*ms)
-			s.Queue.Name = "greedy"
+			s := newSubmission(fmt.Sprintf("bursting-%d", i), 1, 100*ms)
+			s.Queue.Name = "bursting"
 			return s
 		}(), &Caller{Answer: func(Answer) {}})
 	}
-	if changes := r.core.Take().ShareChanges; len(changes) != 1 || !changes[0].Limited || changes[0].Queue != "greedy" {
+	if changes := r.core.Take().ShareChanges; len(changes) != 1 || !changes[0].Limited || changes[0].Queue != "bursting" {
 		t.Errorf("changes %+v, want the start of one limit", changes)
 	}
 	r.advance(1100 * ms)
@@ -235,13 +235,13 @@
 		}
 		r.advance(time.Second)
 		for n := range 200 {
-			r.submitJob([]string{"greedy", "greedy", "modest"}[n%3], fmt.Sprintf("j%d", n), 1+n%5)
+			r.submitJob([]string{"bursting", "bursting", "steady"}[n%3], fmt.Sprintf("j%d", n), 1+n%5)
 			r.advance(5 * ms)
 			r.core.Tick(r.now)
 			r.report(agentName(n%sharedAgents), func(l *Load) {
 				l.Committed, l.Backlog = task.Resources{CPUMillis: int64(20_000 + n%4*4_000)}, 30*ms
 				if reportUse {
-					l.QueueUse, l.QueueUseChanged = []QueueUse{{"greedy", l.Committed.CPUMillis - 5_000}, {"modest", 5_000}}, true
+					l.QueueUse, l.QueueUseChanged = []QueueUse{{"bursting", l.Committed.CPUMillis - 5_000}, {"steady", 5_000}}, true
 				}
 			})
 		}
