--- a/integration/crowd/client_test.go
+++ b/integration/crowd/client_test.go
@@ -6,10 +6,11 @@
 	"fmt"
 	"io"
 	"net"
-	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/rhubarbsail/rhubarbsail/platform/standin"
 )
 
 const (
@@ -71,7 +72,7 @@
 // manySteps returns a complete request whose body has as many steps as fit, far more than
 // a job may have.
 func manySteps(target string) request {
-	steps := `{"best_effort":true,"job_steps":[` + strings.Repeat("{},", (bodyBytes-100)/3) + `{}]}`
+	steps := standin.BodyOfEmptySteps((bodyBytes-100)/3 + 1)
 	return request{parts: [][]byte{fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", target, len(steps), steps)}}
 }
 
